--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,8 @@
 sanitize: deps
 	@./tools/sanitize
 
+bench: build
+	@./$(BUILD)/packages/bench/oriolespread-bench --seed $(SEED)
+
 clean:
 	@rm -rf $(BUILD) build-asan build-tsan
