--- /dev/null
+++ b/packages/platform/src/HttpClient.h
@@ -0,0 +1,23 @@
+// Shared set-up of the platform's HTTP clients.
+#pragma once
+
+#include "absl/status/status.h"
+
+#include "oriolespread/base/Time.h"
+#include "oriolespread/platform/HttpAddress.h"
+
+#include <httplib.h>
+
+#include <memory>
+
+namespace oriolespread::internal {
+
+std::unique_ptr<httplib::Client> MakeClient(const HttpAddress& aAddress, Duration aTimeout);
+
+// Returns whether the request surely did not reach the service.
+bool SurelyNotSent(httplib::Error aError);
+
+// Returns the status of an answer: OK for 2xx, the matching code for 4xx, Unavailable otherwise.
+absl::Status ToStatus(const httplib::Result& aResult);
+
+} // namespace oriolespread::internal
