Add the entry and agent programs and the loopback site

Cause: requests, jobs and tickets need a path through separate processes. Change: drivers that join the request engine, shard owners, tickets and task runner with links, store and HTTP; programs oriolespread and oriolespread-agent; tools/run-site as make run.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,9 @@
 sanitize: deps
 	@./tools/sanitize
 
+run: build
+	@./tools/run-site $(BUILD)
+
 bench: build
 	@./$(BUILD)/packages/bench/oriolespread-bench --seed $(SEED)
 
--- a/packages/messages/include/oriolespread/messages/ControlMessages.h
+++ b/packages/messages/include/oriolespread/messages/ControlMessages.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,7 @@
 // Entry to agent: the entries that an agent may connect to, and who owns which shard.
 struct EntryDirectory
 {
+  std::uint32_t shardCount = 0;
   std::vector<EntryInfo> entries;
   std::vector<ShardOwnerInfo> owners;
 };
@@ -55,6 +57,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TicketUpdate, from, number, states)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EntryInfo, entry, dataCentre, linkAddress)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardOwnerInfo, shard, epoch, entry)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EntryDirectory, entries, owners)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EntryDirectory, shardCount, entries, owners)
 
 } // namespace oriolespread
--- a/packages/service/include/oriolespread/service/Log.h
+++ b/packages/service/include/oriolespread/service/Log.h
@@ -6,6 +6,8 @@
 // prints {"time":"2026-01-01T00:00:00.000Z","level":"info","event":"link_up","agent":"a-1"}.
 #pragma once
 
+#include "oriolespread/settings/CommonSettings.h"
+
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -13,14 +15,6 @@
 
 namespace oriolespread {
 
-enum class LogLevel
-{
-  Debug,
-  Info,
-  Warning,
-  Error,
-};
-
 // Starts the log thread, which writes to standard output. Lines beyond its bounded queue replace
 // the oldest ones. Lines logged before this call go to standard output directly.
 void InitLog(LogLevel aLevel);
