--- /dev/null
+++ b/packages/requests/include/oriolespread/requests/CreditLedger.h
@@ -0,0 +1,94 @@
+// Divides the slots and connections of an agent's upstreams among the entries that are linked with
+// it, and refuses calls above what it has granted:
+//
+//   ledger.SetUpstream(upstream, incarnation, 8, 64);
+//   ledger.AddLink(link);
+//   for (const LinkGrant& grant : ledger.TakeGrants()) { Send(grant.link, grant.grant); }
+//   if (!ledger.TryBegin(link, upstream)) { /* refuse with no_credit: proof of not run */ }
+//   ledger.End(link, upstream); // when the upstream's call has ended, also after a cancellation
+#pragma once
+
+#include "absl/container/flat_hash_map.h"
+
+#include "oriolespread/base/Counters.h"
+#include "oriolespread/requests/RequestEvents.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace oriolespread {
+
+struct LinkGrant
+{
+  LinkId link;
+  CreditGrant grant;
+};
+
+// Grants are max-min fair by demand; what no demand takes is spread evenly, so that an entry can
+// send at once when its demand rises. Every live link gets at least 1 while slots suffice. The sum
+// of max(granted, in flight) never exceeds the limit, except for calls that were begun before the
+// limit was lowered. Not thread-safe. `aCounters` must outlive the ledger.
+class CreditLedger
+{
+public:
+  explicit CreditLedger(Counters& aCounters);
+
+  // Adds an upstream or changes its limits. A new incarnation restarts the grants' sequence.
+  void SetUpstream(const UpstreamId& aUpstream,
+                   Incarnation aIncarnation,
+                   std::uint32_t aSlots,
+                   std::uint32_t aConnections);
+  // Calls that are in flight may still be ended after this.
+  void RemoveUpstream(const UpstreamId& aUpstream);
+
+  void AddLink(LinkId aLink);
+  // The credit that the link's calls in flight hold returns as they end.
+  void RemoveLink(LinkId aLink);
+
+  void SetDemand(LinkId aLink, const CreditDemand& aDemand);
+
+  // Returns whether the link may run one more call; counts it as in flight when so.
+  bool TryBegin(LinkId aLink, const UpstreamId& aUpstream);
+  void End(LinkId aLink, const UpstreamId& aUpstream);
+
+  // Returns the grants that have changed since the last call, for live links only.
+  std::vector<LinkGrant> TakeGrants();
+  // Returns the grants of one link as they are; used when a link has been announced to again.
+  std::vector<LinkGrant> GrantsOf(LinkId aLink);
+
+  std::uint32_t InFlight(const UpstreamId& aUpstream) const;
+  // Returns the sum over all links of max(granted slots, in flight).
+  std::uint32_t Committed(const UpstreamId& aUpstream) const;
+
+private:
+  struct Share
+  {
+    std::uint32_t demand = 0;
+    std::uint32_t slots = 0;
+    std::uint32_t connections = 0;
+    std::uint32_t inFlight = 0;
+    bool live = true;
+    bool changed = true;
+  };
+  // Ordered, so that the division does not depend on hash order.
+  using Shares = std::map<LinkId, Share>;
+  struct Account
+  {
+    Incarnation incarnation;
+    std::uint32_t slots = 0;
+    std::uint32_t connections = 0;
+    std::uint64_t sequence = 0;
+    bool removed = false;
+    Shares shares;
+  };
+
+  static void Divide(Account& aAccount);
+  static CreditGrant MakeGrant(const UpstreamId& aUpstream, Account& aAccount, const Share& aShare);
+
+  Counters& counters;
+  std::map<UpstreamId, Account> accounts;
+  std::vector<LinkId> links;
+};
+
+} // namespace oriolespread
--- /dev/null
+++ b/packages/requests/include/oriolespread/requests/RequestEngine.h
@@ -0,0 +1,65 @@
+// Decides on all requests of one entry: admission, queueing, routing, retries, hedges and
+// idempotency. It performs no input or output itself. A driver feeds it from one thread:
+//
+//   RequestEffects effects;
+//   engine.Handle(now, NewRequest{...}, effects);
+//   for (const RequestEffect& effect : effects) { /* open the stream, send the answer, ... */ }
+//   timer.expires_at(engine.NextWakeup()); // then Handle(now, Tick{}, effects)
+#pragma once
+
+#include "oriolespread/base/Counters.h"
+#include "oriolespread/requests/RequestEvents.h"
+
+#include <memory>
+
+namespace oriolespread {
+
+namespace internal {
+class EngineCore;
+}
+
+struct RequestEngineOptions
+{
+  EntryId entry;
+  Incarnation incarnation;
+  DataCentreId dataCentre;
+  std::uint64_t seed = 1;
+};
+
+// Load of one service, for the metrics and for readiness.
+struct RequestLoad
+{
+  std::size_t queued = 0;
+  // Calls in flight; a hedged request counts twice.
+  std::size_t calls = 0;
+  // Requests without a final answer.
+  std::size_t requests = 0;
+};
+
+// Not thread-safe. `aCounters` must outlive the engine.
+class RequestEngine
+{
+public:
+  RequestEngine(RequestEngineOptions aOptions, Counters& aCounters);
+  ~RequestEngine();
+  RequestEngine(RequestEngine&&) noexcept;
+  RequestEngine& operator=(RequestEngine&&) noexcept;
+
+  // Takes one event and appends what is to be done to `aEffects`. `aNow` must not go back.
+  void Handle(Instant aNow, const RequestEvent& aEvent, RequestEffects& aEffects);
+
+  // Returns when Tick is due next; Instant::max() when nothing waits for time. Valid until the next
+  // call of Handle.
+  Instant NextWakeup() const;
+
+  RequestLoad Load() const;
+  // Returns whether an upstream could be given a request of this service now or later.
+  bool HasUpstream(const OrganisationId& aProvider, const ServiceName& aService) const;
+  // Returns whether a drain was requested and no request and no table operation is left.
+  bool IsDrained() const;
+
+private:
+  std::unique_ptr<internal::EngineCore> core;
+};
+
+} // namespace oriolespread
--- /dev/null
+++ b/packages/requests/src/CreditDivision.cpp
@@ -0,0 +1,64 @@
+#include "CreditDivision.h"
+
+#include <algorithm>
+
+namespace oriolespread::internal {
+
+namespace {
+
+// Raises the live shares one slot at a time, always the smallest first, up to their limits. A slot
+// that the claimant already holds costs nothing. Slots are few (8 for an upstream), so that a loop
+// over them is cheaper than sorting.
+void Raise(std::uint32_t& aFree,
+           const std::vector<Claim>& aClaims,
+           const std::vector<std::uint32_t>& aLimits,
+           std::vector<std::uint32_t>& aShares)
+{
+  while (true) {
+    std::size_t best = aClaims.size();
+    for (std::size_t i = 0; i < aClaims.size(); ++i) {
+      const bool costsNothing = aShares[i] < aClaims[i].held;
+      const bool mayRise = aClaims[i].live && aShares[i] < aLimits[i];
+      if (mayRise && (costsNothing || aFree > 0) &&
+          (best == aClaims.size() || aShares[i] < aShares[best])) {
+        best = i;
+      }
+    }
+    if (best == aClaims.size()) {
+      return;
+    }
+    if (aShares[best] >= aClaims[best].held) {
+      --aFree;
+    }
+    ++aShares[best];
+  }
+}
+
+} // namespace
+
+std::vector<std::uint32_t> DivideSlots(std::uint32_t aTotal, const std::vector<Claim>& aClaims)
+{
+  // The fair target first, as if nothing were held.
+  std::vector<Claim> free = aClaims;
+  std::vector<std::uint32_t> demands;
+  for (Claim& claim : free) {
+    claim.held = 0;
+    demands.push_back(std::max<std::uint32_t>(claim.demand, 1));
+  }
+  std::uint32_t rest = aTotal;
+  std::vector<std::uint32_t> target(aClaims.size(), 0);
+  Raise(rest, free, demands, target);
+  Raise(rest, free, std::vector<std::uint32_t>(aClaims.size(), aTotal), target);
+
+  // Then as much of the target as is not held by others.
+  std::uint32_t held = 0;
+  for (const Claim& claim : aClaims) {
+    held += claim.held;
+  }
+  std::uint32_t available = aTotal > held ? aTotal - held : 0;
+  std::vector<std::uint32_t> shares(aClaims.size(), 0);
+  Raise(available, aClaims, target, shares);
+  return shares;
+}
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/CreditLedger.cpp
@@ -0,0 +1,222 @@
+#include "oriolespread/requests/CreditLedger.h"
+
+#include "CreditDivision.h"
+
+#include <algorithm>
+
+namespace oriolespread {
+
+CreditLedger::CreditLedger(Counters& aCounters)
+  : counters(aCounters)
+{
+}
+
+void CreditLedger::SetUpstream(const UpstreamId& aUpstream,
+                               Incarnation aIncarnation,
+                               std::uint32_t aSlots,
+                               std::uint32_t aConnections)
+{
+  Account& account = this->accounts[aUpstream];
+  const bool renewed = account.incarnation != aIncarnation || account.removed;
+  account.incarnation = aIncarnation;
+  account.slots = aSlots;
+  account.connections = aConnections;
+  account.removed = false;
+  for (const LinkId link : this->links) {
+    Share& share = account.shares[link];
+    share.changed = share.changed || renewed;
+  }
+  Divide(account);
+}
+
+void CreditLedger::RemoveUpstream(const UpstreamId& aUpstream)
+{
+  const auto found = this->accounts.find(aUpstream);
+  if (found == this->accounts.end()) {
+    return;
+  }
+  Account& account = found->second;
+  account.removed = true;
+  account.slots = 0;
+  account.connections = 0;
+  Divide(account);
+  if (this->InFlight(aUpstream) == 0) {
+    this->accounts.erase(found);
+  }
+}
+
+void CreditLedger::AddLink(LinkId aLink)
+{
+  if (std::find(this->links.begin(), this->links.end(), aLink) != this->links.end()) {
+    return;
+  }
+  this->links.push_back(aLink);
+  for (auto& [upstream, account] : this->accounts) {
+    account.shares[aLink] = Share{};
+    Divide(account);
+  }
+}
+
+void CreditLedger::RemoveLink(LinkId aLink)
+{
+  std::erase(this->links, aLink);
+  for (auto& [upstream, account] : this->accounts) {
+    const auto found = account.shares.find(aLink);
+    if (found == account.shares.end()) {
+      continue;
+    }
+    found->second.live = false;
+    found->second.demand = 0;
+    if (found->second.inFlight == 0) {
+      account.shares.erase(found);
+    }
+    Divide(account);
+  }
+}
+
+void CreditLedger::SetDemand(LinkId aLink, const CreditDemand& aDemand)
+{
+  const auto found = this->accounts.find(aDemand.upstream);
+  if (found == this->accounts.end()) {
+    this->counters.Add("credit_demands_ignored_total", "unknown_upstream");
+    return;
+  }
+  const auto share = found->second.shares.find(aLink);
+  if (share == found->second.shares.end() || !share->second.live) {
+    this->counters.Add("credit_demands_ignored_total", "unknown_link");
+    return;
+  }
+  // Each term is bounded by itself, so that a hostile or broken entry cannot overflow the sum.
+  const std::uint32_t limit = found->second.slots;
+  share->second.demand = std::min(aDemand.queued, limit) + std::min(aDemand.inFlight, limit);
+  Divide(found->second);
+}
+
+bool CreditLedger::TryBegin(LinkId aLink, const UpstreamId& aUpstream)
+{
+  const auto found = this->accounts.find(aUpstream);
+  if (found == this->accounts.end() || found->second.removed) {
+    this->counters.Add("calls_refused_total", "unknown_upstream");
+    return false;
+  }
+  const auto share = found->second.shares.find(aLink);
+  if (share == found->second.shares.end() || !share->second.live) {
+    this->counters.Add("calls_refused_total", "unknown_link");
+    return false;
+  }
+  const std::uint32_t limit = std::min(share->second.slots, share->second.connections);
+  if (share->second.inFlight >= limit) {
+    this->counters.Add("calls_refused_total", "no_credit");
+    return false;
+  }
+  ++share->second.inFlight;
+  return true;
+}
+
+void CreditLedger::End(LinkId aLink, const UpstreamId& aUpstream)
+{
+  const auto found = this->accounts.find(aUpstream);
+  if (found == this->accounts.end()) {
+    return;
+  }
+  Account& account = found->second;
+  const auto share = account.shares.find(aLink);
+  if (share == account.shares.end() || share->second.inFlight == 0) {
+    this->counters.Add("credit_errors_total", "end_without_begin");
+    return;
+  }
+  --share->second.inFlight;
+  const bool returnsCredit = !share->second.live || share->second.inFlight >= share->second.slots;
+  if (!share->second.live && share->second.inFlight == 0) {
+    account.shares.erase(share);
+  }
+  if (account.removed && this->InFlight(aUpstream) == 0) {
+    this->accounts.erase(found);
+    return;
+  }
+  if (returnsCredit) {
+    Divide(account);
+  }
+}
+
+std::vector<LinkGrant> CreditLedger::TakeGrants()
+{
+  std::vector<LinkGrant> grants;
+  for (auto& [upstream, account] : this->accounts) {
+    for (auto& [link, share] : account.shares) {
+      if (share.live && share.changed) {
+        share.changed = false;
+        grants.push_back({ link, MakeGrant(upstream, account, share) });
+      }
+    }
+  }
+  return grants;
+}
+
+std::vector<LinkGrant> CreditLedger::GrantsOf(LinkId aLink)
+{
+  std::vector<LinkGrant> grants;
+  for (auto& [upstream, account] : this->accounts) {
+    const auto share = account.shares.find(aLink);
+    if (share != account.shares.end() && share->second.live) {
+      grants.push_back({ aLink, MakeGrant(upstream, account, share->second) });
+    }
+  }
+  return grants;
+}
+
+std::uint32_t CreditLedger::InFlight(const UpstreamId& aUpstream) const
+{
+  const auto found = this->accounts.find(aUpstream);
+  std::uint32_t sum = 0;
+  if (found != this->accounts.end()) {
+    for (const auto& [link, share] : found->second.shares) {
+      sum += share.inFlight;
+    }
+  }
+  return sum;
+}
+
+std::uint32_t CreditLedger::Committed(const UpstreamId& aUpstream) const
+{
+  const auto found = this->accounts.find(aUpstream);
+  std::uint32_t sum = 0;
+  if (found != this->accounts.end()) {
+    for (const auto& [link, share] : found->second.shares) {
+      sum += std::max(share.slots, share.inFlight);
+    }
+  }
+  return sum;
+}
+
+void CreditLedger::Divide(Account& aAccount)
+{
+  std::vector<internal::Claim> claims;
+  claims.reserve(aAccount.shares.size());
+  std::uint32_t live = 0;
+  for (const auto& [link, share] : aAccount.shares) {
+    claims.push_back({ share.demand, share.inFlight, share.live });
+    live += share.live ? 1U : 0U;
+  }
+  const std::vector<std::uint32_t> slots = internal::DivideSlots(aAccount.slots, claims);
+  // Connections beyond the slots are never needed for a request, so that an even part suffices.
+  const std::uint32_t connections = live == 0 ? 0 : aAccount.connections / live;
+  std::size_t index = 0;
+  for (auto& [link, share] : aAccount.shares) {
+    const std::uint32_t granted = slots[index++];
+    const std::uint32_t grantedConnections = share.live ? std::max(connections, granted) : 0;
+    share.changed =
+      share.changed || granted != share.slots || grantedConnections != share.connections;
+    share.slots = granted;
+    share.connections = grantedConnections;
+  }
+}
+
+CreditGrant CreditLedger::MakeGrant(const UpstreamId& aUpstream,
+                                    Account& aAccount,
+                                    const Share& aShare)
+{
+  return { aUpstream, aAccount.incarnation, ++aAccount.sequence, aShare.slots, aShare.connections };
+}
+
+} // namespace oriolespread
--- /dev/null
+++ b/packages/requests/src/EngineCalls.cpp
@@ -0,0 +1,368 @@
+#include "EngineCore.h"
+#include "FailureAnswer.h"
+#include "LatencyEstimate.h"
+
+#include <algorithm>
+
+namespace oriolespread::internal {
+
+namespace {
+
+constexpr int kFirstServerError = 500;
+// Assumed of a service before its first answer.
+constexpr double kUnknownLatencyNs = 10e6;
+
+std::string_view LabelOf(CallKind aKind)
+{
+  switch (aKind) {
+    case CallKind::First:
+      return "first";
+    case CallKind::Retry:
+      return "retry";
+    case CallKind::Hedge:
+      break;
+  }
+  return "hedge";
+}
+
+// Refusals that follow from the state of the link or from credit say nothing about the health of
+// the upstream.
+bool IsUpstreamFault(Reason aReason)
+{
+  return aReason != Reason::NoCredit && aReason != Reason::UpstreamLeaving &&
+         aReason != Reason::StreamRefused;
+}
+
+} // namespace
+
+ServicePool& EngineCore::PoolFor(const PoolKey& aKey)
+{
+  const auto [found, added] = this->pools.try_emplace(aKey);
+  if (added) {
+    found->second.queue.SetWeights(this->policy.Weights());
+  }
+  return found->second;
+}
+
+double EngineCore::PoolLatencyNs(const PoolKey& aKey)
+{
+  const double mean = this->PoolFor(aKey).hedges.MeanNs();
+  return mean == 0.0 ? kUnknownLatencyNs : mean;
+}
+
+void EngineCore::PumpAll(const std::vector<PoolKey>& aPools)
+{
+  for (const PoolKey& key : aPools) {
+    this->Pump(key);
+  }
+}
+
+void EngineCore::Pump(const PoolKey& aKey)
+{
+  ServicePool& pool = this->PoolFor(aKey);
+  if (pool.queue.empty()) {
+    return;
+  }
+  if (!this->HasUpstream(aKey)) {
+    this->GiveUpQueued(pool.queue.Clear(), Reason::NoUpstream);
+    return;
+  }
+  const Instant earliestAnswer = this->now + pool.hedges.Fastest();
+  std::vector<QueuedRequest> dropped;
+  while (const QueuedRequest* next = pool.queue.Peek(earliestAnswer, dropped)) {
+    ActiveRequest* active = this->Find(next->id);
+    const UpstreamPtr upstream = this->router.Pick(
+      this->now, this->membership.PoolOf(aKey), active->tried, this->PoolLatencyNs(aKey));
+    if (upstream == nullptr) {
+      break;
+    }
+    pool.queue.Pop();
+    this->Start(*active, upstream, active->attempts == 0 ? CallKind::First : CallKind::Retry);
+  }
+  this->GiveUpQueued(dropped, Reason::DeadlineUnreachable);
+}
+
+void EngineCore::GiveUpQueued(const std::vector<QueuedRequest>& aQueued, Reason aReason)
+{
+  for (const QueuedRequest& queued : aQueued) {
+    ActiveRequest& active = *this->Find(queued.id);
+    // A request that waits for a second call may still be answered by its first.
+    if (active.calls.empty()) {
+      this->GiveUp(active, aReason);
+    }
+  }
+}
+
+void EngineCore::Start(ActiveRequest& aRequest, const UpstreamPtr& aUpstream, CallKind aKind)
+{
+  const CallId id{ ++this->lastCall };
+  const NewRequest& request = aRequest.request;
+  ++aRequest.attempts;
+  aRequest.calls.push_back(id);
+  aRequest.tried.push_back(aUpstream->worker);
+  ++aUpstream->ownInFlight;
+  aUpstream->peakInFlight = std::max(aUpstream->peakInFlight, aUpstream->ownInFlight);
+  this->calls.emplace(id, ActiveCall{ request.id, aUpstream, this->now });
+  this->counters.Add("calls_started_total", LabelOf(aKind));
+  this->effects->emplace_back(StartCall{ id,
+                                         aUpstream->link,
+                                         aUpstream->id,
+                                         request.id,
+                                         request.organisation,
+                                         request.service,
+                                         request.deadline,
+                                         request.content });
+  HedgePolicy& hedges = this->PoolFor(aRequest.pool).hedges;
+  hedges.RecordCall();
+  const bool mayHedge =
+    aRequest.idempotent && request.requestClass == RequestClass::LatencyCritical;
+  if (mayHedge && hedges.Delay() != Duration::max()) {
+    this->timers.Add({ this->now + hedges.Delay(), TimerKind::SlowCall, request.id, id });
+  }
+}
+
+std::optional<ActiveCall> EngineCore::Release(CallId aCall, std::string_view aResult)
+{
+  const auto found = this->calls.find(aCall);
+  if (found == this->calls.end()) {
+    this->counters.Add("late_results_dropped_total", aResult);
+    return std::nullopt;
+  }
+  ActiveCall call = std::move(found->second);
+  this->calls.erase(found);
+  --call.upstream->ownInFlight;
+  if (ActiveRequest* active = this->Find(call.request)) {
+    std::erase(active->calls, aCall);
+  }
+  return call;
+}
+
+void EngineCore::On(const CallAnswered& aEvent)
+{
+  const std::optional<ActiveCall> call = this->Release(aEvent.call, "answered");
+  if (!call.has_value()) {
+    return;
+  }
+  if (aEvent.request != call->request) {
+    // The answer of another request must never reach this caller.
+    this->counters.Add("answers_mismatched_total", "");
+    this->OnFailedCall(*call, true, Reason::AnswerMismatched);
+    return;
+  }
+  const bool failed = aEvent.answer->status >= kFirstServerError;
+  const Duration latency = this->now - call->started;
+  if (!failed) {
+    AddMeasured(this->now, *call->upstream, latency);
+    this->PoolFor(call->upstream->pool).hedges.RecordAnswer(latency);
+  }
+  this->RecordResult(*call, failed);
+  ActiveRequest& active = *this->Find(call->request);
+  if (!failed) {
+    this->retries.RecordSuccess(active.request.organisation);
+  }
+  this->Complete(active, aEvent.answer);
+  this->Pump(call->upstream->pool);
+}
+
+void EngineCore::On(const CallNotRun& aEvent)
+{
+  const std::optional<ActiveCall> call = this->Release(aEvent.call, "not_run");
+  if (call.has_value()) {
+    this->OnFailedCall(*call, false, aEvent.reason);
+  }
+}
+
+void EngineCore::On(const CallUnknown& aEvent)
+{
+  const std::optional<ActiveCall> call = this->Release(aEvent.call, "unknown");
+  if (call.has_value()) {
+    this->OnFailedCall(*call, true, aEvent.reason);
+  }
+}
+
+void EngineCore::RecordResult(const ActiveCall& aCall, bool aFailed)
+{
+  Upstream& upstream = *aCall.upstream;
+  const auto& members = this->membership.PoolOf(upstream.pool);
+  if (!upstream.gone && this->ejector.Record(this->now, upstream, aFailed, members)) {
+    this->timers.Add({ upstream.ejectedUntil, TimerKind::Pump, {}, {} });
+  }
+}
+
+void EngineCore::OnFailedCall(const ActiveCall& aCall, bool aMayHaveRun, Reason aReason)
+{
+  this->counters.Add("calls_failed_total", ToString(aReason));
+  if (IsUpstreamFault(aReason)) {
+    this->RecordResult(aCall, true);
+  }
+  if (aReason == Reason::NoCredit) {
+    aCall.upstream->refused = true;
+  }
+  ActiveRequest& active = *this->Find(aCall.request);
+  active.mayHaveRun = active.mayHaveRun || aMayHaveRun;
+  const bool otherCallRuns = !active.calls.empty();
+  const bool mayRepeat = active.idempotent || !active.mayHaveRun;
+  if (!otherCallRuns && !(mayRepeat && this->TryRetry(active, aReason))) {
+    this->GiveUp(active, aReason);
+  }
+  this->Pump(aCall.upstream->pool);
+}
+
+bool EngineCore::TryRetry(ActiveRequest& aRequest, Reason aReason)
+{
+  ServicePool& pool = this->PoolFor(aRequest.pool);
+  const auto& members = this->membership.PoolOf(aRequest.pool);
+  const bool elsewhere = std::any_of(members.begin(), members.end(), [&](const UpstreamPtr& aItem) {
+    return aItem->IsServing() &&
+           std::find(aRequest.tried.begin(), aRequest.tried.end(), aItem->worker) ==
+             aRequest.tried.end();
+  });
+  std::string_view refusal;
+  if (aRequest.attempts >= kMaxAttempts) {
+    refusal = "attempts";
+  } else if (!elsewhere) {
+    refusal = "no_other_worker";
+  } else if (this->now + pool.hedges.Fastest() > aRequest.request.deadline) {
+    refusal = "deadline";
+  } else if (!this->retries.TryTake(aRequest.request.organisation)) {
+    refusal = "budget";
+  }
+  if (!refusal.empty()) {
+    this->counters.Add("retries_refused_total", refusal);
+    return false;
+  }
+  this->counters.Add("retries_total", ToString(aReason));
+  const NewRequest& request = aRequest.request;
+  pool.queue.PushFront(
+    { request.id, request.organisation, request.requestClass, request.deadline });
+  return true;
+}
+
+void EngineCore::OnSlowCall(const CallId& aCall)
+{
+  const auto found = this->calls.find(aCall);
+  if (found == this->calls.end()) {
+    return;
+  }
+  ActiveRequest& active = *this->Find(found->second.request);
+  if (active.calls.size() > 1 || active.attempts >= kMaxAttempts) {
+    return;
+  }
+  const UpstreamPtr upstream = this->router.Pick(this->now,
+                                                 this->membership.PoolOf(active.pool),
+                                                 active.tried,
+                                                 this->PoolLatencyNs(active.pool));
+  if (upstream == nullptr) {
+    this->counters.Add("hedges_refused_total", "no_credit");
+  } else if (!this->PoolFor(active.pool).hedges.TryTake()) {
+    this->counters.Add("hedges_refused_total", "budget");
+  } else {
+    this->Start(active, upstream, CallKind::Hedge);
+  }
+}
+
+void EngineCore::OnSuspects(const std::vector<UpstreamPtr>& aSuspects)
+{
+  if (aSuspects.empty()) {
+    return;
+  }
+  std::vector<CallId> stuck;
+  std::vector<PoolKey> touched;
+  for (const UpstreamPtr& upstream : aSuspects) {
+    touched.push_back(upstream->pool);
+  }
+  for (const auto& [id, call] : this->calls) {
+    if (std::find(aSuspects.begin(), aSuspects.end(), call.upstream) != aSuspects.end()) {
+      stuck.push_back(id);
+    }
+  }
+  std::sort(stuck.begin(), stuck.end());
+  for (const CallId id : stuck) {
+    ActiveRequest& active = *this->Find(this->calls.at(id).request);
+    // The first call goes on: a suspect upstream may still answer.
+    if (active.idempotent && active.calls.size() == 1) {
+      this->TryRetry(active, Reason::UpstreamSuspect);
+    }
+  }
+  this->PumpAll(touched);
+}
+
+void EngineCore::OnDeadline(const RequestId& aRequest)
+{
+  ActiveRequest* active = this->Find(aRequest);
+  if (active == nullptr) {
+    return;
+  }
+  const bool waits = active->calls.empty() && !active->mayHaveRun;
+  this->GiveUp(*active, waits ? Reason::DeadlineUnreachable : Reason::DeadlineExceeded);
+}
+
+void EngineCore::EndDrain()
+{
+  std::vector<RequestId> rest;
+  for (const auto& [id, active] : this->requests) {
+    rest.push_back(id);
+  }
+  std::sort(rest.begin(), rest.end());
+  for (const RequestId& id : rest) {
+    this->GiveUp(*this->Find(id), Reason::Draining);
+  }
+}
+
+void EngineCore::Cancel(ActiveRequest& aRequest)
+{
+  for (const CallId id : std::vector<CallId>(aRequest.calls)) {
+    const std::optional<ActiveCall> call = this->Release(id, "");
+    this->counters.Add("calls_cancelled_total", "");
+    this->effects->emplace_back(CancelCall{ id, call->upstream->link });
+  }
+}
+
+void EngineCore::GiveUp(ActiveRequest& aRequest, Reason aReason)
+{
+  const bool unknown = aRequest.mayHaveRun || !aRequest.calls.empty();
+  this->Fail(aRequest, unknown ? Outcome::Unknown : Outcome::NotRun, aReason);
+}
+
+void EngineCore::Fail(ActiveRequest& aRequest, Outcome aOutcome, Reason aReason)
+{
+  const RequestId id = aRequest.request.id;
+  this->Cancel(aRequest);
+  const bool firstOfKey = this->gate.Abandon(id, aOutcome, *this->effects);
+  const Outcome outcome = firstOfKey ? aOutcome : Outcome::Unknown;
+  this->counters.Add("requests_failed_total", ToString(aReason));
+  this->counters.Add("request_outcomes_total", ToString(outcome));
+  this->effects->emplace_back(MakeFailure(id, outcome, aReason));
+  this->Erase(aRequest);
+}
+
+void EngineCore::Complete(ActiveRequest& aRequest, const HttpAnswerPtr& aAnswer)
+{
+  const RequestId id = aRequest.request.id;
+  this->Cancel(aRequest);
+  this->counters.Add("request_outcomes_total", "answered");
+  this->effects->emplace_back(FinalAnswer{ id, aAnswer, std::nullopt, std::nullopt });
+  this->gate.Finish(id, aAnswer, *this->effects);
+  this->Erase(aRequest);
+}
+
+void EngineCore::Erase(ActiveRequest& aRequest)
+{
+  const auto pool = this->pools.find(aRequest.pool);
+  if (pool != this->pools.end()) {
+    pool->second.queue.Remove(aRequest.request.id);
+  }
+  const auto held = this->requestsOf.find(aRequest.request.organisation);
+  if (--held->second == 0) {
+    this->requestsOf.erase(held);
+  }
+  this->requests.erase(RequestId(aRequest.request.id));
+}
+
+ActiveRequest* EngineCore::Find(const RequestId& aRequest)
+{
+  const auto found = this->requests.find(aRequest);
+  return found == this->requests.end() ? nullptr : found->second.get();
+}
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/EngineCore.h
@@ -0,0 +1,148 @@
+// The state machine behind RequestEngine: joins admission, queues, routing, calls and idempotency.
+#pragma once
+
+#include "DemandReporter.h"
+#include "FairQueue.h"
+#include "HedgePolicy.h"
+#include "IdempotencyGate.h"
+#include "Membership.h"
+#include "OutlierEjector.h"
+#include "PolicyTable.h"
+#include "RetryBudget.h"
+#include "Router.h"
+#include "TimerQueue.h"
+
+#include "oriolespread/requests/RequestEngine.h"
+
+#include <map>
+#include <string_view>
+
+namespace oriolespread::internal {
+
+// What is kept for each service besides its upstreams.
+struct ServicePool
+{
+  FairQueue queue;
+  HedgePolicy hedges;
+};
+
+struct ActiveRequest
+{
+  NewRequest request;
+  PoolKey pool;
+  bool idempotent = false;
+  // A call was started whose result is no proof of not run.
+  bool mayHaveRun = false;
+  std::uint32_t attempts = 0;
+  std::vector<WorkerId> tried;
+  std::vector<CallId> calls;
+};
+
+struct ActiveCall
+{
+  RequestId request;
+  UpstreamPtr upstream;
+  Instant started;
+};
+
+enum class CallKind
+{
+  First,
+  Retry,
+  Hedge,
+};
+
+class EngineCore
+{
+public:
+  EngineCore(RequestEngineOptions aOptions, Counters& aCounters);
+
+  void Handle(Instant aNow, const RequestEvent& aEvent, RequestEffects& aEffects);
+  Instant NextWakeup() const;
+  RequestLoad Load() const;
+  bool HasUpstream(const PoolKey& aPool) const;
+  bool IsDrained() const;
+
+private:
+  static constexpr std::uint32_t kMaxAttempts = 3;
+
+  // One overload for each event.
+  void On(const NewRequest& aEvent);
+  void On(const LinkUp& aEvent);
+  void On(const LinkRoundTrip& aEvent);
+  void On(const LinkDown& aEvent);
+  void On(const LinkMessageReceived& aEvent);
+  void On(const CallAnswered& aEvent);
+  void On(const CallNotRun& aEvent);
+  void On(const CallUnknown& aEvent);
+  void On(const TransactionDone& aEvent);
+  void On(const FateDone& aEvent);
+  void On(const RowScanDone& aEvent);
+  void On(const PolicyChanged& aEvent);
+  void On(const DrainRequested& aEvent);
+  void On(const CallerGone& aEvent);
+  void On(const Tick& aEvent);
+
+  // Admission.
+  std::optional<Reason> Refusal(const NewRequest& aRequest, const ServicePolicy* aService);
+  void Enqueue(ActiveRequest& aRequest);
+  void Take(const GateVerdicts& aVerdicts);
+  bool CanMeetDeadline(const ActiveRequest& aRequest, ServicePool& aPool) const;
+
+  // Time.
+  void RunTimers();
+  void OnDeadline(const RequestId& aRequest);
+  void OnSlowCall(const CallId& aCall);
+  void ReportDemand();
+  void EndDrain();
+  void DetectOwnPause();
+
+  // Pools.
+  ServicePool& PoolFor(const PoolKey& aKey);
+  void PumpAll(const std::vector<PoolKey>& aPools);
+  void Pump(const PoolKey& aKey);
+  double PoolLatencyNs(const PoolKey& aKey);
+
+  // Calls.
+  void Start(ActiveRequest& aRequest, const UpstreamPtr& aUpstream, CallKind aKind);
+  // Removes the call from the tables and returns it; nothing when it is not known any more.
+  std::optional<ActiveCall> Release(CallId aCall, std::string_view aResult);
+  void Cancel(ActiveRequest& aRequest);
+  void RecordResult(const ActiveCall& aCall, bool aFailed);
+  void OnFailedCall(const ActiveCall& aCall, bool aMayHaveRun, Reason aReason);
+  bool TryRetry(ActiveRequest& aRequest, Reason aReason);
+  void OnSuspects(const std::vector<UpstreamPtr>& aSuspects);
+
+  // Ends.
+  void GiveUp(ActiveRequest& aRequest, Reason aReason);
+  void GiveUpQueued(const std::vector<QueuedRequest>& aQueued, Reason aReason);
+  void Fail(ActiveRequest& aRequest, Outcome aOutcome, Reason aReason);
+  void Complete(ActiveRequest& aRequest, const HttpAnswerPtr& aAnswer);
+  void Erase(ActiveRequest& aRequest);
+  ActiveRequest* Find(const RequestId& aRequest);
+
+  RequestEngineOptions options;
+  Counters& counters;
+  PolicyTable policy;
+  Membership membership;
+  Router router;
+  OutlierEjector ejector;
+  RetryBudget retries;
+  IdempotencyGate gate;
+  DemandReporter demand;
+  TimerQueue timers;
+  std::map<PoolKey, ServicePool> pools;
+  absl::flat_hash_map<RequestId, std::unique_ptr<ActiveRequest>> requests;
+  absl::flat_hash_map<CallId, ActiveCall> calls;
+  absl::flat_hash_map<OrganisationId, std::size_t> requestsOf;
+  std::uint64_t lastCall = 0;
+  std::optional<Instant> drainUntil;
+  Instant nextDemand = Instant::min();
+  Instant lastHandled = Instant::max();
+
+  // Valid during Handle.
+  Instant now;
+  RequestEffects* effects = nullptr;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/FairQueue.h
@@ -0,0 +1,76 @@
+// The requests that wait for one service, in the order in which organisations have a right to be
+// served.
+#pragma once
+
+#include "absl/container/flat_hash_map.h"
+
+#include "oriolespread/base/RequestId.h"
+#include "oriolespread/base/Time.h"
+#include "oriolespread/requests/Outcome.h"
+
+#include <array>
+#include <list>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace oriolespread::internal {
+
+struct QueuedRequest
+{
+  RequestId id;
+  OrganisationId organisation;
+  RequestClass requestClass = RequestClass::LatencyCritical;
+  Instant deadline;
+};
+
+// Start-time weighted fair queueing among organisations; within an organisation latency_critical
+// goes first and each class is first-in first-out. Each organisation and class has a limit. Not
+// thread-safe.
+class FairQueue
+{
+public:
+  // Sets the weights; organisations that are not named have 1.
+  void SetWeights(const std::map<OrganisationId, double>& aWeights);
+
+  // Returns false when the organisation's queue of this class holds `aLimit` requests already.
+  bool Push(const QueuedRequest& aRequest, std::size_t aLimit);
+  // Puts a request that had been popped before its class; no limit applies.
+  void PushFront(const QueuedRequest& aRequest);
+
+  // Returns the next request without removing it, or null. Requests whose deadline is before
+  // `aEarliestAnswer` are moved to `aDropped` first.
+  const QueuedRequest* Peek(Instant aEarliestAnswer, std::vector<QueuedRequest>& aDropped);
+  // Removes the request that Peek has returned and charges its organisation.
+  void Pop();
+  // Returns whether the request was queued.
+  bool Remove(const RequestId& aId);
+  // Removes and returns everything.
+  std::vector<QueuedRequest> Clear();
+
+  std::size_t size() const { return this->index.size(); }
+  bool empty() const { return this->index.empty(); }
+  std::size_t SizeOf(const OrganisationId& aOrganisation, RequestClass aClass) const;
+
+private:
+  using Waiting = std::list<QueuedRequest>;
+  struct Flow
+  {
+    std::array<Waiting, 2> classes;
+    double weight = 1.0;
+    double virtualStart = 0.0;
+
+    bool empty() const { return this->classes[0].empty() && this->classes[1].empty(); }
+  };
+
+  Flow& Activate(const OrganisationId& aOrganisation);
+  Flow* NextFlow();
+  Waiting& ListOf(const QueuedRequest& aRequest);
+
+  // Ordered, so that ties do not depend on hash order.
+  std::map<OrganisationId, Flow> flows;
+  absl::flat_hash_map<RequestId, Waiting::iterator> index;
+  double virtualTime = 0.0;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/IdempotencyGate.h
@@ -0,0 +1,133 @@
+// Lets each idempotency key through once and keeps its answer in the table service.
+#pragma once
+
+#include "absl/container/flat_hash_map.h"
+
+#include "oriolespread/base/Counters.h"
+#include "oriolespread/requests/RequestEvents.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace oriolespread::internal {
+
+enum class GateDecision
+{
+  // The record is written by this request: dispatch it.
+  Dispatch,
+  // An earlier request with this key was answered: `answer` is its answer.
+  Replay,
+  Refuse,
+};
+
+struct GateVerdict
+{
+  RequestId request;
+  GateDecision decision = GateDecision::Refuse;
+  HttpAnswerPtr answer;
+  // With Refuse.
+  Outcome outcome = Outcome::NotRun;
+  Reason reason = Reason::StoreUnavailable;
+};
+
+using GateVerdicts = std::vector<GateVerdict>;
+
+// Begin leads to one verdict, unless Finish or Abandon comes first. The gate then goes on by itself
+// until the table holds the answer, or no record when the request was proved not to have run. Not
+// thread-safe.
+class IdempotencyGate
+{
+public:
+  static constexpr Duration kFateInterval = std::chrono::milliseconds(200);
+  static constexpr Duration kStoreInterval = std::chrono::seconds(1);
+  static constexpr std::uint32_t kMaxTries = 3;
+  // Keyed requests beyond this are refused, because each holds memory until its record is settled.
+  static constexpr std::size_t kMaxEntries = 10'000;
+
+  IdempotencyGate(EntryId aEntry, Incarnation aIncarnation, Counters& aCounters);
+
+  // Returns false when the gate is full.
+  bool Begin(const NewRequest& aRequest, RequestEffects& aEffects);
+  // The request was answered: records the answer.
+  void Finish(const RequestId& aRequest, HttpAnswerPtr aAnswer, RequestEffects& aEffects);
+  // The request was given up. With NotRun its record is removed, so that the caller may repeat it;
+  // otherwise the record stays and bars the key. Returns false when an earlier request with the key
+  // is known to exist, so that nothing may be said about the key's work.
+  bool Abandon(const RequestId& aRequest, Outcome aOutcome, RequestEffects& aEffects);
+
+  void OnTransaction(Instant aNow,
+                     const TransactionDone& aDone,
+                     RequestEffects& aEffects,
+                     GateVerdicts& aVerdicts);
+  void OnFate(Instant aNow,
+              const FateDone& aDone,
+              RequestEffects& aEffects,
+              GateVerdicts& aVerdicts);
+  void OnScan(const RowScanDone& aDone, RequestEffects& aEffects, GateVerdicts& aVerdicts);
+  void OnTick(Instant aNow, RequestEffects& aEffects);
+  Instant NextWakeup() const { return this->nextWake; }
+
+  // Returns how many requests have a record that is not settled.
+  std::size_t size() const { return this->entries.size(); }
+
+private:
+  enum class Goal
+  {
+    Create,
+    // The record is written and the request is being served.
+    Hold,
+    Store,
+    Delete,
+  };
+  enum class Step
+  {
+    None,
+    Committing,
+    ReadingFate,
+    Scanning,
+  };
+  struct Entry
+  {
+    RequestId request;
+    std::string key;
+    std::string digest;
+    Goal goal = Goal::Create;
+    Step step = Step::None;
+    // The operation that is waited for; an entry has at most one.
+    TableOperationId operation;
+    bool abandoned = false;
+    TransactionId transaction;
+    RowVersion version;
+    std::uint32_t tries = 0;
+    Instant wakeAt = Instant::max();
+    HttpAnswerPtr answer;
+  };
+
+  Entry* Take(TableOperationId aOperation);
+  void WakeAt(Entry& aEntry, Instant aAt);
+  void Commit(Entry& aEntry, RequestEffects& aEffects);
+  void ReadFate(Entry& aEntry, RequestEffects& aEffects);
+  void Written(Entry& aEntry,
+               RowVersion aVersion,
+               RequestEffects& aEffects,
+               GateVerdicts& aVerdicts);
+  void Refuse(Entry& aEntry, Outcome aOutcome, Reason aReason, GateVerdicts& aVerdicts);
+  void RetryOrRefuse(Instant aNow,
+                     Entry& aEntry,
+                     RequestEffects& aEffects,
+                     GateVerdicts& aVerdicts);
+  void Erase(Entry& aEntry);
+  TableOperationId Operation(Entry& aEntry, Step aStep);
+
+  EntryId entry;
+  Incarnation incarnation;
+  Counters& counters;
+  std::uint64_t lastOperation = 0;
+  // No entry has to be looked at before.
+  Instant nextWake = Instant::max();
+  absl::flat_hash_map<RequestId, std::unique_ptr<Entry>> entries;
+  absl::flat_hash_map<TableOperationId, RequestId> operations;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/LatencyEstimate.cpp
@@ -0,0 +1,48 @@
+#include "LatencyEstimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oriolespread::internal {
+
+namespace {
+
+constexpr double kMeasuredWeight = 0.1;
+// A report says what was true up to its lag ago, so that one report moves the estimate no more than
+// a few calls of this entry do.
+constexpr double kMaxReportedWeight = 0.3;
+constexpr double kForgetSeconds = 10.0;
+
+void Blend(Instant aNow, Upstream& aUpstream, Duration aValue, double aWeight)
+{
+  const auto value = static_cast<double>(std::max(aValue, Duration(1)).count());
+  aUpstream.latencyNs = aUpstream.latencyNs == 0.0
+                          ? value
+                          : aUpstream.latencyNs + aWeight * (value - aUpstream.latencyNs);
+  aUpstream.latencyUpdated = aNow;
+}
+
+} // namespace
+
+void AddMeasured(Instant aNow, Upstream& aUpstream, Duration aLatency)
+{
+  Blend(aNow, aUpstream, aLatency - aUpstream.roundTrip, kMeasuredWeight);
+}
+
+void AddReported(Instant aNow, Upstream& aUpstream, Duration aMean, std::uint32_t aCount)
+{
+  const double weight = 1.0 - std::pow(1.0 - kMeasuredWeight, aCount);
+  Blend(aNow, aUpstream, aMean, std::min(weight, kMaxReportedWeight));
+}
+
+double EstimateNs(Instant aNow, const Upstream& aUpstream, double aPoolNs)
+{
+  if (aUpstream.latencyNs == 0.0) {
+    return aPoolNs;
+  }
+  const double age = std::chrono::duration<double>(aNow - aUpstream.latencyUpdated).count();
+  const double kept = std::exp(-age / kForgetSeconds);
+  return kept * aUpstream.latencyNs + (1.0 - kept) * aPoolNs;
+}
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/Membership.cpp
@@ -0,0 +1,289 @@
+#include "Membership.h"
+
+#include "LatencyEstimate.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace oriolespread::internal {
+
+Membership::Membership(Counters& aCounters)
+  : counters(aCounters)
+{
+}
+
+void Membership::LinkUp(LinkId aLink, Duration aRoundTrip)
+{
+  this->roundTrips[aLink] = aRoundTrip;
+}
+
+void Membership::SetRoundTrip(LinkId aLink, Duration aRoundTrip)
+{
+  const auto found = this->roundTrips.find(aLink);
+  if (found == this->roundTrips.end()) {
+    return;
+  }
+  found->second = aRoundTrip;
+  if (Agent* agent = this->AgentOn(aLink)) {
+    for (auto& [id, upstream] : agent->upstreams) {
+      upstream->roundTrip = aRoundTrip;
+    }
+  }
+}
+
+std::vector<PoolKey> Membership::LinkDown(LinkId aLink)
+{
+  this->roundTrips.erase(aLink);
+  const auto found = this->agentOfLink.find(aLink);
+  if (found == this->agentOfLink.end()) {
+    return {};
+  }
+  const AgentId id = found->second;
+  this->agentOfLink.erase(found);
+  const auto agent = this->agents.find(id);
+  // The agent may have announced itself on a newer link in the meantime.
+  if (agent == this->agents.end() || agent->second.link != aLink) {
+    return {};
+  }
+  std::set<PoolKey> touched;
+  for (const auto& [upstreamId, upstream] : agent->second.upstreams) {
+    touched.insert(upstream->pool);
+    this->Remove(upstream);
+  }
+  agent->second.upstreams.clear();
+  this->agents.erase(agent);
+  return { touched.begin(), touched.end() };
+}
+
+std::vector<PoolKey> Membership::Apply(Instant aNow, LinkId aLink, const Announce& aAnnounce)
+{
+  if (!this->roundTrips.contains(aLink)) {
+    this->Drop("announce", "unknown_link");
+    return {};
+  }
+  const auto bound = this->agentOfLink.find(aLink);
+  if (bound != this->agentOfLink.end() && bound->second != aAnnounce.agent) {
+    this->Drop("announce", "other_agent");
+    return {};
+  }
+  Agent& agent = this->agents[aAnnounce.agent];
+  if (aAnnounce.incarnation < agent.incarnation) {
+    this->Drop("announce", "stale_incarnation");
+    return {};
+  }
+  if (aAnnounce.incarnation != agent.incarnation || agent.link != aLink) {
+    agent.reportSequence = 0;
+  }
+  std::set<PoolKey> touched;
+  if (aAnnounce.incarnation != agent.incarnation) {
+    // A restarted agent numbers its upstreams anew.
+    for (const auto& [id, upstream] : agent.upstreams) {
+      touched.insert(upstream->pool);
+      this->Remove(upstream);
+    }
+    agent.upstreams.clear();
+  }
+  agent.incarnation = aAnnounce.incarnation;
+  agent.link = aLink;
+  agent.lastHeard = aNow;
+  this->agentOfLink[aLink] = aAnnounce.agent;
+
+  std::set<UpstreamId> named;
+  for (const UpstreamInfo& info : aAnnounce.upstreams) {
+    named.insert(info.upstream);
+    touched.insert({ info.organisation, info.service });
+    this->Join(aNow, aAnnounce, info, agent);
+  }
+  agent.suspect = false;
+  for (auto it = agent.upstreams.begin(); it != agent.upstreams.end();) {
+    if (named.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    touched.insert(it->second->pool);
+    this->Remove(it->second);
+    it = agent.upstreams.erase(it);
+  }
+  return { touched.begin(), touched.end() };
+}
+
+void Membership::Join(Instant aNow,
+                      const Announce& aAnnounce,
+                      const UpstreamInfo& aInfo,
+                      Agent& aAgent)
+{
+  UpstreamPtr& known = aAgent.upstreams[aInfo.upstream];
+  const PoolKey pool{ aInfo.organisation, aInfo.service };
+  if (known != nullptr && aInfo.incarnation < known->incarnation) {
+    this->Drop("announce", "stale_upstream");
+    return;
+  }
+  const bool same = known != nullptr && known->incarnation == aInfo.incarnation &&
+                    known->link == aAgent.link && known->pool == pool;
+  if (!same) {
+    if (known != nullptr) {
+      this->Remove(known);
+    }
+    known = std::make_shared<Upstream>();
+    known->id = aInfo.upstream;
+    known->incarnation = aInfo.incarnation;
+    known->agent = aAnnounce.agent;
+    known->link = aAgent.link;
+    known->roundTrip = this->roundTrips[aAgent.link];
+    known->pool = pool;
+    known->joined = aNow;
+    this->pools[pool].push_back(known);
+    this->counters.Add("upstreams_joined_total", aInfo.service.Value());
+  } else if (known->suspect) {
+    known->suspect = false;
+    // What the upstream held in memory may be paged out or expired, as in a new one.
+    known->joined = aNow;
+    this->counters.Add("upstreams_trusted_again_total", aInfo.service.Value());
+  }
+  known->worker = aAnnounce.worker;
+  known->dataCentre = aAnnounce.dataCentre;
+  // A Leave is final for an incarnation; an announcement that crossed it does not undo it.
+  known->leaving = known->leaving || aInfo.state == UpstreamState::Leaving;
+}
+
+std::vector<PoolKey> Membership::Apply(LinkId aLink, const Leave& aLeave)
+{
+  const UpstreamPtr upstream = this->FindOn(aLink, aLeave.upstream, aLeave.incarnation);
+  if (upstream == nullptr) {
+    this->Drop("leave", "unknown_upstream");
+    return {};
+  }
+  upstream->leaving = true;
+  return { upstream->pool };
+}
+
+std::vector<PoolKey> Membership::Apply(Instant aNow, LinkId aLink, const LoadReport& aReport)
+{
+  Agent* agent = this->AgentOn(aLink);
+  if (agent == nullptr || agent->incarnation != aReport.incarnation ||
+      aReport.sequence <= agent->reportSequence) {
+    this->Drop("load_report", "stale");
+    return {};
+  }
+  agent->reportSequence = aReport.sequence;
+  if (agent->suspect) {
+    this->Drop("load_report", "suspect");
+    return {};
+  }
+  agent->lastHeard = aNow;
+  std::set<PoolKey> touched;
+  for (const UpstreamLoad& load : aReport.upstreams) {
+    const auto found = agent->upstreams.find(load.upstream);
+    if (found == agent->upstreams.end()) {
+      continue;
+    }
+    Upstream& upstream = *found->second;
+    const std::uint32_t all = load.inFlight + load.queued;
+    upstream.othersInFlight = all > upstream.ownInFlight ? all - upstream.ownInFlight : 0;
+    if (load.answered > 0) {
+      AddReported(aNow, upstream, std::chrono::microseconds(load.meanLatencyUs), load.answered);
+    }
+    if (upstream.refused) {
+      upstream.refused = false;
+      touched.insert(upstream.pool);
+    }
+  }
+  return { touched.begin(), touched.end() };
+}
+
+std::vector<PoolKey> Membership::Apply(LinkId aLink, const CreditGrant& aGrant)
+{
+  const UpstreamPtr upstream = this->FindOn(aLink, aGrant.upstream, aGrant.incarnation);
+  if (upstream == nullptr || aGrant.sequence <= upstream->grantSequence) {
+    this->Drop("credit_grant", "stale");
+    return {};
+  }
+  upstream->grantSequence = aGrant.sequence;
+  upstream->slots = aGrant.slots;
+  upstream->connections = aGrant.connections;
+  upstream->refused = false;
+  return { upstream->pool };
+}
+
+std::vector<UpstreamPtr> Membership::Expire(Instant aNow)
+{
+  std::vector<UpstreamPtr> expired;
+  for (auto& [id, agent] : this->agents) {
+    if (agent.suspect || aNow - agent.lastHeard < kSuspectAfter) {
+      continue;
+    }
+    agent.suspect = true;
+    for (auto& [upstreamId, upstream] : agent.upstreams) {
+      upstream->suspect = true;
+      expired.push_back(upstream);
+      this->counters.Add("upstreams_suspected_total", upstream->pool.service.Value());
+    }
+  }
+  return expired;
+}
+
+Instant Membership::NextExpiry() const
+{
+  Instant next = Instant::max();
+  for (const auto& [id, agent] : this->agents) {
+    if (!agent.suspect) {
+      next = std::min(next, agent.lastHeard + kSuspectAfter);
+    }
+  }
+  return next;
+}
+
+void Membership::Forgive(Duration aPause)
+{
+  for (auto& [id, agent] : this->agents) {
+    agent.lastHeard += aPause;
+  }
+}
+
+const std::vector<UpstreamPtr>& Membership::PoolOf(const PoolKey& aKey) const
+{
+  static const std::vector<UpstreamPtr> sNone;
+  const auto found = this->pools.find(aKey);
+  return found == this->pools.end() ? sNone : found->second;
+}
+
+Membership::Agent* Membership::AgentOn(LinkId aLink)
+{
+  const auto bound = this->agentOfLink.find(aLink);
+  if (bound == this->agentOfLink.end()) {
+    return nullptr;
+  }
+  const auto found = this->agents.find(bound->second);
+  return found == this->agents.end() || found->second.link != aLink ? nullptr : &found->second;
+}
+
+UpstreamPtr Membership::FindOn(LinkId aLink, const UpstreamId& aUpstream, Incarnation aIncarnation)
+{
+  Agent* agent = this->AgentOn(aLink);
+  if (agent == nullptr) {
+    return nullptr;
+  }
+  const auto found = agent->upstreams.find(aUpstream);
+  return found == agent->upstreams.end() || found->second->incarnation != aIncarnation
+           ? nullptr
+           : found->second;
+}
+
+void Membership::Remove(const UpstreamPtr& aUpstream)
+{
+  aUpstream->gone = true;
+  const auto found = this->pools.find(aUpstream->pool);
+  std::erase(found->second, aUpstream);
+  if (found->second.empty()) {
+    this->pools.erase(found);
+  }
+}
+
+void Membership::Drop(std::string_view aMessage, std::string_view aWhy)
+{
+  this->counters.Add("link_messages_dropped_total",
+                     std::string(aMessage) + "_" + std::string(aWhy));
+}
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/Membership.h
@@ -0,0 +1,71 @@
+// The upstreams that an entry may use, as its agents have announced them.
+#pragma once
+
+#include "Upstream.h"
+#include "absl/container/flat_hash_map.h"
+
+#include "oriolespread/base/Counters.h"
+
+#include <map>
+#include <vector>
+
+namespace oriolespread::internal {
+
+// An agent is trusted from its Announce until its link closes or it is silent for kSuspectAfter;
+// then only a new Announce restores it. Messages of a link that has not announced, or that speak
+// for an older incarnation, are dropped and counted. Not thread-safe.
+class Membership
+{
+public:
+  static constexpr Duration kSuspectAfter = std::chrono::milliseconds(1'500);
+
+  explicit Membership(Counters& aCounters);
+
+  void LinkUp(LinkId aLink, Duration aRoundTrip);
+  void SetRoundTrip(LinkId aLink, Duration aRoundTrip);
+  // Returns the pools that lost an upstream.
+  std::vector<PoolKey> LinkDown(LinkId aLink);
+
+  // Returns the pools that gained or lost an upstream.
+  std::vector<PoolKey> Apply(Instant aNow, LinkId aLink, const Announce& aAnnounce);
+  std::vector<PoolKey> Apply(LinkId aLink, const Leave& aLeave);
+  // Returns the pools that may have gained credit.
+  std::vector<PoolKey> Apply(Instant aNow, LinkId aLink, const LoadReport& aReport);
+  std::vector<PoolKey> Apply(LinkId aLink, const CreditGrant& aGrant);
+
+  // Holds silent agents suspect; returns the upstreams concerned.
+  std::vector<UpstreamPtr> Expire(Instant aNow);
+  Instant NextExpiry() const;
+  // The entry itself was paused for so long: the silence of that time says nothing about agents.
+  void Forgive(Duration aPause);
+
+  // Returns all members of a pool, also those that are leaving or suspect.
+  const std::vector<UpstreamPtr>& PoolOf(const PoolKey& aKey) const;
+  const std::map<PoolKey, std::vector<UpstreamPtr>>& Pools() const { return this->pools; }
+
+private:
+  struct Agent
+  {
+    Incarnation incarnation;
+    LinkId link;
+    Instant lastHeard;
+    std::uint64_t reportSequence = 0;
+    bool suspect = false;
+    std::map<UpstreamId, UpstreamPtr> upstreams;
+  };
+
+  // Returns the agent that speaks on this link, or null.
+  Agent* AgentOn(LinkId aLink);
+  UpstreamPtr FindOn(LinkId aLink, const UpstreamId& aUpstream, Incarnation aIncarnation);
+  void Join(Instant aNow, const Announce& aAnnounce, const UpstreamInfo& aInfo, Agent& aAgent);
+  void Remove(const UpstreamPtr& aUpstream);
+  void Drop(std::string_view aMessage, std::string_view aWhy);
+
+  Counters& counters;
+  absl::flat_hash_map<LinkId, Duration> roundTrips;
+  absl::flat_hash_map<LinkId, AgentId> agentOfLink;
+  std::map<AgentId, Agent> agents;
+  std::map<PoolKey, std::vector<UpstreamPtr>> pools;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/OutlierEjector.h
@@ -0,0 +1,41 @@
+// Takes upstreams out of use for a while when they fail or are slow compared with the others.
+#pragma once
+
+#include "Upstream.h"
+
+#include "oriolespread/base/Counters.h"
+
+#include <vector>
+
+namespace oriolespread::internal {
+
+// An upstream is an outlier when most of its recent calls failed, or when its latency is a multiple
+// of the median. It is ejected for kBase x times ejected. At most a third of the serving upstreams
+// of a pool are ejected at a time, and one is always left. Not thread-safe.
+class OutlierEjector
+{
+public:
+  static constexpr Duration kBase = std::chrono::seconds(5);
+  // Fewer results than this decide nothing.
+  static constexpr std::uint32_t kMinSamples = 5;
+  static constexpr double kMaxErrorRate = 0.5;
+  static constexpr double kLatencyFactor = 3.0;
+  static constexpr std::uint32_t kMaxTimes = 6;
+
+  explicit OutlierEjector(Counters& aCounters);
+
+  // Records the result of a call and ejects the upstream if it is an outlier. Returns whether it
+  // was ejected.
+  bool Record(Instant aNow,
+              Upstream& aUpstream,
+              bool aFailed,
+              const std::vector<UpstreamPtr>& aPool);
+
+private:
+  static bool MayEject(Instant aNow, const std::vector<UpstreamPtr>& aPool);
+  static bool IsSlow(const Upstream& aUpstream, const std::vector<UpstreamPtr>& aPool);
+
+  Counters& counters;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/PolicyTable.h
@@ -0,0 +1,31 @@
+// Looks up the policy of organisations and services.
+#pragma once
+
+#include "Upstream.h"
+
+#include "oriolespread/requests/RequestPolicy.h"
+
+#include <map>
+#include <utility>
+
+namespace oriolespread::internal {
+
+class PolicyTable
+{
+public:
+  void Replace(const RequestPolicy& aPolicy);
+
+  // Returns the policy of an organisation, the defaults when it has none.
+  const OrganisationPolicy& Of(const OrganisationId& aOrganisation) const;
+  // Returns the service that the organisation may call, or null.
+  const ServicePolicy* Find(const OrganisationId& aOrganisation, const ServiceName& aService) const;
+  std::map<OrganisationId, double> Weights() const;
+
+  static PoolKey PoolOf(const ServicePolicy& aService);
+
+private:
+  std::map<OrganisationId, OrganisationPolicy> organisations;
+  std::map<std::pair<OrganisationId, ServiceName>, ServicePolicy> services;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/Router.h
@@ -0,0 +1,44 @@
+// Picks the upstream for a call.
+#pragma once
+
+#include "Upstream.h"
+
+#include "oriolespread/base/RandomSource.h"
+
+#include <vector>
+
+namespace oriolespread::internal {
+
+// Takes two upstreams at random among those of the near data centre and two among the others, and
+// picks the one with the lowest score. Not thread-safe.
+class Router
+{
+public:
+  static constexpr Duration kWarmUp = std::chrono::seconds(10);
+
+  Router(DataCentreId aDataCentre, std::uint64_t aSeed);
+
+  // Returns a serving upstream with credit whose worker is not in `aExcluded`, or null. `aPoolNs`
+  // is the latency assumed of an upstream that was not measured yet.
+  UpstreamPtr Pick(Instant aNow,
+                   const std::vector<UpstreamPtr>& aPool,
+                   const std::vector<WorkerId>& aExcluded,
+                   double aPoolNs);
+
+  // Returns the expected time to the answer in nanoseconds, for comparison only.
+  double Score(Instant aNow, const Upstream& aUpstream, double aPoolNs) const;
+
+  // Returns the part of a full share that an upstream gets, from 0.1 to 1.
+  static double WarmUpWeight(Instant aNow, const Upstream& aUpstream);
+
+private:
+  UpstreamPtr BestOfTwo(Instant aNow, const std::vector<UpstreamPtr>& aFrom, double aPoolNs);
+
+  DataCentreId dataCentre;
+  RandomSource random;
+  // Kept between calls to save allocations.
+  std::vector<UpstreamPtr> near;
+  std::vector<UpstreamPtr> far;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/requests/src/UpstreamBook.cpp
@@ -0,0 +1,294 @@
+#include "oriolespread/requests/UpstreamBook.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace oriolespread {
+
+namespace {
+
+constexpr double kClearFactor = 0.8;
+constexpr std::uint32_t kReportsToSignal = 2;
+// Bounds the memory of one window; beyond it the oldest latencies are enough for a p99.
+constexpr std::size_t kMaxLatencies = 4'096;
+
+std::uint32_t P99(std::vector<std::uint32_t>& aLatencies)
+{
+  if (aLatencies.empty()) {
+    return 0;
+  }
+  const std::size_t rank = (aLatencies.size() * 99 + 99) / 100 - 1;
+  const auto nth = aLatencies.begin() + static_cast<std::ptrdiff_t>(rank);
+  std::nth_element(aLatencies.begin(), nth, aLatencies.end());
+  return *nth;
+}
+
+std::uint32_t Mean(const std::vector<std::uint32_t>& aLatencies)
+{
+  const auto sum = std::accumulate(aLatencies.begin(), aLatencies.end(), std::uint64_t{ 0 });
+  return aLatencies.empty() ? 0 : static_cast<std::uint32_t>(sum / aLatencies.size());
+}
+
+void Remember(std::vector<std::uint32_t>& aLatencies, std::uint32_t aLatency)
+{
+  if (aLatencies.size() < kMaxLatencies) {
+    aLatencies.push_back(aLatency);
+  }
+}
+
+} // namespace
+
+UpstreamBook::UpstreamBook(UpstreamBookOptions aOptions, Counters& aCounters)
+  : options(std::move(aOptions))
+  , counters(aCounters)
+{
+}
+
+UpstreamBook::~UpstreamBook() = default;
+
+bool UpstreamBook::AddUpstream(Instant aNow, const UpstreamInfo& aInfo)
+{
+  const auto found = this->upstreams.find(aInfo.upstream);
+  if (found != this->upstreams.end() && aInfo.incarnation < found->second.info.incarnation) {
+    this->counters.Add("announcements_refused_total", "stale_incarnation");
+    return false;
+  }
+  if (this->draining) {
+    this->counters.Add("announcements_refused_total", "draining");
+    return false;
+  }
+  Entry& entry = this->upstreams[aInfo.upstream];
+  entry.info = aInfo;
+  this->announceToAll = true;
+  this->nextAnnounce = aNow;
+  return true;
+}
+
+void UpstreamBook::BeginLeave(Instant aNow, const UpstreamId& aUpstream)
+{
+  const auto found = this->upstreams.find(aUpstream);
+  if (found == this->upstreams.end() || found->second.info.state == UpstreamState::Leaving) {
+    return;
+  }
+  found->second.info.state = UpstreamState::Leaving;
+  this->leaves.push_back({ aUpstream, found->second.info.incarnation });
+  this->announceToAll = true;
+  this->nextAnnounce = aNow;
+}
+
+void UpstreamBook::RemoveUpstream(Instant aNow, const UpstreamId& aUpstream)
+{
+  if (this->upstreams.erase(aUpstream) > 0) {
+    this->announceToAll = true;
+    this->nextAnnounce = aNow;
+  }
+}
+
+void UpstreamBook::Drain(Instant aNow)
+{
+  this->draining = true;
+  for (const UpstreamInfo& info : this->Upstreams()) {
+    this->BeginLeave(aNow, info.upstream);
+  }
+}
+
+bool UpstreamBook::IsDrained() const
+{
+  return this->draining &&
+         std::all_of(this->upstreams.begin(), this->upstreams.end(), [](const auto& aItem) {
+           return aItem.second.inFlight == 0;
+         });
+}
+
+void UpstreamBook::AddLink(Instant aNow, LinkId aLink)
+{
+  this->links.insert(aLink);
+  this->unannounced.insert(aLink);
+  this->nextReport = std::min(this->nextReport, aNow + kReportInterval);
+  this->nextAnnounce = std::min(this->nextAnnounce, aNow + kAnnounceInterval);
+  this->windowEnd = std::min(this->windowEnd, aNow + kLatencyWindow);
+}
+
+void UpstreamBook::RemoveLink(LinkId aLink)
+{
+  this->links.erase(aLink);
+  this->unannounced.erase(aLink);
+}
+
+bool UpstreamBook::Accepts(const UpstreamId& aUpstream) const
+{
+  const UpstreamInfo* info = this->Find(aUpstream);
+  return info != nullptr && info->state == UpstreamState::Serving;
+}
+
+void UpstreamBook::BeginCall(const UpstreamId& aUpstream)
+{
+  const auto found = this->upstreams.find(aUpstream);
+  if (found != this->upstreams.end()) {
+    ++found->second.inFlight;
+  }
+}
+
+void UpstreamBook::EndCall(Instant aNow,
+                           const UpstreamId& aUpstream,
+                           Duration aLatency,
+                           bool aFailed)
+{
+  const auto found = this->upstreams.find(aUpstream);
+  if (found == this->upstreams.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.inFlight -= std::min(entry.inFlight, 1U);
+  if (aFailed) {
+    ++entry.errors;
+    return;
+  }
+  ++entry.answered;
+  const auto us = std::chrono::duration_cast<std::chrono::microseconds>(aLatency).count();
+  const auto latency = static_cast<std::uint32_t>(std::clamp<std::int64_t>(us, 1, UINT32_MAX));
+  Remember(entry.latenciesUs, latency);
+  const auto signal = this->signals.find({ entry.info.organisation, entry.info.service });
+  if (signal != this->signals.end()) {
+    Remember(signal->second.latenciesUs, latency);
+    this->windowEnd = std::min(this->windowEnd, aNow + kLatencyWindow);
+  }
+}
+
+void UpstreamBook::SetObjective(const OrganisationId& aOrganisation,
+                                const ServiceName& aService,
+                                Duration aObjective)
+{
+  const ServiceKey key{ aOrganisation, aService };
+  if (aObjective <= Duration::zero()) {
+    this->signals.erase(key);
+    return;
+  }
+  this->signals[key].objective = aObjective;
+}
+
+void UpstreamBook::SetTicket(TicketNumber aNumber)
+{
+  this->ticket = aNumber;
+}
+
+void UpstreamBook::Poll(Instant aNow, std::vector<BookMessage>& aMessages)
+{
+  if (this->lastPoll != Instant::max() && aNow - this->lastPoll >= kPauseGap &&
+      !this->links.empty()) {
+    this->counters.Add("announcements_total", "after_pause");
+    this->announceToAll = true;
+  }
+  this->lastPoll = aNow;
+  for (const Leave& leave : this->leaves) {
+    this->SendToAll(leave, aMessages);
+  }
+  this->leaves.clear();
+  if (this->announceToAll || aNow >= this->nextAnnounce) {
+    this->SendToAll(this->MakeAnnounce(), aMessages);
+    this->unannounced.clear();
+    this->announceToAll = false;
+    this->nextAnnounce = this->links.empty() ? Instant::max() : aNow + kAnnounceInterval;
+  }
+  for (const LinkId link : this->unannounced) {
+    aMessages.push_back({ link, this->MakeAnnounce() });
+  }
+  this->unannounced.clear();
+  if (aNow >= this->nextReport) {
+    this->SendToAll(this->MakeReport(), aMessages);
+    this->nextReport = this->links.empty() ? Instant::max() : aNow + kReportInterval;
+  }
+  if (aNow >= this->windowEnd) {
+    this->CloseLatencyWindow(aMessages);
+    this->windowEnd = this->links.empty() ? Instant::max() : aNow + kLatencyWindow;
+  }
+}
+
+Instant UpstreamBook::NextWakeup() const
+{
+  return std::min({ this->nextReport, this->nextAnnounce, this->windowEnd });
+}
+
+const UpstreamInfo* UpstreamBook::Find(const UpstreamId& aUpstream) const
+{
+  const auto found = this->upstreams.find(aUpstream);
+  return found == this->upstreams.end() ? nullptr : &found->second.info;
+}
+
+std::vector<UpstreamInfo> UpstreamBook::Upstreams() const
+{
+  std::vector<UpstreamInfo> infos;
+  infos.reserve(this->upstreams.size());
+  for (const auto& [id, entry] : this->upstreams) {
+    infos.push_back(entry.info);
+  }
+  return infos;
+}
+
+Announce UpstreamBook::MakeAnnounce() const
+{
+  return { this->options.agent,      this->options.incarnation, this->options.worker,
+           this->options.dataCentre, this->options.rack,        this->options.capacity,
+           this->Upstreams() };
+}
+
+LoadReport UpstreamBook::MakeReport()
+{
+  LoadReport report{ this->options.agent, this->options.incarnation, ++this->sequence, {}, {} };
+  report.ticket = this->ticket;
+  for (auto& [id, entry] : this->upstreams) {
+    const std::uint32_t running = std::min(entry.inFlight, entry.info.slots);
+    report.upstreams.push_back({ id,
+                                 running,
+                                 entry.inFlight - running,
+                                 entry.answered,
+                                 entry.errors,
+                                 Mean(entry.latenciesUs),
+                                 P99(entry.latenciesUs) });
+    entry.answered = 0;
+    entry.errors = 0;
+    entry.latenciesUs.clear();
+  }
+  return report;
+}
+
+void UpstreamBook::SendToAll(const LinkMessage& aMessage, std::vector<BookMessage>& aMessages) const
+{
+  for (const LinkId link : this->links) {
+    aMessages.push_back({ link, aMessage });
+  }
+}
+
+void UpstreamBook::CloseLatencyWindow(std::vector<BookMessage>& aMessages)
+{
+  for (auto& [key, signal] : this->signals) {
+    this->UpdateSignal(key, signal, aMessages);
+    signal.latenciesUs.clear();
+  }
+}
+
+void UpstreamBook::UpdateSignal(const ServiceKey& aKey,
+                                Signal& aSignal,
+                                std::vector<BookMessage>& aMessages)
+{
+  const std::uint32_t p99 = P99(aSignal.latenciesUs);
+  const auto objective = static_cast<std::uint32_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(aSignal.objective).count());
+  aSignal.above = p99 > objective ? aSignal.above + 1 : 0;
+  const bool before = aSignal.suffering;
+  if (aSignal.above >= kReportsToSignal) {
+    aSignal.suffering = true;
+  } else if (p99 < kClearFactor * objective) {
+    aSignal.suffering = false;
+  }
+  // While the service suffers each window is reported, so that a lost report is made good.
+  if (aSignal.suffering || before) {
+    this->counters.Add("service_latency_reports_total", aSignal.suffering ? "on" : "off");
+    this->SendToAll(
+      ServiceLatencyReport{
+        this->options.worker, aKey.organisation, aKey.service, p99, objective, aSignal.suffering },
+      aMessages);
+  }
+}
+
+} // namespace oriolespread
