Test each unit of the request path, and read the row after a lost answer

A test with every answer of the store lost showed that a repeated key was refused as not_run/store_unavailable: the lost answer was a conflict, and each fate read as not committed led to another try. The gate now reads the row after such a fate, so that the repeat gets the stored answer or idempotency_in_progress. A keyed request that reaches its deadline before its record is written says store_unavailable.

--- a/packages/requests/src/EngineCalls.cpp
+++ b/packages/requests/src/EngineCalls.cpp
@@ -293,6 +293,10 @@
   if (active == nullptr) {
     return;
   }
+  if (active->gated) {
+    this->GiveUp(*active, Reason::StoreUnavailable);
+    return;
+  }
   const bool waits = active->calls.empty() && !active->mayHaveRun;
   this->GiveUp(*active, waits ? Reason::DeadlineUnreachable : Reason::DeadlineExceeded);
 }
--- a/packages/requests/src/EngineCore.cpp
+++ b/packages/requests/src/EngineCore.cpp
@@ -93,7 +93,8 @@
   this->requests[aEvent.id] = std::move(added);
   ++this->requestsOf[aEvent.organisation];
   this->timers.Add({ active.request.deadline, TimerKind::Deadline, aEvent.id, {} });
-  if (!aEvent.idempotencyKey.has_value()) {
+  active.gated = aEvent.idempotencyKey.has_value();
+  if (!active.gated) {
     this->Enqueue(active);
   } else if (!this->gate.Begin(active.request, *this->effects)) {
     this->Fail(active, Outcome::NotRun, Reason::StoreUnavailable);
@@ -232,6 +233,7 @@
     if (active == nullptr) {
       continue;
     }
+    active->gated = false;
     switch (verdict.decision) {
       case GateDecision::Dispatch:
         this->Enqueue(*active);
--- a/packages/requests/src/EngineCore.h
+++ b/packages/requests/src/EngineCore.h
@@ -31,6 +31,8 @@
   NewRequest request;
   PoolKey pool;
   bool idempotent = false;
+  // Waits for the verdict of the idempotency gate.
+  bool gated = false;
   // A call was started whose result is no proof of not run.
   bool mayHaveRun = false;
   std::uint32_t attempts = 0;
--- a/packages/requests/src/IdempotencyGate.cpp
+++ b/packages/requests/src/IdempotencyGate.cpp
@@ -49,9 +49,9 @@
   }
   Entry& held = *found->second;
   if (held.goal == Goal::Create) {
-    const bool earlier = held.step == Step::Scanning;
+    const bool earlier = held.earlier;
     held.abandoned = true;
-    if (earlier) {
+    if (held.step == Step::Scanning) {
       this->Erase(held);
     }
     return !earlier;
@@ -85,7 +85,8 @@
       } else if (held->abandoned) {
         this->Erase(*held);
       } else {
-        aEffects.emplace_back(ScanRow{ this->Operation(*held, Step::Scanning), held->key });
+        held->earlier = !aDone.outcome.conflictKey.empty();
+        this->Scan(*held, aEffects);
       }
       return;
     case CommitStatus::Unavailable:
@@ -117,7 +118,15 @@
       this->Written(*held, aDone.outcome.version, aEffects, aVerdicts);
       return;
     case TransactionFate::NotCommitted:
-      this->RetryOrRefuse(aNow, *held, aEffects, aVerdicts);
+      held->step = Step::None;
+      if (held->goal != Goal::Create) {
+        this->WakeAt(*held, aNow + kStoreInterval);
+      } else if (held->abandoned) {
+        this->Erase(*held);
+      } else {
+        // The write may have been lost, or its answer may have been a conflict: the row tells.
+        this->Scan(*held, aEffects);
+      }
       return;
     case TransactionFate::Unknown:
       held->step = Step::ReadingFate;
@@ -134,17 +143,18 @@
   if (held == nullptr) {
     return;
   }
-  // An earlier request has a record, so that its work may have been done: nothing below may say
-  // not_run, except for a request that is not the same.
   if (!aDone.page.ok()) {
-    this->Refuse(*held, Outcome::Unknown, Reason::StoreUnavailable, aVerdicts);
+    // The work of an earlier request with this key may have been done.
+    const Outcome outcome = held->earlier ? Outcome::Unknown : Outcome::NotRun;
+    this->Refuse(*held, outcome, Reason::StoreUnavailable, aVerdicts);
     return;
   }
   const auto& rows = aDone.page->rows;
   const auto row =
     std::find_if(rows.begin(), rows.end(), [&](const Row& aRow) { return aRow.key == held->key; });
   if (row == rows.end()) {
-    // The record was removed in between, because its request was proved not to have run.
+    // Never written, or removed because its request was proved not to have run.
+    held->earlier = false;
     if (++held->tries < kMaxTries) {
       this->Commit(*held, aEffects);
     } else {
@@ -262,19 +272,9 @@
   this->Erase(aEntry);
 }
 
-void IdempotencyGate::RetryOrRefuse(Instant aNow,
-                                    Entry& aEntry,
-                                    RequestEffects& aEffects,
-                                    GateVerdicts& aVerdicts)
+void IdempotencyGate::Scan(Entry& aEntry, RequestEffects& aEffects)
 {
-  aEntry.step = Step::None;
-  if (aEntry.goal != Goal::Create) {
-    this->WakeAt(aEntry, aNow + kStoreInterval);
-  } else if (!aEntry.abandoned && ++aEntry.tries < kMaxTries) {
-    this->Commit(aEntry, aEffects);
-  } else {
-    this->Refuse(aEntry, Outcome::NotRun, Reason::StoreUnavailable, aVerdicts);
-  }
+  aEffects.emplace_back(ScanRow{ this->Operation(aEntry, Step::Scanning), aEntry.key });
 }
 
 void IdempotencyGate::Erase(Entry& aEntry)
--- a/packages/requests/src/IdempotencyGate.h
+++ b/packages/requests/src/IdempotencyGate.h
@@ -97,6 +97,8 @@
     // The operation that is waited for; an entry has at most one.
     TableOperationId operation;
     bool abandoned = false;
+    // A conflict has shown that an earlier request with this key has a record.
+    bool earlier = false;
     TransactionId transaction;
     RowVersion version;
     std::uint32_t tries = 0;
@@ -113,10 +115,7 @@
                RequestEffects& aEffects,
                GateVerdicts& aVerdicts);
   void Refuse(Entry& aEntry, Outcome aOutcome, Reason aReason, GateVerdicts& aVerdicts);
-  void RetryOrRefuse(Instant aNow,
-                     Entry& aEntry,
-                     RequestEffects& aEffects,
-                     GateVerdicts& aVerdicts);
+  void Scan(Entry& aEntry, RequestEffects& aEffects);
   void Erase(Entry& aEntry);
   TableOperationId Operation(Entry& aEntry, Step aStep);
 
--- /dev/null
+++ b/packages/requests/tests/IdempotencyTest.cpp
@@ -0,0 +1,168 @@
+#include "EngineHarness.h"
+
+#include "oriolespread/platform/MemoryTable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+using std::chrono::seconds;
+
+namespace {
+
+// What the table does with the next operations.
+enum class Store
+{
+  Up,
+  Down,
+  // Writes take effect, answers are lost.
+  AnswerLost,
+  // Writes are lost, and so are the answers.
+  WriteLost,
+};
+
+// An engine with a table service behind it.
+struct KeyedHarness : EngineHarness
+{
+  explicit KeyedHarness(MemoryTable& aTable, std::uint32_t aAgents = 2)
+    : EngineHarness(aAgents)
+    , table(aTable)
+  {
+  }
+
+  // Answers every table operation that is waiting, also those that follow from the answers.
+  void Settle(Store aStore)
+  {
+    for (; this->next < this->all.size(); ++this->next) {
+      const RequestEffect effect = this->all[this->next];
+      if (const auto* commit = std::get_if<CommitTransaction>(&effect)) {
+        CommitOutcome outcome{ CommitStatus::Unavailable, {}, {} };
+        if (aStore == Store::Up || aStore == Store::AnswerLost) {
+          outcome = this->table.Commit(commit->transaction);
+        }
+        if (aStore == Store::AnswerLost || aStore == Store::WriteLost) {
+          outcome.status = CommitStatus::Unknown;
+        }
+        this->Handle(TransactionDone{ commit->operation, outcome });
+      } else if (const auto* fate = std::get_if<ReadTransactionFate>(&effect)) {
+        const FateOutcome outcome =
+          aStore == Store::Down ? FateOutcome{} : this->table.ReadFate(fate->transaction);
+        this->Handle(FateDone{ fate->operation, outcome });
+      } else if (const auto* scan = std::get_if<ScanRow>(&effect)) {
+        if (aStore == Store::Down) {
+          this->Handle(RowScanDone{ scan->operation, absl::UnavailableError("down") });
+        } else {
+          this->Handle(RowScanDone{ scan->operation, this->table.Scan(scan->key, "", 1) });
+        }
+      }
+    }
+  }
+
+  MemoryTable& table;
+  std::size_t next = 0;
+};
+
+} // namespace
+
+// Guards against running a keyed request twice, and against losing its answer.
+TEST_CASE("IdempotencyGate ReplaysTheStoredAnswer")
+{
+  const Store store = GENERATE(Store::Up, Store::AnswerLost);
+  MemoryTable table;
+  KeyedHarness h(table);
+  const RequestId first = h.Send("POST", seconds(1), "k");
+  CHECK(h.All<StartCall>().empty());
+  h.Settle(store);
+  REQUIRE(h.All<StartCall>().size() == 1);
+  const RequestId during = h.Send("POST", seconds(1), "k");
+  h.Settle(store);
+  CHECK(h.ResultOf(during) == "unknown/idempotency_in_progress");
+  h.Answer(h.All<StartCall>().at(0));
+  h.Settle(store);
+  const RequestId after = h.Send("POST", seconds(1), "k");
+  h.Settle(store);
+  CHECK(h.ResultOf(first) == "answered");
+  CHECK(h.ResultOf(after) == "answered");
+  CHECK(h.All<FinalAnswer>().back().answer->body == "ok");
+  CHECK(h.All<StartCall>().size() == 1);
+}
+
+// Guards against answering one request with the result of another that reused its key.
+TEST_CASE("IdempotencyGate RefusesAnotherRequestUnderTheSameKey")
+{
+  MemoryTable table;
+  KeyedHarness h(table);
+  h.Send("POST", seconds(1), "k", "one");
+  h.Settle(Store::Up);
+  const RequestId other = h.Send("POST", seconds(1), "k", "two");
+  h.Settle(Store::Up);
+  CHECK(h.ResultOf(other) == "not_run/idempotency_mismatch");
+}
+
+// Guards against dispatching a keyed request that has no record.
+TEST_CASE("IdempotencyGate RefusesWhenTheRecordCannotBeWritten")
+{
+  const Store store = GENERATE(Store::Down, Store::WriteLost);
+  MemoryTable table;
+  KeyedHarness h(table);
+  const RequestId id = h.Send("POST", seconds(1), "k");
+  h.Settle(store);
+  CHECK(h.ResultOf(id) == "not_run/store_unavailable");
+  CHECK(h.All<StartCall>().empty());
+  const RequestId again = h.Send("POST", seconds(1), "k");
+  h.Settle(Store::Up);
+  CHECK(h.All<StartCall>().size() == 1);
+  CHECK(h.ResultOf(again) == "none");
+}
+
+// Guards against saying "not run" about a key whose earlier request may have run.
+TEST_CASE("IdempotencyGate SaysUnknownWhenAnEarlierRecordCannotBeRead")
+{
+  MemoryTable table;
+  KeyedHarness h(table);
+  h.Send("POST", seconds(1), "k");
+  h.Settle(Store::Up);
+  const RequestId repeat = h.Send("POST", seconds(1), "k");
+  const auto commit = h.All<CommitTransaction>().back();
+  h.Handle(TransactionDone{ commit.operation, table.Commit(commit.transaction) });
+  h.next = h.all.size() - 1;
+  h.Settle(Store::Down);
+  CHECK(h.ResultOf(repeat) == "unknown/store_unavailable");
+}
+
+// Guards against a record that bars its key for ever although its request surely did not run, also
+// when the request was given up before the table answered.
+TEST_CASE("IdempotencyGate RemovesTheRecordOfARequestThatDidNotRun")
+{
+  const bool beforeAnswer = GENERATE(true, false);
+  MemoryTable table;
+  KeyedHarness h(table, 1);
+  const RequestId id = h.Send("POST", seconds(1), "k");
+  if (beforeAnswer) {
+    h.Pass(seconds(1));
+    CHECK(h.ResultOf(id) == "not_run/store_unavailable");
+    h.Settle(Store::AnswerLost);
+  } else {
+    h.Settle(Store::Up);
+    h.Handle(CallNotRun{ h.All<StartCall>().at(0).call, Reason::StreamRefused });
+    CHECK(h.ResultOf(id) == "not_run/stream_refused");
+    h.Settle(Store::Down);
+    CHECK(table.size() == 1);
+    h.Pass(seconds(2));
+    h.Settle(Store::Up);
+  }
+  CHECK(table.size() == 0);
+}
+
+// Guards against repeating work whose first attempt may have run.
+TEST_CASE("IdempotencyGate KeepsTheRecordOfARequestThatMayHaveRun")
+{
+  MemoryTable table;
+  KeyedHarness h(table);
+  h.Send("POST", seconds(1), "k");
+  h.Settle(Store::Up);
+  h.Handle(CallUnknown{ h.All<StartCall>().at(0).call, Reason::StreamReset });
+  const RequestId repeat = h.Send("POST", seconds(1), "k");
+  h.Settle(Store::Up);
+  CHECK(h.ResultOf(repeat) == "unknown/idempotency_in_progress");
+  CHECK(h.All<StartCall>().size() == 1);
+}
--- /dev/null
+++ b/packages/requests/tests/MembershipTest.cpp
@@ -0,0 +1,99 @@
+#include "Membership.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+using namespace oriolespread::internal;
+using std::chrono::milliseconds;
+
+namespace {
+
+const PoolKey kPool{ OrganisationId{ "acme" }, ServiceName{ "shop" } };
+const LinkId kOld{ 1 };
+const LinkId kNew{ 2 };
+const UpstreamId kUpstream{ "u" };
+
+struct Fixture
+{
+  Counters counters;
+  Membership membership{ counters };
+  Instant now = Instant(std::chrono::seconds(1000));
+
+  Fixture()
+  {
+    this->membership.LinkUp(kOld, milliseconds(1));
+    this->membership.LinkUp(kNew, milliseconds(1));
+  }
+
+  void Say(LinkId aLink, std::uint64_t aAgent, std::uint64_t aUpstream)
+  {
+    Announce announce{ AgentId{ "a" }, Incarnation{ aAgent }, WorkerId{ "w" }, {}, {}, {}, {} };
+    announce.upstreams.push_back(
+      { kUpstream, Incarnation{ aUpstream }, kPool.provider, kPool.service, 8, 64 });
+    this->membership.Apply(this->now, aLink, announce);
+  }
+
+  std::size_t Size() const { return this->membership.PoolOf(kPool).size(); }
+};
+
+} // namespace
+
+// Guards against routing to the old life of an agent or upstream that was replaced.
+TEST_CASE("Membership FollowsOnlyTheHighestIncarnation")
+{
+  Fixture f;
+  f.Say(kNew, 2, 5);
+  f.Say(kOld, 1, 9);
+  REQUIRE(f.Size() == 1);
+  CHECK(f.membership.PoolOf(kPool)[0]->link == kNew);
+  f.Say(kNew, 2, 4);
+  CHECK(f.membership.PoolOf(kPool)[0]->incarnation == Incarnation{ 5 });
+  CHECK(f.counters.Total("link_messages_dropped_total") == 2);
+  f.Say(kNew, 3, 1);
+  CHECK(f.membership.PoolOf(kPool)[0]->incarnation == Incarnation{ 1 });
+}
+
+// Guards against the late close of an old link removing an upstream that has come back on a new
+// one.
+TEST_CASE("Membership KeepsAnUpstreamThatMovedWhenItsOldLinkCloses")
+{
+  Fixture f;
+  f.Say(kOld, 1, 1);
+  f.Say(kNew, 1, 1);
+  f.membership.LinkDown(kOld);
+  REQUIRE(f.Size() == 1);
+  CHECK(f.membership.PoolOf(kPool)[0]->link == kNew);
+  f.membership.LinkDown(kNew);
+  CHECK(f.Size() == 0);
+}
+
+// Guards against a delayed or repeated grant raising the credit again, and against an Announce that
+// crossed a Leave undoing it.
+TEST_CASE("Membership DropsStaleGrantsReportsAndAnnouncements")
+{
+  Fixture f;
+  f.Say(kOld, 1, 1);
+  f.membership.Apply(kOld, CreditGrant{ kUpstream, Incarnation{ 1 }, 2, 1, 8 });
+  f.membership.Apply(kOld, CreditGrant{ kUpstream, Incarnation{ 1 }, 1, 8, 64 });
+  CHECK(f.membership.PoolOf(kPool)[0]->slots == 1);
+  f.membership.Apply(kOld, Leave{ kUpstream, Incarnation{ 1 } });
+  f.Say(kOld, 1, 1);
+  CHECK(f.membership.PoolOf(kPool)[0]->leaving);
+  LoadReport report{ AgentId{ "a" }, Incarnation{ 1 }, 2, { { kUpstream, 5 } }, {} };
+  f.membership.Apply(f.now, kOld, report);
+  report.sequence = 1;
+  report.upstreams[0].inFlight = 50;
+  f.membership.Apply(f.now, kOld, report);
+  CHECK(f.membership.PoolOf(kPool)[0]->othersInFlight == 5);
+}
+
+// Guards against a link speaking for another agent than the one it has announced.
+TEST_CASE("Membership BindsALinkToItsAgent")
+{
+  Fixture f;
+  f.Say(kOld, 1, 1);
+  f.membership.Apply(f.now, kOld, Announce{ AgentId{ "b" }, Incarnation{ 9 }, {}, {}, {}, {}, {} });
+  f.membership.Apply(kNew, Leave{ kUpstream, Incarnation{ 1 } });
+  REQUIRE(f.Size() == 1);
+  CHECK_FALSE(f.membership.PoolOf(kPool)[0]->leaving);
+}
--- /dev/null
+++ b/packages/requests/tests/UpstreamBookTest.cpp
@@ -0,0 +1,135 @@
+#include "oriolespread/requests/UpstreamBook.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const OrganisationId kOrganisation{ "acme" };
+const ServiceName kService{ "shop" };
+const UpstreamId kUpstream{ "u" };
+const LinkId kLink{ 1 };
+
+struct Fixture
+{
+  Counters counters;
+  UpstreamBook book{ { AgentId{ "a" }, Incarnation{ 1 }, WorkerId{ "w" }, {}, {}, {} }, counters };
+  Instant now = Instant(seconds(1000));
+  std::vector<BookMessage> messages;
+
+  Fixture()
+  {
+    this->book.AddLink(this->now, kLink);
+    this->book.AddUpstream(this->now,
+                           { kUpstream, Incarnation{ 2 }, kOrganisation, kService, 8, 64 });
+    this->book.Poll(this->now, this->messages);
+  }
+
+  void Pass(Duration aTime)
+  {
+    const Instant end = this->now + aTime;
+    while (this->book.NextWakeup() <= end) {
+      this->now = std::max(this->now, this->book.NextWakeup());
+      this->book.Poll(this->now, this->messages);
+    }
+    this->now = end;
+  }
+
+  template<typename T>
+  std::vector<T> All() const
+  {
+    std::vector<T> found;
+    for (const BookMessage& message : this->messages) {
+      if (const T* detail = std::get_if<T>(&message.message)) {
+        found.push_back(*detail);
+      }
+    }
+    return found;
+  }
+
+  void Window(Duration aLatency)
+  {
+    for (int i = 0; i < 20; ++i) {
+      this->book.BeginCall(kUpstream);
+      this->book.EndCall(this->now, kUpstream, aLatency, false);
+    }
+    this->Pass(seconds(1));
+  }
+};
+
+} // namespace
+
+// Guards against entries that do not learn of an upstream, or learn its load too late.
+TEST_CASE("UpstreamBook AnnouncesOnConnectAndReportsEvery200Ms")
+{
+  Fixture f;
+  REQUIRE(f.All<Announce>().size() == 1);
+  CHECK(f.All<Announce>()[0].upstreams.at(0).upstream == kUpstream);
+  f.book.BeginCall(kUpstream);
+  f.book.BeginCall(kUpstream);
+  f.book.EndCall(f.now, kUpstream, milliseconds(7), false);
+  f.Pass(seconds(1));
+  const auto reports = f.All<LoadReport>();
+  REQUIRE(reports.size() == 5);
+  CHECK(reports[0].upstreams.at(0).inFlight == 1);
+  CHECK(reports[0].upstreams.at(0).answered == 1);
+  CHECK(reports[0].upstreams.at(0).meanLatencyUs == 7'000);
+  CHECK(reports[1].upstreams.at(0).answered == 0);
+  CHECK(reports[1].sequence > reports[0].sequence);
+}
+
+// Guards against an agent that stays suspect for ever after a pause: entries trust it again only
+// after an announcement.
+TEST_CASE("UpstreamBook AnnouncesAgainAfterItsOwnPause")
+{
+  Fixture f;
+  f.Pass(milliseconds(400));
+  f.now += seconds(3);
+  f.book.Poll(f.now, f.messages);
+  CHECK(f.All<Announce>().size() == 2);
+  CHECK(f.counters.Get("announcements_total", "after_pause") == 1);
+}
+
+// Guards against an old life of an upstream replacing the new one.
+TEST_CASE("UpstreamBook RefusesALowerIncarnation")
+{
+  Fixture f;
+  CHECK_FALSE(
+    f.book.AddUpstream(f.now, { kUpstream, Incarnation{ 1 }, kOrganisation, kService, 8, 64 }));
+  CHECK(f.book.Find(kUpstream)->incarnation == Incarnation{ 2 });
+}
+
+// Guards against new calls to a leaving upstream, and against ending a drain with calls in flight.
+TEST_CASE("UpstreamBook LeavesAtOnceAndDrainsWhenItsCallsHaveEnded")
+{
+  Fixture f;
+  f.book.BeginCall(kUpstream);
+  f.book.Drain(f.now);
+  CHECK_FALSE(f.book.Accepts(kUpstream));
+  f.book.Poll(f.now, f.messages);
+  CHECK(f.All<Leave>().size() == 1);
+  CHECK_FALSE(f.book.IsDrained());
+  f.book.EndCall(f.now, kUpstream, milliseconds(1), false);
+  CHECK(f.book.IsDrained());
+}
+
+// Guards against a signal on a single slow second, and against one that flaps around the objective.
+TEST_CASE("UpstreamBook SignalsAfterTwoWindowsAboveTheObjectiveAndClearsBelow80Percent")
+{
+  Fixture f;
+  f.book.SetObjective(kOrganisation, kService, milliseconds(100));
+  f.Window(milliseconds(150));
+  f.Window(milliseconds(50));
+  f.Window(milliseconds(150));
+  CHECK(f.All<ServiceLatencyReport>().empty());
+  f.Window(milliseconds(150));
+  REQUIRE_FALSE(f.All<ServiceLatencyReport>().empty());
+  CHECK(f.All<ServiceLatencyReport>().back().suffering);
+  f.Window(milliseconds(90));
+  CHECK(f.All<ServiceLatencyReport>().back().suffering);
+  f.Window(milliseconds(79));
+  CHECK_FALSE(f.All<ServiceLatencyReport>().back().suffering);
+}
