Let connections cover the link, and measure the request path

With the slots as limit of calls in flight, a far upstream stood idle while requests and answers were on the link: at 70% load 9.7% of the requests failed and p99 was 2,000 ms. An entry now keeps slots x (1 + round trip / latency) calls in flight, bounded by its connections; the ledger divides connections in proportion to the slots.

The bench gets a site on a virtual clock with real engines, ledgers and books and fake upstreams, links and reports.

--- /dev/null
+++ b/packages/bench/src/RequestsSite.cpp
@@ -0,0 +1,329 @@
+#include "RequestsSite.h"
+
+#include "RequestsSiteParts.h"
+
+#include <algorithm>
+
+namespace oriolespread::bench {
+
+namespace {
+
+const ServiceName kService{ "shop" };
+const OrganisationId kProvider{ "provider" };
+constexpr Duration kStoreTime = std::chrono::milliseconds(5);
+// The table service's time limit, after which an answer counts as lost.
+constexpr Duration kStoreTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+double Tally::QuantileMs(double aQuantile) const
+{
+  if (this->latenciesMs.empty()) {
+    return 0.0;
+  }
+  std::vector<double> sorted = this->latenciesMs;
+  const auto rank = static_cast<std::size_t>(aQuantile * static_cast<double>(sorted.size() - 1));
+  const auto nth = sorted.begin() + static_cast<std::ptrdiff_t>(rank);
+  std::nth_element(sorted.begin(), nth, sorted.end());
+  return *nth;
+}
+
+RequestsSite::RequestsSite(SiteOptions aOptions)
+  : options(std::move(aOptions))
+  , random(this->options.seed)
+  , served(this->options.workers, 0)
+{
+  RequestPolicy policy;
+  for (const Traffic& traffic : this->options.traffic) {
+    policy.organisations.push_back({ traffic.organisation });
+    policy.services.push_back({ traffic.organisation, kService, kProvider });
+    this->tallies[traffic.organisation];
+  }
+  for (std::size_t e = 0; e < this->options.entries; ++e) {
+    auto entry = std::make_unique<Entry>();
+    entry->dataCentre = e % this->options.dataCentres;
+    entry->engine = std::make_unique<RequestEngine>(
+      RequestEngineOptions{ EntryId{ "e" + std::to_string(e) },
+                            Incarnation{ 1 },
+                            DataCentreId{ std::to_string(entry->dataCentre) },
+                            this->options.seed + e },
+      this->counters);
+    this->entries.push_back(std::move(entry));
+    this->Decide(e, PolicyChanged{ policy });
+  }
+  for (std::size_t a = 0; a < this->options.workers; ++a) {
+    auto agent = std::make_unique<Agent>();
+    agent->dataCentre = a % this->options.dataCentres;
+    agent->ledger = std::make_unique<CreditLedger>(this->counters);
+    agent->book = std::make_unique<UpstreamBook>(
+      UpstreamBookOptions{ AgentId{ "a" + std::to_string(a) },
+                           Incarnation{ 1 },
+                           WorkerId{ "w" + std::to_string(a) },
+                           DataCentreId{ std::to_string(agent->dataCentre) },
+                           {},
+                           {} },
+      this->counters);
+    this->agents.push_back(std::move(agent));
+    Agent& added = *this->agents.back();
+    added.ledger->SetUpstream(UpstreamOf(a), Incarnation{ 1 }, this->options.slots, 64);
+    added.book->AddUpstream(
+      this->now, { UpstreamOf(a), Incarnation{ 1 }, kProvider, kService, this->options.slots, 64 });
+    for (std::size_t e = 0; e < this->options.entries; ++e) {
+      this->Decide(e, LinkUp{ LinkOf(e, a), this->Delay(e, a) * 2 });
+      added.ledger->AddLink(LinkOf(e, a));
+      added.book->AddLink(this->now, LinkOf(e, a));
+    }
+    this->FlushAgent(a);
+  }
+  for (std::size_t t = 0; t < this->options.traffic.size(); ++t) {
+    this->ScheduleArrival(t);
+  }
+}
+
+RequestsSite::~RequestsSite() = default;
+
+void RequestsSite::Run(Duration aTime, bool aMeasure)
+{
+  this->flowing = true;
+  this->measuring = aMeasure;
+  this->RunUntil(this->now + aTime);
+}
+
+void RequestsSite::Finish()
+{
+  this->flowing = false;
+  this->RunUntil(this->now + std::chrono::seconds(20));
+}
+
+void RequestsSite::SetRate(const OrganisationId& aOrganisation, double aPerSecond)
+{
+  for (Traffic& traffic : this->options.traffic) {
+    if (traffic.organisation == aOrganisation) {
+      traffic.perSecond = aPerSecond;
+    }
+  }
+}
+
+void RequestsSite::SetStoreFault(StoreFault aFault)
+{
+  this->storeFault = aFault;
+}
+
+Tally RequestsSite::Total() const
+{
+  Tally total;
+  for (const auto& [organisation, tally] : this->tallies) {
+    total.latenciesMs.insert(
+      total.latenciesMs.end(), tally.latenciesMs.begin(), tally.latenciesMs.end());
+    total.offered += tally.offered;
+    total.answered += tally.answered;
+    total.notRun += tally.notRun;
+    total.unknown += tally.unknown;
+    for (const auto& [reason, count] : tally.reasons) {
+      total.reasons[reason] += count;
+    }
+  }
+  return total;
+}
+
+std::size_t RequestsSite::WrongAnswers() const
+{
+  return this->answeredTwice + this->requests.size();
+}
+
+std::uint64_t RequestsSite::Count(std::string_view aCounter) const
+{
+  return this->counters.Total(aCounter);
+}
+
+std::uint64_t RequestsSite::Count(std::string_view aCounter, std::string_view aLabel) const
+{
+  return this->counters.Get(aCounter, aLabel);
+}
+
+RequestLoad RequestsSite::Load() const
+{
+  RequestLoad sum;
+  for (const auto& entry : this->entries) {
+    const RequestLoad load = entry->engine->Load();
+    sum.queued += load.queued;
+    sum.calls += load.calls;
+    sum.requests += load.requests;
+  }
+  return sum;
+}
+
+void RequestsSite::At(Instant aTime, Action aAction)
+{
+  this->actions.push({ aTime, ++this->lastAction, std::make_shared<Action>(std::move(aAction)) });
+}
+
+void RequestsSite::RunUntil(Instant aEnd)
+{
+  while (!this->actions.empty() && this->actions.top().at <= aEnd) {
+    const Scheduled next = this->actions.top();
+    this->actions.pop();
+    this->now = next.at;
+    (*next.action)();
+  }
+  this->now = aEnd;
+}
+
+Duration RequestsSite::Delay(std::size_t aEntry, std::size_t aAgent) const
+{
+  const std::size_t agentCentre = aAgent % this->options.dataCentres;
+  return this->entries[aEntry]->dataCentre == agentCentre ? this->options.nearOneWay
+                                                          : this->options.farOneWay;
+}
+
+void RequestsSite::ScheduleArrival(std::size_t aTraffic)
+{
+  const double rate = std::max(this->options.traffic[aTraffic].perSecond, 0.1);
+  const Duration gap = this->random.Exponential(
+    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1.0 / rate)));
+  this->After(gap, [this, aTraffic] {
+    if (this->flowing && this->options.traffic[aTraffic].perSecond > 0.0) {
+      this->Arrive(aTraffic);
+    }
+    this->ScheduleArrival(aTraffic);
+  });
+}
+
+void RequestsSite::Arrive(std::size_t aTraffic)
+{
+  const Traffic& traffic = this->options.traffic[aTraffic];
+  Request request;
+  request.organisation = traffic.organisation;
+  request.arrived = this->now;
+  request.deadline = traffic.deadline;
+  request.entry = this->random.Below(this->entries.size());
+  request.post = this->random.Chance(traffic.postShare);
+  request.measured = this->measuring;
+  NewRequest event;
+  event.id = { Incarnation{ 1 }, ++this->lastRequest };
+  event.organisation = traffic.organisation;
+  event.service = kService;
+  static const auto sGet = std::make_shared<RequestContent>(RequestContent{ "GET", "/", {}, "" });
+  static const auto sPost = std::make_shared<RequestContent>(RequestContent{ "POST", "/", {}, "" });
+  event.content = request.post ? sPost : sGet;
+  event.deadline = this->now + traffic.deadline;
+  if (this->random.Chance(traffic.keyedShare)) {
+    event.idempotencyKey = std::to_string(event.id.counter);
+  }
+  const std::size_t entry = request.entry;
+  this->requests[event.id] = request;
+  if (this->options.policy == RoutePolicy::Engine) {
+    this->Decide(entry, event);
+  } else {
+    this->RouteSimply(event.id);
+  }
+}
+
+void RequestsSite::Decide(std::size_t aEntry, const RequestEvent& aEvent)
+{
+  RequestEffects effects;
+  this->entries[aEntry]->engine->Handle(this->now, aEvent, effects);
+  for (const RequestEffect& effect : effects) {
+    this->Obey(aEntry, effect);
+  }
+  this->ArmEntry(aEntry);
+}
+
+void RequestsSite::Obey(std::size_t aEntry, const RequestEffect& aEffect)
+{
+  if (const auto* start = std::get_if<StartCall>(&aEffect)) {
+    const std::size_t agent = (start->link.Value() - 1) % 1'000;
+    ++this->attempts;
+    auto call =
+      std::make_shared<Call>(Call{ aEntry, agent, start->call, start->request, {}, 0, false });
+    this->After(this->Delay(aEntry, agent), [this, call] { this->OnCall(call); });
+  } else if (const auto* answer = std::get_if<FinalAnswer>(&aEffect)) {
+    this->Answered(answer->request, *answer);
+  } else if (const auto* demand = std::get_if<SendCreditDemand>(&aEffect)) {
+    const std::size_t agent = (demand->link.Value() - 1) % 1'000;
+    this->After(this->Delay(aEntry, agent), [this, agent, sent = *demand] {
+      this->agents[agent]->ledger->SetDemand(sent.link, sent.demand);
+      this->FlushAgent(agent);
+    });
+  } else {
+    this->RunStore(aEntry, aEffect);
+  }
+}
+
+void RequestsSite::ArmEntry(std::size_t aEntry)
+{
+  Entry& entry = *this->entries[aEntry];
+  const Instant wakeup = entry.engine->NextWakeup();
+  if (wakeup >= entry.armed) {
+    return;
+  }
+  entry.armed = std::max(wakeup, this->now);
+  this->At(entry.armed, [this, aEntry, due = entry.armed] {
+    if (this->entries[aEntry]->armed == due) {
+      this->entries[aEntry]->armed = Instant::max();
+      this->Decide(aEntry, Tick{});
+    }
+  });
+}
+
+void RequestsSite::Answered(const RequestId& aRequest, const FinalAnswer& aAnswer)
+{
+  const auto found = this->requests.find(aRequest);
+  if (found == this->requests.end()) {
+    ++this->answeredTwice;
+    return;
+  }
+  const Request request = found->second;
+  this->requests.erase(found);
+  const bool failed = aAnswer.outcome.has_value();
+  if (failed && *aAnswer.outcome == Outcome::NotRun) {
+    this->saidNotRun.insert(aRequest);
+    this->falseNotRun += request.runs > 0 ? 1 : 0;
+  }
+  this->runTwice += request.post && request.runs > 1 ? 1 : 0;
+  if (!request.measured) {
+    return;
+  }
+  Tally& tally = this->tallies[request.organisation];
+  ++tally.offered;
+  const Duration latency = this->now - request.arrived;
+  tally.latenciesMs.push_back(
+    std::chrono::duration<double, std::milli>(failed ? request.deadline : latency).count());
+  if (!failed) {
+    ++tally.answered;
+    return;
+  }
+  this->failedElsewhere += request.metFault ? 0 : 1;
+  ++(*aAnswer.outcome == Outcome::NotRun ? tally.notRun : tally.unknown);
+  ++tally.reasons[std::string(ToString(*aAnswer.reason))];
+}
+
+void RequestsSite::RunStore(std::size_t aEntry, const RequestEffect& aEffect)
+{
+  const StoreFault fault = this->storeFault;
+  const bool lost = fault == StoreFault::Unknown;
+  const Duration time = lost ? kStoreTimeout : kStoreTime;
+  if (const auto* commit = std::get_if<CommitTransaction>(&aEffect)) {
+    TransactionDone done{ commit->operation, {} };
+    if (fault == StoreFault::None) {
+      done.outcome = this->table.Commit(commit->transaction);
+    } else {
+      done.outcome.status = lost ? CommitStatus::Unknown : CommitStatus::Unavailable;
+    }
+    this->After(time, [this, aEntry, done] { this->Decide(aEntry, done); });
+  } else if (const auto* fate = std::get_if<ReadTransactionFate>(&aEffect)) {
+    FateDone done{ fate->operation, {} };
+    if (fault == StoreFault::None) {
+      done.outcome = this->table.ReadFate(fate->transaction);
+    }
+    this->After(time, [this, aEntry, done] { this->Decide(aEntry, done); });
+  } else if (const auto* scan = std::get_if<ScanRow>(&aEffect)) {
+    RowScanDone done{ scan->operation, absl::UnavailableError("down") };
+    if (fault == StoreFault::None) {
+      done.page = this->table.Scan(scan->key, "", 1);
+    }
+    this->After(time, [this, aEntry, done] { this->Decide(aEntry, done); });
+  }
+}
+
+} // namespace oriolespread::bench
--- /dev/null
+++ b/packages/bench/src/RequestsSite.h
@@ -0,0 +1,196 @@
+// A site on a virtual clock for measurements of the request path: entries with the real engine or a
+// simple policy, agents with the real ledger and book, fake upstreams, links with delay and reports
+// that lag. Nothing here opens a socket or reads a clock.
+#pragma once
+
+#include "oriolespread/base/RandomSource.h"
+#include "oriolespread/platform/MemoryTable.h"
+#include "oriolespread/requests/CreditLedger.h"
+#include "oriolespread/requests/RequestEngine.h"
+#include "oriolespread/requests/UpstreamBook.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oriolespread::bench {
+
+enum class RoutePolicy
+{
+  Engine,
+  // To the next upstream, whatever it holds.
+  RoundRobin,
+  Random,
+  // To the next upstream that holds at most half as many requests again as it has slots, by exact
+  // global knowledge; a stronger baseline than a real process could be.
+  RoundRobinWithinSlots,
+};
+
+struct Traffic
+{
+  OrganisationId organisation;
+  double perSecond = 0.0;
+  double postShare = 0.3;
+  double keyedShare = 0.0;
+  Duration deadline = std::chrono::seconds(2);
+};
+
+struct SiteOptions
+{
+  RoutePolicy policy = RoutePolicy::Engine;
+  std::uint64_t seed = 1;
+  std::size_t entries = 3;
+  std::size_t workers = 11;
+  std::size_t dataCentres = 3;
+  std::uint32_t slots = 8;
+  Duration nearOneWay = std::chrono::microseconds(250);
+  Duration farOneWay = std::chrono::milliseconds(3);
+  Duration meanService = std::chrono::milliseconds(10);
+  // Requests take this many times as long on worker 0.
+  double slowFactor = 1.0;
+  Duration reportLag = Duration::zero();
+  std::vector<Traffic> traffic;
+};
+
+// What became of the requests that arrived in the measured time.
+struct Tally
+{
+  std::vector<double> latenciesMs;
+  std::size_t offered = 0;
+  std::size_t answered = 0;
+  std::size_t notRun = 0;
+  std::size_t unknown = 0;
+  std::map<std::string, std::size_t> reasons;
+
+  // A failure counts with its deadline.
+  double QuantileMs(double aQuantile) const;
+};
+
+enum class UpstreamFault
+{
+  None,
+  // The process is dead: what it ran breaks off, and connecting is refused.
+  Killed,
+  // The worker with its agent is gone without a word: nothing is answered.
+  Vanished,
+  // The worker stands still and goes on later.
+  Paused,
+  // It accepts each request and breaks off.
+  BreaksOff,
+};
+
+enum class StoreFault
+{
+  None,
+  Unavailable,
+  Unknown,
+};
+
+class RequestsSite
+{
+public:
+  explicit RequestsSite(SiteOptions aOptions);
+  ~RequestsSite();
+
+  // Lets traffic flow for `aTime`. Requests that arrive are counted when `aMeasure` is set.
+  void Run(Duration aTime, bool aMeasure);
+  // Ends the traffic and lets what is held come to its end.
+  void Finish();
+
+  void SetRate(const OrganisationId& aOrganisation, double aPerSecond);
+  void SetFault(std::size_t aWorker, UpstreamFault aFault);
+  void SetStoreFault(StoreFault aFault);
+  void StopGracefully(std::size_t aWorker);
+
+  const Tally& Of(const OrganisationId& aOrganisation) const
+  {
+    return this->tallies.at(aOrganisation);
+  }
+  Tally Total() const;
+  // Returns the calls that were started for requests arriving in the measured time or before.
+  std::uint64_t Attempts() const { return this->attempts; }
+  // Requests that ended as not run although an upstream has seen them.
+  std::size_t FalseNotRun() const { return this->falseNotRun; }
+  // Non-idempotent requests that an upstream has seen twice.
+  std::size_t RunTwice() const { return this->runTwice; }
+  // Failed requests that never were in flight on a worker with a fault.
+  std::size_t FailedElsewhere() const { return this->failedElsewhere; }
+  // Final answers beyond the first of a request, or requests without one after Finish.
+  std::size_t WrongAnswers() const;
+  std::size_t ServedBy(std::size_t aWorker) const { return this->served[aWorker]; }
+  std::uint64_t Count(std::string_view aCounter) const;
+  std::uint64_t Count(std::string_view aCounter, std::string_view aLabel) const;
+  RequestLoad Load() const;
+
+private:
+  struct Request;
+  struct Call;
+  struct Entry;
+  struct Agent;
+  using Action = std::function<void()>;
+
+  void At(Instant aTime, Action aAction);
+  void After(Duration aDelay, Action aAction) { this->At(this->now + aDelay, std::move(aAction)); }
+  void RunUntil(Instant aEnd);
+  Duration Delay(std::size_t aEntry, std::size_t aAgent) const;
+
+  void ScheduleArrival(std::size_t aTraffic);
+  void Arrive(std::size_t aTraffic);
+  void Decide(std::size_t aEntry, const RequestEvent& aEvent);
+  void Obey(std::size_t aEntry, const RequestEffect& aEffect);
+  void ArmEntry(std::size_t aEntry);
+  void ArmAgent(std::size_t aAgent);
+  void Answered(const RequestId& aRequest, const FinalAnswer& aAnswer);
+  void RunStore(std::size_t aEntry, const RequestEffect& aEffect);
+
+  void RouteSimply(const RequestId& aRequest);
+  void OnCall(const std::shared_ptr<Call>& aCall);
+  void StartWaiting(std::size_t aAgent);
+  void OnServed(const std::shared_ptr<Call>& aCall, bool aBreaks);
+  void EndCall(const std::shared_ptr<Call>& aCall, bool aFailed);
+  void Reply(const Call& aCall, const RequestEvent& aEvent);
+  void FlushAgent(std::size_t aAgent);
+
+  SiteOptions options;
+  RandomSource random;
+  Counters counters;
+  MemoryTable table;
+  StoreFault storeFault = StoreFault::None;
+  Instant now = Instant(std::chrono::seconds(1000));
+  std::uint64_t lastAction = 0;
+  struct Scheduled
+  {
+    Instant at;
+    std::uint64_t order = 0;
+    std::shared_ptr<Action> action;
+    bool operator<(const Scheduled& aOther) const
+    {
+      return this->at != aOther.at ? this->at > aOther.at : this->order > aOther.order;
+    }
+  };
+  std::priority_queue<Scheduled> actions;
+  std::vector<std::unique_ptr<Entry>> entries;
+  std::vector<std::unique_ptr<Agent>> agents;
+  std::map<RequestId, Request> requests;
+  std::map<OrganisationId, Tally> tallies;
+  std::deque<RequestId> waiting;
+  std::vector<std::size_t> served;
+  std::set<RequestId> saidNotRun;
+  std::uint64_t lastRequest = 0;
+  std::uint64_t lastStart = 0;
+  std::uint64_t attempts = 0;
+  std::size_t nextWorker = 0;
+  std::size_t falseNotRun = 0;
+  std::size_t runTwice = 0;
+  std::size_t failedElsewhere = 0;
+  std::size_t answeredTwice = 0;
+  bool flowing = false;
+  bool measuring = false;
+};
+
+} // namespace oriolespread::bench
--- /dev/null
+++ b/packages/bench/src/RequestsSiteParts.h
@@ -0,0 +1,66 @@
+// The inner parts of RequestsSite, shared by its source files.
+#pragma once
+
+#include "RequestsSite.h"
+
+namespace oriolespread::bench {
+
+inline UpstreamId UpstreamOf(std::size_t aAgent)
+{
+  return UpstreamId{ "u" + std::to_string(aAgent) };
+}
+
+inline LinkId LinkOf(std::size_t aEntry, std::size_t aAgent)
+{
+  return LinkId{ 1 + aEntry * 1'000 + aAgent };
+}
+
+struct RequestsSite::Request
+{
+  OrganisationId organisation;
+  Instant arrived;
+  Duration deadline;
+  std::size_t entry = 0;
+  bool post = false;
+  bool measured = false;
+  std::uint32_t runs = 0;
+  bool metFault = false;
+};
+
+struct RequestsSite::Call
+{
+  std::size_t entry = 0;
+  std::size_t agent = 0;
+  CallId id;
+  RequestId request;
+  Instant begun;
+  std::uint64_t order = 0;
+  // Broken off by a fault; its end is reported already.
+  bool broken = false;
+};
+
+struct RequestsSite::Entry
+{
+  std::size_t dataCentre = 0;
+  std::unique_ptr<RequestEngine> engine;
+  Instant armed = Instant::max();
+};
+
+struct RequestsSite::Agent
+{
+  std::size_t dataCentre = 0;
+  std::unique_ptr<CreditLedger> ledger;
+  std::unique_ptr<UpstreamBook> book;
+  Instant armed = Instant::max();
+  UpstreamFault fault = UpstreamFault::None;
+  // By order of start, so that a run can be repeated.
+  std::map<std::uint64_t, std::shared_ptr<Call>> running;
+  std::deque<std::shared_ptr<Call>> waiting;
+  // What happens while the worker stands still is done when it goes on.
+  std::vector<Action> held;
+  bool closed = false;
+  // Calls that a simple policy has sent and that are not answered.
+  std::size_t sent = 0;
+};
+
+} // namespace oriolespread::bench
--- /dev/null
+++ b/packages/bench/src/RequestsStoreBench.cpp
@@ -0,0 +1,55 @@
+// Requests while the table service is down for 10 minutes.
+#include "RequestsSite.h"
+
+#include "oriolespread/bench/BenchCase.h"
+
+namespace oriolespread::bench {
+
+namespace {
+
+const OrganisationId kPlain{ "plain" };
+const OrganisationId kKeyed{ "keyed" };
+
+void Run(BenchContext& aContext)
+{
+  for (const StoreFault fault : { StoreFault::Unavailable, StoreFault::Unknown }) {
+    SiteOptions options;
+    options.seed = aContext.Seed();
+    options.traffic.push_back({ kPlain, 400.0 });
+    options.traffic.push_back({ kKeyed, 40.0, 1.0, 1.0 });
+    RequestsSite site(options);
+    site.Run(std::chrono::seconds(10), false);
+    site.SetStoreFault(fault);
+    site.Run(std::chrono::minutes(10), true);
+    site.SetStoreFault(StoreFault::None);
+    site.Run(std::chrono::seconds(5), false);
+    site.Finish();
+    const Tally& plain = site.Of(kPlain);
+    const Tally& keyed = site.Of(kKeyed);
+    const std::string name = fault == StoreFault::Unavailable ? "unavailable" : "unknown";
+    aContext.Report({ name + "_unkeyed_success",
+                      {},
+                      static_cast<double>(plain.answered) / static_cast<double>(plain.offered),
+                      "ratio",
+                      1.0,
+                      BoundKind::AtLeast });
+    aContext.Report({ name + "_unkeyed_p99", {}, plain.QuantileMs(0.99), "ms", {} });
+    const auto refused = keyed.reasons.find("store_unavailable");
+    const std::size_t count = refused == keyed.reasons.end() ? 0 : refused->second;
+    aContext.Report({ name + "_keyed_refused_as_store_unavailable",
+                      {},
+                      static_cast<double>(count) / static_cast<double>(keyed.offered),
+                      "ratio",
+                      {} });
+    aContext.Report(
+      { name + "_false_not_run", {}, static_cast<double>(site.FalseNotRun()), "requests", 0.0 });
+    aContext.Report(
+      { name + "_run_twice", {}, static_cast<double>(site.RunTwice()), "requests", 0.0 });
+  }
+}
+
+const BenchRegistration kCase{ "requests/store_down", Run };
+
+} // namespace
+
+} // namespace oriolespread::bench
--- a/packages/requests/include/oriolespread/requests/CreditLedger.h
+++ b/packages/requests/include/oriolespread/requests/CreditLedger.h
@@ -25,10 +25,13 @@
   CreditGrant grant;
 };
 
-// Grants are max-min fair by demand; what no demand takes is spread evenly, so that an entry can
-// send at once when its demand rises. Every live link gets at least 1 while slots suffice. The sum
-// of max(granted, in flight) never exceeds the limit, except for calls that were begun before the
-// limit was lowered. Not thread-safe. `aCounters` must outlive the ledger.
+// Slots are divided max-min fair by demand; what no demand takes is spread evenly, so that an entry
+// can send at once when its demand rises. Every live link gets at least 1 while slots suffice.
+// Connections follow the slots in proportion and bound the calls in flight: those beyond the slots
+// cover the time on the link and wait at the upstream. A link that was cut holds its former slots
+// while its calls run, and neither what is granted and held of slots nor of connections ever
+// exceeds the limit, except for calls that were begun before the limit was lowered. Not
+// thread-safe. `aCounters` must outlive the ledger.
 class CreditLedger
 {
 public:
@@ -58,8 +61,9 @@
   std::vector<LinkGrant> GrantsOf(LinkId aLink);
 
   std::uint32_t InFlight(const UpstreamId& aUpstream) const;
-  // Returns the sum over all links of max(granted slots, in flight).
-  std::uint32_t Committed(const UpstreamId& aUpstream) const;
+  // Return what is granted or held by calls in flight, summed over all links.
+  std::uint32_t CommittedSlots(const UpstreamId& aUpstream) const;
+  std::uint32_t CommittedConnections(const UpstreamId& aUpstream) const;
 
 private:
   struct Share
@@ -68,6 +72,8 @@
     std::uint32_t slots = 0;
     std::uint32_t connections = 0;
     std::uint32_t inFlight = 0;
+    // Slots that calls in flight still use, at most what was granted when they began.
+    std::uint32_t heldSlots = 0;
     bool live = true;
     bool changed = true;
   };
--- a/packages/requests/src/CreditLedger.cpp
+++ b/packages/requests/src/CreditLedger.cpp
@@ -86,7 +86,7 @@
     this->counters.Add("credit_demands_ignored_total", "unknown_link");
     return;
   }
-  // Each term is bounded by itself, so that a hostile or broken entry cannot overflow the sum.
+  // Each term is bounded by itself, so that a broken entry cannot overflow the sum.
   const std::uint32_t limit = found->second.slots;
   share->second.demand = std::min(aDemand.queued, limit) + std::min(aDemand.inFlight, limit);
   Divide(found->second);
@@ -104,12 +104,13 @@
     this->counters.Add("calls_refused_total", "unknown_link");
     return false;
   }
-  const std::uint32_t limit = std::min(share->second.slots, share->second.connections);
-  if (share->second.inFlight >= limit) {
+  if (share->second.inFlight >= share->second.connections) {
     this->counters.Add("calls_refused_total", "no_credit");
     return false;
   }
   ++share->second.inFlight;
+  share->second.heldSlots =
+    std::min(share->second.inFlight, std::max(share->second.heldSlots, share->second.slots));
   return true;
 }
 
@@ -126,7 +127,7 @@
     return;
   }
   --share->second.inFlight;
-  const bool returnsCredit = !share->second.live || share->second.inFlight >= share->second.slots;
+  const bool returnsCredit = share->second.inFlight < share->second.heldSlots;
   if (!share->second.live && share->second.inFlight == 0) {
     account.shares.erase(share);
   }
@@ -177,13 +178,25 @@
   return sum;
 }
 
-std::uint32_t CreditLedger::Committed(const UpstreamId& aUpstream) const
+std::uint32_t CreditLedger::CommittedSlots(const UpstreamId& aUpstream) const
 {
   const auto found = this->accounts.find(aUpstream);
   std::uint32_t sum = 0;
   if (found != this->accounts.end()) {
     for (const auto& [link, share] : found->second.shares) {
-      sum += std::max(share.slots, share.inFlight);
+      sum += std::max(share.slots, share.heldSlots);
+    }
+  }
+  return sum;
+}
+
+std::uint32_t CreditLedger::CommittedConnections(const UpstreamId& aUpstream) const
+{
+  const auto found = this->accounts.find(aUpstream);
+  std::uint32_t sum = 0;
+  if (found != this->accounts.end()) {
+    for (const auto& [link, share] : found->second.shares) {
+      sum += std::max(share.connections, share.inFlight);
     }
   }
   return sum;
@@ -193,22 +206,21 @@
 {
   std::vector<internal::Claim> claims;
   claims.reserve(aAccount.shares.size());
-  std::uint32_t live = 0;
-  for (const auto& [link, share] : aAccount.shares) {
-    claims.push_back({ share.demand, share.inFlight, share.live });
-    live += share.live ? 1U : 0U;
-  }
-  const std::vector<std::uint32_t> slots = internal::DivideSlots(aAccount.slots, claims);
-  // Connections beyond the slots are never needed for a request, so that an even part suffices.
-  const std::uint32_t connections = live == 0 ? 0 : aAccount.connections / live;
+  for (auto& [link, share] : aAccount.shares) {
+    share.heldSlots = std::min(share.inFlight, std::max(share.heldSlots, share.slots));
+    claims.push_back({ share.demand, share.heldSlots, share.live });
+  }
+  const std::uint32_t total = std::min(aAccount.slots, aAccount.connections);
+  const std::vector<std::uint32_t> slots = internal::DivideSlots(total, claims);
+  // With whole multiples of the slots, the bound on slots granted and held carries over to
+  // connections.
+  const std::uint32_t perSlot = total == 0 ? 0 : aAccount.connections / total;
   std::size_t index = 0;
   for (auto& [link, share] : aAccount.shares) {
     const std::uint32_t granted = slots[index++];
-    const std::uint32_t grantedConnections = share.live ? std::max(connections, granted) : 0;
-    share.changed =
-      share.changed || granted != share.slots || grantedConnections != share.connections;
+    share.changed = share.changed || granted != share.slots;
     share.slots = granted;
-    share.connections = grantedConnections;
+    share.connections = granted * perSlot;
   }
 }
 
--- a/packages/requests/src/Upstream.h
+++ b/packages/requests/src/Upstream.h
@@ -3,6 +3,8 @@
 
 #include "oriolespread/requests/RequestEvents.h"
 
+#include <algorithm>
+#include <cmath>
 #include <compare>
 #include <cstdint>
 #include <memory>
@@ -69,11 +71,17 @@
 
   bool IsServing() const { return !this->leaving && !this->suspect && !this->gone; }
   bool IsEjected(Instant aNow) const { return aNow < this->ejectedUntil; }
-  bool HasCredit() const
+  // Returns how many calls may be in flight: as many as keep the granted slots busy. A call holds
+  // its slot for the latency and counts as in flight for the link's round trip more, so that with
+  // the slots alone a far upstream would stand idle for that part of the time.
+  std::uint32_t InFlightLimit() const
   {
-    return !this->refused && this->ownInFlight < this->slots &&
-           this->ownInFlight < this->connections;
+    const double onLink =
+      this->latencyNs == 0.0 ? 0.0 : static_cast<double>(this->roundTrip.count()) / this->latencyNs;
+    const double limit = std::ceil(this->slots * (1.0 + onLink));
+    return static_cast<std::uint32_t>(std::min<double>(limit, this->connections));
   }
+  bool HasCredit() const { return !this->refused && this->ownInFlight < this->InFlightLimit(); }
 };
 
 using UpstreamPtr = std::shared_ptr<Upstream>;
