Add the package link with handshake, messages and calls

Cause: entry and agent programs need one connection that carries control messages and requests, with proof of what did not run.

--- /dev/null
+++ b/packages/link/tests/CallTest.cpp
@@ -0,0 +1,61 @@
+#include "LinkPair.h"
+
+using namespace oriolespread;
+
+TEST_CASE("Link ComesUpWithThePeersIdentity")
+{
+  LinkPair pair;
+  REQUIRE(pair.RunUntilUp());
+  CHECK(pair.entry.ups == std::vector<std::string>{ "agent-1@dc-2" });
+  CHECK(pair.agent.ups == std::vector<std::string>{ "entry-1@dc-1" });
+}
+
+TEST_CASE("Link CarriesMessagesBothWaysInOrder")
+{
+  LinkPair pair;
+  REQUIRE(pair.RunUntilUp());
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    CHECK(pair.dialer->Send(Leave{ UpstreamId{ "up-1" }, Incarnation{ i } }));
+    CHECK(pair.listener->Send(pair.link, CreditDemand{ UpstreamId{ "up-1" }, 1, 2 }));
+  }
+  REQUIRE(pair.Run(
+    [&] { return pair.entry.messages.size() == 100 && pair.agent.messages.size() == 100; }));
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    REQUIRE(std::get<Leave>(pair.entry.messages[i]).incarnation.Value() == i);
+  }
+}
+
+TEST_CASE("Link CarriesACallAndItsWholeAnswer")
+{
+  LinkPair pair;
+  REQUIRE(pair.RunUntilUp());
+  const CallRequest request = TestRequest(17, std::string(100'000, 'b'));
+  const CallResult result = pair.Call(request);
+  REQUIRE(result.end == CallEnd::Answered);
+  CHECK(result.answer.status == 200);
+  CHECK(result.answer.body == request.body);
+  CHECK(result.answer.headers == std::vector<HeaderField>{ { "x-echo", "/find?q=1" } });
+  REQUIRE(pair.received.size() == 1);
+  const CallRequest& received = pair.received[0];
+  CHECK(received.id == request.id);
+  CHECK(received.organisation == request.organisation);
+  CHECK(received.service == request.service);
+  CHECK(received.upstream == request.upstream);
+  CHECK(received.incarnation == request.incarnation);
+  CHECK(received.deadlineLeft == request.deadlineLeft);
+  CHECK(received.method == request.method);
+  CHECK(received.path == request.path);
+  CHECK(received.headers == request.headers);
+}
+
+TEST_CASE("Link ReportsARefusalWithItsReasonAsNotRun")
+{
+  LinkPair pair;
+  pair.onCall = [](CallRequest, std::shared_ptr<Responder> aResponder) {
+    aResponder->Refuse("no_credit");
+  };
+  REQUIRE(pair.RunUntilUp());
+  const CallResult result = pair.Call(TestRequest(1));
+  CHECK(result.end == CallEnd::NotRun);
+  CHECK(result.reason == "no_credit");
+}
