--- a/packages/link/src/CallWire.h
+++ b/packages/link/src/CallWire.h
@@ -23,6 +23,13 @@
 class HeaderList
 {
 public:
+  HeaderList() = default;
+  // A copy's entries would point into the original.
+  HeaderList(const HeaderList&) = delete;
+  HeaderList& operator=(const HeaderList&) = delete;
+  HeaderList(HeaderList&&) = default;
+  HeaderList& operator=(HeaderList&&) = default;
+
   // `aConstant` marks values that repeat between calls and are worth a place in the compression
   // table.
   void Add(std::string_view aName, std::string aValue, bool aConstant);
--- a/packages/link/src/Connection.cpp
+++ b/packages/link/src/Connection.cpp
@@ -208,9 +208,9 @@
     return;
   }
   if (error) {
-    const bool drained = !this->finalReason.empty() && error == asio::error::eof;
-    this->Close(drained ? std::string_view(this->finalReason)
-                        : (error == asio::error::eof ? "closed_by_peer" : "read_failed"));
+    const std::string_view eofReason =
+      this->finalReason.empty() ? "closed_by_peer" : std::string_view(this->finalReason);
+    this->Close(error == asio::error::eof ? eofReason : "read_failed");
     return;
   }
   this->ReceiveBytes({ sBuffer.data(), size });
@@ -310,7 +310,7 @@
   if (this->closed) {
     return;
   }
-  if (!this->finalReason.empty()) {
+  if (this->endAfterOutput) {
     this->FinishOutput();
   } else if (nghttp2_session_want_read(this->session) == 0 &&
              nghttp2_session_want_write(this->session) == 0) {
@@ -341,6 +341,9 @@
     this->output.append(reinterpret_cast<const char*>(bytes), static_cast<std::size_t>(size));
     this->produced += static_cast<std::uint64_t>(size);
   }
+  if (!this->deliveries.empty()) {
+    this->ScheduleDelivery();
+  }
   return !this->output.empty();
 }
 
@@ -359,6 +362,7 @@
 void Connection::CloseAfterOutput(std::string_view aReason)
 {
   this->finalReason = aReason;
+  this->endAfterOutput = true;
   this->ScheduleFlush();
 }
 
--- a/packages/link/src/Connection.h
+++ b/packages/link/src/Connection.h
@@ -86,6 +86,8 @@
   void ScheduleFlush();
   // Makes the connection close with this reason once nghttp2 has returned.
   void Fail(std::string_view aReason);
+  // Makes a close by the peer count as this reason.
+  void ExpectClose(std::string_view aReason) { this->finalReason = aReason; }
   // Ends the output after all that is pending, then waits for the peer to close.
   void CloseAfterOutput(std::string_view aReason);
   nghttp2_session* Session() { return this->session; }
@@ -145,7 +147,9 @@
   bool outputEnded = false;
   bool closed = false;
   std::string failure;
-  // Set when the output is to end after what is pending.
+  // The output is to end after what is pending.
+  bool endAfterOutput = false;
+  // Reason to report when the peer closes; empty for a close without notice.
   std::string finalReason;
   std::deque<std::function<void()>> deliveries;
 };
--- a/packages/link/src/EntryLink.cpp
+++ b/packages/link/src/EntryLink.cpp
@@ -186,6 +186,7 @@
 void EntryLink::OnGoaway(std::int32_t aLastStream)
 {
   this->goawayLast = aLastStream;
+  this->ExpectClose("drained");
 }
 
 void EntryLink::OnClosed(std::string_view aReason)
--- a/packages/link/src/ListenerCore.h
+++ b/packages/link/src/ListenerCore.h
@@ -54,7 +54,6 @@
   std::uint64_t lastLink = 0;
   std::uint64_t lastCall = 0;
   bool closed = false;
-  bool abandoned = false;
   absl::flat_hash_map<LinkId, std::shared_ptr<EntryLink>> links;
   // Calls whose callback is still to run, and their link.
   absl::flat_hash_map<CallId, LinkId> calls;
--- a/packages/link/tests/LinkPair.h
+++ b/packages/link/tests/LinkPair.h
@@ -1,6 +1,7 @@
 // Drives a listener and a dialer on one loop until a condition holds.
 #pragma once
 
+#include "oriolespread/base/RandomSource.h"
 #include "oriolespread/link/LinkDialer.h"
 #include "oriolespread/link/LinkListener.h"
 
