--- a/packages/link/src/Connection.h
+++ b/packages/link/src/Connection.h
@@ -75,6 +75,8 @@
                                bool& aEnd) = 0;
   // The request headers of a stream take their place in the output at this offset.
   virtual void OnRequestPlaced(std::int32_t /*aStream*/, std::uint64_t /*aOffset*/) {}
+  // Headers arrive, also for a stream that is closed and gets no further event.
+  virtual void OnHeadersFrame(std::int32_t /*aStream*/) {}
   virtual void OnHeadersSent(std::int32_t /*aStream*/) {}
   virtual void OnGoaway(std::int32_t /*aLastStream*/) {}
   // The socket is closed; ends everything that is in flight.
--- a/packages/link/src/EntryLink.cpp
+++ b/packages/link/src/EntryLink.cpp
@@ -97,7 +97,7 @@
   this->ScheduleFlush();
 }
 
-void EntryLink::OnBeginHeaders(std::int32_t aStream)
+void EntryLink::OnHeadersFrame(std::int32_t aStream)
 {
   if (this->Find(aStream) == nullptr) {
     this->Count().Add("link_answers_dropped_total", "late");
--- a/packages/link/src/EntryLink.h
+++ b/packages/link/src/EntryLink.h
@@ -37,7 +37,8 @@
   std::function<bool(CallId)> claimResult;
 
 protected:
-  void OnBeginHeaders(std::int32_t aStream) override;
+  void OnHeadersFrame(std::int32_t aStream) override;
+  void OnBeginHeaders(std::int32_t /*aStream*/) override {}
   void OnHeader(std::int32_t aStream, std::string_view aName, std::string_view aValue) override;
   void OnData(std::int32_t aStream, std::string_view aBytes) override;
   void OnEndStream(std::int32_t aStream) override;
--- a/packages/link/src/SessionCallbacks.cpp
+++ b/packages/link/src/SessionCallbacks.cpp
@@ -52,6 +52,8 @@
   // Before the proof the peer has no business beyond the connection itself and the control stream.
   if (aHeader->stream_id > kControlStream && !self.channel.IsUp()) {
     self.Fail("stream_before_proof");
+  } else if (aHeader->stream_id > kControlStream && aHeader->type == NGHTTP2_HEADERS) {
+    self.OnHeadersFrame(aHeader->stream_id);
   }
   return Result(self);
 }
