Add the scored placer with capacity index, fair queue and preemption

FirstFitPlacer scans every worker for every task and never preempts, so it cannot serve 3,700 workers or the urgent bound.

ScoredPlacer finds workers through a grid over free amounts, groups waiting tasks by shape and serves them by quota and dominant share, and lets urgent tasks preempt the cheapest batch tasks while the freed capacity is held for them.

--- /dev/null
+++ b/packages/placement/src/CapacityIndex.cpp
@@ -0,0 +1,227 @@
+#include "CapacityIndex.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace oriolespread::internal {
+
+CapacityIndex::CapacityIndex(Counters& aCounters)
+  : counters(aCounters)
+{
+}
+
+std::pair<WorkerIndex, bool> CapacityIndex::SetWorker(const WorkerSpec& aSpec)
+{
+  const WorkerIndex index = this->FindOrAdd(aSpec.worker);
+  WorkerRecord& worker = this->workers[index];
+  const bool changed = !worker.announced || worker.spec.capacity != aSpec.capacity ||
+                       worker.spec.dataCentre != aSpec.dataCentre || worker.spec.rack != aSpec.rack;
+  if (worker.removing) {
+    worker.removing = false;
+    worker.available = true;
+    this->Reindex(index);
+  }
+  if (!changed) {
+    return { index, false };
+  }
+  if (worker.announced) {
+    this->CountShape(worker.spec.capacity, false);
+    this->grids[worker.dataCentre].Remove(index);
+  }
+  this->CountShape(aSpec.capacity, true);
+  worker.spec = aSpec;
+  worker.announced = true;
+  worker.dataCentre = this->DataCentreOf(aSpec.dataCentre);
+  worker.rack = this->RackOf(aSpec);
+  this->Reindex(index);
+  return { index, true };
+}
+
+WorkerIndex CapacityIndex::FindOrAdd(const WorkerId& aWorker)
+{
+  const WorkerIndex known = this->Find(aWorker);
+  if (known != kNone) {
+    return known;
+  }
+  WorkerIndex index = kNone;
+  if (this->unused.empty()) {
+    index = static_cast<WorkerIndex>(this->workers.size());
+    this->workers.emplace_back();
+  } else {
+    index = this->unused.back();
+    this->unused.pop_back();
+  }
+  this->workers[index].spec.worker = aWorker;
+  this->indexes.emplace(aWorker, index);
+  return index;
+}
+
+WorkerIndex CapacityIndex::Find(const WorkerId& aWorker) const
+{
+  const auto it = this->indexes.find(aWorker);
+  return it == this->indexes.end() ? kNone : it->second;
+}
+
+void CapacityIndex::SetAvailable(WorkerIndex aWorker, bool aAvailable)
+{
+  this->workers[aWorker].available = aAvailable;
+  this->Reindex(aWorker);
+}
+
+void CapacityIndex::SetTrusted(WorkerIndex aWorker, bool aTrusted)
+{
+  this->workers[aWorker].trusted = aTrusted;
+  this->Reindex(aWorker);
+}
+
+void CapacityIndex::Remove(WorkerIndex aWorker)
+{
+  WorkerRecord& worker = this->workers[aWorker];
+  if (worker.announced) {
+    this->CountShape(worker.spec.capacity, false);
+    this->grids[worker.dataCentre].Remove(aWorker);
+    this->preemptible.Remove(aWorker);
+  }
+  this->indexes.erase(worker.spec.worker);
+  worker = WorkerRecord{};
+  this->unused.push_back(aWorker);
+}
+
+bool CapacityIndex::Reserve(WorkerIndex aWorker, const Resources& aAmount)
+{
+  WorkerRecord& worker = this->workers[aWorker];
+  if (!aAmount.IsNonNegative() || !(worker.used + aAmount).FitsIn(worker.spec.capacity)) {
+    this->counters.Add("placement_reserve_refused_total", "overcommit");
+    return false;
+  }
+  worker.used += aAmount;
+  this->Reindex(aWorker);
+  return true;
+}
+
+void CapacityIndex::Restore(WorkerIndex aWorker, const Resources& aAmount)
+{
+  WorkerRecord& worker = this->workers[aWorker];
+  worker.used += aAmount;
+  if (worker.announced && !worker.used.FitsIn(worker.spec.capacity)) {
+    this->counters.Add("placement_restored_total", "beyond_capacity");
+  }
+  this->Reindex(aWorker);
+}
+
+void CapacityIndex::Free(WorkerIndex aWorker, const Resources& aAmount)
+{
+  this->workers[aWorker].used -= aAmount;
+  this->Reindex(aWorker);
+}
+
+void CapacityIndex::AddPreemptible(WorkerIndex aWorker, const Resources& aAmount)
+{
+  this->workers[aWorker].preemptible += aAmount;
+  this->Reindex(aWorker);
+}
+
+void CapacityIndex::RemovePreemptible(WorkerIndex aWorker, const Resources& aAmount)
+{
+  this->workers[aWorker].preemptible -= aAmount;
+  this->Reindex(aWorker);
+}
+
+void CapacityIndex::Collect(const Resources& aDemand,
+                            std::size_t aLimit,
+                            FitOrder aOrder,
+                            std::vector<WorkerIndex>& aFound)
+{
+  for (FreeGrid& grid : this->grids) {
+    grid.Collect(aDemand, aLimit, aOrder, aFound);
+  }
+}
+
+void CapacityIndex::CollectPreemptible(const Resources& aDemand,
+                                       std::size_t aLimit,
+                                       FitOrder aOrder,
+                                       std::vector<WorkerIndex>& aFound)
+{
+  this->preemptible.Collect(aDemand, aLimit, aOrder, aFound);
+}
+
+void CapacityIndex::ExplainUnfit(const Resources& aDemand,
+                                 const std::string& aPath,
+                                 Findings& aFindings) const
+{
+  Resources largest;
+  for (const auto& [shape, count] : this->shapes) {
+    const Resources capacity{ std::get<0>(shape), std::get<1>(shape), std::get<2>(shape) };
+    if (aDemand.FitsIn(capacity)) {
+      return;
+    }
+    largest = Greatest(largest, capacity);
+  }
+  if (this->shapes.empty()) {
+    return;
+  }
+  const auto check = [&](const char* aName, std::int64_t aAsked, std::int64_t aMost) {
+    if (aAsked > aMost) {
+      aFindings.Add({ "", 0, 0, absl::StrCat(aPath, ".", aName) },
+                    absl::StrCat("is ", aAsked),
+                    absl::StrCat("at most ", aMost, ", the largest of any worker"));
+    }
+  };
+  check("milliCores", aDemand.milliCores, largest.milliCores);
+  check("memoryMiB", aDemand.memoryMiB, largest.memoryMiB);
+  check("accelerators", aDemand.accelerators, largest.accelerators);
+  if (aDemand.FitsIn(largest)) {
+    aFindings.Add({ "", 0, 0, aPath },
+                  "asks for amounts that no single worker has together",
+                  "amounts that fit one worker");
+  }
+}
+
+void CapacityIndex::Reindex(WorkerIndex aWorker)
+{
+  const WorkerRecord& worker = this->workers[aWorker];
+  if (!worker.announced) {
+    return;
+  }
+  const Resources free = worker.Free();
+  if (worker.TakesTasks() && free.IsNonNegative()) {
+    this->grids[worker.dataCentre].Put(aWorker, free);
+    this->preemptible.Put(aWorker, free + worker.preemptible);
+  } else {
+    this->grids[worker.dataCentre].Remove(aWorker);
+    this->preemptible.Remove(aWorker);
+  }
+}
+
+void CapacityIndex::CountShape(const Resources& aCapacity, bool aAdded)
+{
+  const Shape shape{ aCapacity.milliCores, aCapacity.memoryMiB, aCapacity.accelerators };
+  if (aAdded) {
+    ++this->shapes[shape];
+    this->total += aCapacity;
+    return;
+  }
+  this->total -= aCapacity;
+  const auto it = this->shapes.find(shape);
+  if (--it->second == 0) {
+    this->shapes.erase(it);
+  }
+}
+
+std::uint32_t CapacityIndex::DataCentreOf(const DataCentreId& aId)
+{
+  const auto next = static_cast<std::uint32_t>(this->grids.size());
+  const auto [it, added] = this->dataCentres.try_emplace(aId.Value(), next);
+  if (added) {
+    this->grids.emplace_back();
+  }
+  return it->second;
+}
+
+std::uint32_t CapacityIndex::RackOf(const WorkerSpec& aSpec)
+{
+  const auto next = static_cast<std::uint32_t>(this->racks.size());
+  const std::string name = absl::StrCat(aSpec.dataCentre.Value(), "/", aSpec.rack.Value());
+  return this->racks.try_emplace(name, next).first->second;
+}
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/placement/src/FreeGrid.h
@@ -0,0 +1,73 @@
+// Finds workers by amounts: a grid of cells over logarithmic levels of processors and memory, one
+// plane for each level of accelerators. Bitmaps of occupied cells let a search skip the empty ones.
+#pragma once
+
+#include "PlacementModel.h"
+#include "absl/container/flat_hash_map.h"
+
+#include <array>
+#include <vector>
+
+namespace oriolespread::internal {
+
+enum class FitOrder
+{
+  Tightest,
+  Loosest,
+};
+
+// Returns the level of an amount counted in units: exact below 8 units, then 8 levels for each
+// doubling. Levels never decrease with the amount and are below kGridLevels.
+constexpr std::uint32_t kGridLevels = 128;
+std::uint32_t GridLevel(std::int64_t aAmount, std::int64_t aUnit);
+std::uint32_t CoreLevel(const Resources& aAmount);
+
+// Not thread-safe. The order of results depends only on the sequence of calls.
+class FreeGrid
+{
+public:
+  // Adds a worker, or moves it to the cell of its new amount.
+  void Put(WorkerIndex aWorker, const Resources& aAmount);
+  void Remove(WorkerIndex aWorker);
+
+  // Appends up to `aLimit` workers whose amount holds the demand. Examines at most
+  // kMaxExamined workers that turn out too small; where a cell is larger than that, successive
+  // calls start at different places of it.
+  void Collect(const Resources& aDemand,
+               std::size_t aLimit,
+               FitOrder aOrder,
+               std::vector<WorkerIndex>& aFound);
+
+  static constexpr std::size_t kMaxExamined = 64;
+
+private:
+  static constexpr std::size_t kPlanes = 6;
+  static constexpr std::size_t kWords = kGridLevels / 64;
+  using Bits = std::array<std::uint64_t, kWords>;
+  struct Plane
+  {
+    std::array<Bits, kGridLevels> rows{};
+    Bits occupied{};
+  };
+  struct Entry
+  {
+    Resources amount;
+    std::uint32_t cell = kNone;
+    std::uint32_t position = 0;
+  };
+  struct Search;
+
+  static std::size_t PlaneOf(std::int64_t aAccelerators);
+  static std::uint32_t CellOf(const Resources& aAmount);
+  void Mark(std::uint32_t aCell, bool aOccupied);
+  void CollectPlane(std::size_t aPlane, Search& aSearch);
+  void CollectRow(std::size_t aPlane, std::uint32_t aRow, Search& aSearch);
+  void CollectCell(std::uint32_t aCell, Search& aSearch);
+
+  std::array<Plane, kPlanes> planes{};
+  absl::flat_hash_map<std::uint32_t, std::vector<WorkerIndex>> cells;
+  std::vector<Entry> entries;
+  std::size_t rotation = 0;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/placement/src/PlacementEngine.h
@@ -0,0 +1,109 @@
+// Connects the parts of the scored placer: keeps the records of tasks and workers consistent and
+// decides in which order waiting tasks and free capacity meet. See ScoredPlacer for the contract
+// of the public functions.
+#pragma once
+
+#include "CapacityIndex.h"
+#include "FairShare.h"
+#include "NameTable.h"
+#include "PendingQueue.h"
+#include "PlacementModel.h"
+#include "ReservationBook.h"
+#include "SpreadCounts.h"
+#include "TaskTable.h"
+#include "VictimSelector.h"
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace oriolespread::internal {
+
+class PlacementEngine
+{
+public:
+  explicit PlacementEngine(Counters& aCounters);
+  PlacementEngine(const PlacementEngine&) = delete;
+  PlacementEngine& operator=(const PlacementEngine&) = delete;
+
+  void SetWorker(const WorkerSpec& aSpec);
+  void SetAvailable(const WorkerId& aWorker, bool aAvailable);
+  void RemoveWorker(const WorkerId& aWorker);
+  void Submit(Instant aNow, const PlacementRequest& aRequest);
+  void Restore(Instant aNow,
+               const PlacementRequest& aRequest,
+               const WorkerId& aWorker,
+               const Resources& aGrant);
+  void Release(const TaskId& aTask);
+  void RecordProgress(Instant aNow, const TaskId& aTask);
+  void RecordFailure(Instant aNow, const TaskId& aTask, const WorkerId& aWorker);
+  void RecordUsage(Instant aNow, const TaskId& aTask, const Resources& aUsed);
+  void RecordLatency(Instant aNow, const ServiceLatencyReport& aReport);
+  std::vector<PlacementAction> Schedule(Instant aNow, std::size_t aLimit);
+  void SetQuota(const TeamId& aTeam, std::optional<Resources> aQuota);
+  void SetWeight(const OrganisationId& aOrganisation, double aWeight);
+  std::size_t Waiting() const { return this->queue.size() + this->reservations.size(); }
+  Resources Used(const WorkerId& aWorker) const;
+
+private:
+  // An action that waits for the next Schedule; dropped when its task was released meanwhile.
+  struct Outgoing
+  {
+    TaskIndex task = kNone;
+    std::uint64_t sequence = 0;
+    PlacementAction action;
+  };
+
+  // Events of workers and tasks.
+  TaskShape ShapeOf(const PlacementRequest& aRequest);
+  void Enqueue(Instant aNow, TaskIndex aTask);
+  void Dequeue(TaskIndex aTask);
+  void Attach(Instant aNow, TaskIndex aTask, WorkerIndex aWorker, const Resources& aGrant);
+  void Detach(TaskIndex aTask);
+  void CapacityFreed(WorkerIndex aWorker);
+  void ShareChanged(NameIndex aOrganisation, NameIndex aTeam);
+  void WorkersChanged();
+  void CancelReservation(Instant aNow, TaskIndex aTask);
+  void CancelReservationsOn(WorkerIndex aWorker);
+  void CancelOvercommit(WorkerIndex aWorker);
+  void FinishRemoval(WorkerIndex aWorker);
+  void Send(TaskIndex aTask, PlacementAction aAction);
+
+  // Decisions.
+  Resources DemandOf(const TaskShape& aShape) const;
+  bool MayRunOn(TaskIndex aTask, WorkerIndex aWorker) const;
+  void Prepare(Instant aNow);
+  bool Step(Instant aNow);
+  bool ServeReady(Instant aNow, GroupIndex aGroup);
+  std::optional<GroupIndex> BestForOffer(WorkerIndex aWorker);
+  WorkerIndex ChooseWorker(const TaskRecord& aTask, TaskIndex aIndex, const Resources& aDemand);
+  double Score(const TaskRecord& aTask, const Resources& aDemand, WorkerIndex aWorker) const;
+  void Place(Instant aNow, TaskIndex aTask, WorkerIndex aWorker, const Resources& aGrant);
+  bool Preempt(Instant aNow, TaskIndex aTask, const Resources& aDemand);
+  bool ReserveForWaiting(Instant aNow, GroupIndex aGroup);
+  void Evict(Instant aNow, TaskIndex aTask, EvictionReason aReason);
+  bool ReportIfUnplaceable(Instant aNow, GroupIndex aGroup, const Resources& aDemand);
+  void Drain(std::vector<PlacementAction>& aActions, std::size_t aLimit);
+
+  Counters& counters;
+  NameTable organisationNames;
+  NameTable teamNames;
+  NameTable kindNames;
+  NameTable serviceNames;
+  TaskTable tasks;
+  CapacityIndex capacity;
+  FairShare shares;
+  PendingQueue queue;
+  ReservationBook reservations;
+  VictimSelector victims;
+  SpreadCounts spread;
+  std::deque<Outgoing> outbox;
+  // Workers whose free amount grew since waiting tasks were last tried on them.
+  std::deque<WorkerIndex> offers;
+  std::vector<bool> offered;
+  std::vector<WorkerIndex> candidates;
+  Instant now;
+  Instant nextUrgentRetry;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/placement/src/PlacementSchedule.cpp
@@ -0,0 +1,349 @@
+// The decisions of PlacementEngine: which waiting task meets which free capacity, and who yields.
+#include "PlacementEngine.h"
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace oriolespread::internal {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Candidates looked at for one decision, per data centre and per order of fit.
+constexpr std::size_t kCandidates = 8;
+// Workers compared for one preemption, per order of fit.
+constexpr std::size_t kPreemptionCandidates = 16;
+// Tries beyond the limit of actions that one Schedule may spend on tasks that then have to wait.
+constexpr std::size_t kExtraTries = 64;
+// A victim takes up to 0.5 s to stop and its release a report; after this time another worker is
+// sought.
+constexpr Duration kVictimTimeout = seconds(3);
+constexpr Duration kUrgentRetry = milliseconds(100);
+// The index search is bounded and interference estimates decay, so tasks set aside are tried again
+// now and then even when no worker changed.
+constexpr Duration kRetryAfter = seconds(5);
+constexpr std::size_t kRetriesPerSchedule = 4;
+// A task that waited so long for capacity gets a worker on which freed capacity is gathered for it,
+// else small tasks would always take it first.
+constexpr Duration kStarvation = seconds(60);
+constexpr Duration kGatherTimeout = seconds(600);
+// At most one in so many workers gathers capacity for tasks that are not urgent.
+constexpr std::size_t kWorkersPerGathering = 50;
+
+} // namespace
+
+std::vector<PlacementAction> PlacementEngine::Schedule(Instant aNow, std::size_t aLimit)
+{
+  this->now = std::max(this->now, aNow);
+  this->Prepare(aNow);
+  std::vector<PlacementAction> actions;
+  std::size_t tries = aLimit + kExtraTries;
+  this->Drain(actions, aLimit);
+  while (actions.size() < aLimit && tries > 0 && this->Step(aNow)) {
+    this->Drain(actions, aLimit);
+    --tries;
+  }
+  return actions;
+}
+
+void PlacementEngine::Drain(std::vector<PlacementAction>& aActions, std::size_t aLimit)
+{
+  while (!this->outbox.empty() && aActions.size() < aLimit) {
+    Outgoing& next = this->outbox.front();
+    if (this->tasks.IsCurrent(next.task, next.sequence)) {
+      aActions.push_back(std::move(next.action));
+    }
+    this->outbox.pop_front();
+  }
+}
+
+void PlacementEngine::Prepare(Instant aNow)
+{
+  for (const TaskIndex task : this->reservations.Expired(aNow)) {
+    this->counters.Add("placement_reservations_expired_total", "timeout");
+    this->CancelReservation(aNow, task);
+  }
+  if (aNow >= this->nextUrgentRetry) {
+    this->nextUrgentRetry = aNow + kUrgentRetry;
+    this->queue.WakeUrgent();
+  }
+  for (std::size_t i = 0; i < kRetriesPerSchedule; ++i) {
+    const std::optional<GroupIndex> group = this->queue.OldestSetAside(aNow - kRetryAfter);
+    if (!group.has_value()) {
+      return;
+    }
+    if (!this->ReserveForWaiting(aNow, *group)) {
+      this->queue.Wake(*group);
+    }
+  }
+}
+
+// Does one step of work; returns whether there was any.
+bool PlacementEngine::Step(Instant aNow)
+{
+  if (const std::optional<TaskIndex> task = this->reservations.Complete()) {
+    const Reservation reservation = this->reservations.Take(*task);
+    this->Place(aNow, *task, reservation.worker, reservation.wanted);
+    return true;
+  }
+  const std::optional<GroupIndex> ready = this->queue.NextReady();
+  if (!this->offers.empty()) {
+    const std::optional<GroupIndex> offer = this->BestForOffer(this->offers.front());
+    if (!offer.has_value()) {
+      this->offered[this->offers.front()] = false;
+      this->offers.pop_front();
+      return true;
+    }
+    if (!ready.has_value() || this->queue.RankOf(*offer) < this->queue.RankOf(*ready)) {
+      const TaskIndex task = this->queue.Head(*offer).task;
+      const Resources demand = this->queue.At(*offer).demand;
+      const WorkerIndex worker = this->offers.front();
+      this->queue.PopHead(*offer);
+      if (this->capacity.Reserve(worker, demand)) {
+        const TaskShape& shape = this->tasks.At(task).shape;
+        this->shares.Charge(shape.organisation, shape.team, demand);
+        this->Place(aNow, task, worker, demand);
+      } else {
+        this->Enqueue(aNow, task);
+      }
+      return true;
+    }
+  }
+  return ready.has_value() && this->ServeReady(aNow, *ready);
+}
+
+std::optional<GroupIndex> PlacementEngine::BestForOffer(WorkerIndex aWorker)
+{
+  const WorkerRecord& worker = this->capacity.At(aWorker);
+  if (!worker.TakesTasks() || !worker.Free().IsNonNegative()) {
+    return std::nullopt;
+  }
+  return this->queue.BestFor(worker.Free(), [&](GroupIndex aGroup) {
+    const TaskGroup& group = this->queue.At(aGroup);
+    return this->shares.Allows(group.shape.team, group.demand) &&
+           this->MayRunOn(group.entries.front().task, aWorker);
+  });
+}
+
+bool PlacementEngine::ServeReady(Instant aNow, GroupIndex aGroup)
+{
+  const TaskIndex index = this->queue.Head(aGroup).task;
+  const TaskShape shape = this->tasks.At(index).shape;
+  const Resources demand = this->DemandOf(shape);
+  if (!this->shares.Allows(shape.team, demand)) {
+    if (!this->ReportIfUnplaceable(aNow, aGroup, demand)) {
+      this->counters.Add("placement_set_aside_total", "quota");
+      this->queue.SetAside(aNow, aGroup, GroupState::NoQuota, demand);
+    }
+    return true;
+  }
+  const WorkerIndex worker = this->ChooseWorker(this->tasks.At(index), index, demand);
+  if (worker != kNone && this->capacity.Reserve(worker, demand)) {
+    this->queue.PopHead(aGroup);
+    this->shares.Charge(shape.organisation, shape.team, demand);
+    this->Place(aNow, index, worker, demand);
+    return true;
+  }
+  if (this->ReportIfUnplaceable(aNow, aGroup, demand)) {
+    return true;
+  }
+  if (shape.urgent && this->Preempt(aNow, index, demand)) {
+    return true;
+  }
+  this->counters.Add("placement_set_aside_total", "capacity");
+  this->queue.SetAside(aNow, aGroup, GroupState::NoCapacity, demand);
+  return true;
+}
+
+WorkerIndex PlacementEngine::ChooseWorker(const TaskRecord& aTask,
+                                          TaskIndex aIndex,
+                                          const Resources& aDemand)
+{
+  this->candidates.clear();
+  this->capacity.Collect(aDemand, kCandidates, FitOrder::Tightest, this->candidates);
+  if (aTask.shape.service != kNone) {
+    // The tightest workers are often those that hold replicas already.
+    this->capacity.Collect(aDemand, kCandidates, FitOrder::Loosest, this->candidates);
+  }
+  WorkerIndex best = kNone;
+  double bestScore = std::numeric_limits<double>::infinity();
+  for (const WorkerIndex worker : this->candidates) {
+    const double score = this->Score(aTask, aDemand, worker);
+    if (score < bestScore && this->MayRunOn(aIndex, worker)) {
+      best = worker;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+// Returns how badly the task suits the worker: crowding of its service first, then what would be
+// left free.
+double PlacementEngine::Score(const TaskRecord& aTask,
+                              const Resources& aDemand,
+                              WorkerIndex aWorker) const
+{
+  const WorkerRecord& worker = this->capacity.At(aWorker);
+  const Resources left = worker.Free() - aDemand;
+  const auto part = [](std::int64_t aPart, std::int64_t aWhole) {
+    return aWhole > 0 ? static_cast<double>(aPart) / static_cast<double>(aWhole) : 0.0;
+  };
+  const Resources& whole = worker.spec.capacity;
+  double score = part(left.milliCores, whole.milliCores) + part(left.memoryMiB, whole.memoryMiB) +
+                 part(left.accelerators, whole.accelerators);
+  if (aTask.shape.service != kNone) {
+    score += 10.0 * this->spread.Crowding(aTask.shape.service, worker, aWorker);
+  }
+  return score;
+}
+
+bool PlacementEngine::MayRunOn(TaskIndex aTask, WorkerIndex aWorker) const
+{
+  const TaskHistory* history = this->tasks.FindHistory(this->tasks.At(aTask).id);
+  if (history == nullptr) {
+    return true;
+  }
+  const WorkerId& worker = this->capacity.At(aWorker).spec.worker;
+  return std::find(history->failedOn.begin(), history->failedOn.end(), worker) ==
+         history->failedOn.end();
+}
+
+Resources PlacementEngine::DemandOf(const TaskShape& aShape) const
+{
+  return Greatest(aShape.declared, aShape.floor);
+}
+
+// The amount is reserved and charged already.
+void PlacementEngine::Place(Instant aNow,
+                            TaskIndex aTask,
+                            WorkerIndex aWorker,
+                            const Resources& aGrant)
+{
+  this->Attach(aNow, aTask, aWorker, aGrant);
+  TaskRecord& task = this->tasks.At(aTask);
+  task.reported = false;
+  this->Send(aTask, PlaceTask{ task.id, this->capacity.At(aWorker).spec.worker, aGrant });
+}
+
+bool PlacementEngine::Preempt(Instant aNow, TaskIndex aTask, const Resources& aDemand)
+{
+  this->candidates.clear();
+  this->capacity.CollectPreemptible(
+    aDemand, kPreemptionCandidates, FitOrder::Tightest, this->candidates);
+  this->capacity.CollectPreemptible(
+    aDemand, kPreemptionCandidates, FitOrder::Loosest, this->candidates);
+  std::optional<VictimSet> best;
+  for (const WorkerIndex worker : this->candidates) {
+    std::optional<VictimSet> set =
+      this->victims.Choose(aNow, aDemand, worker, this->capacity.At(worker));
+    if (set.has_value() && (!best.has_value() || set->cost < best->cost) &&
+        this->MayRunOn(aTask, worker)) {
+      best = std::move(set);
+    }
+  }
+  if (!best.has_value()) {
+    this->counters.Add("placement_preemption_refused_total", "no_victims");
+    return false;
+  }
+  for (const TaskIndex victim : best->victims) {
+    this->Evict(aNow, victim, EvictionReason::Preempted);
+  }
+  TaskRecord& task = this->tasks.At(aTask);
+  this->queue.PopHead(task.group);
+  task.group = kNone;
+  task.phase = TaskPhase::Reserved;
+  task.grant = aDemand;
+  this->shares.Charge(task.shape.organisation, task.shape.team, aDemand);
+  this->ShareChanged(task.shape.organisation, kNone);
+  this->reservations.Open(aTask, { best->worker, aDemand, {}, aNow + kVictimTimeout, true });
+  return true;
+}
+
+// Opens a gathering reservation for the head of a group that waited too long.
+bool PlacementEngine::ReserveForWaiting(Instant aNow, GroupIndex aGroup)
+{
+  const QueueEntry head = this->queue.Head(aGroup);
+  const Resources demand = this->queue.At(aGroup).demand;
+  const std::size_t most = 1 + this->capacity.WorkerCount() / kWorkersPerGathering;
+  TaskRecord& task = this->tasks.At(head.task);
+  if (aNow - head.since < kStarvation || this->reservations.PatientCount() >= most ||
+      task.shape.urgent || !this->shares.Allows(task.shape.team, demand)) {
+    return false;
+  }
+  this->candidates.clear();
+  this->capacity.CollectPreemptible(
+    demand, kPreemptionCandidates, FitOrder::Loosest, this->candidates);
+  WorkerIndex best = kNone;
+  double bestMissing = std::numeric_limits<double>::infinity();
+  for (const WorkerIndex worker : this->candidates) {
+    const WorkerRecord& record = this->capacity.At(worker);
+    const double missing =
+      DominantShare(Greatest(demand - record.Free(), Resources{}), record.spec.capacity);
+    if (missing < bestMissing && this->reservations.OnWorker(worker).empty() &&
+        this->MayRunOn(head.task, worker)) {
+      best = worker;
+      bestMissing = missing;
+    }
+  }
+  if (best == kNone) {
+    return false;
+  }
+  this->counters.Add("placement_gatherings_total", "starvation");
+  this->queue.PopHead(aGroup);
+  task.group = kNone;
+  task.phase = TaskPhase::Reserved;
+  task.grant = demand;
+  this->shares.Charge(task.shape.organisation, task.shape.team, demand);
+  this->ShareChanged(task.shape.organisation, kNone);
+  this->reservations.Open(head.task, { best, demand, {}, aNow + kGatherTimeout, false });
+  return true;
+}
+
+void PlacementEngine::Evict(Instant aNow, TaskIndex aTask, EvictionReason aReason)
+{
+  TaskRecord& task = this->tasks.At(aTask);
+  if (VictimSelector::IsPreemptible(task.shape)) {
+    this->capacity.RemovePreemptible(task.worker, task.grant);
+  }
+  task.phase = TaskPhase::Evicting;
+  ++task.evictions;
+  task.lastEvicted = aNow;
+  TaskHistory& history = this->tasks.HistoryOf(task.id);
+  history.evictions = task.evictions;
+  history.lastEvicted = aNow;
+  static constexpr const char* kLabels[] = { "preempted", "interference", "memory_exceeded" };
+  this->counters.Add("placement_evictions_total", kLabels[static_cast<std::size_t>(aReason)]);
+  this->Send(aTask, EvictTask{ task.id, aReason });
+}
+
+// Reports every task of the group that was not reported yet, when no worker could ever hold one.
+bool PlacementEngine::ReportIfUnplaceable(Instant aNow, GroupIndex aGroup, const Resources& aDemand)
+{
+  const TaskGroup& group = this->queue.At(aGroup);
+  Findings findings;
+  this->capacity.ExplainUnfit(aDemand, "resources", findings);
+  const std::optional<Resources> quota = this->shares.Quota(group.shape.team);
+  if (quota.has_value() && !aDemand.FitsIn(*quota)) {
+    findings.Add({ "", 0, 0, "team" },
+                 "has a quota below what one task asks for",
+                 "a quota that holds the task");
+  }
+  if (findings.empty()) {
+    return false;
+  }
+  this->queue.ForEachLive(aGroup, [&](const QueueEntry& aEntry) {
+    TaskRecord& task = this->tasks.At(aEntry.task);
+    if (!task.reported) {
+      task.reported = true;
+      this->counters.Add("placement_unplaceable_total", "reported");
+      this->Send(aEntry.task, ReportUnplaceable{ task.id, findings });
+    }
+  });
+  this->queue.SetAside(aNow, aGroup, GroupState::Unplaceable, aDemand);
+  return true;
+}
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/placement/src/TaskTable.cpp
@@ -0,0 +1,69 @@
+#include "TaskTable.h"
+
+namespace oriolespread::internal {
+
+TaskIndex TaskTable::Find(const TaskId& aTask) const
+{
+  const auto it = this->indexes.find(aTask);
+  return it == this->indexes.end() ? kNone : it->second;
+}
+
+TaskIndex TaskTable::Add(const TaskId& aTask, const TaskShape& aShape)
+{
+  TaskIndex index = kNone;
+  if (this->unused.empty()) {
+    index = static_cast<TaskIndex>(this->records.size());
+    this->records.emplace_back();
+  } else {
+    index = this->unused.back();
+    this->unused.pop_back();
+  }
+  TaskRecord& record = this->records[index];
+  record.id = aTask;
+  record.shape = aShape;
+  record.sequence = ++this->sequence;
+  if (const TaskHistory* history = this->FindHistory(aTask)) {
+    record.evictions = history->evictions;
+    record.lastEvicted = history->lastEvicted;
+  }
+  this->indexes.emplace(aTask, index);
+  return index;
+}
+
+void TaskTable::Remove(TaskIndex aIndex)
+{
+  this->indexes.erase(this->records[aIndex].id);
+  this->records[aIndex] = TaskRecord{};
+  this->unused.push_back(aIndex);
+}
+
+TaskHistory& TaskTable::HistoryOf(const TaskId& aTask)
+{
+  const auto [it, added] = this->histories.try_emplace(aTask);
+  if (added) {
+    it->second.number = ++this->historyCount;
+    this->historyOrder.emplace_back(aTask, it->second.number);
+    this->TrimHistories();
+  }
+  return this->histories.find(aTask)->second;
+}
+
+void TaskTable::TrimHistories()
+{
+  while (this->historyOrder.size() > kMaxHistories) {
+    const auto& [task, number] = this->historyOrder.front();
+    const auto oldest = this->histories.find(task);
+    if (oldest != this->histories.end() && oldest->second.number == number) {
+      this->histories.erase(oldest);
+    }
+    this->historyOrder.pop_front();
+  }
+}
+
+const TaskHistory* TaskTable::FindHistory(const TaskId& aTask) const
+{
+  const auto it = this->histories.find(aTask);
+  return it == this->histories.end() ? nullptr : &it->second;
+}
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/placement/src/TaskTable.h
@@ -0,0 +1,65 @@
+// The records of all queued and placed tasks by dense index, and what is remembered of a task
+// between its attempts.
+#pragma once
+
+#include "PlacementModel.h"
+#include "absl/container/flat_hash_map.h"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace oriolespread::internal {
+
+// What is remembered of a task after its release, for its next attempt.
+struct TaskHistory
+{
+  Resources floor;
+  Instant lastEvicted;
+  // Workers on which the task failed, without repeats.
+  std::vector<WorkerId> failedOn;
+  std::uint16_t evictions = 0;
+  // Tells the history from a later one of the same task.
+  std::uint64_t number = 0;
+};
+
+// Not thread-safe. Keeps at most kMaxHistories histories; the oldest is forgotten first.
+class TaskTable
+{
+public:
+  // Returns kNone when the task is unknown.
+  TaskIndex Find(const TaskId& aTask) const;
+  // The task must be unknown.
+  TaskIndex Add(const TaskId& aTask, const TaskShape& aShape);
+  void Remove(TaskIndex aIndex);
+
+  TaskRecord& At(TaskIndex aIndex) { return this->records[aIndex]; }
+  const TaskRecord& At(TaskIndex aIndex) const { return this->records[aIndex]; }
+  const std::vector<TaskRecord>& Records() const { return this->records; }
+  // Returns whether the index still stands for the submission with this sequence number.
+  bool IsCurrent(TaskIndex aIndex, std::uint64_t aSequence) const
+  {
+    return this->records[aIndex].sequence == aSequence &&
+           this->records[aIndex].phase != TaskPhase::Unused;
+  }
+  std::size_t size() const { return this->indexes.size(); }
+
+  TaskHistory& HistoryOf(const TaskId& aTask);
+  const TaskHistory* FindHistory(const TaskId& aTask) const;
+  void ForgetHistory(const TaskId& aTask) { this->histories.erase(aTask); }
+
+  static constexpr std::size_t kMaxHistories = 20'000;
+
+private:
+  void TrimHistories();
+
+  std::vector<TaskRecord> records;
+  std::vector<TaskIndex> unused;
+  absl::flat_hash_map<TaskId, TaskIndex> indexes;
+  absl::flat_hash_map<TaskId, TaskHistory> histories;
+  std::deque<std::pair<TaskId, std::uint64_t>> historyOrder;
+  std::uint64_t historyCount = 0;
+  std::uint64_t sequence = 0;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/placement/src/VictimSelector.cpp
@@ -0,0 +1,132 @@
+#include "VictimSelector.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace oriolespread::internal {
+
+namespace {
+
+// Charge for one eviction in core-seconds: stopping, fetching the checkpoint and starting again.
+constexpr double kEvictionCharge = 30.0;
+
+double Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+// Returns the part of the missing amounts that the grant covers, from 0 to 3.
+double Coverage(const Resources& aMissing, const Resources& aGrant)
+{
+  const auto part = [](std::int64_t aNeeded, std::int64_t aGiven) {
+    return aNeeded <= 0
+             ? 0.0
+             : static_cast<double>(std::min(aNeeded, aGiven)) / static_cast<double>(aNeeded);
+  };
+  return part(aMissing.milliCores, aGrant.milliCores) + part(aMissing.memoryMiB, aGrant.memoryMiB) +
+         part(aMissing.accelerators, aGrant.accelerators);
+}
+
+bool IsCovered(const Resources& aMissing)
+{
+  return aMissing.FitsIn(Resources{});
+}
+
+} // namespace
+
+VictimSelector::VictimSelector(const std::vector<TaskRecord>& aTasks)
+  : tasks(aTasks)
+{
+}
+
+double VictimSelector::Cost(Instant aNow, const TaskRecord& aTask)
+{
+  const Instant safe = std::max(aTask.placedAt, aTask.checkpointedAt);
+  const double lost = Seconds(std::max(aNow - safe, Duration::zero())) *
+                      static_cast<double>(aTask.grant.milliCores) / 1000.0;
+  const double repeats = 1.0 + aTask.evictions;
+  return lost + kEvictionCharge * repeats * repeats;
+}
+
+std::optional<VictimSet> VictimSelector::Choose(Instant aNow,
+                                                const Resources& aDemand,
+                                                WorkerIndex aIndex,
+                                                const WorkerRecord& aWorker) const
+{
+  const Resources missing = aDemand - aWorker.Free();
+  std::vector<Candidate> fresh;
+  std::vector<Candidate> all;
+  for (const TaskIndex index : aWorker.tasks) {
+    const TaskRecord& task = this->tasks[index];
+    if (task.phase != TaskPhase::Placed || !IsPreemptible(task.shape)) {
+      continue;
+    }
+    all.push_back({ index, Cost(aNow, task), task.grant });
+    if (task.evictions < kMaxEvictions) {
+      fresh.push_back(all.back());
+    }
+  }
+  std::optional<VictimSet> chosen = this->ChooseFrom(fresh, missing);
+  if (!chosen.has_value() && fresh.size() < all.size()) {
+    chosen = this->ChooseFrom(all, missing);
+  }
+  if (chosen.has_value()) {
+    chosen->worker = aIndex;
+  }
+  return chosen;
+}
+
+std::optional<VictimSet> VictimSelector::ChooseFrom(const std::vector<Candidate>& aCandidates,
+                                                    const Resources& aMissing) const
+{
+  std::vector<Candidate> left = aCandidates;
+  std::vector<Candidate> chosen;
+  Resources missing = aMissing;
+  while (!IsCovered(missing) && chosen.size() < kMaxVictims && !left.empty()) {
+    // The cheapest task that suffices alone ends the search, else the best value is taken.
+    auto best = left.end();
+    double bestValue = std::numeric_limits<double>::infinity();
+    for (auto it = left.begin(); it != left.end(); ++it) {
+      const double coverage = Coverage(missing, it->grant);
+      const double value = it->cost / std::max(coverage, 1e-9);
+      if (coverage > 0 && value < bestValue) {
+        best = it;
+        bestValue = value;
+      }
+    }
+    if (best == left.end()) {
+      return std::nullopt;
+    }
+    missing -= best->grant;
+    chosen.push_back(*best);
+    left.erase(best);
+  }
+  if (!IsCovered(missing)) {
+    return std::nullopt;
+  }
+  std::sort(chosen.begin(), chosen.end(), [](const Candidate& aLeft, const Candidate& aRight) {
+    return aLeft.cost > aRight.cost;
+  });
+  VictimSet set;
+  for (const Candidate& candidate : chosen) {
+    // An early choice may have become superfluous through later ones.
+    if (IsCovered(missing + candidate.grant)) {
+      missing += candidate.grant;
+      continue;
+    }
+    set.victims.push_back(candidate.task);
+    set.cost += candidate.cost;
+  }
+  const auto alone = std::min_element(
+    aCandidates.begin(), aCandidates.end(), [&](const Candidate& aLeft, const Candidate& aRight) {
+      const bool first = IsCovered(aMissing - aLeft.grant);
+      const bool second = IsCovered(aMissing - aRight.grant);
+      return first != second ? first : aLeft.cost < aRight.cost;
+    });
+  if (alone != aCandidates.end() && IsCovered(aMissing - alone->grant) && alone->cost < set.cost) {
+    return VictimSet{ kNone, { alone->task }, alone->cost };
+  }
+  return set;
+}
+
+} // namespace oriolespread::internal
