Act on usage, failures and latency in the scored placer

Grants stayed at the declared sizes, a worker that fails everything kept getting tasks, and nothing eased a suffering service.

Grants follow p95 + 15% of each attempt's usage and of its kind, memory beyond the grant evicts the task with a larger next estimate, three distinct failing jobs put a worker into quarantine with probes, and reports of a suffering service lead to throttle, eviction and keeping the pair apart in turn.

--- a/packages/placement/include/oriolespread/placement/ScoredPlacer.h
+++ b/packages/placement/include/oriolespread/placement/ScoredPlacer.h
@@ -62,6 +62,15 @@
   // the worker is unknown.
   Resources Used(const WorkerId& aWorker) const;
 
+  // Returns on how many distinct workers the task failed; workers in quarantine do not count. From
+  // kMaxDistinctFailures on the task itself is bad and its owner should fail it.
+  std::size_t DistinctFailures(const TaskId& aTask) const;
+  static constexpr std::size_t kMaxDistinctFailures = 3;
+  // Returns the workers in quarantine, for the owner's journal.
+  std::vector<WorkerId> Quarantined() const;
+  // Puts a worker into quarantine as a former owner had it, within the allowed share of workers.
+  void RestoreQuarantine(Instant aNow, const WorkerId& aWorker);
+
 private:
   std::unique_ptr<internal::PlacementEngine> engine;
 };
--- a/packages/placement/src/CapacityIndex.cpp
+++ b/packages/placement/src/CapacityIndex.cpp
@@ -2,6 +2,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
+
 namespace oriolespread::internal {
 
 CapacityIndex::CapacityIndex(Counters& aCounters)
@@ -176,6 +178,14 @@
   }
 }
 
+bool CapacityIndex::CouldHold(const Resources& aDemand) const
+{
+  return std::any_of(this->shapes.begin(), this->shapes.end(), [&](const auto& aEntry) {
+    const auto& [milliCores, memoryMiB, accelerators] = aEntry.first;
+    return aDemand.FitsIn({ milliCores, memoryMiB, accelerators });
+  });
+}
+
 void CapacityIndex::Reindex(WorkerIndex aWorker)
 {
   const WorkerRecord& worker = this->workers[aWorker];
--- a/packages/placement/src/CapacityIndex.h
+++ b/packages/placement/src/CapacityIndex.h
@@ -76,6 +76,9 @@
   // while no worker is known, because workers are then still to be announced.
   void ExplainUnfit(const Resources& aDemand, const std::string& aPath, Findings& aFindings) const;
 
+  // Returns whether some worker is large enough for the demand.
+  bool CouldHold(const Resources& aDemand) const;
+
   WorkerRecord& At(WorkerIndex aWorker) { return this->workers[aWorker]; }
   const WorkerRecord& At(WorkerIndex aWorker) const { return this->workers[aWorker]; }
   // Sum of the capacities of all workers.
--- /dev/null
+++ b/packages/placement/src/InterferencePolicy.h
@@ -0,0 +1,132 @@
+// Decides what to do when a service suffers on a worker: throttle the most suspect batch task, wait
+// for the reports to show the effect, evict it, and keep such tasks apart from the service.
+#pragma once
+
+#include "InterferenceModel.h"
+#include "PlacementModel.h"
+#include "absl/container/flat_hash_map.h"
+
+#include "oriolespread/base/Counters.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace oriolespread::internal {
+
+// A batch task that runs on the worker of a suffering service.
+struct Suspect
+{
+  TaskIndex task = kNone;
+  std::uint64_t sequence = 0;
+  NameIndex kind = kNone;
+  const JobId* job = nullptr;
+  // Share of the worker's processors that it was granted.
+  double share = 0.0;
+  Instant placedAt;
+};
+
+enum class InterferenceStep
+{
+  Throttle,
+  Evict,
+};
+
+struct InterferenceDecision
+{
+  InterferenceStep step = InterferenceStep::Throttle;
+  TaskIndex task = kNone;
+};
+
+// Not thread-safe. Each (worker, service) has its own episode; steps on one worker are taken one at
+// a time, so that the reports show the effect of each.
+class InterferencePolicy
+{
+public:
+  InterferencePolicy(InterferenceModel& aModel, Counters& aCounters);
+
+  // Takes a report; returns the step that is due, at most one. `aSuspects` are the batch tasks that
+  // run on the worker now.
+  std::optional<InterferenceDecision> Report(Instant aNow,
+                                             WorkerIndex aWorker,
+                                             NameIndex aService,
+                                             bool aSuffering,
+                                             const std::vector<Suspect>& aSuspects);
+  // Returns tasks whose throttling has ended, with their sequence numbers.
+  std::vector<std::pair<TaskIndex, std::uint64_t>> EndThrottles(Instant aNow);
+  void Forget(WorkerIndex aWorker);
+  // Returns whether the service was reported on the worker lately.
+  bool HasReported(Instant aNow, WorkerIndex aWorker, NameIndex aService) const;
+  // Forgets a few services that are no longer reported.
+  void Sweep(Instant aNow);
+
+  // Returns how long the reports are waited for after a step.
+  Duration Wait() const;
+
+  static constexpr std::size_t kMaxEvictionsPerJob = 2;
+
+private:
+  struct Action
+  {
+    InterferenceStep step = InterferenceStep::Throttle;
+    TaskIndex task = kNone;
+    std::uint64_t sequence = 0;
+    NameIndex kind = kNone;
+    Instant at;
+  };
+  struct Episode
+  {
+    bool suffering = false;
+    Instant since;
+    Instant firstAction;
+    Instant observedAt;
+    Instant reportedAt;
+    std::optional<Action> last;
+    std::uint32_t reports = 0;
+    std::uint32_t steps = 0;
+    // Tasks that were acted upon in this episode without effect.
+    std::vector<std::uint64_t> cleared;
+  };
+  struct Throttle
+  {
+    TaskIndex task = kNone;
+    std::uint64_t sequence = 0;
+    Instant until;
+  };
+  using Key = std::pair<WorkerIndex, NameIndex>;
+
+  void Observe(Instant aNow,
+               Episode& aEpisode,
+               NameIndex aService,
+               const std::vector<Suspect>& aSuspects);
+  void Settle(Instant aNow, NameIndex aService, Episode& aEpisode);
+  std::optional<InterferenceDecision> Escalate(Instant aNow,
+                                               WorkerIndex aWorker,
+                                               NameIndex aService,
+                                               Episode& aEpisode,
+                                               const std::vector<Suspect>& aSuspects);
+  std::optional<InterferenceDecision> Act(Instant aNow,
+                                          WorkerIndex aWorker,
+                                          NameIndex aService,
+                                          Episode& aEpisode,
+                                          const Suspect& aSuspect,
+                                          InterferenceStep aStep);
+  const Suspect* MostSuspect(Instant aNow,
+                             NameIndex aService,
+                             const Episode& aEpisode,
+                             const std::vector<Suspect>& aSuspects) const;
+  void HoldThrottle(Instant aNow, TaskIndex aTask, std::uint64_t aSequence);
+  bool MayEvict(Instant aNow, const JobId& aJob);
+
+  InterferenceModel& model;
+  Counters& counters;
+  std::map<Key, Episode> episodes;
+  absl::flat_hash_map<WorkerIndex, Instant> nextStep;
+  std::vector<Throttle> throttles;
+  std::map<JobId, std::deque<Instant>> evictions;
+  Key sweepFrom{ 0, 0 };
+  Duration response;
+};
+
+} // namespace oriolespread::internal
--- a/packages/placement/src/PlacementEngine.cpp
+++ b/packages/placement/src/PlacementEngine.cpp
@@ -16,6 +16,8 @@
           })
   , reservations(this->capacity)
   , victims(this->tasks.Records())
+  , health(aCounters)
+  , steps(this->interference, aCounters)
 {
 }
 
@@ -69,6 +71,8 @@
   if (!this->capacity.At(aWorker).removing || !this->capacity.At(aWorker).tasks.empty()) {
     return;
   }
+  this->health.Forget(aWorker);
+  this->steps.Forget(aWorker);
   this->capacity.Remove(aWorker);
   this->shares.SetTotal(this->capacity.Total());
   this->WorkersChanged();
@@ -250,11 +254,8 @@
     this->CancelReservation(this->now, index);
     this->Dequeue(index);
   } else {
-    const bool completed = task.phase == TaskPhase::Placed && !task.failed;
+    this->RecordEnding(index);
     this->Detach(index);
-    if (completed) {
-      this->tasks.ForgetHistory(aTask);
-    }
   }
   this->tasks.Remove(index);
   if (worker != kNone) {
@@ -272,29 +273,6 @@
   }
 }
 
-void PlacementEngine::RecordFailure(Instant aNow, const TaskId& aTask, const WorkerId& aWorker)
-{
-  this->now = std::max(this->now, aNow);
-  std::vector<WorkerId>& failedOn = this->tasks.HistoryOf(aTask).failedOn;
-  if (std::find(failedOn.begin(), failedOn.end(), aWorker) == failedOn.end()) {
-    failedOn.push_back(aWorker);
-  }
-  const TaskIndex task = this->tasks.Find(aTask);
-  if (task != kNone) {
-    this->tasks.At(task).failed = true;
-  }
-}
-
-void PlacementEngine::RecordUsage(Instant aNow, const TaskId& /*aTask*/, const Resources& /*aUsed*/)
-{
-  this->now = std::max(this->now, aNow);
-}
-
-void PlacementEngine::RecordLatency(Instant aNow, const ServiceLatencyReport& /*aReport*/)
-{
-  this->now = std::max(this->now, aNow);
-}
-
 void PlacementEngine::SetQuota(const TeamId& aTeam, std::optional<Resources> aQuota)
 {
   const NameIndex team = this->teamNames.Intern(aTeam.Value());
--- a/packages/placement/src/PlacementEngine.h
+++ b/packages/placement/src/PlacementEngine.h
@@ -5,13 +5,17 @@
 
 #include "CapacityIndex.h"
 #include "FairShare.h"
+#include "InterferenceModel.h"
+#include "InterferencePolicy.h"
 #include "NameTable.h"
 #include "PendingQueue.h"
 #include "PlacementModel.h"
 #include "ReservationBook.h"
 #include "SpreadCounts.h"
 #include "TaskTable.h"
+#include "UsageEstimator.h"
 #include "VictimSelector.h"
+#include "WorkerHealth.h"
 
 #include <deque>
 #include <optional>
@@ -44,6 +48,9 @@
   void SetWeight(const OrganisationId& aOrganisation, double aWeight);
   std::size_t Waiting() const { return this->queue.size() + this->reservations.size(); }
   Resources Used(const WorkerId& aWorker) const;
+  std::size_t DistinctFailures(const TaskId& aTask) const;
+  std::vector<WorkerId> Quarantined() const;
+  void RestoreQuarantine(Instant aNow, const WorkerId& aWorker);
 
 private:
   // An action that waits for the next Schedule; dropped when its task was released meanwhile.
@@ -69,6 +76,18 @@
   void FinishRemoval(WorkerIndex aWorker);
   void Send(TaskIndex aTask, PlacementAction aAction);
 
+  // Signals from running tasks.
+  void Confine(WorkerIndex aWorker);
+  void RecordEnding(TaskIndex aTask);
+  void FollowUsage(Instant aNow, TaskIndex aTask, const Resources& aUsed);
+  void ExceedMemory(Instant aNow, TaskIndex aTask, const Resources& aUsed);
+  bool Regrant(TaskIndex aTask, const Resources& aGrant);
+  void Throttle(TaskIndex aTask);
+  std::vector<Suspect> SuspectsOn(WorkerIndex aWorker) const;
+  bool AreApart(const TaskShape& aShape, WorkerIndex aWorker) const;
+  bool Hosts(WorkerIndex aWorker, NameIndex aService) const;
+  void Probe(Instant aNow);
+
   // Decisions.
   Resources DemandOf(const TaskShape& aShape) const;
   bool MayRunOn(TaskIndex aTask, WorkerIndex aWorker) const;
@@ -97,6 +116,10 @@
   ReservationBook reservations;
   VictimSelector victims;
   SpreadCounts spread;
+  UsageEstimator usage;
+  WorkerHealth health;
+  InterferenceModel interference;
+  InterferencePolicy steps;
   std::deque<Outgoing> outbox;
   // Workers whose free amount grew since waiting tasks were last tried on them.
   std::deque<WorkerIndex> offers;
--- a/packages/placement/src/PlacementModel.h
+++ b/packages/placement/src/PlacementModel.h
@@ -74,6 +74,7 @@
   Instant placedAt;
   Instant checkpointedAt;
   Instant lastEvicted;
+  Instant lastThrottled;
   // Counts every submission; tells a queue entry from a later one of the same index.
   std::uint64_t sequence = 0;
   WorkerIndex worker = kNone;
--- a/packages/placement/src/PlacementSchedule.cpp
+++ b/packages/placement/src/PlacementSchedule.cpp
@@ -32,6 +32,8 @@
 constexpr Duration kGatherTimeout = seconds(600);
 // At most one in so many workers gathers capacity for tasks that are not urgent.
 constexpr std::size_t kWorkersPerGathering = 50;
+// Makes one more replica nearby count more than any difference in fit.
+constexpr double kCrowdingWeight = 10.0;
 
 } // namespace
 
@@ -66,6 +68,13 @@
     this->counters.Add("placement_reservations_expired_total", "timeout");
     this->CancelReservation(aNow, task);
   }
+  for (const auto& [task, sequence] : this->steps.EndThrottles(aNow)) {
+    if (this->tasks.IsCurrent(task, sequence)) {
+      this->tasks.At(task).throttled = false;
+    }
+  }
+  this->steps.Sweep(aNow);
+  this->Probe(aNow);
   if (aNow >= this->nextUrgentRetry) {
     this->nextUrgentRetry = aNow + kUrgentRetry;
     this->queue.WakeUrgent();
@@ -195,27 +204,11 @@
   double score = part(left.milliCores, whole.milliCores) + part(left.memoryMiB, whole.memoryMiB) +
                  part(left.accelerators, whole.accelerators);
   if (aTask.shape.service != kNone) {
-    score += 10.0 * this->spread.Crowding(aTask.shape.service, worker, aWorker);
+    score += kCrowdingWeight * this->spread.Crowding(aTask.shape.service, worker, aWorker);
   }
   return score;
 }
 
-bool PlacementEngine::MayRunOn(TaskIndex aTask, WorkerIndex aWorker) const
-{
-  const TaskHistory* history = this->tasks.FindHistory(this->tasks.At(aTask).id);
-  if (history == nullptr) {
-    return true;
-  }
-  const WorkerId& worker = this->capacity.At(aWorker).spec.worker;
-  return std::find(history->failedOn.begin(), history->failedOn.end(), worker) ==
-         history->failedOn.end();
-}
-
-Resources PlacementEngine::DemandOf(const TaskShape& aShape) const
-{
-  return Greatest(aShape.declared, aShape.floor);
-}
-
 // The amount is reserved and charged already.
 void PlacementEngine::Place(Instant aNow,
                             TaskIndex aTask,
--- /dev/null
+++ b/packages/placement/src/PlacementSignals.cpp
@@ -0,0 +1,353 @@
+// What PlacementEngine does with signals from running tasks: usage, failures and latency.
+#include "PlacementEngine.h"
+
+#include <algorithm>
+
+namespace oriolespread::internal {
+
+namespace {
+
+using std::chrono::seconds;
+
+// A grant is lowered only after a minute of reports, and changed only by more than a tenth, so that
+// ordinary variation causes no messages.
+constexpr std::size_t kSamplesToShrink = 6;
+constexpr std::int64_t kChangeDivisor = 10;
+constexpr Duration kThrottleInterval = seconds(30);
+// A task whose memory grew beyond its grant starts anew with at least half as much again.
+constexpr std::int64_t kMemoryGrowthPercent = 150;
+// Load of a service comes back faster than its grant could, so its grant keeps this part.
+constexpr std::int64_t kServiceFloorDivisor = 2;
+constexpr std::int64_t kLeastThrottledMilliCores = 100;
+constexpr int kProbesPerSchedule = 2;
+
+std::int64_t Settled(std::int64_t aGrant, std::int64_t aTarget, bool aMayShrink)
+{
+  const bool small = std::abs(aTarget - aGrant) <= aGrant / kChangeDivisor;
+  return small || (aTarget < aGrant && !aMayShrink) ? aGrant : aTarget;
+}
+
+Resources HalfOf(const Resources& aAmount)
+{
+  return { aAmount.milliCores / kServiceFloorDivisor,
+           aAmount.memoryMiB / kServiceFloorDivisor,
+           aAmount.accelerators };
+}
+
+} // namespace
+
+Resources PlacementEngine::DemandOf(const TaskShape& aShape) const
+{
+  Resources demand = aShape.declared;
+  if (const std::optional<Resources> estimate = this->usage.FirstEstimate(aShape.kind)) {
+    demand = { estimate->milliCores, estimate->memoryMiB, aShape.declared.accelerators };
+    if (aShape.taskClass == TaskClass::LatencyCritical) {
+      demand = Greatest(demand, HalfOf(aShape.declared));
+    }
+  }
+  demand = Greatest(demand, aShape.floor);
+  // A wrong estimate must not make a task unplaceable.
+  if (demand != aShape.declared && !this->capacity.CouldHold(demand)) {
+    return aShape.declared;
+  }
+  return demand;
+}
+
+void PlacementEngine::RecordUsage(Instant aNow, const TaskId& aTask, const Resources& aUsed)
+{
+  this->now = std::max(this->now, aNow);
+  const TaskIndex task = this->tasks.Find(aTask);
+  if (task == kNone || this->tasks.At(task).phase != TaskPhase::Placed || !aUsed.IsNonNegative()) {
+    this->counters.Add("placement_usage_ignored_total", "not_running");
+    return;
+  }
+  const TaskRecord& record = this->tasks.At(task);
+  this->usage.Record(task, record.shape.kind, aUsed);
+  if (aUsed.memoryMiB > record.grant.memoryMiB) {
+    this->ExceedMemory(aNow, task, aUsed);
+  } else {
+    this->FollowUsage(aNow, task, aUsed);
+  }
+}
+
+// The task used more memory than it was granted. Batch is evicted and starts again with more; a
+// replica of a service grows in place when its worker has room.
+void PlacementEngine::ExceedMemory(Instant aNow, TaskIndex aTask, const Resources& aUsed)
+{
+  const TaskRecord& task = this->tasks.At(aTask);
+  const std::int64_t next = std::max(UsageEstimator::WithMargin(aUsed).memoryMiB,
+                                     task.grant.memoryMiB * kMemoryGrowthPercent / 100);
+  if (task.shape.taskClass == TaskClass::LatencyCritical &&
+      this->Regrant(aTask, { task.grant.milliCores, next, task.grant.accelerators })) {
+    return;
+  }
+  TaskHistory& history = this->tasks.HistoryOf(task.id);
+  history.floor.memoryMiB = std::max(history.floor.memoryMiB, next);
+  this->Evict(aNow, aTask, EvictionReason::MemoryExceeded);
+}
+
+void PlacementEngine::FollowUsage(Instant aNow, TaskIndex aTask, const Resources& aUsed)
+{
+  TaskRecord& task = this->tasks.At(aTask);
+  const std::optional<Resources> learned = this->usage.Target(aTask);
+  Resources wanted = task.grant;
+  if (learned.has_value()) {
+    Resources target = *learned;
+    if (task.shape.taskClass == TaskClass::LatencyCritical) {
+      target = Greatest(target, HalfOf(task.shape.declared));
+    }
+    const bool mayShrink = this->usage.Samples(aTask) >= kSamplesToShrink;
+    wanted.milliCores = Settled(task.grant.milliCores, target.milliCores, mayShrink);
+    wanted.memoryMiB = Settled(task.grant.memoryMiB, target.memoryMiB, mayShrink);
+  }
+  if (task.throttled) {
+    wanted.milliCores = std::min(wanted.milliCores, task.grant.milliCores);
+  }
+  const Resources room = Greatest(this->capacity.At(task.worker).Free(), Resources{}) + task.grant;
+  wanted = Least(wanted, room);
+  if (wanted != task.grant && this->Regrant(aTask, wanted)) {
+    return;
+  }
+  if (aUsed.milliCores > task.grant.milliCores && aNow >= task.lastThrottled + kThrottleInterval) {
+    task.lastThrottled = aNow;
+    this->counters.Add("placement_regrants_total", "throttled_to_grant");
+    this->Send(aTask, RegrantTask{ task.id, task.grant });
+  }
+}
+
+// Changes the grant when the worker and the quota allow it; returns whether it did.
+bool PlacementEngine::Regrant(TaskIndex aTask, const Resources& aGrant)
+{
+  TaskRecord& task = this->tasks.At(aTask);
+  const Resources more = Greatest(aGrant - task.grant, Resources{});
+  const Resources less = Greatest(task.grant - aGrant, Resources{});
+  if (!this->shares.Allows(task.shape.team, more) && more != Resources{}) {
+    this->counters.Add("placement_regrant_refused_total", "quota");
+    return false;
+  }
+  if (!this->capacity.Reserve(task.worker, more)) {
+    this->counters.Add("placement_regrant_refused_total", "capacity");
+    return false;
+  }
+  this->capacity.Free(task.worker, less);
+  this->shares.Charge(task.shape.organisation, task.shape.team, more);
+  this->shares.Refund(task.shape.organisation, task.shape.team, less);
+  if (VictimSelector::IsPreemptible(task.shape)) {
+    this->capacity.AddPreemptible(task.worker, aGrant - task.grant);
+  }
+  task.grant = aGrant;
+  this->counters.Add("placement_regrants_total", less == Resources{} ? "raised" : "lowered");
+  this->Send(aTask, RegrantTask{ task.id, aGrant });
+  this->ShareChanged(task.shape.organisation, task.shape.team);
+  if (less != Resources{}) {
+    this->CapacityFreed(task.worker);
+  }
+  return true;
+}
+
+void PlacementEngine::RecordFailure(Instant aNow, const TaskId& aTask, const WorkerId& aWorker)
+{
+  this->now = std::max(this->now, aNow);
+  std::vector<WorkerId>& failedOn = this->tasks.HistoryOf(aTask).failedOn;
+  if (std::find(failedOn.begin(), failedOn.end(), aWorker) == failedOn.end()) {
+    failedOn.push_back(aWorker);
+  }
+  const TaskIndex task = this->tasks.Find(aTask);
+  if (task != kNone) {
+    this->tasks.At(task).failed = true;
+  }
+  const WorkerIndex worker = this->capacity.Find(aWorker);
+  if (worker == kNone) {
+    this->counters.Add("placement_failures_ignored_total", "unknown_worker");
+    return;
+  }
+  const HealthChange change =
+    this->health.RecordFailure(aNow, worker, task, aTask.job, this->capacity.WorkerCount());
+  if (change == HealthChange::Quarantined) {
+    this->Confine(worker);
+  }
+}
+
+void PlacementEngine::Confine(WorkerIndex aWorker)
+{
+  this->capacity.SetTrusted(aWorker, false);
+  this->CancelReservationsOn(aWorker);
+}
+
+// Tells the parts that learn from outcomes how the placed task ended.
+void PlacementEngine::RecordEnding(TaskIndex aTask)
+{
+  const TaskRecord& task = this->tasks.At(aTask);
+  this->usage.Forget(aTask);
+  if (task.phase != TaskPhase::Placed || task.failed) {
+    this->health.RecordEnd(task.worker, aTask);
+    return;
+  }
+  this->tasks.ForgetHistory(task.id);
+  if (this->health.RecordSuccess(task.worker, aTask, task.id.job) == HealthChange::Released) {
+    this->capacity.SetTrusted(task.worker, true);
+  }
+}
+
+std::size_t PlacementEngine::DistinctFailures(const TaskId& aTask) const
+{
+  const TaskHistory* history = this->tasks.FindHistory(aTask);
+  if (history == nullptr) {
+    return 0;
+  }
+  return static_cast<std::size_t>(std::count_if(
+    history->failedOn.begin(), history->failedOn.end(), [this](const WorkerId& aWorker) {
+      const WorkerIndex worker = this->capacity.Find(aWorker);
+      return worker == kNone || !this->health.IsQuarantined(worker);
+    }));
+}
+
+std::vector<WorkerId> PlacementEngine::Quarantined() const
+{
+  std::vector<WorkerId> workers;
+  for (const WorkerIndex worker : this->health.Quarantined()) {
+    workers.push_back(this->capacity.At(worker).spec.worker);
+  }
+  return workers;
+}
+
+void PlacementEngine::RestoreQuarantine(Instant aNow, const WorkerId& aWorker)
+{
+  const WorkerIndex worker = this->capacity.FindOrAdd(aWorker);
+  if (this->health.Quarantine(aNow, worker, this->capacity.WorkerCount())) {
+    this->Confine(worker);
+  }
+}
+
+// Gives workers in quarantine one waiting batch task each when they are due.
+void PlacementEngine::Probe(Instant aNow)
+{
+  for (int i = 0; i < kProbesPerSchedule; ++i) {
+    const std::optional<WorkerIndex> worker = this->health.NextProbe(aNow);
+    if (!worker.has_value()) {
+      return;
+    }
+    const WorkerRecord& record = this->capacity.At(*worker);
+    std::optional<GroupIndex> group;
+    if (record.available && record.announced && record.Free().IsNonNegative()) {
+      group = this->queue.BestFor(record.Free(), [&](GroupIndex aGroup) {
+        const TaskGroup& candidate = this->queue.At(aGroup);
+        return VictimSelector::IsPreemptible(candidate.shape) &&
+               this->shares.Allows(candidate.shape.team, candidate.demand) &&
+               this->MayRunOn(candidate.entries.front().task, *worker);
+      });
+    }
+    const TaskIndex task = group.has_value() ? this->queue.Head(*group).task : kNone;
+    const Resources demand = group.has_value() ? this->queue.At(*group).demand : Resources{};
+    if (task == kNone || !this->capacity.Reserve(*worker, demand)) {
+      this->health.PostponeProbe(aNow, *worker);
+      continue;
+    }
+    this->queue.PopHead(*group);
+    const TaskShape& shape = this->tasks.At(task).shape;
+    this->shares.Charge(shape.organisation, shape.team, demand);
+    this->health.RecordProbe(*worker, task);
+    this->Place(aNow, task, *worker, demand);
+  }
+}
+
+void PlacementEngine::RecordLatency(Instant aNow, const ServiceLatencyReport& aReport)
+{
+  this->now = std::max(this->now, aNow);
+  const WorkerIndex worker = this->capacity.Find(aReport.worker);
+  if (worker == kNone) {
+    this->counters.Add("placement_latency_ignored_total", "unknown_worker");
+    return;
+  }
+  const NameIndex service =
+    this->serviceNames.Intern(aReport.organisation.Value() + "/" + aReport.service.Value());
+  const std::optional<InterferenceDecision> decision =
+    this->steps.Report(aNow, worker, service, aReport.suffering, this->SuspectsOn(worker));
+  if (!decision.has_value()) {
+    return;
+  }
+  if (decision->step == InterferenceStep::Evict) {
+    this->Evict(aNow, decision->task, EvictionReason::Interference);
+  } else {
+    this->Throttle(decision->task);
+  }
+}
+
+void PlacementEngine::Throttle(TaskIndex aTask)
+{
+  TaskRecord& task = this->tasks.At(aTask);
+  task.throttled = true;
+  Resources grant = task.grant;
+  grant.milliCores =
+    std::min(grant.milliCores, std::max(grant.milliCores / 2, kLeastThrottledMilliCores));
+  this->Regrant(aTask, grant);
+}
+
+std::vector<Suspect> PlacementEngine::SuspectsOn(WorkerIndex aWorker) const
+{
+  std::vector<Suspect> suspects;
+  const WorkerRecord& worker = this->capacity.At(aWorker);
+  const double whole =
+    static_cast<double>(std::max<std::int64_t>(worker.spec.capacity.milliCores, 1));
+  for (const TaskIndex index : worker.tasks) {
+    const TaskRecord& task = this->tasks.At(index);
+    if (task.phase == TaskPhase::Placed && task.shape.taskClass == TaskClass::Batch) {
+      suspects.push_back({ index,
+                           task.sequence,
+                           task.shape.kind,
+                           &task.id.job,
+                           static_cast<double>(task.grant.milliCores) / whole,
+                           task.placedAt });
+    }
+  }
+  return suspects;
+}
+
+// Returns whether the task may run there: it has not failed there before, and nothing on the worker
+// has to be kept apart from it.
+bool PlacementEngine::MayRunOn(TaskIndex aTask, WorkerIndex aWorker) const
+{
+  const TaskRecord& task = this->tasks.At(aTask);
+  if (task.shape.individual != 0) {
+    const TaskHistory* history = this->tasks.FindHistory(task.id);
+    const WorkerId& worker = this->capacity.At(aWorker).spec.worker;
+    if (history != nullptr &&
+        std::find(history->failedOn.begin(), history->failedOn.end(), worker) !=
+          history->failedOn.end()) {
+      return false;
+    }
+  }
+  return !this->AreApart(task.shape, aWorker);
+}
+
+bool PlacementEngine::AreApart(const TaskShape& aShape, WorkerIndex aWorker) const
+{
+  if (aShape.taskClass == TaskClass::Batch) {
+    const std::vector<NameIndex> services =
+      this->interference.ServicesApart(this->now, aShape.kind);
+    return std::any_of(services.begin(), services.end(), [&](NameIndex aService) {
+      return this->Hosts(aWorker, aService);
+    });
+  }
+  if (aShape.service == kNone) {
+    return false;
+  }
+  const std::vector<NameIndex> kinds = this->interference.KindsApart(this->now, aShape.service);
+  const std::vector<TaskIndex>& running = this->capacity.At(aWorker).tasks;
+  return !kinds.empty() && std::any_of(running.begin(), running.end(), [&](TaskIndex aOther) {
+    const TaskShape& other = this->tasks.At(aOther).shape;
+    return other.taskClass == TaskClass::Batch &&
+           std::find(kinds.begin(), kinds.end(), other.kind) != kinds.end();
+  });
+}
+
+bool PlacementEngine::Hosts(WorkerIndex aWorker, NameIndex aService) const
+{
+  const std::vector<TaskIndex>& running = this->capacity.At(aWorker).tasks;
+  return this->steps.HasReported(this->now, aWorker, aService) ||
+         std::any_of(running.begin(), running.end(), [&](TaskIndex aOther) {
+           return this->tasks.At(aOther).shape.service == aService;
+         });
+}
+
+} // namespace oriolespread::internal
--- a/packages/placement/src/ScoredPlacer.cpp
+++ b/packages/placement/src/ScoredPlacer.cpp
@@ -95,4 +95,19 @@
   return this->engine->Used(aWorker);
 }
 
+std::size_t ScoredPlacer::DistinctFailures(const TaskId& aTask) const
+{
+  return this->engine->DistinctFailures(aTask);
+}
+
+std::vector<WorkerId> ScoredPlacer::Quarantined() const
+{
+  return this->engine->Quarantined();
+}
+
+void ScoredPlacer::RestoreQuarantine(Instant aNow, const WorkerId& aWorker)
+{
+  this->engine->RestoreQuarantine(aNow, aWorker);
+}
+
 } // namespace oriolespread
