--- /dev/null
+++ b/packages/placement/tests/CapacityIndexTest.cpp
@@ -0,0 +1,94 @@
+#include "CapacityIndex.h"
+
+#include "SpreadCounts.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+using namespace oriolespread::internal;
+
+namespace {
+
+WorkerSpec Spec(const char* aWorker, const char* aRack, Resources aCapacity)
+{
+  return { WorkerId(aWorker), DataCentreId("dc"), RackId(aRack), aCapacity };
+}
+
+} // namespace
+
+// Guards against overcommit (P1): the ledger itself refuses it.
+TEST_CASE("CapacityIndex RefusesAndCountsWhenAnAmountIsNotFree")
+{
+  Counters counters;
+  CapacityIndex capacity(counters);
+  const WorkerIndex worker = capacity.SetWorker(Spec("w", "r", { 1000, 1000, 0 })).first;
+  CHECK(capacity.Reserve(worker, { 600, 10, 0 }));
+  CHECK_FALSE(capacity.Reserve(worker, { 600, 10, 0 }));
+  CHECK_FALSE(capacity.Reserve(worker, { -600, 10, 0 }));
+  CHECK(counters.Get("placement_reserve_refused_total", "overcommit") == 2);
+  capacity.Free(worker, { 600, 10, 0 });
+  CHECK(capacity.Reserve(worker, { 1000, 1000, 0 }));
+}
+
+// Guards against offering workers that are out of service, in quarantine or not yet announced.
+TEST_CASE("CapacityIndex CollectsOnlyWorkersThatTakeTasks")
+{
+  Counters counters;
+  CapacityIndex capacity(counters);
+  const WorkerIndex worker = capacity.SetWorker(Spec("w", "r", { 1000, 1000, 0 })).first;
+  capacity.Restore(capacity.FindOrAdd(WorkerId("unknown")), { 10, 10, 0 });
+  const auto collect = [&] {
+    std::vector<WorkerIndex> found;
+    capacity.Collect({ 500, 500, 0 }, 8, FitOrder::Tightest, found);
+    return found.size();
+  };
+  CHECK(collect() == 1);
+  capacity.SetAvailable(worker, false);
+  CHECK(collect() == 0);
+  capacity.SetAvailable(worker, true);
+  capacity.SetTrusted(worker, false);
+  CHECK(collect() == 0);
+  capacity.SetTrusted(worker, true);
+  CHECK(collect() == 1);
+  capacity.SetWorker(Spec("w", "r", { 100, 1000, 0 }));
+  CHECK(collect() == 0);
+}
+
+// Guards against reporting only the first reason (F4), and against reports before any worker came.
+TEST_CASE("CapacityIndex GivesEveryReasonWhenNoWorkerCouldHoldADemand")
+{
+  Counters counters;
+  CapacityIndex capacity(counters);
+  Findings none;
+  capacity.ExplainUnfit({ 9000, 9000, 1 }, "resources", none);
+  CHECK(none.empty());
+  capacity.SetWorker(Spec("a", "r", { 4000, 1000, 0 }));
+  capacity.SetWorker(Spec("b", "r", { 1000, 4000, 0 }));
+  Findings each;
+  capacity.ExplainUnfit({ 9000, 9000, 1 }, "resources", each);
+  CHECK(each.size() == 3);
+  Findings together;
+  capacity.ExplainUnfit({ 3000, 3000, 0 }, "resources", together);
+  CHECK(together.size() == 1);
+  CHECK_FALSE(capacity.CouldHold({ 3000, 3000, 0 }));
+  CHECK(capacity.CouldHold({ 1000, 3000, 0 }));
+}
+
+// Guards against replicas that share a rack while another rack has none.
+TEST_CASE("SpreadCounts CountsAWorkerAsMoreCrowdedThanItsRack")
+{
+  Counters counters;
+  CapacityIndex capacity(counters);
+  const WorkerIndex a = capacity.SetWorker(Spec("a", "r1", { 1, 1, 0 })).first;
+  const WorkerIndex b = capacity.SetWorker(Spec("b", "r1", { 1, 1, 0 })).first;
+  const WorkerIndex c = capacity.SetWorker(Spec("c", "r2", { 1, 1, 0 })).first;
+  SpreadCounts spread;
+  spread.Add(3, capacity.At(a), a);
+  const auto crowding = [&](WorkerIndex aWorker) {
+    return spread.Crowding(3, capacity.At(aWorker), aWorker);
+  };
+  CHECK(crowding(a) > crowding(b));
+  CHECK(crowding(b) > crowding(c));
+  spread.Remove(3, capacity.At(a), a);
+  CHECK(crowding(a) == 0.0);
+}
--- /dev/null
+++ b/packages/placement/tests/FreeGridTest.cpp
@@ -0,0 +1,71 @@
+#include "FreeGrid.h"
+
+#include "oriolespread/base/RandomSource.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace oriolespread;
+using namespace oriolespread::internal;
+
+// Guards against levels that would hide a worker from a demand it holds.
+TEST_CASE("GridLevel NeverDecreasesWithTheAmount")
+{
+  std::uint32_t before = 0;
+  for (std::int64_t amount = 0; amount < 2'000'000; amount += 37) {
+    const std::uint32_t level = GridLevel(amount, 50);
+    REQUIRE(level >= before);
+    REQUIRE(level < kGridLevels);
+    before = level;
+  }
+}
+
+// Guards against a search that misses a fitting worker or returns one that does not fit.
+TEST_CASE("FreeGrid FindsAFittingWorkerWheneverThereIsOne")
+{
+  RandomSource random(7);
+  FreeGrid grid;
+  std::vector<Resources> amounts(60);
+  for (int step = 0; step < 20'000; ++step) {
+    const auto worker = static_cast<WorkerIndex>(random.Below(amounts.size()));
+    amounts[worker] = { static_cast<std::int64_t>(random.Below(64'000)),
+                        static_cast<std::int64_t>(random.Below(256'000)),
+                        static_cast<std::int64_t>(random.Below(9)) };
+    grid.Put(worker, amounts[worker]);
+    const Resources demand{ static_cast<std::int64_t>(random.Below(64'000)),
+                            static_cast<std::int64_t>(random.Below(256'000)),
+                            static_cast<std::int64_t>(random.Below(3)) };
+    const bool any = std::any_of(amounts.begin(), amounts.end(), [&](const Resources& aAmount) {
+      return demand.FitsIn(aAmount);
+    });
+    std::vector<WorkerIndex> found;
+    grid.Collect(demand, 4, random.Chance(0.5) ? FitOrder::Tightest : FitOrder::Loosest, found);
+    INFO("step " << step << " demand " << demand);
+    // Workers never put count as empty, which holds no demand here but the zero one.
+    REQUIRE((!found.empty() == any || demand == Resources{}));
+    REQUIRE(found.size() <= 4);
+    for (const WorkerIndex index : found) {
+      REQUIRE(demand.FitsIn(amounts[index]));
+    }
+  }
+}
+
+// Guards against a decision that scans a whole cell of almost fitting workers.
+TEST_CASE("FreeGrid ExaminesABoundedNumberOfWorkers")
+{
+  FreeGrid grid;
+  for (WorkerIndex worker = 0; worker < 3000; ++worker) {
+    grid.Put(worker, { 2000, 4096, 0 });
+  }
+  grid.Put(3000, { 2040, 4096, 0 });
+  std::size_t hits = 0;
+  for (int i = 0; i < 3001; ++i) {
+    std::vector<WorkerIndex> found;
+    grid.Collect({ 2030, 4096, 0 }, 4, FitOrder::Tightest, found);
+    hits += found.size();
+  }
+  // Each search examines kMaxExamined of the cell from another start, so some of them hit.
+  CHECK(hits > 0);
+  CHECK(hits <= 2 * FreeGrid::kMaxExamined);
+}
