--- a/packages/tickets/src/StoreRows.cpp
+++ b/packages/tickets/src/StoreRows.cpp
@@ -121,8 +121,10 @@
       { ConfigRowKey(key), version == aVersions.end() ? RowVersion{} : version->second });
     transaction.writes.push_back({ ConfigRowKey(key), ConfigValueOf(aTicket.number, value) });
   }
-  // Last, so that a conflict names the ticket's id or a touched key rather than the head.
+  // Last, so that a conflict names the ticket's id or a touched key rather than the head's.
   transaction.conditions.push_back({ kHeadKey, aHeadVersion });
+  // Holds whenever the head does; keeps an accepted ticket if the head's row is ever damaged.
+  transaction.conditions.push_back({ LogKey(aTicket.number), RowVersion{} });
   transaction.writes.push_back({ TicketIdKey(ticket.id), NumberValue(aTicket.number) });
   transaction.writes.push_back({ LogKey(aTicket.number), ticket.ToJson() });
   transaction.writes.push_back({ kHeadKey, NumberValue(aTicket.number) });
--- a/packages/tickets/src/Submissions.cpp
+++ b/packages/tickets/src/Submissions.cpp
@@ -112,10 +112,11 @@
     return true;
   }
   if (this->conflictUnexplained && this->conflictAt == number) {
-    // No ticket explains the conflict, so the versions that this process holds must be wrong.
+    // No ticket explains the conflict, so the versions that this process holds must be wrong, or
+    // the rows are damaged.
     this->conflictUnexplained = false;
     this->catchUp->RequestReload();
-    this->AwaitNewCycle();
+    this->RetryLater(aNow, Step::Retry);
     return false;
   }
   if (!this->ConflictsOf(ticket).empty()) {
