Make the order of pushes and of typed values deterministic

Cause: hash maps are seeded by process, so a printed seed did not replay the same run (assertion counts differed between runs). Change: links and typed values lie in ordered maps; a test restarts an entry while tickets are accepted.

--- a/packages/tickets/include/oriolespread/tickets/ConfigView.h
+++ b/packages/tickets/include/oriolespread/tickets/ConfigView.h
@@ -7,8 +7,6 @@
 //   const ServiceConfig* service = view.FindService(organisation, name);
 #pragma once
 
-#include "absl/container/flat_hash_map.h"
-
 #include "oriolespread/messages/ControlMessages.h"
 #include "oriolespread/tickets/ConfigValues.h"
 
@@ -70,14 +68,15 @@
   const RequestPolicy* FindRequestPolicy() const;
   const TaskPolicy* FindTaskPolicy() const;
 
+  // All typed values in order of their names.
   using ServiceId = std::pair<OrganisationId, ServiceName>;
-  const absl::flat_hash_map<OrganisationId, OrganisationConfig>& Organisations() const
+  const std::map<OrganisationId, OrganisationConfig>& Organisations() const
   {
     return this->organisations;
   }
-  const absl::flat_hash_map<ServiceId, ServiceConfig>& Services() const { return this->services; }
-  const absl::flat_hash_map<TeamId, QuotaConfig>& Quotas() const { return this->quotas; }
-  const absl::flat_hash_map<WorkerId, WorkerConfig>& Workers() const { return this->workers; }
+  const std::map<ServiceId, ServiceConfig>& Services() const { return this->services; }
+  const std::map<TeamId, QuotaConfig>& Quotas() const { return this->quotas; }
+  const std::map<WorkerId, WorkerConfig>& Workers() const { return this->workers; }
 
   // Returns the state of a key, also of one that was removed; null when no ticket ever set it.
   const ConfigState* FindState(const std::string& aKey) const;
@@ -94,10 +93,10 @@
   std::set<std::pair<TicketNumber, std::string>> order;
   std::size_t stateBytes = 0;
 
-  absl::flat_hash_map<OrganisationId, OrganisationConfig> organisations;
-  absl::flat_hash_map<ServiceId, ServiceConfig> services;
-  absl::flat_hash_map<TeamId, QuotaConfig> quotas;
-  absl::flat_hash_map<WorkerId, WorkerConfig> workers;
+  std::map<OrganisationId, OrganisationConfig> organisations;
+  std::map<ServiceId, ServiceConfig> services;
+  std::map<TeamId, QuotaConfig> quotas;
+  std::map<WorkerId, WorkerConfig> workers;
   std::optional<RequestPolicy> requestPolicy;
   std::optional<TaskPolicy> taskPolicy;
 };
--- a/packages/tickets/src/AgentLinks.h
+++ b/packages/tickets/src/AgentLinks.h
@@ -5,6 +5,7 @@
 
 #include "BookState.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <utility>
@@ -43,7 +44,8 @@
   void AdoptCandidate(TicketEffects& aEffects);
 
   BookState* state;
-  absl::flat_hash_map<AgentId, Link> links;
+  // Ordered, so that equal runs send in equal order.
+  std::map<AgentId, Link> links;
   std::set<std::pair<Instant, AgentId>> dueLinks;
   // Updates to the view's present number by where they start.
   absl::flat_hash_map<TicketNumber, std::shared_ptr<const TicketUpdate>> updates;
--- a/packages/tickets/tests/TicketBookTest.cpp
+++ b/packages/tickets/tests/TicketBookTest.cpp
@@ -218,6 +218,31 @@
   CHECK(world.counters.Get("ticket_polls_failed_total", "store_behind") > 0);
 }
 
+// Guards against a state that mixes two numbers because tickets were accepted while it was read.
+TEST_CASE("TicketBook ReadsAConsistentStateWhileTicketsAreAccepted")
+{
+  const std::int64_t after = GENERATE(range(0, 500, 20));
+  INFO("restarted after " << after << " ms");
+  TicketWorld world({ .storeDelay = milliseconds(200) });
+  world.RunFor(seconds(2));
+  std::uint64_t number = 0;
+  for (int i = 0; i < 6; ++i) {
+    world.Submit(0, MakeTicket("t" + std::to_string(i), number, { "a", "b" }, 1.0 + i));
+    if (i == 3) {
+      world.RunFor(milliseconds(after));
+      world.StopEntry(1);
+      world.StartEntry(1);
+    }
+    world.RunFor(milliseconds(500));
+    number = world.Book(0).View().Number().Value();
+    const ConfigView& view = world.Book(1).View();
+    CHECK(WeightAt(view, "a") == WeightAt(view, "b"));
+    CHECK(WeightAt(view, "a") == static_cast<double>(view.Number().Value()));
+  }
+  world.RunFor(seconds(5));
+  CheckAllAt(world, 6);
+}
+
 // Guards against a ticket that names a number which no ticket has, and against a flood of tickets.
 TEST_CASE("TicketBook RefusesInvalidAndSurplusTickets")
 {
