--- a/packages/requests/include/oriolespread/requests/Outcome.h
+++ b/packages/requests/include/oriolespread/requests/Outcome.h
@@ -3,6 +3,8 @@
 //   result.headers: Oriolespread-Outcome: not_run, Oriolespread-Reason: queue_full
 #pragma once
 
+#include "oriolespread/base/RequestClass.h"
+
 #include <optional>
 #include <string_view>
 
@@ -49,12 +51,6 @@
   IdempotencyMismatch,
 };
 
-enum class RequestClass
-{
-  LatencyCritical,
-  Batch,
-};
-
 // Return the codes used in headers, counters and logs, for example "not_run" and "queue_full".
 std::string_view ToString(Outcome aOutcome);
 std::string_view ToString(Reason aReason);
--- a/packages/tasks/include/oriolespread/tasks/JobSpec.h
+++ b/packages/tasks/include/oriolespread/tasks/JobSpec.h
@@ -19,6 +19,7 @@
 struct JobSpec
 {
   JobId job;
+  // Not part of the JSON text: set by the entry from the caller's credentials.
   OrganisationId organisation;
   TeamId team;
   TaskClass taskClass = TaskClass::Batch;
@@ -34,7 +35,13 @@
   Resources resources;
 };
 
-// Parses the JSON text of a submission. Adds a finding for everything that is wrong, unknown keys
+// Parses the JSON text of a submission:
+//
+//   {"job": "nightly", "program": "report", "arguments": "", "tasks": 4, "class": "batch",
+//    "urgent": false, "team": "", "kind": "", "service": "",
+//    "resources": {"cores": 0.5, "memory_mib": 512, "accelerators": 0}}
+//
+// Adds a finding for everything that is wrong, unknown keys
 // included, and returns nothing when there is any. `aSource` names the text in the findings.
 std::optional<JobSpec> ParseJobSpec(std::string_view aText,
                                     const std::string& aSource,
--- a/packages/tasks/include/oriolespread/tasks/ShardOwner.h
+++ b/packages/tasks/include/oriolespread/tasks/ShardOwner.h
@@ -64,6 +64,8 @@
   std::optional<JobView> FindJob(const JobId& aJob) const { return this->core.FindJob(aJob); }
   const TaskTable& Table() const { return this->core.Table(); }
   const Placer& CurrentPlacer() const { return *this->placer; }
+  // For changes of its configuration. The factory must make placers with the same configuration.
+  Placer& MutablePlacer() { return *this->placer; }
 
 private:
   // Half of the journal period, so that a batch leaves at most 50 ms late.
--- a/packages/tasks/src/JobSpec.cpp
+++ b/packages/tasks/src/JobSpec.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <cmath>
 #include <set>
 
 namespace oriolespread {
@@ -81,6 +82,22 @@
     return value->get<std::int64_t>();
   }
 
+  // Reads a number of cores, which may be fractional, as whole thousandths.
+  std::int64_t MilliCores(const std::string& aKey)
+  {
+    constexpr double kLow = 0.001;
+    constexpr double kHigh = 1'000'000.0;
+    const json* value = this->Take(aKey, true);
+    if (value == nullptr) {
+      return 0;
+    }
+    if (!value->is_number() || value->get<double>() < kLow || value->get<double>() > kHigh) {
+      this->Report(aKey, absl::StrCat("is ", value->dump()), "a number from 0.001 to 1000000");
+      return 0;
+    }
+    return std::llround(value->get<double>() * 1000.0);
+  }
+
   bool Flag(const std::string& aKey)
   {
     const json* value = this->Take(aKey, false);
@@ -149,7 +166,7 @@
   }
   ObjectReader reader(*value, aSource, "resources.", aFindings);
   Resources resources;
-  resources.milliCores = reader.Integer("milli_cores", 0, 1, kMaxAmount, true);
+  resources.milliCores = reader.MilliCores("cores");
   resources.memoryMiB = reader.Integer("memory_mib", 0, 1, kMaxAmount, true);
   resources.accelerators = reader.Integer("accelerators", 0, 0, kMaxAmount, false);
   reader.ReportUnknownKeys();
@@ -171,7 +188,6 @@
   ObjectReader reader(document, aSource, {}, findings);
   JobSpec spec;
   spec.job = JobId{ reader.Name("job", true) };
-  spec.organisation = OrganisationId{ reader.Name("organisation", true) };
   spec.team = TeamId{ reader.Name("team", false) };
   spec.taskClass = ReadClass(reader);
   spec.urgent = reader.Flag("urgent");
--- a/packages/tickets/include/oriolespread/tickets/ConfigValues.h
+++ b/packages/tickets/include/oriolespread/tickets/ConfigValues.h
@@ -5,6 +5,7 @@
 
 #include "oriolespread/base/Findings.h"
 #include "oriolespread/base/Ids.h"
+#include "oriolespread/base/RequestClass.h"
 #include "oriolespread/base/Resources.h"
 #include "oriolespread/base/Time.h"
 #include "oriolespread/tickets/ConfigKey.h"
@@ -33,12 +34,6 @@
   friend bool operator==(const OrganisationConfig&, const OrganisationConfig&) = default;
 };
 
-enum class RequestClass
-{
-  LatencyCritical,
-  Batch,
-};
-
 // {"class": "latency_critical", "objective_ms": 50, "default_deadline_ms": 1000,
 //  "max_deadline_ms": 5000, "queue_length": 1000}
 struct ServiceConfig
@@ -83,19 +78,19 @@
 };
 
 // {"retry_budget": 0.1, "retry_reserve": 10, "hedge_budget": 0.02, "hedge_quantile": 0.95}
-struct RequestPolicy
+struct RequestPolicyConfig
 {
   double retryBudget = 0.1;
   std::uint32_t retryReserve = 10;
   double hedgeBudget = 0.02;
   double hedgeQuantile = 0.95;
 
-  friend bool operator==(const RequestPolicy&, const RequestPolicy&) = default;
+  friend bool operator==(const RequestPolicyConfig&, const RequestPolicyConfig&) = default;
 };
 
 // {"evictions_per_hour": 2, "quarantine_jobs": 3, "failed_workers": 3, "max_quarantined": 0.2,
 //  "preemption_checkpoint_ms": 500, "usage_headroom": 0.15}
-struct TaskPolicy
+struct TaskPolicyConfig
 {
   // Evictions of one job because of interference.
   std::uint32_t evictionsPerHour = 2;
@@ -110,11 +105,11 @@
   // Fraction of the observed usage that is granted on top of it.
   double usageHeadroom = 0.15;
 
-  friend bool operator==(const TaskPolicy&, const TaskPolicy&) = default;
+  friend bool operator==(const TaskPolicyConfig&, const TaskPolicyConfig&) = default;
 };
 
 using ConfigValue = std::
-  variant<OrganisationConfig, ServiceConfig, QuotaConfig, WorkerConfig, RequestPolicy, TaskPolicy>;
+  variant<OrganisationConfig, ServiceConfig, QuotaConfig, WorkerConfig, RequestPolicyConfig, TaskPolicyConfig>;
 
 // Returns the typed value of a key, or nothing and all findings. `aPlace` is the place of the value
 // itself; the path of a member is appended to it. Accepts any JSON; never throws.
--- a/packages/tickets/include/oriolespread/tickets/ConfigView.h
+++ b/packages/tickets/include/oriolespread/tickets/ConfigView.h
@@ -65,8 +65,8 @@
                                    const ServiceName& aService) const;
   const QuotaConfig* FindQuota(const TeamId& aTeam) const;
   const WorkerConfig* FindWorker(const WorkerId& aWorker) const;
-  const RequestPolicy* FindRequestPolicy() const;
-  const TaskPolicy* FindTaskPolicy() const;
+  const RequestPolicyConfig* FindRequestPolicy() const;
+  const TaskPolicyConfig* FindTaskPolicy() const;
 
   // All typed values in order of their names.
   using ServiceId = std::pair<OrganisationId, ServiceName>;
@@ -97,8 +97,8 @@
   std::map<ServiceId, ServiceConfig> services;
   std::map<TeamId, QuotaConfig> quotas;
   std::map<WorkerId, WorkerConfig> workers;
-  std::optional<RequestPolicy> requestPolicy;
-  std::optional<TaskPolicy> taskPolicy;
+  std::optional<RequestPolicyConfig> requestPolicy;
+  std::optional<TaskPolicyConfig> taskPolicy;
 };
 
 } // namespace oriolespread
--- a/packages/tickets/include/oriolespread/tickets/TicketEvents.h
+++ b/packages/tickets/include/oriolespread/tickets/TicketEvents.h
@@ -19,7 +19,7 @@
 namespace oriolespread {
 
 // Joins an event that answers to the effect that asked, and an answer to the caller who asked.
-using CallId = std::uint64_t;
+using TicketCallId = std::uint64_t;
 
 // Events.
 
@@ -30,14 +30,14 @@
 // An operator submits a ticket. Exactly one SubmitAnswer with the same call follows.
 struct SubmitTicket
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   ChangeTicket ticket;
 };
 
 // An operator asks for accepted tickets after a number. One LogAnswer follows.
 struct ReadTicketLog
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   TicketNumber after;
   std::size_t limit = 100;
 };
@@ -45,24 +45,24 @@
 // An operator asks for the state at a number, replayed from the log. One StateAnswer follows.
 struct ReplayTickets
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   TicketNumber number;
 };
 
 // Answers to the store calls of the effects.
 struct TicketCommitResult
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   CommitOutcome outcome;
 };
 struct TicketFateResult
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   FateOutcome outcome;
 };
 struct TicketScanResult
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   absl::StatusOr<ScanPage> page;
 };
 
@@ -140,7 +140,7 @@
 
 struct SubmitAnswer
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   TicketId ticket;
   SubmitOutcome outcome = SubmitOutcome::Unknown;
   TicketNumber number;
@@ -156,13 +156,13 @@
 
 struct LogAnswer
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   absl::StatusOr<std::vector<NumberedTicket>> tickets;
 };
 
 struct StateAnswer
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   // OutOfRange when the number is not accepted yet.
   absl::StatusOr<std::vector<ConfigState>> states;
 };
@@ -170,17 +170,17 @@
 // Calls of the table service. Each is answered by the event of the same kind and call.
 struct TicketCommitCall
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   Transaction transaction;
 };
 struct TicketFateCall
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   TransactionId transaction;
 };
 struct TicketScanCall
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   std::string prefix;
   std::string after;
   std::size_t limit = 0;
--- a/packages/tickets/src/BookState.h
+++ b/packages/tickets/src/BookState.h
@@ -28,9 +28,9 @@
   RowVersion headVersion;
   absl::flat_hash_map<std::string, RowVersion> versions;
   bool storeReachable = true;
-  CallId lastCall = 0;
+  TicketCallId lastCall = 0;
 
-  CallId NextCall() { return ++this->lastCall; }
+  TicketCallId NextCall() { return ++this->lastCall; }
   void Count(std::string_view aName, std::string_view aLabel)
   {
     this->counters->Add(aName, aLabel);
--- a/packages/tickets/src/CatchUp.h
+++ b/packages/tickets/src/CatchUp.h
@@ -65,7 +65,7 @@
 
   BookState* state;
   Phase phase = Phase::Idle;
-  CallId call = 0;
+  TicketCallId call = 0;
   Instant callDeadline = kNever;
   Instant nextPoll = Instant::min();
   bool requested = false;
--- a/packages/tickets/src/ConfigValues.cpp
+++ b/packages/tickets/src/ConfigValues.cpp
@@ -118,9 +118,9 @@
   return config;
 }
 
-RequestPolicy ReadRequestPolicy(JsonReader& aReader)
+RequestPolicyConfig ReadRequestPolicy(JsonReader& aReader)
 {
-  RequestPolicy policy;
+  RequestPolicyConfig policy;
   aReader.ReadNumber("retry_budget", policy.retryBudget, { 0.0, 1.0 });
   aReader.ReadInteger("retry_reserve", policy.retryReserve, { 0, 10'000 });
   aReader.ReadNumber("hedge_budget", policy.hedgeBudget, { 0.0, 1.0 });
@@ -128,9 +128,9 @@
   return policy;
 }
 
-TaskPolicy ReadTaskPolicy(JsonReader& aReader)
+TaskPolicyConfig ReadTaskPolicy(JsonReader& aReader)
 {
-  TaskPolicy policy;
+  TaskPolicyConfig policy;
   aReader.ReadInteger("evictions_per_hour", policy.evictionsPerHour, { 0, 1'000 });
   aReader.ReadInteger("quarantine_jobs", policy.quarantineJobs, { 1, 1'000 });
   aReader.ReadInteger("failed_workers", policy.failedWorkers, { 1, 1'000 });
@@ -158,7 +158,7 @@
     case ConfigKind::TaskPolicy:
       return ReadTaskPolicy(aReader);
   }
-  return TaskPolicy{};
+  return TaskPolicyConfig{};
 }
 
 } // namespace
--- a/packages/tickets/src/ConfigView.cpp
+++ b/packages/tickets/src/ConfigView.cpp
@@ -130,12 +130,12 @@
   return FindIn(this->workers, aWorker);
 }
 
-const RequestPolicy* ConfigView::FindRequestPolicy() const
+const RequestPolicyConfig* ConfigView::FindRequestPolicy() const
 {
   return this->requestPolicy.has_value() ? &*this->requestPolicy : nullptr;
 }
 
-const TaskPolicy* ConfigView::FindTaskPolicy() const
+const TaskPolicyConfig* ConfigView::FindTaskPolicy() const
 {
   return this->taskPolicy.has_value() ? &*this->taskPolicy : nullptr;
 }
@@ -198,11 +198,11 @@
       break;
     case ConfigKind::RequestPolicy:
       this->requestPolicy =
-        value.has_value() ? std::optional(std::get<RequestPolicy>(*value)) : std::nullopt;
+        value.has_value() ? std::optional(std::get<RequestPolicyConfig>(*value)) : std::nullopt;
       break;
     case ConfigKind::TaskPolicy:
       this->taskPolicy =
-        value.has_value() ? std::optional(std::get<TaskPolicy>(*value)) : std::nullopt;
+        value.has_value() ? std::optional(std::get<TaskPolicyConfig>(*value)) : std::nullopt;
       break;
   }
 }
--- a/packages/tickets/src/LogReplay.h
+++ b/packages/tickets/src/LogReplay.h
@@ -33,7 +33,7 @@
 
   BookState* state;
   std::deque<Job> jobs;
-  CallId call = 0;
+  TicketCallId call = 0;
   Instant callDeadline = kNever;
   Instant now;
   std::map<std::string, ConfigState> states;
--- a/packages/tickets/src/Submissions.h
+++ b/packages/tickets/src/Submissions.h
@@ -43,7 +43,7 @@
 
   struct Pending
   {
-    CallId call = 0;
+    TicketCallId call = 0;
     ChangeTicket ticket;
     Instant deadline;
     // The submitter has been told Unknown, but the fate still has to be found out.
@@ -78,7 +78,7 @@
   // State of the front of the queue.
   Step step = Step::Ready;
   std::uint64_t cycle = 0;
-  CallId call = 0;
+  TicketCallId call = 0;
   Instant callDeadline = kNever;
   Instant retryAt = kNever;
   TransactionId transaction;
--- a/packages/tickets/testing/include/oriolespread/tickets/testing/TicketWorld.h
+++ b/packages/tickets/testing/include/oriolespread/tickets/testing/TicketWorld.h
@@ -2,7 +2,7 @@
 // service can have. Equal seeds give equal runs.
 //
 //   TicketWorld world(options);
-//   const CallId call = world.Submit(0, ticket);
+//   const TicketCallId call = world.Submit(0, ticket);
 //   world.RunFor(std::chrono::seconds(5));
 //   world.Answer(call);
 #pragma once
@@ -91,15 +91,15 @@
   TicketBook& Book(std::size_t aEntry) { return *this->entries[aEntry].book; }
   ConfigView& Agent(std::size_t aAgent) { return this->agents[aAgent]; }
 
-  CallId Submit(std::size_t aEntry, ChangeTicket aTicket)
+  TicketCallId Submit(std::size_t aEntry, ChangeTicket aTicket)
   {
-    const CallId call = ++this->lastCall;
+    const TicketCallId call = ++this->lastCall;
     this->Handle(aEntry, SubmitTicket{ call, std::move(aTicket) });
     return call;
   }
 
   // Returns null while the call is not answered.
-  const SubmitAnswer* Answer(CallId aCall) const
+  const SubmitAnswer* Answer(TicketCallId aCall) const
   {
     const auto it = this->answers.find(aCall);
     return it == this->answers.end() ? nullptr : &it->second;
@@ -379,11 +379,11 @@
   std::vector<Entry> entries;
   std::vector<ConfigView> agents;
   std::priority_queue<Item> queue;
-  std::map<CallId, SubmitAnswer> answers;
+  std::map<TicketCallId, SubmitAnswer> answers;
   Instant now = Instant(std::chrono::hours(1));
   std::uint64_t lastItem = 0;
   std::uint64_t sameInstant = 0;
-  CallId lastCall = 0;
+  TicketCallId lastCall = 0;
 };
 
 // Returns a valid ticket that gives each organisation the weight.
--- a/packages/tickets/tests/TicketBookTest.cpp
+++ b/packages/tickets/tests/TicketBookTest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-SubmitOutcome OutcomeOf(const TicketWorld& aWorld, CallId aCall)
+SubmitOutcome OutcomeOf(const TicketWorld& aWorld, TicketCallId aCall)
 {
   REQUIRE(aWorld.Answer(aCall) != nullptr);
   INFO(aWorld.Answer(aCall)->findings.Report());
@@ -38,7 +38,7 @@
   TicketWorld world({});
   world.RunFor(seconds(1));
   REQUIRE(world.Book(0).Ready());
-  const CallId call = world.Submit(0, MakeTicket("t1", 0, { "a", "b" }, 2.0));
+  const TicketCallId call = world.Submit(0, MakeTicket("t1", 0, { "a", "b" }, 2.0));
   world.RunFor(seconds(1));
   CHECK(OutcomeOf(world, call) == SubmitOutcome::Accepted);
   CHECK(world.Answer(call)->number == TicketNumber{ 1 });
@@ -51,8 +51,8 @@
 {
   TicketWorld world({});
   world.RunFor(seconds(1));
-  const CallId first = world.Submit(0, MakeTicket("t1", 0, { "a" }));
-  const CallId second = world.Submit(1, MakeTicket("t2", 0, { "b" }));
+  const TicketCallId first = world.Submit(0, MakeTicket("t1", 0, { "a" }));
+  const TicketCallId second = world.Submit(1, MakeTicket("t2", 0, { "b" }));
   world.RunFor(seconds(2));
   CHECK(OutcomeOf(world, first) == SubmitOutcome::Accepted);
   CHECK(OutcomeOf(world, second) == SubmitOutcome::Accepted);
@@ -64,15 +64,15 @@
 {
   TicketWorld world({});
   world.RunFor(seconds(1));
-  const CallId first = world.Submit(0, MakeTicket("t1", 0, { "a", "x" }, 1.0));
-  const CallId second = world.Submit(1, MakeTicket("t2", 0, { "a", "b" }, 2.0));
+  const TicketCallId first = world.Submit(0, MakeTicket("t1", 0, { "a", "x" }, 1.0));
+  const TicketCallId second = world.Submit(1, MakeTicket("t2", 0, { "a", "b" }, 2.0));
   world.RunFor(seconds(2));
   CHECK(OutcomeOf(world, first) == SubmitOutcome::Accepted);
   REQUIRE(OutcomeOf(world, second) == SubmitOutcome::Conflict);
   const std::vector<TicketConflict> expected = { { "organisation/a", TicketNumber{ 1 } } };
   CHECK(world.Answer(second)->conflicts == expected);
   CHECK(WeightAt(world.Agent(0), "b") == 0.0);
-  const CallId third = world.Submit(1, MakeTicket("t3", 1, { "a", "b" }, 2.0));
+  const TicketCallId third = world.Submit(1, MakeTicket("t3", 1, { "a", "b" }, 2.0));
   world.RunFor(seconds(2));
   CHECK(OutcomeOf(world, third) == SubmitOutcome::Accepted);
   CheckAllAt(world, 2);
@@ -86,7 +86,7 @@
   TicketWorld world({});
   world.RunFor(seconds(1));
   (takesEffect ? world.faults.commitAnswerLost : world.faults.commitLost) = 1.0;
-  const CallId call = world.Submit(0, MakeTicket("t1", 0, { "a" }));
+  const TicketCallId call = world.Submit(0, MakeTicket("t1", 0, { "a" }));
   world.RunFor(milliseconds(3));
   world.faults = {};
   world.RunFor(seconds(2));
@@ -102,12 +102,12 @@
   world.RunFor(seconds(1));
   world.faults.commitAnswerLost = 1.0;
   world.faults.fateUnknown = 1.0;
-  const CallId call = world.Submit(0, MakeTicket("t1", 0, { "a" }));
+  const TicketCallId call = world.Submit(0, MakeTicket("t1", 0, { "a" }));
   world.RunFor(seconds(6));
   CHECK(OutcomeOf(world, call) == SubmitOutcome::Unknown);
   world.faults = {};
   world.RunFor(seconds(2));
-  const CallId again = world.Submit(1, MakeTicket("t1", 0, { "a" }));
+  const TicketCallId again = world.Submit(1, MakeTicket("t1", 0, { "a" }));
   world.RunFor(seconds(2));
   CHECK(OutcomeOf(world, again) == SubmitOutcome::Accepted);
   CHECK(world.Answer(again)->number == TicketNumber{ 1 });
@@ -119,14 +119,14 @@
 {
   TicketWorld world({});
   world.RunFor(seconds(1));
-  const CallId first = world.Submit(0, MakeTicket("t1", 0, { "a" }));
-  const CallId second = world.Submit(1, MakeTicket("t1", 0, { "a" }));
-  const CallId third = world.Submit(0, MakeTicket("t1", 0, { "a" }));
+  const TicketCallId first = world.Submit(0, MakeTicket("t1", 0, { "a" }));
+  const TicketCallId second = world.Submit(1, MakeTicket("t1", 0, { "a" }));
+  const TicketCallId third = world.Submit(0, MakeTicket("t1", 0, { "a" }));
   world.RunFor(seconds(2));
-  const CallId late = world.Submit(2, MakeTicket("t1", 0, { "a" }));
-  const CallId reused = world.Submit(2, MakeTicket("t1", 0, { "b" }));
+  const TicketCallId late = world.Submit(2, MakeTicket("t1", 0, { "a" }));
+  const TicketCallId reused = world.Submit(2, MakeTicket("t1", 0, { "b" }));
   world.RunFor(seconds(2));
-  for (const CallId call : { first, second, third, late }) {
+  for (const TicketCallId call : { first, second, third, late }) {
     CHECK(OutcomeOf(world, call) == SubmitOutcome::Accepted);
     CHECK(world.Answer(call)->number == TicketNumber{ 1 });
   }
@@ -143,7 +143,7 @@
   world.RunFor(milliseconds(3));
   world.StopEntry(0);
   world.StartEntry(0);
-  const CallId again = world.Submit(0, MakeTicket("t1", 0, { "a" }));
+  const TicketCallId again = world.Submit(0, MakeTicket("t1", 0, { "a" }));
   world.RunFor(seconds(2));
   CHECK(OutcomeOf(world, again) == SubmitOutcome::Accepted);
   CheckAllAt(world, 1);
@@ -157,14 +157,14 @@
   world.Submit(0, MakeTicket("t1", 0, { "a" }));
   world.RunFor(seconds(1));
   world.faults.storeDown = true;
-  const CallId refused = world.Submit(0, MakeTicket("t2", 1, { "a" }));
+  const TicketCallId refused = world.Submit(0, MakeTicket("t2", 1, { "a" }));
   world.RunFor(std::chrono::minutes(10));
   CHECK(OutcomeOf(world, refused) == SubmitOutcome::StoreUnavailable);
   CHECK_FALSE(world.Book(0).StoreReachable());
   CheckAllAt(world, 1);
   world.faults = {};
   world.RunFor(seconds(2));
-  const CallId accepted = world.Submit(0, MakeTicket("t2", 1, { "a" }));
+  const TicketCallId accepted = world.Submit(0, MakeTicket("t2", 1, { "a" }));
   world.RunFor(seconds(2));
   CHECK(OutcomeOf(world, accepted) == SubmitOutcome::Accepted);
   CheckAllAt(world, 2);
@@ -186,7 +186,7 @@
   CHECK(WeightAt(world.Book(1).View(), "a") == 3.0);
   world.faults = {};
   world.RunFor(seconds(2));
-  const CallId call = world.Submit(1, MakeTicket("t2", 1, { "a" }, 4.0));
+  const TicketCallId call = world.Submit(1, MakeTicket("t2", 1, { "a" }, 4.0));
   world.RunFor(seconds(2));
   CHECK(OutcomeOf(world, call) == SubmitOutcome::Accepted);
   CheckAllAt(world, 2);
@@ -211,7 +211,7 @@
   world.Submit(0, MakeTicket("t1", 0, { "a" }));
   world.RunFor(seconds(1));
   world.table = MemoryTable{};
-  const CallId call = world.Submit(0, MakeTicket("t2", 1, { "a" }));
+  const TicketCallId call = world.Submit(0, MakeTicket("t2", 1, { "a" }));
   world.RunFor(seconds(10));
   CheckAllAt(world, 1);
   CHECK(OutcomeOf(world, call) == SubmitOutcome::StoreUnavailable);
@@ -248,16 +248,16 @@
 {
   TicketWorld world({});
   world.RunFor(seconds(1));
-  const CallId ahead = world.Submit(0, MakeTicket("t1", 7, { "a" }));
+  const TicketCallId ahead = world.Submit(0, MakeTicket("t1", 7, { "a" }));
   ChangeTicket unknown = MakeTicket("t2", 0, { "a" });
   unknown.changes["colour/blue"] = 1;
   unknown.changes["organisation/a"]["weight"] = "heavy";
-  const CallId invalid = world.Submit(0, unknown);
+  const TicketCallId invalid = world.Submit(0, unknown);
   world.RunFor(seconds(2));
   CHECK(OutcomeOf(world, ahead) == SubmitOutcome::Invalid);
   CHECK(OutcomeOf(world, invalid) == SubmitOutcome::Invalid);
   CHECK(world.Answer(invalid)->findings.size() == 2);
-  std::vector<CallId> calls;
+  std::vector<TicketCallId> calls;
   for (int i = 0; i < 70; ++i) {
     calls.push_back(
       world.Submit(0, MakeTicket("s" + std::to_string(i), 0, { "a" + std::to_string(i) })));
@@ -281,7 +281,7 @@
   world.Submit(0, MakeTicket("t1", 0, { "a" }));
   world.RunFor(seconds(1));
   world.table.Commit({ TransactionId{ "damage" }, {}, { { key, value } } });
-  const CallId call = world.Submit(1, MakeTicket("t2", 1, { "a" }));
+  const TicketCallId call = world.Submit(1, MakeTicket("t2", 1, { "a" }));
   world.RunFor(seconds(8));
   REQUIRE(world.Answer(call) != nullptr);
   CHECK(world.Book(0).View().Number() >= TicketNumber{ 1 });
--- a/packages/tickets/tests/TicketRandomTest.cpp
+++ b/packages/tickets/tests/TicketRandomTest.cpp
@@ -18,7 +18,7 @@
 
 struct Submission
 {
-  CallId call = 0;
+  TicketCallId call = 0;
   ChangeTicket ticket;
   std::size_t entry = 0;
   // The entry has died since, so that there may be no answer.
