--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,11 +1,11 @@
 # Declares a package of the workspace.
 #
-#   oriolespread_package(NAME DEPS other_package ... LIBS imported::target ...)
+#   oriolespread_package(NAME DEPS other_package ... LIBS imported::target ... TEST_DEPS package ...)
 #
 # Sources are src/*.cpp, public headers include/oriolespread/NAME/*.h, tests tests/*Test.cpp.
 # Helpers shared by tests of several packages live in testing/include and form the target NAME_testing.
 function(oriolespread_package name)
-  cmake_parse_arguments(ARG "" "" "DEPS;LIBS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPS;LIBS;TEST_DEPS" ${ARGN})
   list(TRANSFORM ARG_DEPS PREPEND oriolespread_ OUTPUT_VARIABLE dep_targets)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
   set(target oriolespread_${name})
@@ -31,6 +31,9 @@
     if(TARGET ${target}_testing)
       target_link_libraries(${name}_tests PRIVATE ${target}_testing)
     endif()
+    foreach(dep ${ARG_TEST_DEPS})
+      target_link_libraries(${name}_tests PRIVATE oriolespread_${dep})
+    endforeach()
     target_include_directories(${name}_tests PRIVATE src tests)
     add_test(NAME ${name} COMMAND ${name}_tests WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
--- a/packages/apps/src/Agent.cpp
+++ b/packages/apps/src/Agent.cpp
@@ -1,6 +1,7 @@
 // The agent's program: one process beside each upstream or worker.
 
 #include "CommandLine.h"
+
 #include "oriolespread/service/AgentServer.h"
 #include "oriolespread/service/Log.h"
 
--- a/packages/apps/src/Commands.cpp
+++ b/packages/apps/src/Commands.cpp
@@ -21,9 +21,8 @@
 
 void AddClientOptions(cxxopts::Options& aOptions)
 {
-  aOptions.add_options()("entry",
-                         "address of an entry",
-                         cxxopts::value<std::string>()->default_value("127.0.0.1:8080"))(
+  aOptions.add_options()(
+    "entry", "address of an entry", cxxopts::value<std::string>()->default_value("127.0.0.1:8080"))(
     "token-file",
     "file with the bearer token; the environment variable ORIOLESPREAD_TOKEN by default",
     cxxopts::value<std::string>())("json", "print the entry's answer as JSON");
@@ -141,8 +140,8 @@
 void PrintState(const json& aAnswer)
 {
   for (const json& state : aAnswer["states"]) {
-    std::cout << state.value("key", "") << " (ticket " << state["number"] << ") = "
-              << state["value"].dump() << "\n";
+    std::cout << state.value("key", "") << " (ticket " << state["number"]
+              << ") = " << state["value"].dump() << "\n";
   }
 }
 
@@ -175,15 +174,14 @@
   const std::string subcommand = aCount > 1 ? aArguments[1] : "";
   cxxopts::Options options("oriolespread ticket " + subcommand, "Change tickets.");
   AddClientOptions(options);
-  options.add_options()("file", "submit: the ticket as JSON, - for standard input",
-                        cxxopts::value<std::string>())(
+  options.add_options()(
+    "file", "submit: the ticket as JSON, - for standard input", cxxopts::value<std::string>())(
     "number", "show: state at this ticket", cxxopts::value<std::uint64_t>())(
-    "after", "log: tickets after this one",
-    cxxopts::value<std::uint64_t>()->default_value("0"))(
+    "after", "log: tickets after this one", cxxopts::value<std::uint64_t>()->default_value("0"))(
     "limit", "log: how many", cxxopts::value<std::uint64_t>()->default_value("100"));
   int exitCode = 0;
-  const auto parsed = ParseOptions(options, aCount - (aCount > 1 ? 1 : 0),
-                                   aArguments + (aCount > 1 ? 1 : 0), exitCode);
+  const auto parsed = ParseOptions(
+    options, aCount - (aCount > 1 ? 1 : 0), aArguments + (aCount > 1 ? 1 : 0), exitCode);
   if (!parsed.has_value()) {
     return exitCode;
   }
@@ -194,9 +192,9 @@
     });
   }
   if (subcommand == "log") {
-    const std::string path = "/v1/tickets?after=" +
-                             std::to_string((*parsed)["after"].as<std::uint64_t>()) + "&limit=" +
-                             std::to_string((*parsed)["limit"].as<std::uint64_t>());
+    const std::string path =
+      "/v1/tickets?after=" + std::to_string((*parsed)["after"].as<std::uint64_t>()) +
+      "&limit=" + std::to_string((*parsed)["limit"].as<std::uint64_t>());
     return EntryCall(*parsed).Send("GET", path, "", PrintTickets);
   }
   if (subcommand == "show") {
@@ -214,14 +212,15 @@
   const std::string subcommand = aCount > 1 ? aArguments[1] : "";
   cxxopts::Options options("oriolespread job " + subcommand, "Jobs of an organisation.");
   AddClientOptions(options);
-  options.add_options()("file", "submit: the job as JSON, - for standard input",
-                        cxxopts::value<std::string>())(
+  options.add_options()(
+    "file", "submit: the job as JSON, - for standard input", cxxopts::value<std::string>())(
     "job", "show and cancel: name of the job", cxxopts::value<std::string>())(
-    "tasks", "cancel: comma-separated task numbers, all by default",
+    "tasks",
+    "cancel: comma-separated task numbers, all by default",
     cxxopts::value<std::string>()->default_value(""));
   int exitCode = 0;
-  const auto parsed = ParseOptions(options, aCount - (aCount > 1 ? 1 : 0),
-                                   aArguments + (aCount > 1 ? 1 : 0), exitCode);
+  const auto parsed = ParseOptions(
+    options, aCount - (aCount > 1 ? 1 : 0), aArguments + (aCount > 1 ? 1 : 0), exitCode);
   if (!parsed.has_value()) {
     return exitCode;
   }
--- a/packages/apps/src/Entry.cpp
+++ b/packages/apps/src/Entry.cpp
@@ -2,6 +2,7 @@
 
 #include "CommandLine.h"
 #include "Commands.h"
+
 #include "oriolespread/service/EntryServer.h"
 #include "oriolespread/service/Log.h"
 
--- a/packages/service/include/oriolespread/service/ApiServer.h
+++ b/packages/service/include/oriolespread/service/ApiServer.h
@@ -52,7 +52,8 @@
   void AddStatusRoutes();
   // Wrap a handler with the check of the caller's token.
   Handler ForOrganisation(
-    std::function<void(const OrganisationId&, const httplib::Request&, httplib::Response&)> aHandler);
+    std::function<void(const OrganisationId&, const httplib::Request&, httplib::Response&)>
+      aHandler);
   Handler ForOperator(Handler aHandler);
   Handler ForPeer(Handler aHandler);
 
--- a/packages/service/include/oriolespread/service/ControlDriver.h
+++ b/packages/service/include/oriolespread/service/ControlDriver.h
@@ -85,7 +85,9 @@
   void SubmitJob(JobSpec aSpec, std::function<void(const JobAnswer&)> aDone);
   void CancelJob(CancelRequest aRequest, std::function<void(const JobAnswer&)> aDone);
   // Shows a job of this organisation; another's looks unknown.
-  void ShowJob(JobId aJob, OrganisationId aOrganisation, std::function<void(const JobAnswer&)> aDone);
+  void ShowJob(JobId aJob,
+               OrganisationId aOrganisation,
+               std::function<void(const JobAnswer&)> aDone);
 
   void SubmitTicket(ChangeTicket aTicket, std::function<void(const SubmitAnswer&)> aDone);
   void ReadTickets(TicketNumber aAfter,
@@ -132,8 +134,7 @@
   void ResolveFate(const TransactionId& aId,
                    int aReadsLeft,
                    const std::function<void(const CommitOutcome&)>& aDone);
-  void FindShardOfJob(const JobId& aJob,
-                      std::function<void(const absl::StatusOr<ShardId>&)> aDone);
+  void FindShardOfJob(const JobId& aJob, std::function<void(const absl::StatusOr<ShardId>&)> aDone);
   JobAnswer AnswerFromOwner(std::size_t aShard,
                             const JobId& aJob,
                             const OrganisationId& aOrganisation) const;
--- a/packages/service/include/oriolespread/service/EntrySelector.h
+++ b/packages/service/include/oriolespread/service/EntrySelector.h
@@ -13,8 +13,8 @@
 namespace oriolespread {
 
 // The owner of the worker's shard comes first; the rest are chosen by rendezvous hashing, so that a
-// change of one entry moves only the links of that entry. At least one entry of the agent's own data
-// centre is among them where there is one. Not thread-safe.
+// change of one entry moves only the links of that entry. At least one entry of the agent's own
+// data centre is among them where there is one. Not thread-safe.
 class EntrySelector
 {
 public:
--- a/packages/service/include/oriolespread/service/RequestDriver.h
+++ b/packages/service/include/oriolespread/service/RequestDriver.h
@@ -5,14 +5,14 @@
 //   driver.Submit(std::move(request), [](const FinalAnswer& aAnswer) { ... });
 #pragma once
 
+#include "absl/container/flat_hash_map.h"
+
 #include "oriolespread/link/LinkListener.h"
 #include "oriolespread/requests/RequestEngine.h"
 #include "oriolespread/service/EventLoop.h"
 #include "oriolespread/service/LatencyHistogram.h"
 #include "oriolespread/service/StoreClient.h"
 
-#include "absl/container/flat_hash_map.h"
-
 #include <atomic>
 #include <functional>
 #include <map>
--- a/packages/service/src/AgentCore.cpp
+++ b/packages/service/src/AgentCore.cpp
@@ -1,6 +1,7 @@
 #include "oriolespread/service/AgentCore.h"
 
 #include "NewIncarnation.h"
+
 #include "oriolespread/service/Log.h"
 
 #include <algorithm>
@@ -51,7 +52,8 @@
         }
       }
     };
-    this->tasks = std::make_unique<TaskDriver>(aLoop, aSettings, this->incarnation, send, aCounters);
+    this->tasks =
+      std::make_unique<TaskDriver>(aLoop, aSettings, this->incarnation, send, aCounters);
   }
 }
 
@@ -138,8 +140,8 @@
 {
   for (const UpstreamInfo& info : this->book.Upstreams()) {
     const ServiceConfig* service = this->config.FindService(info.organisation, info.service);
-    const Duration objective = service == nullptr ? Duration::zero()
-                                                  : service->objective.value_or(Duration::zero());
+    const Duration objective =
+      service == nullptr ? Duration::zero() : service->objective.value_or(Duration::zero());
     this->book.SetObjective(info.organisation, info.service, objective);
   }
 }
@@ -222,9 +224,7 @@
 
 void AgentCore::OnLinkDown(const std::string& aAddress, std::string_view aReason)
 {
-  Log(LogLevel::Info,
-      "link_down",
-      { { "address", aAddress }, { "reason", std::string(aReason) } });
+  Log(LogLevel::Info, "link_down", { { "address", aAddress }, { "reason", std::string(aReason) } });
   Link& link = this->links.at(aAddress);
   const EntryId entry = link.entry.entry;
   this->ledger.RemoveLink(link.id);
@@ -301,16 +301,15 @@
   this->book.BeginCall(aRequest.upstream);
   ++this->callsInFlight;
   const Instant began = BootClock::now();
-  const auto done = [this, link, id = aRequest.upstream, began, aResponder](
-                      UpstreamResult aResult) {
-    this->loop.Deliver([this, link, id, began, aResponder, result = std::move(aResult)] {
-      this->FinishCall(link, id, began, result, aResponder);
-    });
-  };
+  const auto done =
+    [this, link, id = aRequest.upstream, began, aResponder](UpstreamResult aResult) {
+      this->loop.Deliver([this, link, id, began, aResponder, result = std::move(aResult)] {
+        this->FinishCall(link, id, began, result, aResponder);
+      });
+    };
   if (!this->caller.Call(upstream->second.address, aRequest, done)) {
     this->counters.Add("calls_refused_total", "no_connection");
-    this->FinishCall(
-      link, aRequest.upstream, began, { UpstreamEnd::NotConnected, {} }, aResponder);
+    this->FinishCall(link, aRequest.upstream, began, { UpstreamEnd::NotConnected, {} }, aResponder);
   }
 }
 
--- a/packages/service/src/ApiServer.cpp
+++ b/packages/service/src/ApiServer.cpp
@@ -2,6 +2,7 @@
 
 #include "ApiText.h"
 #include "Await.h"
+
 #include "oriolespread/auth/Sha256.h"
 #include "oriolespread/service/Log.h"
 #include "oriolespread/service/MetricsText.h"
@@ -183,8 +184,8 @@
 
 void ApiServer::AddServiceRoutes()
 {
-  const Handler handler = this->ForOrganisation(
-    [this](const auto& aOrganisation, const auto& aRequest, auto& aResponse) {
+  const Handler handler =
+    this->ForOrganisation([this](const auto& aOrganisation, const auto& aRequest, auto& aResponse) {
       this->ServeRequest(aOrganisation, aRequest, aResponse);
     });
   const char* pattern = "/v1/services/[^/]+(/.*)?";
@@ -244,23 +245,22 @@
 
 void ApiServer::AddJobRoutes()
 {
-  this->server.Post("/v1/jobs",
-                    this->ForOrganisation([this](const auto& aOrganisation,
-                                                 const auto& aRequest,
-                                                 auto& aResponse) {
-                      this->ServeSubmit(aOrganisation, aRequest, aResponse);
-                    }));
+  this->server.Post(
+    "/v1/jobs",
+    this->ForOrganisation([this](const auto& aOrganisation, const auto& aRequest, auto& aResponse) {
+      this->ServeSubmit(aOrganisation, aRequest, aResponse);
+    }));
   const char* pattern = "/v1/jobs/([A-Za-z0-9._-]+)";
-  this->server.Get(pattern,
-                   this->ForOrganisation(
-                     [this](const auto& aOrganisation, const auto& aRequest, auto& aResponse) {
-                       this->ServeShowJob(aOrganisation, aRequest, aResponse);
-                     }));
-  this->server.Delete(pattern,
-                      this->ForOrganisation(
-                        [this](const auto& aOrganisation, const auto& aRequest, auto& aResponse) {
-                          this->ServeCancel(aOrganisation, aRequest, aResponse);
-                        }));
+  this->server.Get(
+    pattern,
+    this->ForOrganisation([this](const auto& aOrganisation, const auto& aRequest, auto& aResponse) {
+      this->ServeShowJob(aOrganisation, aRequest, aResponse);
+    }));
+  this->server.Delete(
+    pattern,
+    this->ForOrganisation([this](const auto& aOrganisation, const auto& aRequest, auto& aResponse) {
+      this->ServeCancel(aOrganisation, aRequest, aResponse);
+    }));
   this->server.Get("/internal/v1/jobs/([A-Za-z0-9._-]+)/([A-Za-z0-9._-]+)",
                    this->ForPeer([this](const auto& aRequest, auto& aResponse) {
                      this->ServePeerJob(aRequest, aResponse);
@@ -281,9 +281,9 @@
   const auto view = this->Config();
   const QuotaConfig* quota = view->FindQuota(spec->team);
   if (!spec->team.Value().empty() &&
-      (quota == nullptr || std::find(quota->organisations.begin(),
-                                     quota->organisations.end(),
-                                     aOrganisation) == quota->organisations.end())) {
+      (quota == nullptr ||
+       std::find(quota->organisations.begin(), quota->organisations.end(), aOrganisation) ==
+         quota->organisations.end())) {
     findings.Add({ "job", 0, 0, "$.team" },
                  "is not a team of this organisation",
                  "a team whose quota names the organisation");
@@ -294,9 +294,8 @@
   const std::string name = spec->job.Value();
   spec->organisation = aOrganisation;
   spec->job = internal::ScopedJobId(aOrganisation, name);
-  const JobAnswer answer = AwaitJob([&](auto aDone) {
-    this->control.SubmitJob(*std::move(spec), std::move(aDone));
-  });
+  const JobAnswer answer =
+    AwaitJob([&](auto aDone) { this->control.SubmitJob(*std::move(spec), std::move(aDone)); });
   internal::SetJobAnswer(aResponse, answer, name);
   if (answer.status == JobAnswerStatus::Ok) {
     aResponse.status = kAccepted;
@@ -347,8 +346,8 @@
   request.job = internal::ScopedJobId(aOrganisation, name);
   request.tasks = *tasks;
   request.id = "cancel-" + Sha256Hex(name + "/" + aRequest.get_param_value("tasks"));
-  const JobAnswer answer = AwaitJob(
-    [&](auto aDone) { this->control.CancelJob(std::move(request), std::move(aDone)); });
+  const JobAnswer answer =
+    AwaitJob([&](auto aDone) { this->control.CancelJob(std::move(request), std::move(aDone)); });
   internal::SetJobAnswer(aResponse, answer, name);
   if (answer.status == JobAnswerStatus::Ok) {
     aResponse.status = kAccepted;
@@ -359,14 +358,12 @@
 
 void ApiServer::AddTicketRoutes()
 {
-  this->server.Post("/v1/tickets",
-                    this->ForOperator([this](const auto& aRequest, auto& aResponse) {
-                      this->ServeTicket(aRequest, aResponse);
-                    }));
-  this->server.Get("/v1/tickets",
-                   this->ForOperator([this](const auto& aRequest, auto& aResponse) {
-                     this->ServeTicketLog(aRequest, aResponse);
-                   }));
+  this->server.Post("/v1/tickets", this->ForOperator([this](const auto& aRequest, auto& aResponse) {
+    this->ServeTicket(aRequest, aResponse);
+  }));
+  this->server.Get("/v1/tickets", this->ForOperator([this](const auto& aRequest, auto& aResponse) {
+    this->ServeTicketLog(aRequest, aResponse);
+  }));
   this->server.Get("/v1/state", this->ForOperator([this](const auto& aRequest, auto& aResponse) {
     this->ServeState(aRequest, aResponse);
   }));
--- a/packages/service/src/ApiText.cpp
+++ b/packages/service/src/ApiText.cpp
@@ -20,10 +20,20 @@
 
 // Headers that concern one connection only, or that the entry itself sets or consumes.
 constexpr std::array<std::string_view, 14> kDroppedHeaders = {
-  "authorization", "connection",  "content-length",      "expect",
-  "host",          "keep-alive",  "proxy-authorization", "proxy-connection",
-  "te",            "trailer",     "transfer-encoding",   "upgrade",
-  "remote_addr",   "remote_port",
+  "authorization",
+  "connection",
+  "content-length",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "remote_addr",
+  "remote_port",
 };
 
 bool IsDropped(const std::string& aName)
@@ -188,8 +198,7 @@
 {
   SetFailure(aResponse, kBadRequest, "not_run", aReason);
   aResponse.set_content(
-    Dump(
-      { { "outcome", "not_run" }, { "reason", aReason }, { "findings", ToJson(aFindings) } }),
+    Dump({ { "outcome", "not_run" }, { "reason", aReason }, { "findings", ToJson(aFindings) } }),
     kJson);
 }
 
--- a/packages/service/src/ControlDriver.cpp
+++ b/packages/service/src/ControlDriver.cpp
@@ -1,10 +1,10 @@
 #include "oriolespread/service/ControlDriver.h"
 
 #include "JobView.h"
-#include "oriolespread/service/Log.h"
-
 #include "absl/strings/str_cat.h"
 
+#include "oriolespread/service/Log.h"
+
 #include <utility>
 
 namespace oriolespread {
@@ -73,9 +73,9 @@
     owner.horizon = this->options.shards.horizon;
     owner.journalPeriod = this->options.shards.journalInterval;
     owner.placementLimit = kPlacementLimit;
-    this->shards.push_back(
-      { std::make_unique<Owner>(owner, [this] { return this->MakePlacer(); }, this->counters),
-        asio::steady_timer(this->loop.Context()) });
+    this->shards.push_back({ std::make_unique<Owner>(
+                               owner, [this] { return this->MakePlacer(); }, this->counters),
+                             asio::steady_timer(this->loop.Context()) });
   }
 }
 
@@ -104,8 +104,8 @@
 {
   this->loop.TryPost([this, aAgent, aMessage] {
     if (const auto* announce = std::get_if<Announce>(&aMessage)) {
-      const bool isNew = !this->agents.contains(aAgent) ||
-                         this->agents[aAgent].incarnation != announce->incarnation;
+      const bool isNew =
+        !this->agents.contains(aAgent) || this->agents[aAgent].incarnation != announce->incarnation;
       this->agents[aAgent] = *announce;
       if (isNew) {
         this->HandleOwner(*this->ShardOf(aAgent), AgentUp{ *announce });
@@ -332,8 +332,7 @@
   }
 }
 
-void ControlDriver::ReplayState(TicketNumber aNumber,
-                                std::function<void(const StateAnswer&)> aDone)
+void ControlDriver::ReplayState(TicketNumber aNumber, std::function<void(const StateAnswer&)> aDone)
 {
   const bool posted = this->loop.TryPost([this, aNumber, aDone] {
     const TicketCallId call = ++this->lastCall;
@@ -413,10 +412,8 @@
   fresh.ready = this->tickets.Ready();
   fresh.storeReachable = this->tickets.StoreReachable();
   for (const ShardOwnerInfo& owner : this->KnownOwners()) {
-    fresh.shards.push_back({ owner.shard,
-                             this->shards[owner.shard.Value()].owner->Role(),
-                             owner.epoch,
-                             owner.entry });
+    fresh.shards.push_back(
+      { owner.shard, this->shards[owner.shard.Value()].owner->Role(), owner.epoch, owner.entry });
   }
   std::vector<std::string> addresses;
   for (const DirectoryEntry& entry : this->directory->Live()) {
--- a/packages/service/src/ControlJobs.cpp
+++ b/packages/service/src/ControlJobs.cpp
@@ -1,6 +1,7 @@
 // Submission, cancellation and queries of jobs.
 
 #include "JobView.h"
+
 #include "oriolespread/service/ControlDriver.h"
 
 #include <utility>
@@ -41,9 +42,8 @@
   const bool posted = this->loop.TryPost([this, spec = std::move(aSpec), aDone] {
     const ShardId shard = ShardsOfJob(spec.job, this->options.shards.count).first;
     const Transaction submit = MakeSubmit(this->NextTransactionId("submit"), shard, spec);
-    this->CommitKnown(submit, [aDone](const CommitOutcome& aOutcome) {
-      aDone(AnswerOf(StatusOf(aOutcome)));
-    });
+    this->CommitKnown(
+      submit, [aDone](const CommitOutcome& aOutcome) { aDone(AnswerOf(StatusOf(aOutcome))); });
   });
   if (!posted) {
     aDone(AnswerOf(JobAnswerStatus::Busy));
@@ -53,19 +53,20 @@
 void ControlDriver::CancelJob(CancelRequest aRequest, std::function<void(const JobAnswer&)> aDone)
 {
   const bool posted = this->loop.TryPost([this, request = std::move(aRequest), aDone] {
-    this->FindShardOfJob(request.job, [this, request, aDone](const absl::StatusOr<ShardId>& aShard) {
-      if (!aShard.ok()) {
-        aDone(AnswerOf(absl::IsNotFound(aShard.status()) ? JobAnswerStatus::NotFound
-                                                         : JobAnswerStatus::StoreUnavailable));
-        return;
-      }
-      const Transaction cancel = MakeCancel(this->NextTransactionId("cancel"), *aShard, request);
-      this->CommitKnown(cancel, [aDone](const CommitOutcome& aOutcome) {
-        // A conflict means that the same cancellation is recorded already.
-        const JobAnswerStatus status = StatusOf(aOutcome);
-        aDone(AnswerOf(status == JobAnswerStatus::Exists ? JobAnswerStatus::Ok : status));
+    this->FindShardOfJob(
+      request.job, [this, request, aDone](const absl::StatusOr<ShardId>& aShard) {
+        if (!aShard.ok()) {
+          aDone(AnswerOf(absl::IsNotFound(aShard.status()) ? JobAnswerStatus::NotFound
+                                                           : JobAnswerStatus::StoreUnavailable));
+          return;
+        }
+        const Transaction cancel = MakeCancel(this->NextTransactionId("cancel"), *aShard, request);
+        this->CommitKnown(cancel, [aDone](const CommitOutcome& aOutcome) {
+          // A conflict means that the same cancellation is recorded already.
+          const JobAnswerStatus status = StatusOf(aOutcome);
+          aDone(AnswerOf(status == JobAnswerStatus::Exists ? JobAnswerStatus::Ok : status));
+        });
       });
-    });
   });
   if (!posted) {
     aDone(AnswerOf(JobAnswerStatus::Busy));
@@ -77,14 +78,15 @@
                             std::function<void(const JobAnswer&)> aDone)
 {
   const bool posted = this->loop.TryPost([this, job = std::move(aJob), aOrganisation, aDone] {
-    this->FindShardOfJob(job, [this, job, aOrganisation, aDone](const absl::StatusOr<ShardId>& aShard) {
-      if (aShard.ok()) {
-        aDone(this->AnswerFromOwner(aShard->Value(), job, aOrganisation));
-        return;
-      }
-      aDone(AnswerOf(absl::IsNotFound(aShard.status()) ? JobAnswerStatus::NotFound
-                                                       : JobAnswerStatus::StoreUnavailable));
-    });
+    this->FindShardOfJob(
+      job, [this, job, aOrganisation, aDone](const absl::StatusOr<ShardId>& aShard) {
+        if (aShard.ok()) {
+          aDone(this->AnswerFromOwner(aShard->Value(), job, aOrganisation));
+          return;
+        }
+        aDone(AnswerOf(absl::IsNotFound(aShard.status()) ? JobAnswerStatus::NotFound
+                                                         : JobAnswerStatus::StoreUnavailable));
+      });
   });
   if (!posted) {
     aDone(AnswerOf(JobAnswerStatus::Busy));
@@ -165,8 +167,9 @@
     } else if (aReadsLeft <= 1) {
       aDone({ CommitStatus::Unknown, {}, {} });
     } else {
-      this->loop.After(kFateInterval,
-                       [this, aId, aReadsLeft, aDone] { this->ResolveFate(aId, aReadsLeft - 1, aDone); });
+      this->loop.After(kFateInterval, [this, aId, aReadsLeft, aDone] {
+        this->ResolveFate(aId, aReadsLeft - 1, aDone);
+      });
     }
   });
 }
--- a/packages/service/src/EntryDirectoryKeeper.cpp
+++ b/packages/service/src/EntryDirectoryKeeper.cpp
@@ -17,7 +17,8 @@
 std::optional<DirectoryEntry> ParseRow(const Row& aRow)
 {
   try {
-    return DirectoryEntry{ { EntryId{ aRow.key.substr(std::string(EntryDirectoryKeeper::kPrefix).size()) },
+    return DirectoryEntry{ { EntryId{
+                               aRow.key.substr(std::string(EntryDirectoryKeeper::kPrefix).size()) },
                              aRow.value.at("data_centre").get<DataCentreId>(),
                              aRow.value.at("link_address").get<std::string>() },
                            aRow.value.at("http_address").get<std::string>() };
--- a/packages/service/src/EntrySelector.cpp
+++ b/packages/service/src/EntrySelector.cpp
@@ -49,11 +49,12 @@
 std::vector<EntryInfo> EntrySelector::Wanted() const
 {
   std::vector<EntryInfo> entries = this->directory.entries;
-  std::sort(entries.begin(), entries.end(), [this](const EntryInfo& aLeft, const EntryInfo& aRight) {
-    const std::uint64_t left = Weight(this->agent, aLeft.entry);
-    const std::uint64_t right = Weight(this->agent, aRight.entry);
-    return std::tie(left, aLeft.entry) > std::tie(right, aRight.entry);
-  });
+  std::sort(
+    entries.begin(), entries.end(), [this](const EntryInfo& aLeft, const EntryInfo& aRight) {
+      const std::uint64_t left = Weight(this->agent, aLeft.entry);
+      const std::uint64_t right = Weight(this->agent, aRight.entry);
+      return std::tie(left, aLeft.entry) > std::tie(right, aRight.entry);
+    });
   const std::optional<EntryId> ownerId = this->Owner();
   std::stable_partition(entries.begin(), entries.end(), [&](const EntryInfo& aEntry) {
     return ownerId.has_value() && aEntry.entry == *ownerId;
--- a/packages/service/src/EntryServer.cpp
+++ b/packages/service/src/EntryServer.cpp
@@ -2,6 +2,7 @@
 
 #include "NewIncarnation.h"
 #include "PolicyOfConfig.h"
+
 #include "oriolespread/service/Log.h"
 
 #include <utility>
--- a/packages/service/src/RequestDriver.cpp
+++ b/packages/service/src/RequestDriver.cpp
@@ -120,8 +120,7 @@
 
 void RequestDriver::Drain(Duration aLimit)
 {
-  this->loop.Deliver(
-    [this, aLimit] { this->Handle(DrainRequested{ BootClock::now() + aLimit }); });
+  this->loop.Deliver([this, aLimit] { this->Handle(DrainRequested{ BootClock::now() + aLimit }); });
 }
 
 void RequestDriver::Handle(const RequestEvent& aEvent)
@@ -187,13 +186,12 @@
 
 void RequestDriver::Apply(const ScanRow& aEffect)
 {
-  this->store.Scan(
-    aEffect.key,
-    "",
-    1,
-    [this, operation = aEffect.operation](const absl::StatusOr<ScanPage>& aPage) {
-      this->Handle(RowScanDone{ operation, aPage });
-    });
+  this->store.Scan(aEffect.key,
+                   "",
+                   1,
+                   [this, operation = aEffect.operation](const absl::StatusOr<ScanPage>& aPage) {
+                     this->Handle(RowScanDone{ operation, aPage });
+                   });
 }
 
 void RequestDriver::Apply(const SendCreditDemand& aEffect)
@@ -210,7 +208,8 @@
       this->Handle(CallAnswered{ aCall, aRequest, ToHttpAnswer(aResult.answer) });
       return;
     case CallEnd::NotRun:
-      this->Handle(CallNotRun{ aCall, ParseReason(aResult.reason).value_or(Reason::StreamRefused) });
+      this->Handle(
+        CallNotRun{ aCall, ParseReason(aResult.reason).value_or(Reason::StreamRefused) });
       return;
     case CallEnd::Unknown:
       this->Handle(CallUnknown{ aCall, ParseReason(aResult.reason).value_or(Reason::StreamReset) });
--- a/packages/service/src/TaskDriver.cpp
+++ b/packages/service/src/TaskDriver.cpp
@@ -46,20 +46,20 @@
   RunnerEvent operator()(const WorkerStartCall& aCall) const
   {
     return WorkerDone{ this->call, WithLease(aCall.leaseUntil, [&](Duration aLease) {
-                        return this->worker.Start(aCall.start, aLease);
-                      }) };
+                         return this->worker.Start(aCall.start, aLease);
+                       }) };
   }
   RunnerEvent operator()(const WorkerRenewCall& aCall) const
   {
     return WorkerDone{ this->call, WithLease(aCall.leaseUntil, [&](Duration aLease) {
-                        return this->worker.Renew(aCall.attempts, aLease);
-                      }) };
+                         return this->worker.Renew(aCall.attempts, aLease);
+                       }) };
   }
   RunnerEvent operator()(const WorkerResumeCall& aCall) const
   {
     return WorkerDone{ this->call, WithLease(aCall.leaseUntil, [&](Duration aLease) {
-                        return this->worker.Resume(aCall.attempt, aLease);
-                      }) };
+                         return this->worker.Resume(aCall.attempt, aLease);
+                       }) };
   }
   RunnerEvent operator()(const WorkerPauseCall& aCall) const
   {
--- a/packages/service/src/UpstreamCaller.cpp
+++ b/packages/service/src/UpstreamCaller.cpp
@@ -19,8 +19,7 @@
 
 bool IsWhole(const CallRequest& aRequest, const httplib::Response& aResponse)
 {
-  if (MayLackBody(aRequest.method, aResponse.status) ||
-      aResponse.has_header("Transfer-Encoding")) {
+  if (MayLackBody(aRequest.method, aResponse.status) || aResponse.has_header("Transfer-Encoding")) {
     return true;
   }
   // The library has checked that the body has the declared length.
--- a/packages/service/tests/EntryDirectoryKeeperTest.cpp
+++ b/packages/service/tests/EntryDirectoryKeeperTest.cpp
@@ -1,9 +1,9 @@
 #include "oriolespread/service/EntryDirectoryKeeper.h"
 
-#include <catch2/catch.hpp>
-
 #include "oriolespread/platform/MemoryTable.h"
 
+#include <catch2/catch.hpp>
+
 using namespace oriolespread;
 
 namespace {
