--- a/packages/messages/include/oriolespread/messages/ControlMessages.h
+++ b/packages/messages/include/oriolespread/messages/ControlMessages.h
@@ -20,7 +20,8 @@
 };
 
 // Entry to agent: the states that changed in (`from`, `number`]. With `from` 0 it is the whole
-// state. A receiver below `from` asks for the whole state by its next LoadReport's number.
+// state. A receiver below `from` asks for the whole state by its next LoadReport's number. With
+// `number` 0 the sender has no state and asks for the receiver's, which comes back in this form.
 struct TicketUpdate
 {
   TicketNumber from;
--- a/packages/tickets/src/AgentLinks.cpp
+++ b/packages/tickets/src/AgentLinks.cpp
@@ -54,6 +54,11 @@
 
 void AgentLinks::OnState(Instant aNow, const TicketAgentState& aState, TicketEffects& aEffects)
 {
+  if (this->state->storeReachable) {
+    // The table service decides; a state that an agent sends is only used in its absence.
+    this->state->Count("ticket_agent_states_total", "not_needed");
+    return;
+  }
   if (aState.state.number <= this->state->view.Number()) {
     return;
   }
--- a/packages/tickets/testing/include/oriolespread/tickets/testing/TicketWorld.h
+++ b/packages/tickets/testing/include/oriolespread/tickets/testing/TicketWorld.h
@@ -13,12 +13,15 @@
 #include "oriolespread/tickets/ConfigView.h"
 #include "oriolespread/tickets/TicketBook.h"
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
-#include <queue>
+#include <set>
 #include <stdexcept>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace oriolespread::testing {
@@ -54,7 +57,8 @@
   double messageTwice = 0.0;
   // Up to this much is added to the delay of each message, so that messages overtake one another.
   Duration jitter = Duration::zero();
-  bool pushesLost = false;
+  // The first update to each agent on each link for each number is lost.
+  bool firstPushesLost = false;
   bool notificationsLost = false;
 };
 
@@ -143,9 +147,10 @@
   void RunFor(Duration aDuration)
   {
     const Instant end = this->now + aDuration;
-    while (!this->queue.empty() && this->queue.top().at <= end) {
-      Item item = this->queue.top();
-      this->queue.pop();
+    while (!this->queue.empty() && this->queue.front().at <= end) {
+      std::pop_heap(this->queue.begin(), this->queue.end());
+      const Item item = std::move(this->queue.back());
+      this->queue.pop_back();
       this->CheckProgress(item.at);
       this->now = item.at;
       item.run();
@@ -155,7 +160,8 @@
 
   void At(Instant aAt, std::function<void()> aRun)
   {
-    this->queue.push({ aAt, ++this->lastItem, std::move(aRun) });
+    this->queue.push_back({ aAt, ++this->lastItem, std::move(aRun) });
+    std::push_heap(this->queue.begin(), this->queue.end());
   }
 
 private:
@@ -280,7 +286,9 @@
   {
     std::map<const TicketUpdate*, std::size_t> sizes;
     for (const AgentUpdate& push : aUpdates) {
-      if (this->faults.pushesLost) {
+      const std::size_t agent = std::stoul(push.agent.Value().substr(1));
+      if (this->faults.firstPushesLost &&
+          this->firstPushes.emplace(aEntry, agent, push.update->number).second) {
         continue;
       }
       if (this->options.measureBytes) {
@@ -288,7 +296,6 @@
         size = size == 0 ? EncodeMessage(*push.update).size() : size;
         this->updateBytes += size;
       }
-      const std::size_t agent = std::stoul(push.agent.Value().substr(1));
       this->Send(this->entries.size() + agent, aEntry, [this, aEntry, agent, update = push.update] {
         this->Deliver(aEntry, agent, *update);
       });
@@ -378,8 +385,10 @@
   RandomSource random;
   std::vector<Entry> entries;
   std::vector<ConfigView> agents;
-  std::priority_queue<Item> queue;
+  // A heap with the earliest item in front.
+  std::vector<Item> queue;
   std::map<CallId, SubmitAnswer> answers;
+  std::set<std::tuple<std::size_t, std::size_t, TicketNumber>> firstPushes;
   Instant now = Instant(std::chrono::hours(1));
   std::uint64_t lastItem = 0;
   std::uint64_t sameInstant = 0;
