--- a/packages/tickets/testing/include/oriolespread/tickets/testing/TicketWorld.h
+++ b/packages/tickets/testing/include/oriolespread/tickets/testing/TicketWorld.h
@@ -12,6 +12,7 @@
 #include "oriolespread/platform/MemoryTable.h"
 #include "oriolespread/tickets/ConfigView.h"
 #include "oriolespread/tickets/TicketBook.h"
+#include "oriolespread/tickets/testing/SampleTickets.h"
 
 #include <algorithm>
 #include <functional>
@@ -395,17 +396,4 @@
   CallId lastCall = 0;
 };
 
-// Returns a valid ticket that gives each organisation the weight.
-inline ChangeTicket MakeTicket(const std::string& aId,
-                               std::uint64_t aBasedOn,
-                               const std::vector<std::string>& aOrganisations,
-                               double aWeight = 1.0)
-{
-  ChangeTicket ticket{ TicketId{ aId }, TicketNumber{ aBasedOn }, "operator@example", {} };
-  for (const std::string& organisation : aOrganisations) {
-    ticket.changes["organisation/" + organisation] = { { "weight", aWeight } };
-  }
-  return ticket;
-}
-
 } // namespace oriolespread::testing
