Refuse keyed requests at once while the table service is down

Each keyed request of an outage left a write whose fate was read again every 200 ms until the outage ended, and its caller waited until the deadline. After three failures in a row one request a second is let through as a probe and all others are refused at once; the interval between reads of one fate doubles up to 10 s.

--- a/packages/bench/src/RequestsSite.cpp
+++ b/packages/bench/src/RequestsSite.cpp
@@ -303,6 +303,7 @@
   const StoreFault fault = this->storeFault;
   const bool lost = fault == StoreFault::Unknown;
   const Duration time = lost ? kStoreTimeout : kStoreTime;
+  this->storeOperations += std::holds_alternative<CancelCall>(aEffect) ? 0 : 1;
   if (const auto* commit = std::get_if<CommitTransaction>(&aEffect)) {
     TransactionDone done{ commit->operation, {} };
     if (fault == StoreFault::None) {
--- a/packages/bench/src/RequestsSite.h
+++ b/packages/bench/src/RequestsSite.h
@@ -125,6 +125,8 @@
   std::size_t ServedBy(std::size_t aWorker) const { return this->served[aWorker]; }
   std::uint64_t Count(std::string_view aCounter) const;
   std::uint64_t Count(std::string_view aCounter, std::string_view aLabel) const;
+  // Returns the operations that entries have asked the table service for.
+  std::uint64_t StoreOperations() const { return this->storeOperations; }
   RequestLoad Load() const;
 
 private:
@@ -184,6 +186,7 @@
   std::uint64_t lastRequest = 0;
   std::uint64_t lastStart = 0;
   std::uint64_t attempts = 0;
+  std::uint64_t storeOperations = 0;
   std::size_t nextWorker = 0;
   std::size_t falseNotRun = 0;
   std::size_t runTwice = 0;
--- a/packages/bench/src/RequestsStoreBench.cpp
+++ b/packages/bench/src/RequestsStoreBench.cpp
@@ -19,8 +19,10 @@
     options.traffic.push_back({ kKeyed, 40.0, 1.0, 1.0 });
     RequestsSite site(options);
     site.Run(std::chrono::seconds(10), false);
+    const std::uint64_t before = site.StoreOperations();
     site.SetStoreFault(fault);
     site.Run(std::chrono::minutes(10), true);
+    const std::uint64_t operations = site.StoreOperations() - before;
     site.SetStoreFault(StoreFault::None);
     site.Run(std::chrono::seconds(5), false);
     site.Finish();
@@ -41,6 +43,11 @@
                       static_cast<double>(count) / static_cast<double>(keyed.offered),
                       "ratio",
                       {} });
+    aContext.Report({ name + "_table_operations",
+                      {},
+                      static_cast<double>(operations) / 600.0,
+                      "per second",
+                      {} });
     aContext.Report(
       { name + "_false_not_run", {}, static_cast<double>(site.FalseNotRun()), "requests", 0.0 });
     aContext.Report(
--- a/packages/requests/src/EngineCore.cpp
+++ b/packages/requests/src/EngineCore.cpp
@@ -96,7 +96,7 @@
   active.gated = aEvent.idempotencyKey.has_value();
   if (!active.gated) {
     this->Enqueue(active);
-  } else if (!this->gate.Begin(active.request, *this->effects)) {
+  } else if (!this->gate.Begin(this->now, active.request, *this->effects)) {
     this->Fail(active, Outcome::NotRun, Reason::StoreUnavailable);
   }
 }
--- a/packages/requests/src/IdempotencyGate.cpp
+++ b/packages/requests/src/IdempotencyGate.cpp
@@ -13,9 +13,14 @@
 {
 }
 
-bool IdempotencyGate::Begin(const NewRequest& aRequest, RequestEffects& aEffects)
+bool IdempotencyGate::Begin(Instant aNow, const NewRequest& aRequest, RequestEffects& aEffects)
 {
   if (this->entries.size() >= kMaxEntries) {
+    this->counters.Add("idempotency_refused_total", "gate_full");
+    return false;
+  }
+  if (!this->health.TryUse(aNow)) {
+    this->counters.Add("idempotency_refused_total", "store_down");
     return false;
   }
   auto added = std::make_unique<Entry>();
@@ -74,7 +79,13 @@
   if (held == nullptr) {
     return;
   }
-  switch (aDone.outcome.status) {
+  const CommitStatus status = aDone.outcome.status;
+  if (status == CommitStatus::Committed || status == CommitStatus::Conflict) {
+    this->health.RecordAnswer();
+  } else {
+    this->health.RecordFailure();
+  }
+  switch (status) {
     case CommitStatus::Committed:
       this->Written(*held, aDone.outcome.version, aEffects, aVerdicts);
       return;
@@ -113,6 +124,11 @@
   if (held == nullptr) {
     return;
   }
+  if (aDone.outcome.fate == TransactionFate::Unknown) {
+    this->health.RecordFailure();
+  } else {
+    this->health.RecordAnswer();
+  }
   switch (aDone.outcome.fate) {
     case TransactionFate::Committed:
       this->Written(*held, aDone.outcome.version, aEffects, aVerdicts);
@@ -130,7 +146,8 @@
       return;
     case TransactionFate::Unknown:
       held->step = Step::ReadingFate;
-      this->WakeAt(*held, aNow + kFateInterval);
+      this->WakeAt(*held, aNow + held->fateInterval);
+      held->fateInterval = std::min(held->fateInterval * 2, kMaxFateInterval);
       return;
   }
 }
@@ -144,11 +161,13 @@
     return;
   }
   if (!aDone.page.ok()) {
+    this->health.RecordFailure();
     // The work of an earlier request with this key may have been done.
     const Outcome outcome = held->earlier ? Outcome::Unknown : Outcome::NotRun;
     this->Refuse(*held, outcome, Reason::StoreUnavailable, aVerdicts);
     return;
   }
+  this->health.RecordAnswer();
   const auto& rows = aDone.page->rows;
   const auto row =
     std::find_if(rows.begin(), rows.end(), [&](const Row& aRow) { return aRow.key == held->key; });
--- a/packages/requests/src/IdempotencyGate.h
+++ b/packages/requests/src/IdempotencyGate.h
@@ -1,6 +1,7 @@
 // Lets each idempotency key through once and keeps its answer in the table service.
 #pragma once
 
+#include "StoreHealth.h"
 #include "absl/container/flat_hash_map.h"
 
 #include "oriolespread/base/Counters.h"
@@ -39,7 +40,10 @@
 class IdempotencyGate
 {
 public:
+  // The interval between reads of one fate doubles up to kMaxFateInterval, because an outage may
+  // last for minutes.
   static constexpr Duration kFateInterval = std::chrono::milliseconds(200);
+  static constexpr Duration kMaxFateInterval = std::chrono::seconds(10);
   static constexpr Duration kStoreInterval = std::chrono::seconds(1);
   static constexpr std::uint32_t kMaxTries = 3;
   // Keyed requests beyond this are refused, because each holds memory until its record is settled.
@@ -47,8 +51,9 @@
 
   IdempotencyGate(EntryId aEntry, Incarnation aIncarnation, Counters& aCounters);
 
-  // Returns false when the gate is full.
-  bool Begin(const NewRequest& aRequest, RequestEffects& aEffects);
+  // Returns false when the gate is full or the table service is known to be down; nothing was
+  // written then.
+  bool Begin(Instant aNow, const NewRequest& aRequest, RequestEffects& aEffects);
   // The request was answered: records the answer.
   void Finish(const RequestId& aRequest, HttpAnswerPtr aAnswer, RequestEffects& aEffects);
   // The request was given up. With NotRun its record is removed, so that the caller may repeat it;
@@ -102,6 +107,7 @@
     TransactionId transaction;
     RowVersion version;
     std::uint32_t tries = 0;
+    Duration fateInterval = kFateInterval;
     Instant wakeAt = Instant::max();
     HttpAnswerPtr answer;
   };
@@ -122,6 +128,7 @@
   EntryId entry;
   Incarnation incarnation;
   Counters& counters;
+  StoreHealth health;
   std::uint64_t lastOperation = 0;
   // No entry has to be looked at before.
   Instant nextWake = Instant::max();
--- a/packages/requests/tests/IdempotencyTest.cpp
+++ b/packages/requests/tests/IdempotencyTest.cpp
@@ -166,3 +166,23 @@
   CHECK(h.ResultOf(repeat) == "unknown/idempotency_in_progress");
   CHECK(h.All<StartCall>().size() == 1);
 }
+
+// Guards against piling up writes of unknown fate, and against holding callers, while the store is
+// down; and against refusing for ever once it is back.
+TEST_CASE("IdempotencyGate RefusesAtOnceWhileTheStoreIsKnownToBeDown")
+{
+  MemoryTable table;
+  KeyedHarness h(table);
+  for (int i = 0; i < 100; ++i) {
+    h.Send("POST", seconds(5), std::to_string(i));
+    h.Settle(Store::Down);
+  }
+  CHECK(h.All<CommitTransaction>().size() <= 4);
+  CHECK(h.All<FinalAnswer>().size() == 100);
+  h.Pass(seconds(1));
+  h.Send("POST", seconds(5), "probe");
+  h.Settle(Store::Up);
+  h.Send("POST", seconds(5), "next");
+  h.Settle(Store::Up);
+  CHECK(h.All<StartCall>().size() == 2);
+}
