Break ties in the division of slots in another order for each upstream

With the link as tie break the same entry got the odd, smaller share of every upstream: 22 of 88 slots instead of 29. Its callers queued while the other entries had slots to spare. Ties are now broken by a hash of upstream and link.

--- a/packages/requests/include/oriolespread/requests/CreditLedger.h
+++ b/packages/requests/include/oriolespread/requests/CreditLedger.h
@@ -76,8 +76,10 @@
     std::uint32_t heldSlots = 0;
     bool live = true;
     bool changed = true;
+    // Decides who gets the odd slot, in another order for each upstream; by link alone one entry
+    // would get the small share of every upstream.
+    std::uint64_t rank = 0;
   };
-  // Ordered, so that the division does not depend on hash order.
   using Shares = std::map<LinkId, Share>;
   struct Account
   {
@@ -89,6 +91,7 @@
     Shares shares;
   };
 
+  static Share MakeShare(const UpstreamId& aUpstream, LinkId aLink);
   static void Divide(Account& aAccount);
   static CreditGrant MakeGrant(const UpstreamId& aUpstream, Account& aAccount, const Share& aShare);
 
--- a/packages/requests/src/CreditLedger.cpp
+++ b/packages/requests/src/CreditLedger.cpp
@@ -2,6 +2,8 @@
 
 #include "CreditDivision.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace oriolespread {
@@ -23,7 +25,7 @@
   account.connections = aConnections;
   account.removed = false;
   for (const LinkId link : this->links) {
-    Share& share = account.shares[link];
+    Share& share = account.shares.try_emplace(link, MakeShare(aUpstream, link)).first->second;
     share.changed = share.changed || renewed;
   }
   Divide(account);
@@ -52,7 +54,7 @@
   }
   this->links.push_back(aLink);
   for (auto& [upstream, account] : this->accounts) {
-    account.shares[aLink] = Share{};
+    account.shares[aLink] = MakeShare(upstream, aLink);
     Divide(account);
   }
 }
@@ -202,25 +204,39 @@
   return sum;
 }
 
+CreditLedger::Share CreditLedger::MakeShare(const UpstreamId& aUpstream, LinkId aLink)
+{
+  Share share;
+  share.rank = XXH64(
+    aUpstream.Value().data(), aUpstream.Value().size(), static_cast<XXH64_hash_t>(aLink.Value()));
+  return share;
+}
+
 void CreditLedger::Divide(Account& aAccount)
 {
-  std::vector<internal::Claim> claims;
-  claims.reserve(aAccount.shares.size());
+  std::vector<Share*> shares;
   for (auto& [link, share] : aAccount.shares) {
     share.heldSlots = std::min(share.inFlight, std::max(share.heldSlots, share.slots));
-    claims.push_back({ share.demand, share.heldSlots, share.live });
+    shares.push_back(&share);
+  }
+  std::stable_sort(shares.begin(), shares.end(), [](const Share* aLeft, const Share* aRight) {
+    return aLeft->rank < aRight->rank;
+  });
+  std::vector<internal::Claim> claims;
+  claims.reserve(shares.size());
+  for (const Share* share : shares) {
+    claims.push_back({ share->demand, share->heldSlots, share->live });
   }
   const std::uint32_t total = std::min(aAccount.slots, aAccount.connections);
   const std::vector<std::uint32_t> slots = internal::DivideSlots(total, claims);
   // With whole multiples of the slots, the bound on slots granted and held carries over to
   // connections.
   const std::uint32_t perSlot = total == 0 ? 0 : aAccount.connections / total;
-  std::size_t index = 0;
-  for (auto& [link, share] : aAccount.shares) {
-    const std::uint32_t granted = slots[index++];
-    share.changed = share.changed || granted != share.slots;
-    share.slots = granted;
-    share.connections = granted * perSlot;
+  for (std::size_t i = 0; i < shares.size(); ++i) {
+    Share& share = *shares[i];
+    share.changed = share.changed || slots[i] != share.slots;
+    share.slots = slots[i];
+    share.connections = slots[i] * perSlot;
   }
 }
 
