--- a/packages/bench/src/PlacementInterferenceBench.cpp
+++ b/packages/bench/src/PlacementInterferenceBench.cpp
@@ -69,6 +69,20 @@
   return aKind == absl::StrCat("kind", aService);
 }
 
+// Returns the greatest number of the times, which ascend, that fall within one hour.
+double MostInAnHour(const std::vector<Instant>& aTimes)
+{
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t i = 0; i < aTimes.size(); ++i) {
+    while (aTimes[first] + std::chrono::hours(1) <= aTimes[i]) {
+      ++first;
+    }
+    most = std::max(most, i - first + 1);
+  }
+  return static_cast<double>(most);
+}
+
 class InterferenceRun
 {
 public:
@@ -96,14 +110,9 @@
         this->ReportLatency();
       }
     }
-    for (auto& [job, times] : this->evictionTimes) {
-      for (std::size_t i = 0; i < times.size(); ++i) {
-        const auto inHour = std::count_if(times.begin(), times.end(), [&](Instant aTime) {
-          return aTime >= times[i] && aTime < times[i] + std::chrono::hours(1);
-        });
-        this->result.mostEvictionsOfJobInHour =
-          std::max(this->result.mostEvictionsOfJobInHour, static_cast<double>(inHour));
-      }
+    for (const auto& entry : this->evictionTimes) {
+      this->result.mostEvictionsOfJobInHour =
+        std::max(this->result.mostEvictionsOfJobInHour, MostInAnHour(entry.second));
     }
     return this->result;
   }
--- a/packages/placement/src/PlacementEngine.cpp
+++ b/packages/placement/src/PlacementEngine.cpp
@@ -15,6 +15,7 @@
                    this->tasks.At(aEntry.task).phase == TaskPhase::Queued;
           })
   , reservations(this->capacity)
+  , headroom(this->capacity, aCounters)
   , victims(this->tasks.Records())
   , health(aCounters)
   , steps(this->interference, aCounters)
@@ -97,6 +98,7 @@
 
 void PlacementEngine::CancelReservationsOn(WorkerIndex aWorker)
 {
+  this->headroom.Drop(aWorker);
   for (const TaskIndex task : this->reservations.OnWorker(aWorker)) {
     this->CancelReservation(this->now, task);
   }
@@ -254,8 +256,11 @@
     this->CancelReservation(this->now, index);
     this->Dequeue(index);
   } else {
+    const Resources freed = task.shape.urgent ? task.grant : Resources{};
     this->RecordEnding(index);
     this->Detach(index);
+    this->reservations.TopUp(worker);
+    this->headroom.Keep(this->now, worker, freed);
   }
   this->tasks.Remove(index);
   if (worker != kNone) {
--- a/packages/placement/src/PlacementEngine.h
+++ b/packages/placement/src/PlacementEngine.h
@@ -13,6 +13,7 @@
 #include "ReservationBook.h"
 #include "SpreadCounts.h"
 #include "TaskTable.h"
+#include "UrgentHeadroom.h"
 #include "UsageEstimator.h"
 #include "VictimSelector.h"
 #include "WorkerHealth.h"
@@ -114,6 +115,7 @@
   FairShare shares;
   PendingQueue queue;
   ReservationBook reservations;
+  UrgentHeadroom headroom;
   VictimSelector victims;
   SpreadCounts spread;
   UsageEstimator usage;
--- a/packages/placement/src/PlacementSchedule.cpp
+++ b/packages/placement/src/PlacementSchedule.cpp
@@ -74,6 +74,9 @@
     }
   }
   this->steps.Sweep(aNow);
+  for (const WorkerIndex worker : this->headroom.Expire(aNow)) {
+    this->CapacityFreed(worker);
+  }
   this->Probe(aNow);
   if (aNow >= this->nextUrgentRetry) {
     this->nextUrgentRetry = aNow + kUrgentRetry;
@@ -149,7 +152,10 @@
     }
     return true;
   }
-  const WorkerIndex worker = this->ChooseWorker(this->tasks.At(index), index, demand);
+  WorkerIndex worker = this->ChooseWorker(this->tasks.At(index), index, demand);
+  if (worker == kNone && shape.urgent) {
+    worker = this->headroom.Release(demand);
+  }
   if (worker != kNone && this->capacity.Reserve(worker, demand)) {
     this->queue.PopHead(aGroup);
     this->shares.Charge(shape.organisation, shape.team, demand);
@@ -241,6 +247,7 @@
     this->counters.Add("placement_preemption_refused_total", "no_victims");
     return false;
   }
+  this->headroom.RecordPreemption(aNow);
   for (const TaskIndex victim : best->victims) {
     this->Evict(aNow, victim, EvictionReason::Preempted);
   }
