Wait longer after each step against interference

Each further step of an episode waits twice as long, and what was seen on other workers outweighs the size of a suspect.

--- a/packages/placement/src/InterferencePolicy.cpp
+++ b/packages/placement/src/InterferencePolicy.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kFirstResponse = seconds(5);
 constexpr Duration kLeastWait = seconds(4);
 constexpr Duration kMaxWait = seconds(60);
+constexpr std::uint32_t kMaxDoublings = 3;
 // Reports that must arrive after a step before the next one.
 constexpr std::uint32_t kReportsPerStep = 2;
 // After so many steps without effect the cause is sought elsewhere for a while.
@@ -172,7 +173,10 @@
   ++aEpisode.steps;
   aEpisode.reports = 0;
   aEpisode.last = Action{ aStep, aSuspect.task, aSuspect.sequence, aSuspect.kind, aNow };
-  this->nextStep[aWorker] = aNow + this->Wait();
+  // Reports may lag more than was learned so far, so each further step waits twice as long.
+  const Duration wait =
+    this->Wait() * (1U << std::min<std::uint32_t>(aEpisode.steps - 1, kMaxDoublings));
+  this->nextStep[aWorker] = aNow + std::min<Duration>(wait, kMaxWait);
   if (aStep == InterferenceStep::Evict) {
     this->evictions[*aSuspect.job].push_back(aNow);
     this->model.KeepApart(aNow, aSuspect.kind, aService);
@@ -198,9 +202,10 @@
     if (cleared || suspect.placedAt > aEpisode.since) {
       continue;
     }
-    const double suspicion =
-      (0.2 + suspect.share) * this->model.Correlation(suspect.kind, aService) +
-      2.0 * this->model.Estimate(aNow, suspect.kind, aService);
+    // Squared, so that what was seen elsewhere outweighs the size of the task.
+    const double correlation = this->model.Correlation(suspect.kind, aService);
+    const double suspicion = (0.2 + suspect.share) * correlation * correlation +
+                             2.0 * this->model.Estimate(aNow, suspect.kind, aService);
     if (suspicion > highest) {
       most = &suspect;
       highest = suspicion;
