--- a/packages/bench/src/PlacementScaleBench.cpp
+++ b/packages/bench/src/PlacementScaleBench.cpp
@@ -17,6 +17,9 @@
 
 // Fills the usage windows.
 constexpr int kUsageReports = 4;
+// Tasks that wait for large amounts, each of another size. The baselines try each waiting task on
+// each worker and are measured without a backlog.
+constexpr int kBacklog = 5'000;
 
 struct ScaleResult
 {
@@ -34,92 +37,165 @@
   return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
 }
 
-// Fills the cell with tasks, then replaces one running task by a new one at a time.
-ScaleResult MeasureScale(AnyPlacer& aPlacer,
-                         std::size_t aWorkers,
-                         std::size_t aTasks,
-                         std::size_t aDecisions,
-                         std::uint64_t aSeed)
+struct RunningTask
 {
-  ScaleResult result;
-  RandomSource random(aSeed);
-  const std::vector<WorkerSpec> workers = MakeWorkers(aWorkers, 6);
-  const double empty = HeapBytes();
-  for (const WorkerSpec& worker : workers) {
-    aPlacer.SetWorker(worker);
+  TaskId task;
+  Resources grant;
+};
+
+// A cell that is filled with tasks and then replaces one running task by a new one at a time, while
+// a backlog of distinct sizes waits.
+class ScaleRun
+{
+public:
+  ScaleRun(AnyPlacer& aPlacer, std::uint64_t aSeed, int aBacklog)
+    : placer(aPlacer)
+    , random(aSeed)
+    , backlog(aBacklog)
+  {
   }
-  const double withWorkers = HeapBytes();
-  std::vector<TaskId> running;
-  running.reserve(2 * aTasks);
-  const double beforeTasks = HeapBytes();
-  Instant now{};
-  std::size_t number = 0;
-  const auto apply = [&](const std::vector<PlacementAction>& aActions) {
-    for (const PlacementAction& action : aActions) {
-      if (const auto* place = std::get_if<PlaceTask>(&action)) {
-        running.push_back(place->task);
-      }
+
+  ScaleResult Measure(std::size_t aWorkers, std::size_t aTasks, std::size_t aDecisions)
+  {
+    const std::vector<WorkerSpec> workers = MakeWorkers(aWorkers, 6);
+    const double empty = HeapBytes();
+    for (const WorkerSpec& worker : workers) {
+      this->placer.SetWorker(worker);
     }
-  };
-  const auto makeRequest = [&](std::size_t aNumber) {
-    const bool critical = random.Below(71) < 14;
-    return MakeRequest(random, aNumber, critical ? TaskClass::LatencyCritical : TaskClass::Batch);
-  };
-  while (number < aTasks) {
-    for (int i = 0; i < 100 && number < aTasks; ++i) {
-      aPlacer.Submit(now, makeRequest(number++));
+    const double withWorkers = HeapBytes();
+    this->result.bytesPerWorker = (withWorkers - empty) / static_cast<double>(aWorkers);
+    this->running.reserve(2 * aTasks);
+    const double beforeTasks = HeapBytes();
+    this->Fill(aTasks);
+    this->result.bytesPerTask =
+      (HeapBytes() - beforeTasks - this->OwnHeap()) / static_cast<double>(aTasks);
+    this->SubmitBacklog();
+    double spent = 0.0;
+    for (std::size_t i = 0; i < aDecisions; ++i) {
+      spent += this->Decide();
     }
-    apply(aPlacer.Schedule(now, 1000));
-    now += std::chrono::milliseconds(100);
+    this->result.secondsPerStart =
+      spent / static_cast<double>(std::max<std::size_t>(this->starts, 1));
+    return this->result;
   }
-  for (int report = 0; report < kUsageReports; ++report) {
-    for (const TaskId& task : running) {
-      aPlacer.RecordUsage(now, task, { 1'000'000, 1, 0 });
-    }
-    now += std::chrono::seconds(10);
-    aPlacer.Schedule(now, 0);
+
+private:
+  PlacementRequest MakeNext()
+  {
+    const bool critical = this->random.Below(71) < 14;
+    return MakeRequest(
+      this->random, this->number++, critical ? TaskClass::LatencyCritical : TaskClass::Batch);
   }
-  double ownHeap = 0.0;
-  for (const TaskId& task : running) {
-    ownHeap +=
-      task.job.Value().capacity() > 15 ? static_cast<double>(task.job.Value().capacity()) : 0.0;
+
+  void Fill(std::size_t aTasks)
+  {
+    while (this->number < aTasks) {
+      for (int i = 0; i < 100 && this->number < aTasks; ++i) {
+        this->placer.Submit(this->now, this->MakeNext());
+      }
+      this->Apply(this->placer.Schedule(this->now, 1000));
+      this->now += std::chrono::milliseconds(100);
+    }
+    for (int report = 0; report < kUsageReports; ++report) {
+      for (const RunningTask& task : this->running) {
+        const Resources& grant = task.grant;
+        this->placer.RecordUsage(
+          this->now, task.task, { grant.milliCores * 9 / 10, grant.memoryMiB * 9 / 10, 0 });
+      }
+      this->now += std::chrono::seconds(10);
+    }
   }
-  result.bytesPerWorker = (withWorkers - empty) / static_cast<double>(aWorkers);
-  result.bytesPerTask = (HeapBytes() - beforeTasks - ownHeap) / static_cast<double>(aTasks);
-  // One completion frees about what one new task needs; every tick ends about 19 and starts 19.
-  double spent = 0.0;
-  for (std::size_t i = 0; i < aDecisions; ++i) {
-    if (running.empty()) {
-      break;
+
+  void SubmitBacklog()
+  {
+    for (int i = 0; i < this->backlog; ++i) {
+      PlacementRequest request = MakeRequest(this->random, this->number++, TaskClass::Batch);
+      request.declared.milliCores += 8'000 + static_cast<std::int64_t>(this->random.Below(16'000));
+      request.declared.memoryMiB += 16'000 + static_cast<std::int64_t>(this->random.Below(50'000));
+      this->placer.Submit(this->now, request);
+      this->Apply(this->placer.Schedule(this->now, 8));
     }
-    now += std::chrono::microseconds(5263);
-    const std::size_t victim = random.Below(running.size());
-    const TaskId done = running[victim];
-    running[victim] = running.back();
-    running.pop_back();
-    const PlacementRequest next = makeRequest(number++);
+  }
+
+  // Ends one task and submits another; returns the processor time that the placer took.
+  double Decide()
+  {
+    this->now += std::chrono::microseconds(5263);
+    const std::size_t ended = this->random.Below(this->running.size());
+    const TaskId done = this->running[ended].task;
+    this->running[ended] = this->running.back();
+    this->running.pop_back();
+    PlacementRequest next = this->MakeNext();
+    next.urgent = this->random.Chance(0.02);
     const double before = ThreadSeconds();
-    aPlacer.Release(done);
-    aPlacer.Submit(now, next);
+    this->placer.Release(done);
+    this->placer.Submit(this->now, next);
     const auto start = std::chrono::steady_clock::now();
-    const std::vector<PlacementAction> actions = aPlacer.Schedule(now, 1);
+    const std::vector<PlacementAction> actions = this->placer.Schedule(this->now, 8);
     const auto end = std::chrono::steady_clock::now();
-    spent += ThreadSeconds() - before;
-    result.decisions.push_back(std::chrono::duration<double, std::micro>(end - start).count());
-    apply(actions);
+    const double spent = ThreadSeconds() - before;
+    this->result.decisions.push_back(
+      std::chrono::duration<double, std::micro>(end - start).count());
+    this->starts += this->Apply(actions);
+    return spent;
+  }
+
+  std::size_t Apply(const std::vector<PlacementAction>& aActions)
+  {
+    std::size_t placed = 0;
+    for (const PlacementAction& action : aActions) {
+      if (const auto* place = std::get_if<PlaceTask>(&action)) {
+        this->running.push_back({ place->task, place->grant });
+        ++placed;
+      } else if (const auto* evict = std::get_if<EvictTask>(&action)) {
+        const TaskId victim = evict->task;
+        std::erase_if(this->running,
+                      [&](const RunningTask& aTask) { return aTask.task == victim; });
+        this->placer.Release(victim);
+      }
+    }
+    return placed;
+  }
+
+  double OwnHeap() const
+  {
+    double bytes = 0.0;
+    for (const RunningTask& task : this->running) {
+      const std::size_t capacity = task.task.job.Value().capacity();
+      bytes += capacity > 15 ? static_cast<double>(capacity) : 0.0;
+    }
+    return bytes;
   }
-  result.secondsPerStart = spent / static_cast<double>(aDecisions);
-  return result;
+
+  AnyPlacer& placer;
+  RandomSource random;
+  int backlog;
+  ScaleResult result;
+  std::vector<RunningTask> running;
+  Instant now{};
+  std::size_t number = 0;
+  std::size_t starts = 0;
+};
+
+ScaleResult MeasureScale(AnyPlacer& aPlacer,
+                         std::size_t aWorkers,
+                         std::size_t aTasks,
+                         std::size_t aDecisions,
+                         std::uint64_t aSeed,
+                         int aBacklog = 0)
+{
+  return ScaleRun(aPlacer, aSeed, aBacklog).Measure(aWorkers, aTasks, aDecisions);
 }
 
 void MeasureDecisions(BenchContext& aContext)
 {
-  constexpr std::size_t kDecisions = 100'000;
+  constexpr std::size_t kDecisions = 20'000;
   Counters counters;
   WrappedPlacer<ScoredPlacer> small(counters);
-  const ScaleResult tenth = MeasureScale(small, 370, 7'100, kDecisions, aContext.Seed());
+  const ScaleResult tenth = MeasureScale(small, 370, 7'100, kDecisions, aContext.Seed(), kBacklog);
   WrappedPlacer<ScoredPlacer> scored(counters);
-  const ScaleResult target = MeasureScale(scored, 3'700, 71'000, kDecisions, aContext.Seed());
+  const ScaleResult target =
+    MeasureScale(scored, 3'700, 71'000, kDecisions, aContext.Seed(), kBacklog);
   WrappedPlacer<FirstFitPlacer> first;
   const ScaleResult base = MeasureScale(first, 3'700, 71'000, 2'000, aContext.Seed());
   WrappedPlacer<RandomPlacer> random(aContext.Seed());
--- a/packages/placement/src/PlacementEngine.h
+++ b/packages/placement/src/PlacementEngine.h
@@ -129,6 +129,7 @@
   std::vector<WorkerIndex> candidates;
   Instant now;
   Instant nextUrgentRetry;
+  Instant nextRetry;
 };
 
 } // namespace oriolespread::internal
--- a/packages/placement/src/PlacementSchedule.cpp
+++ b/packages/placement/src/PlacementSchedule.cpp
@@ -25,7 +25,8 @@
 // The index search is bounded and interference estimates decay, so tasks set aside are tried again
 // now and then even when no worker changed.
 constexpr Duration kRetryAfter = seconds(5);
-constexpr std::size_t kRetriesPerSchedule = 4;
+constexpr std::size_t kRetriesAtOnce = 4;
+constexpr Duration kRetryInterval = milliseconds(100);
 // A task that waited so long for capacity gets a worker on which freed capacity is gathered for it,
 // else small tasks would always take it first.
 constexpr Duration kStarvation = seconds(60);
@@ -82,7 +83,11 @@
     this->nextUrgentRetry = aNow + kUrgentRetry;
     this->queue.WakeUrgent();
   }
-  for (std::size_t i = 0; i < kRetriesPerSchedule; ++i) {
+  if (aNow < this->nextRetry) {
+    return;
+  }
+  this->nextRetry = aNow + kRetryInterval;
+  for (std::size_t i = 0; i < kRetriesAtOnce; ++i) {
     const std::optional<GroupIndex> group = this->queue.OldestSetAside(aNow - kRetryAfter);
     if (!group.has_value()) {
       return;
