--- a/packages/placement/src/TaskTable.cpp
+++ b/packages/placement/src/TaskTable.cpp
@@ -2,10 +2,15 @@
 
 namespace oriolespread::internal {
 
+TaskTable::TaskTable()
+  : indexes(0, IdHash{ &this->records }, IdEqual{ &this->records })
+{
+}
+
 TaskIndex TaskTable::Find(const TaskId& aTask) const
 {
   const auto it = this->indexes.find(aTask);
-  return it == this->indexes.end() ? kNone : it->second;
+  return it == this->indexes.end() ? kNone : *it;
 }
 
 TaskIndex TaskTable::Add(const TaskId& aTask, const TaskShape& aShape)
@@ -26,13 +31,13 @@
     record.evictions = history->evictions;
     record.lastEvicted = history->lastEvicted;
   }
-  this->indexes.emplace(aTask, index);
+  this->indexes.insert(index);
   return index;
 }
 
 void TaskTable::Remove(TaskIndex aIndex)
 {
-  this->indexes.erase(this->records[aIndex].id);
+  this->indexes.erase(aIndex);
   this->records[aIndex] = TaskRecord{};
   this->unused.push_back(aIndex);
 }
--- a/packages/placement/src/TaskTable.h
+++ b/packages/placement/src/TaskTable.h
@@ -4,6 +4,7 @@
 
 #include "PlacementModel.h"
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include <deque>
 #include <string>
@@ -27,6 +28,10 @@
 class TaskTable
 {
 public:
+  TaskTable();
+  TaskTable(const TaskTable&) = delete;
+  TaskTable& operator=(const TaskTable&) = delete;
+
   // Returns kNone when the task is unknown.
   TaskIndex Find(const TaskId& aTask) const;
   // The task must be unknown.
@@ -51,11 +56,31 @@
   static constexpr std::size_t kMaxHistories = 20'000;
 
 private:
+  // The set of known tasks holds only indexes; their ids stand in the records.
+  struct IdHash
+  {
+    using is_transparent = void;
+    const std::vector<TaskRecord>* records;
+    std::size_t operator()(const TaskId& aTask) const { return absl::Hash<TaskId>()(aTask); }
+    std::size_t operator()(TaskIndex aIndex) const { return (*this)((*this->records)[aIndex].id); }
+  };
+  struct IdEqual
+  {
+    using is_transparent = void;
+    const std::vector<TaskRecord>* records;
+    bool operator()(TaskIndex aLeft, TaskIndex aRight) const { return aLeft == aRight; }
+    bool operator()(TaskIndex aLeft, const TaskId& aRight) const
+    {
+      return (*this->records)[aLeft].id == aRight;
+    }
+    bool operator()(const TaskId& aLeft, TaskIndex aRight) const { return (*this)(aRight, aLeft); }
+  };
+
   void TrimHistories();
 
   std::vector<TaskRecord> records;
   std::vector<TaskIndex> unused;
-  absl::flat_hash_map<TaskId, TaskIndex> indexes;
+  absl::flat_hash_set<TaskIndex, IdHash, IdEqual> indexes;
   absl::flat_hash_map<TaskId, TaskHistory> histories;
   std::deque<std::pair<TaskId, std::uint64_t>> historyOrder;
   std::uint64_t historyCount = 0;
