--- a/packages/placement/src/PlacementSchedule.cpp
+++ b/packages/placement/src/PlacementSchedule.cpp
@@ -25,7 +25,8 @@
 // The index search is bounded and interference estimates decay, so tasks set aside are tried again
 // now and then even when no worker changed.
 constexpr Duration kRetryAfter = seconds(5);
-constexpr std::size_t kRetriesPerSchedule = 4;
+constexpr std::size_t kRetriesAtOnce = 4;
+constexpr Duration kRetryInterval = milliseconds(100);
 // A task that waited so long for capacity gets a worker on which freed capacity is gathered for it,
 // else small tasks would always take it first.
 constexpr Duration kStarvation = seconds(60);
@@ -74,12 +75,19 @@
     }
   }
   this->steps.Sweep(aNow);
+  for (const WorkerIndex worker : this->headroom.Expire(aNow)) {
+    this->CapacityFreed(worker);
+  }
   this->Probe(aNow);
   if (aNow >= this->nextUrgentRetry) {
     this->nextUrgentRetry = aNow + kUrgentRetry;
     this->queue.WakeUrgent();
   }
-  for (std::size_t i = 0; i < kRetriesPerSchedule; ++i) {
+  if (aNow < this->nextRetry) {
+    return;
+  }
+  this->nextRetry = aNow + kRetryInterval;
+  for (std::size_t i = 0; i < kRetriesAtOnce; ++i) {
     const std::optional<GroupIndex> group = this->queue.OldestSetAside(aNow - kRetryAfter);
     if (!group.has_value()) {
       return;
@@ -149,7 +157,10 @@
     }
     return true;
   }
-  const WorkerIndex worker = this->ChooseWorker(this->tasks.At(index), index, demand);
+  WorkerIndex worker = this->ChooseWorker(this->tasks.At(index), index, demand);
+  if (worker == kNone && shape.urgent) {
+    worker = this->headroom.Release(demand);
+  }
   if (worker != kNone && this->capacity.Reserve(worker, demand)) {
     this->queue.PopHead(aGroup);
     this->shares.Charge(shape.organisation, shape.team, demand);
@@ -241,6 +252,7 @@
     this->counters.Add("placement_preemption_refused_total", "no_victims");
     return false;
   }
+  this->headroom.RecordPreemption(aNow);
   for (const TaskIndex victim : best->victims) {
     this->Evict(aNow, victim, EvictionReason::Preempted);
   }
