Keep paused work over an outage longer than the horizon; add unit tests and measurements

Change: whoever begins to own gives agents one more task lease to report. Explorer gains entries cut off from the store only and agents left with one link. Inbox submissions are taken before cancellations of the same page.

--- a/packages/tasks/include/oriolespread/tasks/LeaseTable.h
+++ b/packages/tasks/include/oriolespread/tasks/LeaseTable.h
@@ -18,6 +18,9 @@
 struct LiveAttempt
 {
   AttemptId attempt;
+  // Copies of the task's data, so that an unchanged heartbeat costs no look-up of each attempt.
+  TaskClass taskClass = TaskClass::Batch;
+  Resources grant;
   // Whether its placement has committed, so that a start may be sent.
   bool committed = false;
   // Whether a start may have reached the agent.
--- a/packages/tasks/include/oriolespread/tasks/StateLoader.h
+++ b/packages/tasks/include/oriolespread/tasks/StateLoader.h
@@ -40,8 +40,9 @@
 
   void OnPointer(const ScanPage& aPage);
   void OnObject(const absl::StatusOr<std::string>& aContent);
-  void OnRows(const ScanPage& aPage);
-  void ApplyRow(const Row& aRow);
+  void OnRows(Instant aNow, const ScanPage& aPage);
+  // Returns false when the row does not continue the state.
+  bool ApplyRow(const Row& aRow);
 
   const OwnerOptions& options;
   Counters& counters;
--- a/packages/tasks/src/ShardCore.cpp
+++ b/packages/tasks/src/ShardCore.cpp
@@ -139,9 +139,7 @@
   this->counters.Add("shard_roles_total", "loaded");
   if (aNow < this->journal.LeaseDeadline()) {
     this->role = OwnerRole::Owning;
-    for (const auto& [id, lease] : this->leases.All()) {
-      this->Offer(lease, aEffects);
-    }
+    this->Regain(aNow, aEffects);
   }
 }
 
@@ -160,6 +158,8 @@
   live.committed = true;
   live.maybeSent = true;
   live.stopWanted = task.state == TaskState::Cancelled;
+  live.grant = task.grant;
+  live.taskClass = aJob.spec.taskClass;
   WorkerLease& lease = this->leases.Get(task.worker);
   lease.deadline = this->silentUntil;
   lease.mayRun = true;
@@ -169,8 +169,9 @@
 
 void ShardCore::Regain(Instant aNow, OwnerEffects& aEffects)
 {
-  // Nobody else wrote meanwhile, so the state is valid. Agents whose leases ended while nothing
-  // could be decided get one more lease's time to report, which saves the work that they hold.
+  // Agents whose leases ended while nothing could be decided hold paused attempts with their
+  // memory. One more lease's time to report saves that work, also when another entry takes over
+  // after an outage longer than the horizon.
   const Instant grace = aNow + WithMargin(this->options.taskLease, this->options.driftMargin);
   for (auto& [id, lease] : this->leases.All()) {
     if (lease.mayRun) {
--- a/packages/tasks/src/ShardCoreAgents.cpp
+++ b/packages/tasks/src/ShardCoreAgents.cpp
@@ -73,8 +73,8 @@
 void ShardCore::OnMessage(Instant aNow, const AgentMessage& aMessage, OwnerEffects& aEffects)
 {
   WorkerLease* lease = this->leases.FindByAgent(aMessage.agent);
-  if (lease == nullptr) {
-    this->counters.Add("agent_messages_refused_total", "unknown_agent");
+  if (lease == nullptr || !lease->linked) {
+    this->counters.Add("agent_messages_refused_total", "not_linked");
     return;
   }
   if (const auto* heartbeat = std::get_if<Heartbeat>(&aMessage.message)) {
@@ -191,9 +191,7 @@
   for (auto& [token, live] : aLease.attempts) {
     if (live.maybeSent && listed.count(live.attempt) == 0) {
       absent.push_back(live.attempt);
-    } else if (live.reported.has_value() &&
-               this->table.FindJob(live.attempt.task.job)->spec.taskClass ==
-                 TaskClass::LatencyCritical) {
+    } else if (live.reported.has_value() && live.taskClass == TaskClass::LatencyCritical) {
       // A restarted agent does not know the class; a repeated start tells it.
       this->SendStart(aLease, live, aEffects);
     }
--- a/packages/tasks/src/ShardCoreCommands.cpp
+++ b/packages/tasks/src/ShardCoreCommands.cpp
@@ -28,8 +28,7 @@
                         LiveAttempt& aAttempt,
                         OwnerEffects& aEffects)
 {
-  const TaskRecord* task = this->table.FindLive(aAttempt.attempt);
-  if (task == nullptr || !aAttempt.committed || aNow < aAttempt.nextSend) {
+  if (!aAttempt.committed || aNow < aAttempt.nextSend) {
     return;
   }
   aAttempt.nextSend = aNow + kCommandRepeat;
@@ -43,7 +42,7 @@
     this->SendStart(aLease, aAttempt, aEffects);
   } else if (*aAttempt.reported == AttemptState::Paused) {
     this->SendCommand(aLease, aAttempt.attempt, TaskCommandKind::Resume, aEffects);
-  } else if (aAttempt.reportedGrant != task->grant) {
+  } else if (aAttempt.reportedGrant != aAttempt.grant) {
     this->SendCommand(aLease, aAttempt.attempt, TaskCommandKind::Throttle, aEffects);
   } else {
     aAttempt.nextSend = Instant{};
@@ -58,7 +57,7 @@
 {
   const Duration period = this->options.checkpointPeriod;
   if (period == Duration{} || *aAttempt.reported != AttemptState::Running ||
-      this->table.FindJob(aAttempt.attempt.task.job)->spec.taskClass != TaskClass::Batch) {
+      aAttempt.taskClass != TaskClass::Batch) {
     return;
   }
   if (!aAttempt.nextCheckpoint.has_value()) {
--- a/packages/tasks/src/ShardCoreInbox.cpp
+++ b/packages/tasks/src/ShardCoreInbox.cpp
@@ -5,13 +5,17 @@
 
 void ShardCore::TakeInbox(const std::vector<InboxRow>& aRows)
 {
+  // Submissions first, so that a cancellation on the same page finds its job.
   for (const InboxRow& row : aRows) {
     if (!row.item.has_value()) {
       this->DropInboxRow(row.key, "malformed");
     } else if (const auto* spec = std::get_if<JobSpec>(&*row.item)) {
       this->TakeSubmission(row.key, *spec);
-    } else if (const auto* cancel = std::get_if<CancelRequest>(&*row.item)) {
-      this->TakeCancellation(row.key, *cancel);
+    }
+  }
+  for (const InboxRow& row : aRows) {
+    if (row.item.has_value() && std::holds_alternative<CancelRequest>(*row.item)) {
+      this->TakeCancellation(row.key, std::get<CancelRequest>(*row.item));
     }
   }
 }
--- a/packages/tasks/src/ShardCoreTasks.cpp
+++ b/packages/tasks/src/ShardCoreTasks.cpp
@@ -64,6 +64,8 @@
   }
   LiveAttempt live;
   live.attempt = attempt;
+  live.taskClass = job.spec.taskClass;
+  live.grant = aAction.grant;
   lease->attempts.emplace(attempt.token, live);
   this->unplaceable.erase(aAction.task.job);
   this->journal.Defer(StartDue{ attempt });
@@ -107,6 +109,9 @@
     return;
   }
   const AttemptId attempt{ aAction.task, task->token };
+  if (LiveAttempt* live = this->FindAttempt(attempt, nullptr)) {
+    live->grant = aAction.grant;
+  }
   this->Stage(GrantChanged{ attempt, aAction.grant }, aAction.task.job);
   this->journal.Defer(CommandDue{ attempt });
   this->counters.Add("placements_total", "regranted");
--- a/packages/tasks/src/StateLoader.cpp
+++ b/packages/tasks/src/StateLoader.cpp
@@ -65,7 +65,7 @@
     } else if (this->step == Step::Pointer) {
       this->OnPointer(*scan->page);
     } else {
-      this->OnRows(*scan->page);
+      this->OnRows(aNow, *scan->page);
     }
   }
   if (const auto* read = std::get_if<ObjectRead>(&aEvent); read && read->call == this->call) {
@@ -99,7 +99,9 @@
 void StateLoader::OnObject(const absl::StatusOr<std::string>& aContent)
 {
   if (!aContent.ok()) {
+    // The pointer is read again as well: a later owner may have replaced the object.
     this->counters.Add("recovery_errors_total", "snapshot_unavailable");
+    this->step = Step::Pointer;
     return;
   }
   if (!this->table.Deserialize(*aContent)) {
@@ -109,10 +111,16 @@
   this->step = Step::Rows;
 }
 
-void StateLoader::OnRows(const ScanPage& aPage)
+void StateLoader::OnRows(Instant aNow, const ScanPage& aPage)
 {
   for (const Row& row : aPage.rows) {
-    this->ApplyRow(row);
+    if (!this->ApplyRow(row)) {
+      // A later owner may have replaced rows while this one read them; nothing may be decided on a
+      // state that is not whole, so the reading starts again.
+      this->Start();
+      this->nextTry = aNow + kRetry;
+      return;
+    }
     this->after = row.key;
   }
   if (!aPage.more) {
@@ -120,15 +128,16 @@
   }
 }
 
-void StateLoader::ApplyRow(const Row& aRow)
+bool StateLoader::ApplyRow(const Row& aRow)
 {
   const auto seq = JournalSeq(this->options.shard, aRow.key);
   if (!seq.has_value() || !aRow.value.contains("records")) {
     this->counters.Add("recovery_errors_total", "malformed_row");
-    return;
+    return false;
   }
   if (*seq != this->lastSeq + 1) {
     this->counters.Add("recovery_errors_total", "gap");
+    return false;
   }
   this->lastSeq = *seq;
   for (const nlohmann::json& value : aRow.value["records"]) {
@@ -136,8 +145,10 @@
     const auto record = DecodeRecord(value);
     if (!record.has_value() || !this->table.Apply(*record)) {
       this->counters.Add("recovery_errors_total", "record_not_applied");
+      return false;
     }
   }
+  return true;
 }
 
 } // namespace oriolespread
--- a/packages/tasks/testing/include/oriolespread/tasks/Explorer.h
+++ b/packages/tasks/testing/include/oriolespread/tasks/Explorer.h
@@ -118,7 +118,7 @@
     const std::size_t agent = this->random.Below(this->world.agents.size());
     // Some faults outlast the task lease of 10 s and the horizon of 20 s.
     const Duration length = this->random.Exponential(seconds(this->random.Chance(0.2) ? 20 : 4));
-    switch (this->random.Below(12)) {
+    switch (this->random.Below(14)) {
       case 0:
         this->world.KillEntry(entry);
         this->Later(length, [this, entry] { this->world.StartEntry(entry); });
@@ -160,6 +160,10 @@
       case 10:
         this->CancelBurst();
         break;
+      case 11:
+      case 12:
+        this->Isolate(entry, agent, length);
+        break;
       default:
         this->world.drop = 0.2;
         this->world.duplicate = 0.2;
@@ -171,7 +175,9 @@
 
   void Pause(Process& aProcess, Duration aLength)
   {
-    aProcess.pausedUntil = std::min(this->world.queue.Now() + aLength, kFaultTime);
+    // Never shortened: what waits for the end of a pause must stay in order.
+    aProcess.pausedUntil =
+      std::max(aProcess.pausedUntil, std::min(this->world.queue.Now() + aLength, kFaultTime));
   }
   // All entries at once, as with a loss of power; half of the time with two machines.
   void LoseAll(Duration aLength)
@@ -186,6 +192,19 @@
       this->Later(aLength, [this, agent] { this->world.StartAgent(agent); });
     }
   }
+  // An entry loses the store, and mostly an agent is left with no link but the one to it.
+  void Isolate(std::size_t aEntry, std::size_t aAgent, Duration aLength)
+  {
+    this->world.entries[aEntry].storeCut = true;
+    this->Later(aLength, [this, aEntry] { this->world.entries[aEntry].storeCut = false; });
+    for (std::size_t other = 0; other < this->world.entries.size(); ++other) {
+      if (other != aEntry && this->random.Chance(0.8)) {
+        this->world.Cut(other, aAgent, true);
+        this->Later(aLength + seconds(20),
+                    [this, other, aAgent] { this->world.Cut(other, aAgent, false); });
+      }
+    }
+  }
   void CancelBurst()
   {
     for (const std::string& job : this->jobs) {
@@ -230,6 +249,7 @@
       this->world.StartAgent(agent);
     }
     for (std::size_t entry = 0; entry < this->world.entries.size(); ++entry) {
+      this->world.entries[entry].storeCut = false;
       this->world.StartEntry(entry);
     }
     for (const std::string& service : this->services) {
--- a/packages/tasks/testing/include/oriolespread/tasks/SimChecks.h
+++ b/packages/tasks/testing/include/oriolespread/tasks/SimChecks.h
@@ -20,7 +20,6 @@
   // First violation seen; empty when there is none.
   std::string violation;
   std::uint64_t starts = 0;
-  std::uint64_t evictedWork = 0;
 
   void Fail(const std::string& aText)
   {
@@ -79,6 +78,7 @@
   std::size_t completed = 0;
   std::size_t lapses = 0;
   std::size_t evictions = 0;
+  std::size_t placements = 0;
 
 private:
   struct Journaled
@@ -114,6 +114,7 @@
       if (task.cancelled || task.completed) {
         this->Fail("placed after its end: " + ToString(place->attempt));
       }
+      ++this->placements;
       task.placed.insert(place->attempt.token);
       task.checkpoint[place->attempt.token] = task.lastCheckpoint;
     } else if (const auto* cancel = std::get_if<TasksCancelled>(&aRecord)) {
--- a/packages/tasks/testing/include/oriolespread/tasks/SimWorld.h
+++ b/packages/tasks/testing/include/oriolespread/tasks/SimWorld.h
@@ -8,6 +8,7 @@
 #include "oriolespread/tasks/SimWorker.h"
 #include "oriolespread/tasks/TaskRunner.h"
 
+#include <ctime>
 #include <memory>
 
 namespace oriolespread::sim {
@@ -89,6 +90,8 @@
 {
   std::unique_ptr<Counters> counters;
   std::unique_ptr<Owner> owner;
+  // Whether this entry alone cannot reach the store.
+  bool storeCut = false;
   // Epoch while the state of the shard is held, 0 otherwise.
   Epoch held;
 };
@@ -149,8 +152,10 @@
   std::vector<EntryProcess> entries;
   std::vector<AgentProcess> agents;
   std::vector<std::vector<Link>> links;
-  std::uint64_t heartbeatBytes = 0;
-  bool measureBytes = false;
+  // With `measure`: bytes that agents send and processor time that owners use.
+  bool measure = false;
+  std::uint64_t agentBytes = 0;
+  std::clock_t ownerClock = 0;
 
   void RunFor(Duration aTime)
   {
@@ -177,7 +182,9 @@
     owner.driftMargin = this->options.sabotage.driftMargin;
     entry.counters = std::make_unique<Counters>();
     entry.owner = std::make_unique<Owner>(
-      owner, [this] { return std::make_unique<RestlessPlacer>(this->random.Next(), this->evictRate); }, *entry.counters);
+      owner,
+      [this] { return std::make_unique<RestlessPlacer>(this->random.Next(), this->evictRate); },
+      *entry.counters);
     this->TickEntry(aIndex, entry.life);
     for (std::size_t agent = 0; agent < this->agents.size(); ++agent) {
       this->Connect(aIndex, agent);
@@ -290,8 +297,10 @@
 private:
   LocalClock DrawClock()
   {
-    const double spread = this->options.drift ? 0.02 : 0.0;
-    return { 1.0 + spread * (2.0 * this->random.Unit() - 1.0),
+    // Half of the clocks run at the edge of the stated margin, where leases are tightest.
+    const double edge = this->random.Chance(0.5) ? 1.0 : -1.0;
+    const double share = this->random.Chance(0.5) ? edge : 2.0 * this->random.Unit() - 1.0;
+    return { this->options.drift ? 1.0 + 0.02 * share : 1.0,
              this->random.Between(seconds(100), seconds(5000)) };
   }
   TransactionId NextId() { return TransactionId{ absl::StrCat("caller.", ++this->lastId) }; }
@@ -346,7 +355,9 @@
   {
     EntryProcess& entry = this->entries[aIndex];
     OwnerEffects effects;
+    const std::clock_t before = this->measure ? std::clock() : 0;
     entry.owner->Handle(entry.clock.At(this->queue.Now()), aEvent, effects);
+    this->ownerClock += this->measure ? std::clock() - before : 0;
     this->CheckLoss(entry);
     const std::uint64_t life = entry.life;
     const SimStore::Reply reply = [this, aIndex, life](const OwnerEvent& aReply) {
@@ -358,6 +369,10 @@
         this->SendDown(aIndex, *send);
         continue;
       }
+      if (entry.storeCut) {
+        this->queue.After(milliseconds(50), [reply, effect] { reply(FailedCall(effect)); });
+        continue;
+      }
       std::visit(
         [&](const auto& aCall) {
           if constexpr (!std::is_same_v<std::decay_t<decltype(aCall)>, SendToAgent>) {
@@ -368,6 +383,25 @@
     }
   }
 
+  static OwnerEvent FailedCall(const OwnerEffect& aEffect)
+  {
+    const absl::Status down = absl::UnavailableError("store cut off");
+    if (const auto* commit = std::get_if<CommitCall>(&aEffect)) {
+      return CommitResult{ commit->call, { CommitStatus::Unavailable, {}, {} } };
+    }
+    if (const auto* fate = std::get_if<FateCall>(&aEffect)) {
+      return FateResult{ fate->call, {} };
+    }
+    if (const auto* scan = std::get_if<ScanCall>(&aEffect)) {
+      return ScanResult{ scan->call, down };
+    }
+    if (const auto* get = std::get_if<GetObjectCall>(&aEffect)) {
+      return ObjectRead{ get->call, down };
+    }
+    const auto* put = std::get_if<PutObjectCall>(&aEffect);
+    return ObjectWritten{ put != nullptr ? put->call : CallId{}, down };
+  }
+
   // An owner gives a shard up only to a later epoch; otherwise it was displaced by its own write.
   void CheckLoss(EntryProcess& aEntry)
   {
@@ -533,8 +567,8 @@
   void SendUp(std::size_t aAgent, const SendToEntry& aSend)
   {
     const std::size_t entry = std::stoul(aSend.entry.Value().substr(5));
-    if (this->measureBytes) {
-      this->heartbeatBytes += EncodeMessage(aSend.message).size();
+    if (this->measure) {
+      this->agentBytes += EncodeMessage(aSend.message).size();
     }
     this->Transmit(entry, aAgent, true, [this, entry, aAgent, message = aSend.message] {
       this->ToOwner(entry, AgentMessage{ AgentId{ absl::StrCat("agent", aAgent) }, message });
--- a/packages/tasks/tests/ExplorerTest.cpp
+++ b/packages/tasks/tests/ExplorerTest.cpp
@@ -49,8 +49,8 @@
 
 } // namespace
 
-// Guards against any violation of P1, P2, P3 or a forgotten task under the faults F1 to F11. Run one
-// seed with ORIOLESPREAD_SEED=n, more seeds with ORIOLESPREAD_SEEDS=count.
+// Guards against any violation of P1, P2, P3 or a forgotten task under the faults F1 to F11. Run
+// one seed with ORIOLESPREAD_SEED=n, more seeds with ORIOLESPREAD_SEEDS=count.
 TEST_CASE("Explorer FindsNoViolationOverManySeeds")
 {
   const std::uint64_t first = FromEnvironment("ORIOLESPREAD_SEED", 1);
--- /dev/null
+++ b/packages/tasks/tests/JobSpecTest.cpp
@@ -0,0 +1,89 @@
+#include "oriolespread/tasks/JobSpec.h"
+
+#include "oriolespread/platform/MemoryTable.h"
+#include "oriolespread/tasks/JobInbox.h"
+#include "oriolespread/tasks/ShardRows.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+
+namespace {
+
+constexpr const char* kWhole = R"({"job": "j1", "organisation": "acme", "program": "sort",
+  "tasks": 3, "resources": {"milli_cores": 500, "memory_mib": 64}})";
+
+} // namespace
+
+// Guards against a caller who has to mend a submission one error at a time.
+TEST_CASE("ParseJobSpec ReportsAllFindingsAtOnce")
+{
+  Findings findings;
+  const auto spec = ParseJobSpec(R"({"job": "a/b", "program": 7, "tasks": 0, "class": "gold",
+    "resources": {"milli_cores": -1, "colour": "red"}, "extra": 1})",
+                                 "body",
+                                 findings);
+  CHECK_FALSE(spec.has_value());
+  const std::string report = findings.Report();
+  INFO(report);
+  for (const char* part : { "job: is not a valid name",
+                            "organisation: is missing",
+                            "program: is a number",
+                            "tasks: is 0; expected an integer from 1 to 100000",
+                            "class: is 'gold'",
+                            "resources.milli_cores: is -1",
+                            "resources.memory_mib: is missing",
+                            "resources.colour: is not a known key",
+                            "extra: is not a known key" }) {
+    CHECK(report.find(part) != std::string::npos);
+  }
+  CHECK(findings.size() == 9);
+}
+
+// Guards against a numeric limit that a huge unsigned number or malformed text slips past.
+TEST_CASE("ParseJobSpec RefusesHugeNumbersAndMalformedText")
+{
+  for (const char* text : { "", "[]", "{", "nonsense" }) {
+    Findings findings;
+    CHECK_FALSE(ParseJobSpec(text, "body", findings).has_value());
+    CHECK(findings.size() == 1);
+  }
+  std::string huge = kWhole;
+  huge.replace(huge.find(": 3"), 3, ": 18446744073709551615");
+  Findings findings;
+  CHECK_FALSE(ParseJobSpec(huge, "body", findings).has_value());
+  CHECK(findings.size() == 1);
+}
+
+// Guards against a field lost between the caller's text, the inbox row and the owner.
+TEST_CASE("JobInbox CarriesTheSpecWhole")
+{
+  Findings findings;
+  const auto spec = ParseJobSpec(kWhole, "body", findings);
+  INFO(findings.Report());
+  REQUIRE(spec.has_value());
+  const Transaction submit = MakeSubmit(TransactionId{ "t" }, ShardId{ 3 }, *spec);
+  const auto item = ParseInboxItem(*submit.writes[0].value);
+  REQUIRE(item.has_value());
+  CHECK(nlohmann::json(std::get<JobSpec>(*item)) == nlohmann::json(*spec));
+  CHECK(std::get<JobSpec>(*item).kind == "sort");
+  CHECK(ParseJobRow(*submit.writes[1].value) == ShardId{ 3 });
+  CHECK_FALSE(ParseInboxItem({ { "cancel", 1 } }).has_value());
+}
+
+// Guards against a job that a repeated submission creates again, in the same or another shard.
+TEST_CASE("MakeSubmit ConflictsWhenTheJobWasSubmittedBefore")
+{
+  Findings findings;
+  const auto spec = ParseJobSpec(kWhole, "body", findings);
+  MemoryTable table;
+  const Transaction first = MakeSubmit(TransactionId{ "t1" }, ShardId{ 0 }, *spec);
+  REQUIRE(table.Commit(first).status == CommitStatus::Committed);
+  table.Commit({ TransactionId{ "take" }, {}, { { first.writes[0].key, std::nullopt } } });
+  for (const std::uint32_t shard : { 0U, 1U }) {
+    const TransactionId id{ "repeat" + std::to_string(shard) };
+    const CommitOutcome repeat = table.Commit(MakeSubmit(id, ShardId{ shard }, *spec));
+    CHECK(repeat.status == CommitStatus::Conflict);
+    CHECK(repeat.conflictKey == JobKey(JobId{ "j1" }));
+  }
+}
--- /dev/null
+++ b/packages/tasks/tests/TaskRunnerTest.cpp
@@ -0,0 +1,224 @@
+#include "oriolespread/tasks/TaskRunner.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const EntryId kEntry{ "entry" };
+
+AttemptId Attempt(std::uint64_t aCounter)
+{
+  return { { JobId{ "j" }, static_cast<std::uint32_t>(aCounter) }, { Epoch{ 1 }, aCounter } };
+}
+
+// Drives one runner by hand.
+struct Harness
+{
+  Counters counters;
+  Instant now{ seconds(100) };
+  TaskRunner runner;
+  RunnerEffects effects;
+
+  explicit Harness(std::vector<WorkerTask> aFound = {})
+    : runner(MakeOptions(), this->now, this->counters)
+  {
+    this->Give(EntryUp{ kEntry });
+    this->now += seconds(1);
+    this->Give(RunnerTick{});
+    this->Give(WorkerListed{ this->Last<WorkerListCall>().call, std::move(aFound) });
+    this->Give(RunnerTick{});
+  }
+
+  static RunnerOptions MakeOptions()
+  {
+    RunnerOptions options;
+    options.agent = AgentId{ "a" };
+    options.incarnation = Incarnation{ 7 };
+    options.worker = WorkerId{ "w" };
+    options.capacity = { 2000, 2000, 0 };
+    return options;
+  }
+
+  void Give(const RunnerEvent& aEvent)
+  {
+    this->effects.clear();
+    this->runner.Handle(this->now, aEvent, this->effects);
+  }
+  void Say(LinkMessage aMessage) { this->Give(EntryMessage{ kEntry, std::move(aMessage) }); }
+
+  // Opens or extends a session in answer to a fresh heartbeat.
+  void Grant(std::uint64_t aEpoch, std::uint64_t aNumber)
+  {
+    this->now += seconds(2);
+    this->Give(RunnerTick{});
+    this->Say(LeaseGrant{ Session(aEpoch, aNumber),
+                          AgentId{ "a" },
+                          Incarnation{ 7 },
+                          this->Sent<Heartbeat>().sequence,
+                          10'000 });
+  }
+  void Start(std::uint64_t aCounter, std::int64_t aCores = 1000)
+  {
+    StartTask start;
+    start.session = this->runner.Session();
+    start.attempt = Attempt(aCounter);
+    start.grant = { aCores, 500, 0 };
+    this->Say(start);
+  }
+  void Command(std::uint64_t aCounter, TaskCommandKind aKind)
+  {
+    this->Say(TaskCommand{ this->runner.Session(), Attempt(aCounter), aKind, {} });
+  }
+
+  static LeaseSession Session(std::uint64_t aEpoch, std::uint64_t aNumber)
+  {
+    return { ShardId{ 0 }, Epoch{ aEpoch }, aNumber };
+  }
+
+  template<typename T>
+  std::size_t Calls() const
+  {
+    std::size_t count = 0;
+    for (const RunnerEffect& effect : this->effects) {
+      const auto* call = std::get_if<WorkerCall>(&effect);
+      count += call != nullptr && std::holds_alternative<T>(call->body) ? 1 : 0;
+    }
+    return count;
+  }
+  template<typename T>
+  WorkerCall Last() const
+  {
+    for (const RunnerEffect& effect : this->effects) {
+      const auto* call = std::get_if<WorkerCall>(&effect);
+      if (call != nullptr && std::holds_alternative<T>(call->body)) {
+        return *call;
+      }
+    }
+    FAIL("no such worker call");
+    return {};
+  }
+  template<typename T>
+  T Sent() const
+  {
+    for (const RunnerEffect& effect : this->effects) {
+      const auto* send = std::get_if<SendToEntry>(&effect);
+      if (send != nullptr && std::holds_alternative<T>(send->message)) {
+        return std::get<T>(send->message);
+      }
+    }
+    FAIL("no such message");
+    return {};
+  }
+};
+
+} // namespace
+
+// Guards against a deadline that counts from the grant's arrival or ignores the drift margin.
+TEST_CASE("TaskRunner CountsItsLeaseFromWhenTheHeartbeatWasSent")
+{
+  Harness harness;
+  harness.now += seconds(2);
+  harness.Give(RunnerTick{});
+  const std::uint64_t sequence = harness.Sent<Heartbeat>().sequence;
+  const Instant sent = harness.now;
+  harness.now += seconds(4);
+  harness.Say(
+    LeaseGrant{ Harness::Session(1, 1), AgentId{ "a" }, Incarnation{ 7 }, sequence, 10'000 });
+  CHECK(harness.runner.Deadline() == sent + milliseconds(9800));
+  CHECK(harness.Sent<Heartbeat>().whole);
+}
+
+// Guards against two processes whose work an agent accepts, and against commands of an old session.
+TEST_CASE("TaskRunner ObeysOnlyTheLatestSessionOfTheHighestEpoch")
+{
+  Harness harness;
+  harness.Grant(2, 5);
+  const LeaseSession old = harness.runner.Session();
+  harness.Grant(1, 9);
+  CHECK(harness.runner.Session() == old);
+  harness.Grant(2, 4);
+  CHECK(harness.runner.Session() == old);
+  harness.Grant(3, 1);
+  CHECK(harness.runner.Session() == Harness::Session(3, 1));
+  StartTask late;
+  late.session = old;
+  late.attempt = Attempt(1);
+  harness.Say(late);
+  CHECK(harness.Calls<WorkerStartCall>() == 0);
+  CHECK(harness.counters.Get("runner_commands_refused_total", "start") == 1);
+}
+
+// Guards against grants beyond the worker's capacity (P1).
+TEST_CASE("TaskRunner RefusesAStartBeyondItsCapacity")
+{
+  Harness harness;
+  harness.Grant(1, 1);
+  harness.Start(1, 1500);
+  CHECK(harness.Calls<WorkerStartCall>() == 1);
+  harness.Start(2, 501);
+  CHECK(harness.Calls<WorkerStartCall>() == 0);
+  CHECK(harness.Sent<TaskEvent>().report.state == AttemptState::Stopped);
+  CHECK(harness.Sent<TaskEvent>().report.reason == "capacity");
+  CHECK(harness.runner.Used() == Resources{ 1500, 500, 0 });
+}
+
+// Guards against a process that was paused past its deadline and acts on a message before it has
+// paused its tasks (F9).
+TEST_CASE("TaskRunner PausesBeforeAnyOtherActionWhenItWakesPastItsDeadline")
+{
+  Harness harness;
+  harness.Grant(1, 1);
+  harness.Start(1);
+  harness.Give(WorkerDone{ harness.Last<WorkerStartCall>().call, absl::OkStatus() });
+  const LeaseSession lapsed = harness.runner.Session();
+  harness.now += seconds(30);
+  StartTask start;
+  start.session = lapsed;
+  start.attempt = Attempt(2);
+  harness.Say(start);
+  CHECK(harness.Calls<WorkerPauseCall>() == 1);
+  CHECK(harness.Calls<WorkerStartCall>() == 0);
+  CHECK(harness.runner.Session().number == 0);
+
+  // A new session alone resumes nothing; the command does, once.
+  harness.Grant(1, 2);
+  CHECK(harness.Calls<WorkerResumeCall>() == 0);
+  harness.Command(1, TaskCommandKind::Resume);
+  CHECK(harness.Calls<WorkerResumeCall>() == 1);
+  harness.Command(1, TaskCommandKind::Resume);
+  CHECK(harness.Calls<WorkerResumeCall>() == 0);
+}
+
+// Guards against a start that overtakes its own cancellation.
+TEST_CASE("TaskRunner BarsAStoppedAttemptFromStartingLater")
+{
+  Harness harness;
+  harness.Grant(1, 1);
+  harness.Command(1, TaskCommandKind::Stop);
+  CHECK(harness.Sent<TaskEvent>().report.state == AttemptState::Stopped);
+  harness.Start(1);
+  CHECK(harness.Calls<WorkerStartCall>() == 0);
+  harness.Say(TaskEventAck{ Attempt(1), AttemptState::Stopped });
+  harness.Start(1);
+  CHECK(harness.Calls<WorkerStartCall>() == 0);
+  CHECK(harness.counters.Get("runner_starts_refused_total", "barred") == 1);
+}
+
+// Guards against a completion that is lost with a restarted agent or an unacknowledged message.
+TEST_CASE("TaskRunner RepeatsACompletionFoundOnTheWorkerUntilItIsAcknowledged")
+{
+  Harness harness({ { Attempt(1), WorkerTaskState::Completed, { 1, 1, 0 }, "c", {} } });
+  harness.Grant(1, 1);
+  CHECK(harness.Sent<TaskEvent>().report.state == AttemptState::Completed);
+  harness.now += seconds(1);
+  harness.Give(RunnerTick{});
+  CHECK(harness.Sent<TaskEvent>().report.attempt == Attempt(1));
+  harness.Say(TaskEventAck{ Attempt(1), AttemptState::Failed });
+  CHECK(harness.Calls<WorkerForgetCall>() == 0);
+  harness.Say(TaskEventAck{ Attempt(1), AttemptState::Completed });
+  CHECK(harness.Calls<WorkerForgetCall>() == 1);
+}
