--- a/packages/tasks/include/oriolespread/tasks/LeaseTable.h
+++ b/packages/tasks/include/oriolespread/tasks/LeaseTable.h
@@ -18,6 +18,9 @@
 struct LiveAttempt
 {
   AttemptId attempt;
+  // Copies of the task's data, so that an unchanged heartbeat costs no look-up of each attempt.
+  TaskClass taskClass = TaskClass::Batch;
+  Resources grant;
   // Whether its placement has committed, so that a start may be sent.
   bool committed = false;
   // Whether a start may have reached the agent.
@@ -57,6 +60,8 @@
   bool mayRun = false;
 
   std::map<AttemptToken, LiveAttempt> attempts;
+  // No command to an attempt is due before this time; Find and Add reset it.
+  Instant quietUntil{};
   // Attempts reported by the agent that should not exist; they are being stopped.
   std::set<AttemptId> strays;
 
@@ -65,7 +70,9 @@
   {
     return this->linked && this->open && this->settled && this->strays.empty();
   }
+  // Returns null for an attempt that the worker does not hold.
   LiveAttempt* Find(const AttemptId& aAttempt);
+  void Add(const LiveAttempt& aAttempt);
 };
 
 // Not thread-safe.
--- a/packages/tasks/src/Journal.cpp
+++ b/packages/tasks/src/Journal.cpp
@@ -63,7 +63,7 @@
 }
 
 std::optional<std::uint64_t> Journal::Poll(Instant aNow,
-                                           Duration aInherited,
+                                           const std::function<Duration()>& aInherited,
                                            CallCounter& aCalls,
                                            OwnerEffects& aEffects)
 {
@@ -79,7 +79,8 @@
   this->flightItems = std::min(this->staged.size(), kMaxItems);
   this->flightRenews = renew;
   this->lastSent = aNow;
-  this->commit.Send(aNow, this->Build(this->flightItems, renew, aInherited), aCalls, aEffects);
+  const Duration inherited = renew ? aInherited() : Duration{};
+  this->commit.Send(aNow, this->Build(this->flightItems, renew, inherited), aCalls, aEffects);
   this->counters.Add("journal_transactions_total", this->flightRow ? "batch" : "other");
   const bool all = this->flightRow && this->flightItems == this->staged.size();
   return all ? std::optional(this->nextSeq) : std::nullopt;
--- a/packages/tasks/src/ShardCore.cpp
+++ b/packages/tasks/src/ShardCore.cpp
@@ -139,9 +139,7 @@
   this->counters.Add("shard_roles_total", "loaded");
   if (aNow < this->journal.LeaseDeadline()) {
     this->role = OwnerRole::Owning;
-    for (const auto& [id, lease] : this->leases.All()) {
-      this->Offer(lease, aEffects);
-    }
+    this->Regain(aNow, aEffects);
   }
 }
 
@@ -160,17 +158,20 @@
   live.committed = true;
   live.maybeSent = true;
   live.stopWanted = task.state == TaskState::Cancelled;
+  live.grant = task.grant;
+  live.taskClass = aJob.spec.taskClass;
   WorkerLease& lease = this->leases.Get(task.worker);
   lease.deadline = this->silentUntil;
   lease.mayRun = true;
-  lease.attempts.emplace(task.token, live);
+  lease.Add(live);
   this->updates.emplace_back(RestoreInPlacer{ std::move(request), task.worker, task.grant });
 }
 
 void ShardCore::Regain(Instant aNow, OwnerEffects& aEffects)
 {
-  // Nobody else wrote meanwhile, so the state is valid. Agents whose leases ended while nothing
-  // could be decided get one more lease's time to report, which saves the work that they hold.
+  // Agents whose leases ended while nothing could be decided hold paused attempts with their
+  // memory. One more lease's time to report saves that work, also when another entry takes over
+  // after an outage longer than the horizon.
   const Instant grace = aNow + WithMargin(this->options.taskLease, this->options.driftMargin);
   for (auto& [id, lease] : this->leases.All()) {
     if (lease.mayRun) {
@@ -225,8 +226,10 @@
     this->journal.StageWrites({ { JobKey(job), std::nullopt } });
   }
   this->loader.Poll(aNow, this->calls, aEffects);
-  const Duration inherited =
-    this->role == OwnerRole::Loading ? this->silentUntil - aNow : this->leases.InheritedWait(aNow);
+  const auto inherited = [this, aNow] {
+    return this->role == OwnerRole::Loading ? this->silentUntil - aNow
+                                            : this->leases.InheritedWait(aNow);
+  };
   const auto wholeRow = this->journal.Poll(aNow, inherited, this->calls, aEffects);
   if (wholeRow.has_value() && this->snapshots.IsDue()) {
     this->snapshots.Hold(*wholeRow, this->table.Serialize());
--- a/packages/tasks/src/ShardCoreCommands.cpp
+++ b/packages/tasks/src/ShardCoreCommands.cpp
@@ -1,10 +1,14 @@
 // Starts and commands to agents.
 #include "oriolespread/tasks/ShardCore.h"
 
+#include <algorithm>
+
 namespace oriolespread {
 
 namespace {
 
+// Attempts of a worker are looked through at least this often.
+constexpr Duration kMaxQuiet = std::chrono::minutes(1);
 // A command is repeated with each heartbeat until the agent reports its effect.
 constexpr Duration kCommandRepeat = std::chrono::milliseconds(1900);
 
@@ -12,15 +16,21 @@
 
 void ShardCore::PumpCommands(Instant aNow, WorkerLease& aLease, OwnerEffects& aEffects)
 {
-  if (!aLease.open || !aLease.settled) {
+  if (!aLease.open || !aLease.settled || aNow < aLease.quietUntil) {
     return;
   }
+  // Most attempts need no command for minutes, and most heartbeats change nothing.
+  Instant quiet = aNow + kMaxQuiet;
   for (auto& [token, live] : aLease.attempts) {
     this->SendDue(aNow, aLease, live, aEffects);
     if (live.stopWanted && live.stopAt > aNow) {
       this->evicting.insert(aLease.spec.worker);
     }
+    const bool steady = live.committed && !live.stopWanted &&
+                        live.reported == AttemptState::Running && live.reportedGrant == live.grant;
+    quiet = steady ? std::min(quiet, live.nextCheckpoint.value_or(quiet)) : Instant{};
   }
+  aLease.quietUntil = quiet;
 }
 
 void ShardCore::SendDue(Instant aNow,
@@ -28,8 +38,7 @@
                         LiveAttempt& aAttempt,
                         OwnerEffects& aEffects)
 {
-  const TaskRecord* task = this->table.FindLive(aAttempt.attempt);
-  if (task == nullptr || !aAttempt.committed || aNow < aAttempt.nextSend) {
+  if (!aAttempt.committed || aNow < aAttempt.nextSend) {
     return;
   }
   aAttempt.nextSend = aNow + kCommandRepeat;
@@ -43,7 +52,7 @@
     this->SendStart(aLease, aAttempt, aEffects);
   } else if (*aAttempt.reported == AttemptState::Paused) {
     this->SendCommand(aLease, aAttempt.attempt, TaskCommandKind::Resume, aEffects);
-  } else if (aAttempt.reportedGrant != task->grant) {
+  } else if (aAttempt.reportedGrant != aAttempt.grant) {
     this->SendCommand(aLease, aAttempt.attempt, TaskCommandKind::Throttle, aEffects);
   } else {
     aAttempt.nextSend = Instant{};
@@ -58,7 +67,7 @@
 {
   const Duration period = this->options.checkpointPeriod;
   if (period == Duration{} || *aAttempt.reported != AttemptState::Running ||
-      this->table.FindJob(aAttempt.attempt.task.job)->spec.taskClass != TaskClass::Batch) {
+      aAttempt.taskClass != TaskClass::Batch) {
     return;
   }
   if (!aAttempt.nextCheckpoint.has_value()) {
