Keep headers of calls in one piece and varying values out of the table

Cause: a call's headers took an allocation each, and values that come once pushed repeated ones out of HPACK's table, which all organisations share. Change: HeaderList keeps one buffer; varying and caller values are not indexed.

--- a/packages/link/src/AgentLink.cpp
+++ b/packages/link/src/AgentLink.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace oriolespread::internal {
 
@@ -196,11 +197,12 @@
   stream->answerBody = aAnswer.body;
   this->pendingBodyBytes += stream->answerBody.size();
   const HeaderList headers = AnswerHeaders(aTicket.id, aAnswer);
+  const std::vector<nghttp2_nv> entries = headers.Entries();
   const nghttp2_data_provider provider = BodyProvider();
   const int result = nghttp2_submit_response(this->Session(),
                                              aTicket.stream,
-                                             headers.Entries().data(),
-                                             headers.Entries().size(),
+                                             entries.data(),
+                                             entries.size(),
                                              aAnswer.body.empty() ? nullptr : &provider);
   if (result != 0) {
     this->Count().Add("link_answers_dropped_total", "submit_failed");
@@ -240,13 +242,9 @@
   const bool byHandler = stream->ticket != nullptr;
   this->Count().Add("link_calls_refused_total", byHandler ? "by_handler" : aReason);
   const HeaderList headers = RefusalHeaders(aReason);
-  const int result = nghttp2_submit_headers(this->Session(),
-                                            NGHTTP2_FLAG_NONE,
-                                            aStream,
-                                            nullptr,
-                                            headers.Entries().data(),
-                                            headers.Entries().size(),
-                                            nullptr);
+  const std::vector<nghttp2_nv> entries = headers.Entries();
+  const int result = nghttp2_submit_headers(
+    this->Session(), NGHTTP2_FLAG_NONE, aStream, nullptr, entries.data(), entries.size(), nullptr);
   if (result != 0) {
     this->Reset(aStream, NGHTTP2_REFUSED_STREAM);
   }
--- a/packages/link/src/CallWire.cpp
+++ b/packages/link/src/CallWire.cpp
@@ -50,13 +50,13 @@
   return lower;
 }
 
-std::string Trim(std::string_view aText)
+std::string_view Trim(std::string_view aText)
 {
   const std::size_t begin = aText.find_first_not_of(" \t");
   if (begin == std::string_view::npos) {
     return {};
   }
-  return std::string(aText.substr(begin, aText.find_last_not_of(" \t") - begin + 1));
+  return aText.substr(begin, aText.find_last_not_of(" \t") - begin + 1);
 }
 
 const std::uint8_t* Bytes(std::string_view aText)
@@ -86,7 +86,8 @@
 void AddCallerHeaders(HeaderList& aList, const std::vector<HeaderField>& aHeaders)
 {
   for (const HeaderField& header : aHeaders) {
-    aList.Add(std::string(kPrefix) + LowerCase(header.name), Trim(header.value), true);
+    // The values of one caller stay out of the table that all organisations share on a link.
+    aList.Add(std::string(kPrefix) + LowerCase(header.name), Trim(header.value), false);
   }
 }
 
@@ -148,17 +149,29 @@
 
 } // namespace
 
-void HeaderList::Add(std::string_view aName, std::string aValue, bool aConstant)
+void HeaderList::Add(std::string_view aName, std::string_view aValue, bool aConstant)
 {
-  const std::string& name = this->texts.emplace_back(aName);
-  const std::string& value = this->texts.emplace_back(std::move(aValue));
-  nghttp2_nv entry{};
-  entry.name = const_cast<std::uint8_t*>(Bytes(name));
-  entry.namelen = name.size();
-  entry.value = const_cast<std::uint8_t*>(Bytes(value));
-  entry.valuelen = value.size();
-  entry.flags = aConstant ? NGHTTP2_NV_FLAG_NONE : NGHTTP2_NV_FLAG_NONE;
-  this->entries.push_back(entry);
+  this->bytes.append(aName).append(aValue);
+  this->sizes.push_back({ aName.size(), aValue.size(), aConstant });
+}
+
+std::vector<nghttp2_nv> HeaderList::Entries() const
+{
+  std::vector<nghttp2_nv> entries;
+  entries.reserve(this->sizes.size());
+  auto* next = const_cast<std::uint8_t*>(Bytes(this->bytes));
+  for (const Size& size : this->sizes) {
+    nghttp2_nv entry{};
+    entry.name = next;
+    entry.namelen = size.name;
+    entry.value = next + size.name;
+    entry.valuelen = size.value;
+    // A value that comes only once would push repeated ones out of the compression table.
+    entry.flags = size.constant ? NGHTTP2_NV_FLAG_NONE : NGHTTP2_NV_FLAG_NO_INDEX;
+    entries.push_back(entry);
+    next += size.name + size.value;
+  }
+  return entries;
 }
 
 void RequestHead::Take(std::string_view aName, std::string_view aValue)
@@ -264,13 +277,13 @@
 
 HeaderList RefusalHeaders(std::string_view aReason)
 {
-  std::string reason = Trim(aReason.substr(0, kMaxReasonBytes));
+  std::string_view reason = Trim(aReason.substr(0, kMaxReasonBytes));
   if (!IsHeaderValue(reason)) {
     reason = "unprintable_reason";
   }
   HeaderList list;
   list.Add(":status", "200", true);
-  list.Add(kRefusedHeader, std::move(reason), true);
+  list.Add(kRefusedHeader, reason, true);
   return list;
 }
 
--- a/packages/link/src/CallWire.h
+++ b/packages/link/src/CallWire.h
@@ -8,7 +8,6 @@
 #include <nghttp2/nghttp2.h>
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,25 +18,25 @@
 // Header with the reason of a refused call.
 constexpr std::string_view kRefusedHeader = "os-refused";
 
-// Headers to submit; owns the texts that the nghttp2_nv entries point to.
+// Headers to submit, kept in one piece of memory.
 class HeaderList
 {
 public:
-  HeaderList() = default;
-  // A copy's entries would point into the original.
-  HeaderList(const HeaderList&) = delete;
-  HeaderList& operator=(const HeaderList&) = delete;
-  HeaderList(HeaderList&&) = default;
-  HeaderList& operator=(HeaderList&&) = default;
-
   // `aConstant` marks values that repeat between calls and are worth a place in the compression
   // table.
-  void Add(std::string_view aName, std::string aValue, bool aConstant);
-  const std::vector<nghttp2_nv>& Entries() const { return this->entries; }
+  void Add(std::string_view aName, std::string_view aValue, bool aConstant);
+  // Returns entries that point into this list; they are valid until it changes or goes.
+  std::vector<nghttp2_nv> Entries() const;
 
 private:
-  std::deque<std::string> texts;
-  std::vector<nghttp2_nv> entries;
+  struct Size
+  {
+    std::size_t name = 0;
+    std::size_t value = 0;
+    bool constant = false;
+  };
+  std::string bytes;
+  std::vector<Size> sizes;
 };
 
 // What the headers of one request said so far.
--- a/packages/link/src/EntryLink.cpp
+++ b/packages/link/src/EntryLink.cpp
@@ -53,11 +53,12 @@
   std::string_view refusal = this->CheckStart(aRequest);
   if (refusal.empty()) {
     const HeaderList headers = RequestHeaders(aRequest);
+    const std::vector<nghttp2_nv> entries = headers.Entries();
     const nghttp2_data_provider provider = BodyProvider();
     const std::int32_t stream = nghttp2_submit_request(this->Session(),
                                                        nullptr,
-                                                       headers.Entries().data(),
-                                                       headers.Entries().size(),
+                                                       entries.data(),
+                                                       entries.size(),
                                                        aRequest.body.empty() ? nullptr : &provider,
                                                        nullptr);
     if (stream > 0) {
--- a/packages/link/tests/HandshakeTest.cpp
+++ b/packages/link/tests/HandshakeTest.cpp
@@ -1,6 +1,7 @@
 #include "ControlChannel.h"
 #include "LinkPair.h"
-#include "Relay.h"
+
+#include "oriolespread/link_testing/Relay.h"
 
 #include <asio/write.hpp>
 
--- a/packages/link/tests/LoadTest.cpp
+++ b/packages/link/tests/LoadTest.cpp
@@ -1,5 +1,6 @@
 #include "LinkPair.h"
-#include "Relay.h"
+
+#include "oriolespread/link_testing/Relay.h"
 
 #include <asio/post.hpp>
 
--- a/packages/link/tests/ScriptedPeer.h
+++ b/packages/link/tests/ScriptedPeer.h
@@ -5,7 +5,8 @@
 #include "CallWire.h"
 #include "Connection.h"
 #include "LinkPair.h"
-#include "Relay.h"
+
+#include "oriolespread/link_testing/Relay.h"
 
 #include <map>
 
@@ -29,7 +30,7 @@
   std::int32_t Send(std::int32_t aStream, const internal::HeaderList& aHeaders, std::string aBody)
   {
     const nghttp2_data_provider provider = BodyProvider();
-    const auto& entries = aHeaders.Entries();
+    const auto entries = aHeaders.Entries();
     if (aStream > 0) {
       this->bodies[aStream] = std::move(aBody);
       nghttp2_submit_response(this->Session(), aStream, entries.data(), entries.size(), &provider);
--- a/packages/messages/tests/MessageCodecTest.cpp
+++ b/packages/messages/tests/MessageCodecTest.cpp
@@ -59,3 +59,12 @@
   CHECK_FALSE(DecodeMessage("").ok());
   CHECK_FALSE(DecodeMessage(std::string(kMaxMessageBytes + 1, 'x')).ok());
 }
+
+// Guards against a stack overflow by a message that is nothing but the start of nested arrays.
+TEST_CASE("MessageCodec RefusesDeeplyNestedBytes")
+{
+  std::string bytes("\x82\xa1t\xa5leave\xa1"
+                    "b");
+  bytes.append(kMaxMessageBytes - bytes.size(), '\x91');
+  CHECK_FALSE(DecodeMessage(bytes).ok());
+}
