Register an agent's socket anew after its connect

Cause: Asio keeps a connected socket registered for output, so each wait for input also woke the agent's loop for output. Change: the dialer releases and assigns the connected socket.

--- a/packages/link/src/DialerCore.cpp
+++ b/packages/link/src/DialerCore.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <asio/ip/address.hpp>
+#include <unistd.h>
 
 #include <algorithm>
 #include <utility>
@@ -57,7 +58,7 @@
 {
   this->timer.cancel();
   // A connect that completed while the time-out ran leaves a closed socket without an error.
-  if (!aError && this->socket.is_open()) {
+  if (!aError && this->socket.is_open() && this->RenewSocket()) {
     this->StartLink();
     return;
   }
@@ -67,6 +68,24 @@
   this->DialLater();
 }
 
+// Asio keeps a socket that connected registered for output, so that each wait for input also wakes
+// the loop for output. A new registration of the same socket ends that.
+bool DialerCore::RenewSocket()
+{
+  asio::error_code error;
+  const auto handle = this->socket.release(error);
+  if (error) {
+    return false;
+  }
+  this->socket = asio::ip::tcp::socket(this->timer.get_executor());
+  this->socket.assign(this->endpoint.protocol(), handle, error);
+  if (error) {
+    ::close(handle);
+    return false;
+  }
+  return true;
+}
+
 void DialerCore::StartLink()
 {
   Hello own{ Role::Agent, this->options.agent.Value(), this->options.dataCentre.Value(), {} };
--- a/packages/link/src/DialerCore.h
+++ b/packages/link/src/DialerCore.h
@@ -34,6 +34,7 @@
 private:
   void Dial();
   void OnConnected(asio::error_code aError);
+  bool RenewSocket();
   void StartLink();
   Connection::Handlers LinkHandlers();
   void OnDown(std::string_view aReason, bool aWasUp);
