--- a/packages/bench/src/RequestsCostBench.cpp
+++ b/packages/bench/src/RequestsCostBench.cpp
@@ -1,5 +1,5 @@
 // Processor time of the engine for one request, and what it holds after 200,000 requests.
-#include "RequestsSite.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 #include "oriolespread/bench/BenchCase.h"
 
--- a/packages/bench/src/RequestsFailureBench.cpp
+++ b/packages/bench/src/RequestsFailureBench.cpp
@@ -1,5 +1,5 @@
 // What callers see when upstreams stop, die, stand still or all fail.
-#include "RequestsSite.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 #include "oriolespread/bench/BenchCase.h"
 
--- a/packages/bench/src/RequestsFairnessBench.cpp
+++ b/packages/bench/src/RequestsFairnessBench.cpp
@@ -1,5 +1,5 @@
 // An organisation at 10 times its share against the tail latency of another on the same upstreams.
-#include "RequestsSite.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 #include "oriolespread/bench/BenchCase.h"
 
--- a/packages/bench/src/RequestsRoutingBench.cpp
+++ b/packages/bench/src/RequestsRoutingBench.cpp
@@ -1,6 +1,6 @@
 // Tail latency of the router against round robin and random choice: 11 workers in 3 data centres at
 // 70% load, one worker 5 times slower, reports that lag by 1 s.
-#include "RequestsSite.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 #include "oriolespread/bench/BenchCase.h"
 
--- a/packages/bench/src/RequestsStoreBench.cpp
+++ b/packages/bench/src/RequestsStoreBench.cpp
@@ -1,5 +1,5 @@
 // Requests while the table service is down for 10 minutes.
-#include "RequestsSite.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 #include "oriolespread/bench/BenchCase.h"
 
--- a/packages/bench/src/RequestsSite.cpp
+++ b/packages/requests/testing/src/RequestsSite.cpp
@@ -1,4 +1,4 @@
-#include "RequestsSite.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 #include "RequestsSiteParts.h"
 
--- a/packages/bench/src/RequestsSiteAgents.cpp
+++ b/packages/requests/testing/src/RequestsSiteAgents.cpp
@@ -1,5 +1,5 @@
 // The agents and upstreams of the site, and the simple policies that the engine is compared with.
-#include "RequestsSite.h"
+#include "oriolespread/requests/RequestsSite.h"
 #include "RequestsSiteParts.h"
 
 namespace oriolespread::bench {
--- a/packages/bench/src/RequestsSiteParts.h
+++ b/packages/requests/testing/src/RequestsSiteParts.h
@@ -1,7 +1,7 @@
 // The inner parts of RequestsSite, shared by its source files.
 #pragma once
 
-#include "RequestsSite.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 namespace oriolespread::bench {
 
