Bound the number of headers of a call

Cause: nghttp2 reckons 12 bytes on top of each header and sends no block above 64 KiB, so many short headers within the limit of bytes were never sent. Change: at most 1,024 headers of the caller; more count as headers_too_large.

--- a/packages/link/src/CallWire.cpp
+++ b/packages/link/src/CallWire.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::string_view kPrefix = "h-";
 constexpr std::size_t kMaxReasonBytes = 256;
+// nghttp2 sends no header block above 64 KiB and reckons with 12 bytes on top of each header. With
+// the prefixes this many take 14 KiB beside the 32 KiB of their texts.
+constexpr std::size_t kMaxCallerHeaders = 1'024;
 
 // Headers of a request, each of which must be there exactly once.
 constexpr int kRequestHeaders = 9;
@@ -71,6 +74,9 @@
 
 std::string_view CheckHeaders(const std::vector<HeaderField>& aHeaders, std::size_t aMaxBytes)
 {
+  if (aHeaders.size() > kMaxCallerHeaders) {
+    return "headers_too_large";
+  }
   std::size_t bytes = 0;
   for (const HeaderField& header : aHeaders) {
     const std::string name = LowerCase(header.name);
--- a/packages/link/tests/CallTest.cpp
+++ b/packages/link/tests/CallTest.cpp
@@ -59,3 +59,25 @@
   CHECK(result.end == CallEnd::NotRun);
   CHECK(result.reason == "no_credit");
 }
+
+// Guards against headers within the limit of bytes that nghttp2 does not send, so that a call would
+// never end.
+TEST_CASE("Link EndsCallsWithTheMostHeadersAndWithMore")
+{
+  std::vector<HeaderField> headers(1'024, { "a", "b" });
+  LinkPair pair;
+  pair.onCall = [&](const CallRequest&, const std::shared_ptr<Responder>& aResponder) {
+    aResponder->Answer({ 200, headers, "" });
+  };
+  REQUIRE(pair.RunUntilUp());
+  CallRequest request = TestRequest(1);
+  request.headers = headers;
+  request.headers.back().value.assign(30'000, 'x');
+  const CallResult result = pair.Call(request);
+  REQUIRE(result.end == CallEnd::Answered);
+  CHECK(result.answer.headers == headers);
+  headers.emplace_back();
+  CHECK(pair.Call(request).end == CallEnd::Unknown);
+  request.headers = headers;
+  CHECK(pair.Call(request).reason == "headers_too_large");
+}
