--- a/packages/tasks/src/TaskTable.cpp
+++ b/packages/tasks/src/TaskTable.cpp
@@ -4,16 +4,37 @@
 
 namespace oriolespread {
 
-// Found by argument-dependent lookup, so not in the unnamed namespace.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskRecord,
-                                   state,
-                                   hasAttempt,
-                                   failures,
-                                   token,
-                                   worker,
-                                   grant,
-                                   checkpoint,
-                                   failedOn)
+// Found by argument-dependent lookup, so not in the unnamed namespace. Arrays instead of objects:
+// keys would double the processor time and size of a snapshot.
+void to_json(nlohmann::json& aJson, const TaskRecord& aTask)
+{
+  aJson = nlohmann::json::array({ static_cast<int>(aTask.state),
+                                  aTask.hasAttempt,
+                                  aTask.failures,
+                                  aTask.token.epoch.Value(),
+                                  aTask.token.counter,
+                                  aTask.worker.Value(),
+                                  aTask.grant.milliCores,
+                                  aTask.grant.memoryMiB,
+                                  aTask.grant.accelerators,
+                                  aTask.checkpoint,
+                                  aTask.failedOn });
+}
+
+void from_json(const nlohmann::json& aJson, TaskRecord& aTask)
+{
+  aTask.state = static_cast<TaskState>(aJson.at(0).get<int>());
+  aTask.hasAttempt = aJson.at(1).get<bool>();
+  aTask.failures = aJson.at(2).get<std::uint32_t>();
+  aTask.token = { aJson.at(3).get<Epoch>(), aJson.at(4).get<std::uint64_t>() };
+  aTask.worker = aJson.at(5).get<WorkerId>();
+  aTask.grant = { aJson.at(6).get<std::int64_t>(),
+                  aJson.at(7).get<std::int64_t>(),
+                  aJson.at(8).get<std::int64_t>() };
+  aTask.checkpoint = aJson.at(9).get<std::string>();
+  aTask.failedOn = aJson.at(10).get<std::vector<WorkerId>>();
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobRecord, spec, tasks, counts, attempts, finished)
 
 namespace {
@@ -246,7 +267,7 @@
   nlohmann::json state;
   state[kJobsKey] = nlohmann::json::array();
   for (const auto& [id, job] : this->jobs) {
-    state[kJobsKey].push_back(job);
+    state[kJobsKey].emplace_back(job);
   }
   state[kFinishedKey] = this->finishedOrder;
   std::string bytes;
