--- /dev/null
+++ b/packages/tasks/testing/include/oriolespread/tasks/SimProcesses.h
@@ -0,0 +1,172 @@
+// The processes of a simulated world and how their calls are carried out.
+#pragma once
+
+#include "oriolespread/tasks/ShardOwner.h"
+#include "oriolespread/tasks/SimPlacer.h"
+#include "oriolespread/tasks/SimStore.h"
+#include "oriolespread/tasks/SimWorker.h"
+#include "oriolespread/tasks/TaskRunner.h"
+
+#include <memory>
+
+namespace oriolespread::sim {
+
+using Owner = ShardOwner<RestlessPlacer>;
+
+struct WorldOptions
+{
+  std::uint64_t seed = 1;
+  std::size_t entries = 3;
+  std::size_t agents = 4;
+  Resources capacity{ 4000, 8192, 0 };
+  Duration horizon = seconds(30);
+  Duration checkpointPeriod = seconds(300);
+  std::uint64_t snapshotRecords = 60;
+  bool drift = true;
+  Sabotage sabotage;
+};
+
+// A process that can be killed and paused; while paused, what reaches it waits.
+struct Process
+{
+  bool alive = false;
+  Duration pausedUntil{};
+  std::uint64_t life = 0;
+  LocalClock clock;
+
+  void Kill()
+  {
+    this->alive = false;
+    ++this->life;
+  }
+};
+
+struct EntryProcess : Process
+{
+  std::unique_ptr<Counters> counters;
+  std::unique_ptr<Owner> owner;
+  // Whether this entry alone cannot reach the store.
+  bool storeCut = false;
+  // Epoch while the state of the shard is held, 0 otherwise.
+  Epoch held;
+};
+
+struct AgentProcess : Process
+{
+  std::unique_ptr<Counters> counters;
+  std::unique_ptr<TaskRunner> runner;
+  std::unique_ptr<SimWorker> worker;
+};
+
+struct Link
+{
+  bool up = false;
+  bool cut = false;
+  std::uint64_t connection = 0;
+};
+
+// Returns the result of a call that did not reach the store.
+inline OwnerEvent FailedCall(const OwnerEffect& aEffect)
+{
+  const absl::Status down = absl::UnavailableError("store cut off");
+  if (const auto* commit = std::get_if<CommitCall>(&aEffect)) {
+    return CommitResult{ commit->call, { CommitStatus::Unavailable, {}, {} } };
+  }
+  if (const auto* fate = std::get_if<FateCall>(&aEffect)) {
+    return FateResult{ fate->call, {} };
+  }
+  if (const auto* scan = std::get_if<ScanCall>(&aEffect)) {
+    return ScanResult{ scan->call, down };
+  }
+  if (const auto* get = std::get_if<GetObjectCall>(&aEffect)) {
+    return ObjectRead{ get->call, down };
+  }
+  const auto* put = std::get_if<PutObjectCall>(&aEffect);
+  return ObjectWritten{ put != nullptr ? put->call : CallId{}, down };
+}
+
+// Carries out a call of an agent on its worker.
+inline RunnerEvent CallWorker(SimWorker& aWorker, const WorkerCall& aCall, Instant aNow)
+{
+  const WorkerCallId id = aCall.call;
+  if (const auto* start = std::get_if<WorkerStartCall>(&aCall.body)) {
+    const bool late = start->leaseUntil <= aNow;
+    return WorkerDone{ id,
+                       late ? absl::AbortedError("late")
+                            : aWorker.Do(*start, start->leaseUntil - aNow) };
+  }
+  if (const auto* resume = std::get_if<WorkerResumeCall>(&aCall.body)) {
+    const bool late = resume->leaseUntil <= aNow;
+    return WorkerDone{ id,
+                       late ? absl::AbortedError("late")
+                            : aWorker.Do(*resume, resume->leaseUntil - aNow) };
+  }
+  if (const auto* renew = std::get_if<WorkerRenewCall>(&aCall.body)) {
+    for (const AttemptId& attempt : renew->attempts) {
+      if (renew->leaseUntil > aNow) {
+        aWorker.Renew(attempt, renew->leaseUntil - aNow);
+      }
+    }
+    return WorkerDone{ id, absl::OkStatus() };
+  }
+  if (const auto* checkpoint = std::get_if<WorkerCheckpointCall>(&aCall.body)) {
+    return WorkerCheckpointed{ id, aWorker.Checkpoint(checkpoint->attempt) };
+  }
+  if (std::get_if<WorkerListCall>(&aCall.body) != nullptr) {
+    return WorkerListed{ id, aWorker.List() };
+  }
+  if (std::get_if<WorkerUsageCall>(&aCall.body) != nullptr) {
+    return WorkerUsed{ id, std::vector<WorkerTaskUsage>{} };
+  }
+  if (const auto* pause = std::get_if<WorkerPauseCall>(&aCall.body)) {
+    return WorkerDone{ id, aWorker.Do(*pause) };
+  }
+  if (const auto* throttle = std::get_if<WorkerThrottleCall>(&aCall.body)) {
+    return WorkerDone{ id, aWorker.Do(*throttle) };
+  }
+  if (const auto* stop = std::get_if<WorkerStopCall>(&aCall.body)) {
+    return WorkerDone{ id, aWorker.Do(*stop) };
+  }
+  return WorkerDone{ id, aWorker.Do(std::get<WorkerForgetCall>(aCall.body)) };
+}
+
+inline OwnerOptions MakeOwnerOptions(const WorldOptions& aWorld,
+                                     std::size_t aEntry,
+                                     std::uint64_t aLife)
+{
+  OwnerOptions owner;
+  owner.entry = EntryId{ absl::StrCat("entry", aEntry) };
+  owner.incarnation = Incarnation{ aLife };
+  owner.horizon = aWorld.horizon;
+  owner.checkpointPeriod = aWorld.checkpointPeriod;
+  owner.snapshotRecords = aWorld.snapshotRecords;
+  owner.driftMargin = aWorld.sabotage.driftMargin;
+  return owner;
+}
+
+inline RunnerOptions MakeRunnerOptions(const WorldOptions& aWorld,
+                                       std::size_t aAgent,
+                                       std::uint64_t aLife)
+{
+  RunnerOptions runner;
+  runner.agent = AgentId{ absl::StrCat("agent", aAgent) };
+  runner.worker = WorkerId{ absl::StrCat("worker", aAgent) };
+  runner.incarnation = Incarnation{ aLife };
+  runner.capacity = aWorld.capacity;
+  runner.workerCallTime = milliseconds(30);
+  runner.driftMargin = aWorld.sabotage.driftMargin;
+  return runner;
+}
+
+inline Announce MakeAnnounce(const WorldOptions& aWorld, std::size_t aAgent, std::uint64_t aLife)
+{
+  const RunnerOptions runner = MakeRunnerOptions(aWorld, aAgent, aLife);
+  Announce announce;
+  announce.agent = runner.agent;
+  announce.worker = runner.worker;
+  announce.incarnation = runner.incarnation;
+  announce.capacity = runner.capacity;
+  return announce;
+}
+
+} // namespace oriolespread::sim
--- a/packages/tasks/testing/include/oriolespread/tasks/SimWorld.h
+++ b/packages/tasks/testing/include/oriolespread/tasks/SimWorld.h
@@ -1,115 +1,14 @@
 // Entries, agents, workers, links and the platform on one virtual clock.
 #pragma once
 
-#include "oriolespread/placement/FirstFitPlacer.h"
 #include "oriolespread/tasks/JobInbox.h"
-#include "oriolespread/tasks/ShardOwner.h"
-#include "oriolespread/tasks/SimStore.h"
-#include "oriolespread/tasks/SimWorker.h"
-#include "oriolespread/tasks/TaskRunner.h"
+#include "oriolespread/tasks/SimProcesses.h"
 
 #include <ctime>
 #include <memory>
 
 namespace oriolespread::sim {
 
-// First fit that also evicts and regrants at random, as other placers do for their reasons.
-class RestlessPlacer : public FirstFitPlacer
-{
-public:
-  RestlessPlacer(std::uint64_t aSeed, double aRate)
-    : random(aSeed)
-    , rate(aRate)
-  {
-  }
-  void Restore(Instant aNow,
-               const PlacementRequest& aRequest,
-               const WorkerId& aWorker,
-               const Resources& aGrant)
-  {
-    FirstFitPlacer::Restore(aNow, aRequest, aWorker, aGrant);
-    this->placed[aRequest.task] = aGrant;
-  }
-  void Release(const TaskId& aTask)
-  {
-    FirstFitPlacer::Release(aTask);
-    this->placed.erase(aTask);
-  }
-  std::vector<PlacementAction> Schedule(Instant aNow, std::size_t aLimit)
-  {
-    std::vector<PlacementAction> actions = FirstFitPlacer::Schedule(aNow, aLimit);
-    for (const PlacementAction& action : actions) {
-      const auto& place = std::get<PlaceTask>(action);
-      this->placed[place.task] = place.grant;
-    }
-    if (!this->placed.empty() && this->random.Chance(this->rate)) {
-      const auto victim = std::next(
-        this->placed.begin(), static_cast<std::ptrdiff_t>(this->random.Below(this->placed.size())));
-      if (this->random.Chance(0.5)) {
-        actions.emplace_back(EvictTask{ victim->first, EvictionReason::Preempted });
-      } else {
-        Resources less = victim->second;
-        less.milliCores = 1 + less.milliCores / 2;
-        actions.emplace_back(RegrantTask{ victim->first, less });
-      }
-    }
-    return actions;
-  }
-
-private:
-  RandomSource random;
-  double rate;
-  std::map<TaskId, Resources> placed;
-};
-
-using Owner = ShardOwner<RestlessPlacer>;
-
-struct WorldOptions
-{
-  std::uint64_t seed = 1;
-  std::size_t entries = 3;
-  std::size_t agents = 4;
-  Resources capacity{ 4000, 8192, 0 };
-  Duration horizon = seconds(30);
-  Duration checkpointPeriod = seconds(300);
-  std::uint64_t snapshotRecords = 60;
-  bool drift = true;
-  Sabotage sabotage;
-};
-
-// A process that can be killed and paused; while paused, what reaches it waits.
-struct Process
-{
-  bool alive = false;
-  Duration pausedUntil{};
-  std::uint64_t life = 0;
-  LocalClock clock;
-};
-
-struct EntryProcess : Process
-{
-  std::unique_ptr<Counters> counters;
-  std::unique_ptr<Owner> owner;
-  // Whether this entry alone cannot reach the store.
-  bool storeCut = false;
-  // Epoch while the state of the shard is held, 0 otherwise.
-  Epoch held;
-};
-
-struct AgentProcess : Process
-{
-  std::unique_ptr<Counters> counters;
-  std::unique_ptr<TaskRunner> runner;
-  std::unique_ptr<SimWorker> worker;
-};
-
-struct Link
-{
-  bool up = false;
-  bool cut = false;
-  std::uint64_t connection = 0;
-};
-
 class SimWorld
 {
 public:
@@ -173,13 +72,7 @@
     ++entry.life;
     entry.pausedUntil = {};
     entry.held = Epoch{};
-    OwnerOptions owner;
-    owner.entry = EntryId{ absl::StrCat("entry", aIndex) };
-    owner.incarnation = Incarnation{ entry.life };
-    owner.horizon = this->options.horizon;
-    owner.checkpointPeriod = this->options.checkpointPeriod;
-    owner.snapshotRecords = this->options.snapshotRecords;
-    owner.driftMargin = this->options.sabotage.driftMargin;
+    const OwnerOptions owner = MakeOwnerOptions(this->options, aIndex, entry.life);
     entry.counters = std::make_unique<Counters>();
     entry.owner = std::make_unique<Owner>(
       owner,
@@ -200,13 +93,7 @@
     agent.alive = true;
     ++agent.life;
     agent.pausedUntil = {};
-    RunnerOptions runner;
-    runner.agent = AgentId{ absl::StrCat("agent", aIndex) };
-    runner.worker = WorkerId{ absl::StrCat("worker", aIndex) };
-    runner.incarnation = Incarnation{ agent.life };
-    runner.capacity = this->options.capacity;
-    runner.workerCallTime = milliseconds(30);
-    runner.driftMargin = this->options.sabotage.driftMargin;
+    const RunnerOptions runner = MakeRunnerOptions(this->options, aIndex, agent.life);
     agent.counters = std::make_unique<Counters>();
     agent.runner =
       std::make_unique<TaskRunner>(runner, agent.clock.At(this->queue.Now()), *agent.counters);
@@ -218,7 +105,7 @@
 
   void KillEntry(std::size_t aIndex)
   {
-    this->Kill(this->entries[aIndex]);
+    this->entries[aIndex].Kill();
     for (std::size_t agent = 0; agent < this->agents.size(); ++agent) {
       this->Disconnect(aIndex, agent);
     }
@@ -226,7 +113,7 @@
 
   void KillAgent(std::size_t aIndex)
   {
-    this->Kill(this->agents[aIndex]);
+    this->agents[aIndex].Kill();
     for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
       this->Disconnect(entry, aIndex);
     }
@@ -309,12 +196,6 @@
     return !this->store.down && this->store.Apply(aTransaction).status == CommitStatus::Committed;
   }
 
-  static void Kill(Process& aProcess)
-  {
-    aProcess.alive = false;
-    ++aProcess.life;
-  }
-
   // Runs `aDo` in the process if it still lives the same life, once it is not paused.
   void In(Process& aProcess, std::uint64_t aLife, std::function<void()> aDo)
   {
@@ -383,25 +264,6 @@
     }
   }
 
-  static OwnerEvent FailedCall(const OwnerEffect& aEffect)
-  {
-    const absl::Status down = absl::UnavailableError("store cut off");
-    if (const auto* commit = std::get_if<CommitCall>(&aEffect)) {
-      return CommitResult{ commit->call, { CommitStatus::Unavailable, {}, {} } };
-    }
-    if (const auto* fate = std::get_if<FateCall>(&aEffect)) {
-      return FateResult{ fate->call, {} };
-    }
-    if (const auto* scan = std::get_if<ScanCall>(&aEffect)) {
-      return ScanResult{ scan->call, down };
-    }
-    if (const auto* get = std::get_if<GetObjectCall>(&aEffect)) {
-      return ObjectRead{ get->call, down };
-    }
-    const auto* put = std::get_if<PutObjectCall>(&aEffect);
-    return ObjectWritten{ put != nullptr ? put->call : CallId{}, down };
-  }
-
   // An owner gives a shard up only to a later epoch; otherwise it was displaced by its own write.
   void CheckLoss(EntryProcess& aEntry)
   {
@@ -438,7 +300,7 @@
     const std::uint64_t life = agent.life;
     const Instant now = agent.clock.At(this->queue.Now());
     this->queue.After(milliseconds(10), [this, aIndex, life, aCall, now] {
-      RunnerEvent result = this->Call(*this->agents[aIndex].worker, aCall, now);
+      RunnerEvent result = CallWorker(*this->agents[aIndex].worker, aCall, now);
       this->queue.After(milliseconds(10), [this, aIndex, life, result] {
         this->In(
           this->agents[aIndex], life, [this, aIndex, result] { this->ToRunner(aIndex, result); });
@@ -446,50 +308,6 @@
     });
   }
 
-  static RunnerEvent Call(SimWorker& aWorker, const WorkerCall& aCall, Instant aNow)
-  {
-    const WorkerCallId id = aCall.call;
-    if (const auto* start = std::get_if<WorkerStartCall>(&aCall.body)) {
-      const bool late = start->leaseUntil <= aNow;
-      return WorkerDone{ id,
-                         late ? absl::AbortedError("late")
-                              : aWorker.Do(*start, start->leaseUntil - aNow) };
-    }
-    if (const auto* resume = std::get_if<WorkerResumeCall>(&aCall.body)) {
-      const bool late = resume->leaseUntil <= aNow;
-      return WorkerDone{ id,
-                         late ? absl::AbortedError("late")
-                              : aWorker.Do(*resume, resume->leaseUntil - aNow) };
-    }
-    if (const auto* renew = std::get_if<WorkerRenewCall>(&aCall.body)) {
-      for (const AttemptId& attempt : renew->attempts) {
-        if (renew->leaseUntil > aNow) {
-          aWorker.Renew(attempt, renew->leaseUntil - aNow);
-        }
-      }
-      return WorkerDone{ id, absl::OkStatus() };
-    }
-    if (const auto* checkpoint = std::get_if<WorkerCheckpointCall>(&aCall.body)) {
-      return WorkerCheckpointed{ id, aWorker.Checkpoint(checkpoint->attempt) };
-    }
-    if (std::get_if<WorkerListCall>(&aCall.body) != nullptr) {
-      return WorkerListed{ id, aWorker.List() };
-    }
-    if (std::get_if<WorkerUsageCall>(&aCall.body) != nullptr) {
-      return WorkerUsed{ id, std::vector<WorkerTaskUsage>{} };
-    }
-    if (const auto* pause = std::get_if<WorkerPauseCall>(&aCall.body)) {
-      return WorkerDone{ id, aWorker.Do(*pause) };
-    }
-    if (const auto* throttle = std::get_if<WorkerThrottleCall>(&aCall.body)) {
-      return WorkerDone{ id, aWorker.Do(*throttle) };
-    }
-    if (const auto* stop = std::get_if<WorkerStopCall>(&aCall.body)) {
-      return WorkerDone{ id, aWorker.Do(*stop) };
-    }
-    return WorkerDone{ id, aWorker.Do(std::get<WorkerForgetCall>(aCall.body)) };
-  }
-
   // Links.
 
   void Connect(std::size_t aEntry, std::size_t aAgent)
@@ -500,11 +318,7 @@
     }
     link.up = true;
     ++link.connection;
-    Announce announce;
-    announce.agent = AgentId{ absl::StrCat("agent", aAgent) };
-    announce.worker = WorkerId{ absl::StrCat("worker", aAgent) };
-    announce.incarnation = Incarnation{ this->agents[aAgent].life };
-    announce.capacity = this->options.capacity;
+    const Announce announce = MakeAnnounce(this->options, aAgent, this->agents[aAgent].life);
     this->Deliver(aEntry, aAgent, true, [this, aEntry, announce] {
       this->ToOwner(aEntry, AgentUp{ announce });
     });
--- a/packages/tasks/tests/ShardOwnerTest.cpp
+++ b/packages/tasks/tests/ShardOwnerTest.cpp
@@ -152,3 +152,54 @@
   CHECK(world.checks.violation.empty());
   CHECK(world.checks.completed == 300);
 }
+
+// Explorer, seeds 1 to 500: a later owner had deleted journal rows between two pages, and the
+// reader went on with a state that lacked them.
+TEST_CASE("StateLoader ReadsAgainWhenTheJournalHasAGap")
+{
+  Counters counters;
+  const OwnerOptions options;
+  StateLoader loader(options, counters);
+  CallCounter calls;
+  Instant now{ seconds(100) };
+  const auto read = [&](const std::vector<std::uint64_t>& aSeqs) {
+    OwnerEffects effects;
+    now += seconds(1);
+    loader.Poll(now, calls, effects);
+    REQUIRE(effects.size() == 1);
+    ScanPage page;
+    for (const std::uint64_t seq : aSeqs) {
+      page.rows.push_back(
+        { JournalKey(options.shard, seq), RowVersion{ seq }, { { "records", {} } } });
+    }
+    loader.OnEvent(now, ScanResult{ std::get<ScanCall>(effects[0]).call, page });
+  };
+  loader.Start();
+  read({});
+  read({ 1, 3 });
+  CHECK_FALSE(loader.IsDone());
+  CHECK(counters.Get("recovery_errors_total", "gap") == 1);
+  read({});
+  read({ 1, 2, 3 });
+  CHECK(loader.IsDone());
+  CHECK(loader.LastSeq() == 3);
+}
+
+// Explorer, seeds 1 to 100: an eviction on a worker that had not reported to a new owner yet was
+// sent to an agent without a name.
+TEST_CASE("ShardOwner EvictsOnAWorkerThatIsNotLinkedOnlyOnceItReports")
+{
+  SimWorld world({});
+  world.evictRate = 0.5;
+  world.Submit("job", 16, std::chrono::hours(1), { 1000, 512, 0 });
+  world.RunFor(seconds(10));
+  world.KillWorker(0);
+  for (std::size_t entry = 0; entry < 3; ++entry) {
+    world.KillEntry(entry);
+    world.StartEntry(entry);
+  }
+  world.RunFor(seconds(60));
+  INFO(world.checks.violation);
+  CHECK(world.checks.violation.empty());
+  CHECK(world.checks.starts > 16);
+}
