Close a drained agent's link as the protocol does, and probe less

The traces show two faults of the bench's agent, which the design excludes: it dropped calls that were on the link without the GOAWAY that proves that they were not run, and it closed the link before it sent its last answer. UpstreamBook states the order of EndCall and the answer.

While writes of unknown fate wait for the table service they are its only probes.

--- a/packages/bench/src/RequestsFailureBench.cpp
+++ b/packages/bench/src/RequestsFailureBench.cpp
@@ -78,6 +78,9 @@
   const Tally total = site.Total();
   aContext.Report({ "offered", {}, Count(total.offered), "requests", {} });
   aContext.Report({ "failed", {}, Count(total.notRun + total.unknown), "requests", 0.0 });
+  for (const auto& [reason, count] : total.reasons) {
+    aContext.Report({ "failed_" + reason, {}, Count(count), "requests", {} });
+  }
   aContext.Report({ "p99", {}, total.QuantileMs(0.99), "ms", {} });
   ReportTruth(aContext, "stopped", site);
 }
--- a/packages/bench/src/RequestsSite.cpp
+++ b/packages/bench/src/RequestsSite.cpp
@@ -236,6 +236,7 @@
     ++this->attempts;
     auto call =
       std::make_shared<Call>(Call{ aEntry, agent, start->call, start->request, {}, 0, false });
+    this->agents[agent]->onLink.insert(call);
     this->After(this->Delay(aEntry, agent), [this, call] { this->OnCall(call); });
   } else if (const auto* answer = std::get_if<FinalAnswer>(&aEffect)) {
     this->Answered(answer->request, *answer);
--- a/packages/bench/src/RequestsSite.h
+++ b/packages/bench/src/RequestsSite.h
@@ -157,6 +157,7 @@
   void EndCall(const std::shared_ptr<Call>& aCall, bool aFailed);
   void Reply(const Call& aCall, const RequestEvent& aEvent);
   void FlushAgent(std::size_t aAgent);
+  void CloseLink(std::size_t aEntry, std::size_t aAgent);
 
   SiteOptions options;
   RandomSource random;
--- a/packages/bench/src/RequestsSiteAgents.cpp
+++ b/packages/bench/src/RequestsSiteAgents.cpp
@@ -33,6 +33,10 @@
 void RequestsSite::OnCall(const std::shared_ptr<Call>& aCall)
 {
   Agent& agent = *this->agents[aCall->agent];
+  agent.onLink.erase(aCall);
+  if (agent.closed) {
+    return;
+  }
   const auto request = this->requests.find(aCall->request);
   if (request != this->requests.end() && agent.fault != UpstreamFault::None) {
     request->second.metFault = true;
@@ -100,13 +104,14 @@
     return;
   }
   agent.running.erase(aCall->order);
-  this->EndCall(aCall, aBreaks);
   if (aBreaks) {
     this->Reply(*aCall, CallUnknown{ aCall->id, Reason::UpstreamFailed });
   } else {
     static const auto sAnswer = std::make_shared<HttpAnswer>(HttpAnswer{ 200, {}, "ok" });
     this->Reply(*aCall, CallAnswered{ aCall->id, aCall->request, sAnswer });
   }
+  // After the reply: with the last call ended, a drained agent closes its links.
+  this->EndCall(aCall, aBreaks);
   this->StartWaiting(aCall->agent);
 }
 
@@ -176,13 +181,28 @@
   if (agent.book->IsDrained()) {
     agent.closed = true;
     for (std::size_t e = 0; e < this->entries.size(); ++e) {
-      this->After(this->Delay(e, aAgent),
-                  [this, e, aAgent] { this->Decide(e, LinkDown{ LinkOf(e, aAgent) }); });
+      this->After(this->Delay(e, aAgent), [this, e, aAgent] { this->CloseLink(e, aAgent); });
     }
   }
   this->ArmAgent(aAgent);
 }
 
+// The agent sends GOAWAY before it closes, so that the entry knows that the streams above the last
+// one that arrived were not run.
+void RequestsSite::CloseLink(std::size_t aEntry, std::size_t aAgent)
+{
+  std::set<CallId> refused;
+  for (const std::shared_ptr<Call>& call : this->agents[aAgent]->onLink) {
+    if (call->entry == aEntry) {
+      refused.insert(call->id);
+    }
+  }
+  for (const CallId call : refused) {
+    this->Decide(aEntry, CallNotRun{ call, Reason::StreamRefused });
+  }
+  this->Decide(aEntry, LinkDown{ LinkOf(aEntry, aAgent) });
+}
+
 void RequestsSite::ArmAgent(std::size_t aAgent)
 {
   Agent& agent = *this->agents[aAgent];
--- a/packages/bench/src/RequestsSiteParts.h
+++ b/packages/bench/src/RequestsSiteParts.h
@@ -56,6 +56,8 @@
   // By order of start, so that a run can be repeated.
   std::map<std::uint64_t, std::shared_ptr<Call>> running;
   std::deque<std::shared_ptr<Call>> waiting;
+  // Calls that have not arrived yet.
+  std::set<std::shared_ptr<Call>> onLink;
   // What happens while the worker stands still is done when it goes on.
   std::vector<Action> held;
   bool closed = false;
--- a/packages/requests/include/oriolespread/requests/UpstreamBook.h
+++ b/packages/requests/include/oriolespread/requests/UpstreamBook.h
@@ -71,6 +71,8 @@
   // Returns whether a new call may go to the upstream. When not, refuse with upstream_leaving.
   bool Accepts(const UpstreamId& aUpstream) const;
   void BeginCall(const UpstreamId& aUpstream);
+  // Call this after the answer was handed to the link: IsDrained, and with it the end of the link,
+  // may follow from it.
   void EndCall(Instant aNow, const UpstreamId& aUpstream, Duration aLatency, bool aFailed);
 
   // Sets the latency objective of a service; 0 removes it.
--- a/packages/requests/src/EngineCalls.cpp
+++ b/packages/requests/src/EngineCalls.cpp
@@ -268,6 +268,7 @@
   }
   std::vector<CallId> stuck;
   std::vector<PoolKey> touched;
+  touched.reserve(aSuspects.size());
   for (const UpstreamPtr& upstream : aSuspects) {
     touched.push_back(upstream->pool);
   }
--- a/packages/requests/src/IdempotencyGate.cpp
+++ b/packages/requests/src/IdempotencyGate.cpp
@@ -19,7 +19,9 @@
     this->counters.Add("idempotency_refused_total", "gate_full");
     return false;
   }
-  if (!this->health.TryUse(aNow)) {
+  // Entries that wait for the service probe it by themselves; another write would add to them.
+  const bool probed = this->health.IsDown() && this->nextWake != Instant::max();
+  if (probed || !this->health.TryUse(aNow)) {
     this->counters.Add("idempotency_refused_total", "store_down");
     return false;
   }
--- a/packages/requests/src/StoreHealth.h
+++ b/packages/requests/src/StoreHealth.h
@@ -25,10 +25,12 @@
     }
   }
 
+  bool IsDown() const { return this->failures >= kFailures; }
+
   // Returns whether a new request may be sent now.
   bool TryUse(Instant aNow)
   {
-    if (this->failures < kFailures) {
+    if (!this->IsDown()) {
       return true;
     }
     if (aNow < this->nextProbe) {
