--- a/Makefile
+++ b/Makefile
@@ -31,5 +31,9 @@
 bench: build
 	@./$(BUILD)/packages/bench/oriolespread-bench --seed $(SEED)
 
+golden: build
+	@ORIOLESPREAD_GOLDEN=write ./$(BUILD)/packages/scenarios/scenarios_tests >/dev/null
+	@git diff --stat -- packages/scenarios/golden
+
 clean:
 	@rm -rf $(BUILD) build-asan build-tsan
