Avoid an overflow when an upstream is ejected for the first time

The time since the last ejection was taken from Instant::min() when there was none; the undefined behaviour sanitizer reported it.

--- a/packages/requests/src/OutlierEjector.cpp
+++ b/packages/requests/src/OutlierEjector.cpp
@@ -36,7 +36,7 @@
     this->counters.Add("ejections_withheld_total", aUpstream.pool.service.Value());
     return false;
   }
-  if (aNow - aUpstream.ejectedUntil > kForgive && aUpstream.timesEjected > 0) {
+  if (aUpstream.timesEjected > 0 && aNow - aUpstream.ejectedUntil > kForgive) {
     aUpstream.timesEjected = 0;
   }
   aUpstream.timesEjected = std::min(aUpstream.timesEjected + 1, kMaxTimes);
