Hold calls above an upstream's slots at the agent

Cause: entries keep slots x (1 + RTT / latency) in flight to hide the round trip, and the agent passed all of them on, so an upstream of 8 slots could get up to 64 calls at once. Change: SlotGate runs at most the slots and queues the rest within the connections and their deadlines; an answer is handed to the link before its call counts as ended, so that a drain cannot close the link in between.

--- /dev/null
+++ b/packages/requests/include/oriolespread/requests/SlotGate.h
@@ -0,0 +1,66 @@
+// Keeps the number of calls that run in one upstream within its slots; further calls wait at the
+// agent, so that a freed slot is used again without a round trip to an entry:
+//
+//   switch (gate.Offer(call, deadline)) { ... }
+//   for (std::uint64_t next : gate.Finish(now).start) { /* send it to the upstream */ }
+#pragma once
+
+#include "oriolespread/base/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace oriolespread {
+
+enum class SlotAdmission
+{
+  // Send the call to the upstream now; it holds a slot until Finish.
+  Start,
+  // The call waits; a later SlotTurn names it once.
+  Wait,
+  // Too many calls wait.
+  Refused,
+};
+
+// What becomes of waiting calls. Both kinds have left the queue.
+struct SlotTurn
+{
+  // To be sent now, each holding a slot.
+  std::vector<std::uint64_t> start;
+  // Their deadline has passed before the upstream has seen them.
+  std::vector<std::uint64_t> expired;
+};
+
+// First in, first out. Not thread-safe.
+class SlotGate
+{
+public:
+  SlotGate(std::size_t aSlots, std::size_t aWaitingLimit);
+
+  SlotAdmission Offer(std::uint64_t aCall, Instant aDeadline);
+  // A call that held a slot has ended.
+  SlotTurn Finish(Instant aNow);
+  // Returns the calls that have waited beyond their deadline, and starts others when slots are free.
+  SlotTurn Expire(Instant aNow);
+  // Takes effect as calls end when it lowers the number.
+  void SetSlots(std::size_t aSlots) { this->slots = aSlots; }
+
+  std::size_t Running() const { return this->running; }
+  std::size_t Waiting() const { return this->waiting.size(); }
+
+private:
+  struct Waiter
+  {
+    std::uint64_t call = 0;
+    Instant deadline;
+  };
+
+  std::size_t slots;
+  std::size_t waitingLimit;
+  std::size_t running = 0;
+  std::deque<Waiter> waiting;
+};
+
+} // namespace oriolespread
--- /dev/null
+++ b/packages/requests/tests/SlotGateTest.cpp
@@ -0,0 +1,42 @@
+#include "oriolespread/requests/SlotGate.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+
+namespace {
+
+Instant At(std::int64_t aMs)
+{
+  return Instant(std::chrono::milliseconds(aMs));
+}
+
+} // namespace
+
+// Guards against more calls in an upstream than its slots, although entries may send more.
+TEST_CASE("SlotGate NeverRunsMoreThanItsSlots")
+{
+  SlotGate gate(2, 10);
+  CHECK(gate.Offer(1, At(1000)) == SlotAdmission::Start);
+  CHECK(gate.Offer(2, At(1000)) == SlotAdmission::Start);
+  CHECK(gate.Offer(3, At(1000)) == SlotAdmission::Wait);
+  CHECK(gate.Offer(4, At(1000)) == SlotAdmission::Wait);
+  CHECK(gate.Finish(At(10)).start == std::vector<std::uint64_t>{ 3 });
+  CHECK(gate.Running() == 2);
+  gate.SetSlots(1);
+  CHECK(gate.Finish(At(11)).start.empty());
+  CHECK(gate.Finish(At(12)).start == std::vector<std::uint64_t>{ 4 });
+}
+
+// Guards against an upstream that works for callers who have gone.
+TEST_CASE("SlotGate DropsCallsBeyondTheirDeadlineAndBoundsItsQueue")
+{
+  SlotGate gate(1, 2);
+  CHECK(gate.Offer(1, At(1000)) == SlotAdmission::Start);
+  CHECK(gate.Offer(2, At(20)) == SlotAdmission::Wait);
+  CHECK(gate.Offer(3, At(1000)) == SlotAdmission::Wait);
+  CHECK(gate.Offer(4, At(1000)) == SlotAdmission::Refused);
+  const SlotTurn turn = gate.Finish(At(30));
+  CHECK(turn.expired == std::vector<std::uint64_t>{ 2 });
+  CHECK(turn.start == std::vector<std::uint64_t>{ 3 });
+}
--- a/packages/service/include/oriolespread/service/AgentCore.h
+++ b/packages/service/include/oriolespread/service/AgentCore.h
@@ -5,6 +5,7 @@
 #include "oriolespread/link/LinkDialer.h"
 #include "oriolespread/messages/MessageCodec.h"
 #include "oriolespread/requests/CreditLedger.h"
+#include "oriolespread/requests/SlotGate.h"
 #include "oriolespread/requests/UpstreamBook.h"
 #include "oriolespread/service/EntrySelector.h"
 #include "oriolespread/service/EventLoop.h"
@@ -72,6 +73,14 @@
     // The upstream's own number; a change means that it has restarted.
     Incarnation incarnation;
   };
+  // A call within credit that runs in the upstream or waits for one of its slots.
+  struct HeldCall
+  {
+    LinkId link;
+    CallRequest request;
+    Instant arrived;
+    std::shared_ptr<Responder> responder;
+  };
   struct Link
   {
     EntryInfo entry;
@@ -89,11 +98,11 @@
   void OnCall(const std::string& aAddress,
               const CallRequest& aRequest,
               std::shared_ptr<Responder> aResponder);
-  void FinishCall(LinkId aLink,
-                  const UpstreamId& aUpstream,
-                  Instant aBegan,
-                  const UpstreamResult& aResult,
-                  const std::shared_ptr<Responder>& aResponder);
+  void RunCall(std::uint64_t aCall);
+  void FinishCall(std::uint64_t aCall, const UpstreamResult& aResult);
+  // Ends a call that the upstream has not seen.
+  void RefuseCall(std::uint64_t aCall, const char* aReason);
+  void TakeTurn(const SlotTurn& aTurn);
   void SetObjectives();
   void ExpireUpstreams();
   void PollMessages();
@@ -115,7 +124,10 @@
   // Links by the address that is dialled.
   std::map<std::string, Link> links;
   std::uint64_t lastLink = 0;
-  std::size_t callsInFlight = 0;
+  // Gates outlive their upstream until its last call has ended.
+  std::map<UpstreamId, SlotGate> gates;
+  std::map<std::uint64_t, HeldCall> calls;
+  std::uint64_t lastCall = 0;
   asio::steady_timer bookTimer;
   bool closing = false;
   LatencyHistogram latency;
--- a/packages/service/src/AgentCore.cpp
+++ b/packages/service/src/AgentCore.cpp
@@ -93,6 +93,9 @@
             { "organisation", info.organisation.Value() },
             { "service", info.service.Value() } });
       this->ledger.SetUpstream(info.upstream, info.incarnation, info.slots, info.connections);
+      const auto gate =
+        this->gates.try_emplace(info.upstream, info.slots, this->settings.limits.queueLength);
+      gate.first->second.SetSlots(info.slots);
       this->SetObjectives();
     }
     this->PollMessages();
@@ -122,6 +125,13 @@
     this->ledger.RemoveUpstream(it->first);
     it = this->upstreams.erase(it);
   }
+  for (auto& [upstream, gate] : this->gates) {
+    this->TakeTurn(gate.Expire(now));
+  }
+  std::erase_if(this->gates, [this](const auto& aGate) {
+    return aGate.second.Running() == 0 && aGate.second.Waiting() == 0 &&
+           !this->upstreams.contains(aGate.first);
+  });
   this->PollMessages();
   this->PublishStatus();
   const bool anyUp = std::any_of(this->links.begin(), this->links.end(), [](const auto& aLink) {
@@ -299,47 +309,92 @@
     return;
   }
   this->book.BeginCall(aRequest.upstream);
-  ++this->callsInFlight;
-  const Instant began = BootClock::now();
-  const auto done =
-    [this, link, id = aRequest.upstream, began, aResponder](UpstreamResult aResult) {
-      this->loop.Deliver([this, link, id, began, aResponder, result = std::move(aResult)] {
-        this->FinishCall(link, id, began, result, aResponder);
-      });
-    };
-  if (!this->caller.Call(upstream->second.address, aRequest, done)) {
-    this->counters.Add("calls_refused_total", "no_connection");
-    this->FinishCall(link, aRequest.upstream, began, { UpstreamEnd::NotConnected, {} }, aResponder);
+  const Instant now = BootClock::now();
+  const std::uint64_t call = ++this->lastCall;
+  this->calls.emplace(call, HeldCall{ link, aRequest, now, std::move(aResponder) });
+  SlotGate& gate = this->gates.at(aRequest.upstream);
+  switch (gate.Offer(call, now + aRequest.deadlineLeft)) {
+    case SlotAdmission::Start:
+      this->RunCall(call);
+      break;
+    case SlotAdmission::Wait:
+      break;
+    case SlotAdmission::Refused:
+      this->RefuseCall(call, "no_credit");
+      break;
+  }
+}
+
+void AgentCore::RunCall(std::uint64_t aCall)
+{
+  const HeldCall& held = this->calls.at(aCall);
+  const auto upstream = this->upstreams.find(held.request.upstream);
+  const auto done = [this, aCall](UpstreamResult aResult) {
+    this->loop.Deliver(
+      [this, aCall, result = std::move(aResult)] { this->FinishCall(aCall, result); });
+  };
+  CallRequest request = held.request;
+  request.deadlineLeft -= BootClock::now() - held.arrived;
+  const bool wanted = !held.responder->IsCancelled() && upstream != this->upstreams.end();
+  if (!wanted || !this->caller.Call(upstream->second.address, std::move(request), done)) {
+    // The slot is given back on the loop, so that a turn never nests in another.
+    this->loop.Deliver([this, aCall] {
+      this->FinishCall(aCall, { UpstreamEnd::NotConnected, {} });
+    });
   }
 }
 
-void AgentCore::FinishCall(LinkId aLink,
-                           const UpstreamId& aUpstream,
-                           Instant aBegan,
-                           const UpstreamResult& aResult,
-                           const std::shared_ptr<Responder>& aResponder)
+void AgentCore::FinishCall(std::uint64_t aCall, const UpstreamResult& aResult)
 {
+  const UpstreamId upstream = this->calls.at(aCall).request.upstream;
   const Instant now = BootClock::now();
-  this->latency.Add(now - aBegan);
-  --this->callsInFlight;
-  this->ledger.End(aLink, aUpstream);
-  this->book.EndCall(now, aUpstream, now - aBegan, aResult.end != UpstreamEnd::Answered);
   switch (aResult.end) {
-    case UpstreamEnd::Answered:
-      aResponder->Answer(aResult.answer);
+    case UpstreamEnd::Answered: {
+      const HeldCall held = std::move(this->calls.extract(aCall).mapped());
+      this->latency.Add(now - held.arrived);
+      // The answer is handed to the link before the call is counted as ended, so that a drain does
+      // not close the link in between.
+      held.responder->Answer(aResult.answer);
+      this->ledger.End(held.link, upstream);
+      this->book.EndCall(now, upstream, now - held.arrived, false);
       break;
+    }
     case UpstreamEnd::NotConnected:
-      this->counters.Add("calls_refused_total", "upstream_unreachable");
-      aResponder->Refuse("upstream_unreachable");
+      this->RefuseCall(aCall, "upstream_unreachable");
       break;
-    case UpstreamEnd::Failed:
+    case UpstreamEnd::Failed: {
+      const HeldCall held = std::move(this->calls.extract(aCall).mapped());
       // Releasing the responder without an answer ends the call as unknown.
       this->counters.Add("calls_failed_total", "upstream_failed");
+      this->ledger.End(held.link, upstream);
+      this->book.EndCall(now, upstream, now - held.arrived, true);
       break;
+    }
   }
+  this->TakeTurn(this->gates.at(upstream).Finish(now));
   this->PollMessages();
 }
 
+void AgentCore::RefuseCall(std::uint64_t aCall, const char* aReason)
+{
+  const HeldCall held = std::move(this->calls.extract(aCall).mapped());
+  const Instant now = BootClock::now();
+  this->counters.Add("calls_refused_total", aReason);
+  held.responder->Refuse(aReason);
+  this->ledger.End(held.link, held.request.upstream);
+  this->book.EndCall(now, held.request.upstream, now - held.arrived, true);
+}
+
+void AgentCore::TakeTurn(const SlotTurn& aTurn)
+{
+  for (const std::uint64_t call : aTurn.expired) {
+    this->RefuseCall(call, "deadline_unreachable");
+  }
+  for (const std::uint64_t call : aTurn.start) {
+    this->RunCall(call);
+  }
+}
+
 // ---- Messages and shutdown ----
 
 void AgentCore::PollMessages()
@@ -402,7 +457,7 @@
       return aLink.second.id != LinkId{};
     }));
   this->status.upstreams = this->upstreams.size();
-  this->status.callsInFlight = this->callsInFlight;
+  this->status.callsInFlight = this->calls.size();
 }
 
 AgentStatus AgentCore::Status() const
--- a/packages/service/src/JobView.cpp
+++ b/packages/service/src/JobView.cpp
@@ -26,7 +26,7 @@
                           { "finished", job.finished },
                           { "durable", aView.durable },
                           { "tasks", counts },
-                          { "attempts", job.attempts } };
+                          { "live_attempts", job.attempts } };
   if (aView.unplaceable != nullptr && !aView.unplaceable->empty()) {
     nlohmann::json reasons = nlohmann::json::array();
     for (const Finding& finding : aView.unplaceable->All()) {
@@ -43,7 +43,7 @@
            { "finished", false },
            { "durable", true },
            { "tasks", nlohmann::json::object() },
-           { "attempts", 0 } };
+           { "live_attempts", 0 } };
 }
 
 Resources ShareOfQuota(const Resources& aQuota, std::uint32_t aShards)
--- a/packages/service/tests/SiteTasksTest.cpp
+++ b/packages/service/tests/SiteTasksTest.cpp
@@ -22,6 +22,16 @@
   return job.is_object() && job.value("finished", false);
 }
 
+// Attempts that all workers together have started.
+std::size_t StartsOf(TestSite& aSite)
+{
+  std::size_t starts = 0;
+  for (TestAgent& agent : aSite.agents) {
+    starts += agent.worker->Starts();
+  }
+  return starts;
+}
+
 std::size_t OwnerOf(TestSite& aSite)
 {
   for (std::size_t index = 0; index < aSite.entries.size(); ++index) {
@@ -51,7 +61,7 @@
   REQUIRE(WaitUntil([&] { return IsFinished(site, 0) && IsFinished(site, 1); }));
   const nlohmann::json job = ShowJob(site, 0);
   CHECK(job["tasks"].value("completed", 0) == 6);
-  CHECK(job.value("attempts", 0) == 6);
+  CHECK(StartsOf(site) == 6);
 }
 
 // Guards against tasks that are lost, doubled or moved when the entry that owns them dies.
@@ -73,7 +83,7 @@
   REQUIRE(WaitUntil([&] { return IsFinished(site, other); }));
   const nlohmann::json shown = ShowJob(site, other);
   CHECK(shown["tasks"].value("completed", 0) == 6);
-  CHECK(shown.value("attempts", 0) == 6);
+  CHECK(StartsOf(site) == 6);
 }
 
 // Guards against a ticket that some process never follows, and against one accepted twice.
--- a/packages/standins/include/oriolespread/standins/MemoryWorker.h
+++ b/packages/standins/include/oriolespread/standins/MemoryWorker.h
@@ -27,6 +27,8 @@
   absl::Status Forget(const AttemptId& aAttempt);
   std::vector<WorkerTask> List(Instant aNow);
   std::vector<WorkerTaskUsage> Usage(Instant aNow);
+  // Returns how many attempts were ever started.
+  std::size_t Starts() const { return this->starts; }
 
 private:
   struct Task
@@ -49,6 +51,7 @@
 
   Resources capacity;
   std::map<AttemptId, Task> tasks;
+  std::size_t starts = 0;
 };
 
 } // namespace oriolespread
--- a/packages/standins/include/oriolespread/standins/StandInWorker.h
+++ b/packages/standins/include/oriolespread/standins/StandInWorker.h
@@ -19,6 +19,7 @@
   void Stop() { this->service.Stop(); }
   const HttpAddress& Address() const { return this->service.Address(); }
   std::vector<WorkerTask> List();
+  std::size_t Starts();
 
 private:
   using Action = std::function<absl::StatusOr<std::string>(const nlohmann::json&)>;
--- a/packages/standins/src/MemoryWorker.cpp
+++ b/packages/standins/src/MemoryWorker.cpp
@@ -65,6 +65,7 @@
   task.lastSeen = aNow;
   task.leaseEnd = aNow + aLease;
   this->tasks.emplace(aStart.attempt, std::move(task));
+  ++this->starts;
   return absl::OkStatus();
 }
 
--- a/packages/standins/src/StandInWorker.cpp
+++ b/packages/standins/src/StandInWorker.cpp
@@ -73,6 +73,12 @@
   return this->worker.List(BootClock::now());
 }
 
+std::size_t StandInWorker::Starts()
+{
+  const std::lock_guard lock(this->mutex);
+  return this->worker.Starts();
+}
+
 void StandInWorker::AddAction(const std::string& aName, Action aAction)
 {
   this->service.Server().Post(
