--- a/packages/bench/src/RequestsCostBench.cpp
+++ b/packages/bench/src/RequestsCostBench.cpp
@@ -1,7 +1,6 @@
 // Processor time of the engine for one request, and what it holds after 200,000 requests.
-#include "oriolespread/requests/RequestsSite.h"
-
 #include "oriolespread/bench/BenchCase.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 #include <chrono>
 #include <fstream>
--- a/packages/bench/src/RequestsFailureBench.cpp
+++ b/packages/bench/src/RequestsFailureBench.cpp
@@ -1,7 +1,6 @@
 // What callers see when upstreams stop, die, stand still or all fail.
-#include "oriolespread/requests/RequestsSite.h"
-
 #include "oriolespread/bench/BenchCase.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 namespace oriolespread::bench {
 
--- a/packages/bench/src/RequestsFairnessBench.cpp
+++ b/packages/bench/src/RequestsFairnessBench.cpp
@@ -1,7 +1,6 @@
 // An organisation at 10 times its share against the tail latency of another on the same upstreams.
-#include "oriolespread/requests/RequestsSite.h"
-
 #include "oriolespread/bench/BenchCase.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 namespace oriolespread::bench {
 
--- a/packages/bench/src/RequestsRoutingBench.cpp
+++ b/packages/bench/src/RequestsRoutingBench.cpp
@@ -1,8 +1,7 @@
 // Tail latency of the router against round robin and random choice: 11 workers in 3 data centres at
 // 70% load, one worker 5 times slower, reports that lag by 1 s.
-#include "oriolespread/requests/RequestsSite.h"
-
 #include "oriolespread/bench/BenchCase.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 namespace oriolespread::bench {
 
--- a/packages/bench/src/RequestsStoreBench.cpp
+++ b/packages/bench/src/RequestsStoreBench.cpp
@@ -1,7 +1,6 @@
 // Requests while the table service is down for 10 minutes.
-#include "oriolespread/requests/RequestsSite.h"
-
 #include "oriolespread/bench/BenchCase.h"
+#include "oriolespread/requests/RequestsSite.h"
 
 namespace oriolespread::bench {
 
--- a/packages/requests/include/oriolespread/requests/SlotGate.h
+++ b/packages/requests/include/oriolespread/requests/SlotGate.h
@@ -42,7 +42,8 @@
   SlotAdmission Offer(std::uint64_t aCall, Instant aDeadline);
   // A call that held a slot has ended.
   SlotTurn Finish(Instant aNow);
-  // Returns the calls that have waited beyond their deadline, and starts others when slots are free.
+  // Returns the calls that have waited beyond their deadline, and starts others when slots are
+  // free.
   SlotTurn Expire(Instant aNow);
   // Takes effect as calls end when it lowers the number.
   void SetSlots(std::size_t aSlots) { this->slots = aSlots; }
--- a/packages/requests/testing/src/RequestsSiteAgents.cpp
+++ b/packages/requests/testing/src/RequestsSiteAgents.cpp
@@ -1,7 +1,8 @@
 // The agents and upstreams of the site, and the simple policies that the engine is compared with.
-#include "oriolespread/requests/RequestsSite.h"
 #include "RequestsSiteParts.h"
 
+#include "oriolespread/requests/RequestsSite.h"
+
 namespace oriolespread::bench {
 
 void RequestsSite::RouteSimply(const RequestId& aRequest)
--- a/packages/scenarios/src/Script.cpp
+++ b/packages/scenarios/src/Script.cpp
@@ -19,8 +19,7 @@
   "seed <count>",
   "tasks entries <count:entries> workers <count:workers> capacity <count:cores> <count:memory>",
   "horizon <time>",
-  "requests entries <count:entries> workers <count:workers> centres <count:centres> link "
-  "<time:link> service <time:service>",
+  R"(requests entries <count:entries> workers <count:workers> centres <count:centres> link <time:link> service <time:service>)",
   "traffic <name> rate <count>",
   "tickets entries <count:entries> agents <count:agents>",
 };
@@ -216,7 +215,8 @@
     if (this->words[0].text == "at") {
       at = this->words.size() > 1 ? ParseTime(this->words[1].text) : std::nullopt;
       if (!at.has_value()) {
-        aFindings.Add(this->PlaceOf(1), "has no time after 'at'", "a time such as 200ms, 3s or 2min");
+        aFindings.Add(
+          this->PlaceOf(1), "has no time after 'at'", "a time such as 200ms, 3s or 2min");
         return std::nullopt;
       }
       first = 2;
@@ -248,8 +248,8 @@
   Place PlaceOf(std::size_t aWord) const
   {
     const bool beyond = aWord >= this->words.size();
-    const auto column = beyond ? static_cast<std::uint32_t>(this->text.size() + 1)
-                               : this->words[aWord].column;
+    const auto column =
+      beyond ? static_cast<std::uint32_t>(this->text.size() + 1) : this->words[aWord].column;
     return { this->source, this->line, column, "" };
   }
 
@@ -343,9 +343,9 @@
       script.steps.push_back(*std::move(step));
     }
   }
-  std::stable_sort(script.steps.begin(), script.steps.end(), [](const Step& aLeft, const Step& aRight) {
-    return aLeft.at < aRight.at;
-  });
+  std::stable_sort(script.steps.begin(),
+                   script.steps.end(),
+                   [](const Step& aLeft, const Step& aRight) { return aLeft.at < aRight.at; });
   aFindings.Append(findings);
   if (!findings.empty()) {
     return std::nullopt;
--- a/packages/scenarios/src/TicketSite.cpp
+++ b/packages/scenarios/src/TicketSite.cpp
@@ -133,8 +133,8 @@
     return;
   }
   this->Handle(aEntry, TicketTick{});
-  const Duration wait = std::max<Duration>(entry.book->NextWakeup() - this->Now(),
-                                           std::chrono::milliseconds(1));
+  const Duration wait =
+    std::max<Duration>(entry.book->NextWakeup() - this->Now(), std::chrono::milliseconds(1));
   this->queue.After(std::min<Duration>(wait, std::chrono::milliseconds(100)),
                     [this, aEntry, aLife] { this->Tick(aEntry, aLife); });
 }
--- a/packages/scenarios/src/Worlds.cpp
+++ b/packages/scenarios/src/Worlds.cpp
@@ -61,8 +61,8 @@
     this->requestOptions.traffic.push_back(traffic);
     this->requests = std::make_unique<bench::RequestsSite>(this->requestOptions);
   } else if (form.starts_with("tickets")) {
-    this->tickets = std::make_unique<TicketSite>(
-      aStep.Number("entries"), aStep.Number("agents"), this->seed);
+    this->tickets =
+      std::make_unique<TicketSite>(aStep.Number("entries"), aStep.Number("agents"), this->seed);
   }
 }
 
@@ -190,7 +190,8 @@
   this->On("heal entry <count:entry> agent <count:agent>", [&world](const Step& aStep) {
     world.Cut(aStep.Number("entry"), aStep.Number("agent"), false);
   });
-  this->On("messages drop <share>", [&world](const Step& aStep) { world.drop = aStep.Share("share"); });
+  this->On("messages drop <share>",
+           [&world](const Step& aStep) { world.drop = aStep.Share("share"); });
   this->On("messages duplicate <share>",
            [&world](const Step& aStep) { world.duplicate = aStep.Share("share"); });
   this->On("messages delay <time>",
@@ -300,14 +301,13 @@
   this->On("upstream <count> leaves",
            [&site](const Step& aStep) { site.StopGracefully(aStep.Number("count")); });
   this->On("rate <name> <count>", [&site](const Step& aStep) {
-    site.SetRate(OrganisationId{ aStep.Text("name") },
-                 static_cast<double>(aStep.Number("count")));
+    site.SetRate(OrganisationId{ aStep.Text("name") }, static_cast<double>(aStep.Number("count")));
   });
   this->Expect("expect requests answered at least <share>", [&site](const Step& aStep) {
     const bench::Tally total = site.Total();
-    const double share = total.offered == 0 ? 0.0
-                                            : static_cast<double>(total.answered) /
-                                                static_cast<double>(total.offered);
+    const double share =
+      total.offered == 0 ? 0.0
+                         : static_cast<double>(total.answered) / static_cast<double>(total.offered);
     return share >= aStep.Share("share")
              ? std::string()
              : absl::StrCat(total.answered, " of ", total.offered, " were answered");
@@ -337,9 +337,12 @@
                          nlohmann::json::parse(aStep.Text("rest")));
            });
   if (this->tasks == nullptr) {
-    this->On("kill entry <entry>", [&site](const Step& aStep) { site.KillEntry(aStep.Number("entry")); });
-    this->On("start entry <count>", [&site](const Step& aStep) { site.StartEntry(aStep.Number("count")); });
-    this->On("messages drop <share>", [&site](const Step& aStep) { site.drop = aStep.Share("share"); });
+    this->On("kill entry <entry>",
+             [&site](const Step& aStep) { site.KillEntry(aStep.Number("entry")); });
+    this->On("start entry <count>",
+             [&site](const Step& aStep) { site.StartEntry(aStep.Number("count")); });
+    this->On("messages drop <share>",
+             [&site](const Step& aStep) { site.drop = aStep.Share("share"); });
   }
   this->Expect("expect ticket <name> accepted", [&site](const Step& aStep) -> std::string {
     const SubmitAnswer* answer = site.AnswerOf(aStep.Text("name"));
@@ -360,8 +363,9 @@
   this->Expect("expect number <count> everywhere", [&site](const Step& aStep) {
     const bool holds = site.Lowest().Value() == aStep.Number("count") &&
                        site.Highest().Value() == aStep.Number("count");
-    return holds ? std::string()
-                 : absl::StrCat("numbers are ", site.Lowest().Value(), " to ", site.Highest().Value());
+    return holds
+             ? std::string()
+             : absl::StrCat("numbers are ", site.Lowest().Value(), " to ", site.Highest().Value());
   });
   this->Expect("expect number at least <count> everywhere", [&site](const Step& aStep) {
     return Compare(
--- a/packages/scenarios/src/Worlds.h
+++ b/packages/scenarios/src/Worlds.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "TicketSite.h"
+
 #include "oriolespread/requests/RequestsSite.h"
 #include "oriolespread/scenarios/Script.h"
 #include "oriolespread/tasks/SimWorld.h"
--- a/packages/service/include/oriolespread/service/ControlDriver.h
+++ b/packages/service/include/oriolespread/service/ControlDriver.h
@@ -82,18 +82,18 @@
   void OnAgentDown(const AgentId& aAgent);
   void OnMessage(const AgentId& aAgent, const LinkMessage& aMessage);
 
-  void SubmitJob(JobSpec aSpec, std::function<void(const JobAnswer&)> aDone);
-  void CancelJob(CancelRequest aRequest, std::function<void(const JobAnswer&)> aDone);
+  void SubmitJob(JobSpec aSpec, const std::function<void(const JobAnswer&)>& aDone);
+  void CancelJob(CancelRequest aRequest, const std::function<void(const JobAnswer&)>& aDone);
   // Shows a job of this organisation; another's looks unknown.
   void ShowJob(JobId aJob,
-               OrganisationId aOrganisation,
-               std::function<void(const JobAnswer&)> aDone);
+               const OrganisationId& aOrganisation,
+               const std::function<void(const JobAnswer&)>& aDone);
 
-  void SubmitTicket(ChangeTicket aTicket, std::function<void(const SubmitAnswer&)> aDone);
+  void SubmitTicket(ChangeTicket aTicket, const std::function<void(const SubmitAnswer&)>& aDone);
   void ReadTickets(TicketNumber aAfter,
                    std::size_t aLimit,
-                   std::function<void(const LogAnswer&)> aDone);
-  void ReplayState(TicketNumber aNumber, std::function<void(const StateAnswer&)> aDone);
+                   const std::function<void(const LogAnswer&)>& aDone);
+  void ReplayState(TicketNumber aNumber, const std::function<void(const StateAnswer&)>& aDone);
   // Another entry says that tickets up to this number are accepted.
   void OnTicketNumber(TicketNumber aNumber);
   // HTTP addresses of the other entries, to tell them of new tickets.
--- a/packages/service/src/ControlDriver.cpp
+++ b/packages/service/src/ControlDriver.cpp
@@ -304,7 +304,7 @@
 }
 
 void ControlDriver::SubmitTicket(ChangeTicket aTicket,
-                                 std::function<void(const SubmitAnswer&)> aDone)
+                                 const std::function<void(const SubmitAnswer&)>& aDone)
 {
   const bool posted = this->loop.TryPost([this, ticket = std::move(aTicket), aDone] {
     const TicketCallId call = ++this->lastCall;
@@ -320,7 +320,7 @@
 
 void ControlDriver::ReadTickets(TicketNumber aAfter,
                                 std::size_t aLimit,
-                                std::function<void(const LogAnswer&)> aDone)
+                                const std::function<void(const LogAnswer&)>& aDone)
 {
   const bool posted = this->loop.TryPost([this, aAfter, aLimit, aDone] {
     const TicketCallId call = ++this->lastCall;
@@ -332,7 +332,8 @@
   }
 }
 
-void ControlDriver::ReplayState(TicketNumber aNumber, std::function<void(const StateAnswer&)> aDone)
+void ControlDriver::ReplayState(TicketNumber aNumber,
+                                const std::function<void(const StateAnswer&)>& aDone)
 {
   const bool posted = this->loop.TryPost([this, aNumber, aDone] {
     const TicketCallId call = ++this->lastCall;
--- a/packages/service/src/ControlJobs.cpp
+++ b/packages/service/src/ControlJobs.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-void ControlDriver::SubmitJob(JobSpec aSpec, std::function<void(const JobAnswer&)> aDone)
+void ControlDriver::SubmitJob(JobSpec aSpec, const std::function<void(const JobAnswer&)>& aDone)
 {
   const bool posted = this->loop.TryPost([this, spec = std::move(aSpec), aDone] {
     const ShardId shard = ShardsOfJob(spec.job, this->options.shards.count).first;
@@ -50,7 +50,8 @@
   }
 }
 
-void ControlDriver::CancelJob(CancelRequest aRequest, std::function<void(const JobAnswer&)> aDone)
+void ControlDriver::CancelJob(CancelRequest aRequest,
+                              const std::function<void(const JobAnswer&)>& aDone)
 {
   const bool posted = this->loop.TryPost([this, request = std::move(aRequest), aDone] {
     this->FindShardOfJob(
@@ -74,8 +75,8 @@
 }
 
 void ControlDriver::ShowJob(JobId aJob,
-                            OrganisationId aOrganisation,
-                            std::function<void(const JobAnswer&)> aDone)
+                            const OrganisationId& aOrganisation,
+                            const std::function<void(const JobAnswer&)>& aDone)
 {
   const bool posted = this->loop.TryPost([this, job = std::move(aJob), aOrganisation, aDone] {
     this->FindShardOfJob(
--- a/packages/service/tests/SiteRequestsTest.cpp
+++ b/packages/service/tests/SiteRequestsTest.cpp
@@ -29,6 +29,7 @@
   site.Configure();
   std::atomic<int> wrong = 0;
   std::vector<std::thread> callers;
+  callers.reserve(8);
   for (int caller = 0; caller < 8; ++caller) {
     callers.emplace_back([&, caller] {
       for (int count = 0; count < 25; ++count) {
@@ -187,6 +188,7 @@
     failed += result && result->status == 200 ? 0 : 1;
   };
   std::vector<std::thread> callers;
+  callers.reserve(8);
   for (int count = 0; count < 8; ++count) {
     callers.emplace_back(call);
   }
--- a/packages/standins/include/oriolespread/standins/StandInUpstream.h
+++ b/packages/standins/include/oriolespread/standins/StandInUpstream.h
@@ -11,7 +11,6 @@
 
 #include <atomic>
 #include <condition_variable>
-#include <map>
 #include <mutex>
 
 namespace oriolespread {
@@ -40,8 +39,7 @@
   void Stop();
   const HttpAddress& Address() const { return this->service.Address(); }
 
-  // How often a request with this "Oriolespread-Request-Id" was received.
-  int Received(const std::string& aRequestId);
+  // How many requests were received.
   int Total() const { return this->total.load(); }
   void SetDelay(Duration aDelay) { this->delay = aDelay; }
 
@@ -55,7 +53,6 @@
   std::condition_variable wake;
   bool announcing = false;
   std::thread announcer;
-  std::map<std::string, int> received;
   std::atomic<int> total = 0;
   std::atomic<Duration> delay{ Duration::zero() };
 };
--- a/packages/standins/src/StandInUpstream.cpp
+++ b/packages/standins/src/StandInUpstream.cpp
@@ -69,20 +69,9 @@
   this->service.Stop();
 }
 
-int StandInUpstream::Received(const std::string& aRequestId)
-{
-  const std::lock_guard lock(this->mutex);
-  const auto it = this->received.find(aRequestId);
-  return it == this->received.end() ? 0 : it->second;
-}
-
 void StandInUpstream::Answer(const httplib::Request& aRequest, httplib::Response& aResponse)
 {
   const int count = ++this->total;
-  {
-    const std::lock_guard lock(this->mutex);
-    ++this->received[aRequest.get_header_value("Oriolespread-Request-Id")];
-  }
   const Duration wait = this->delay.load() + RequestedDelay(aRequest);
   if (wait > Duration::zero()) {
     std::this_thread::sleep_for(wait);
--- a/packages/tickets/include/oriolespread/tickets/ConfigValues.h
+++ b/packages/tickets/include/oriolespread/tickets/ConfigValues.h
@@ -108,8 +108,12 @@
   friend bool operator==(const TaskPolicyConfig&, const TaskPolicyConfig&) = default;
 };
 
-using ConfigValue = std::
-  variant<OrganisationConfig, ServiceConfig, QuotaConfig, WorkerConfig, RequestPolicyConfig, TaskPolicyConfig>;
+using ConfigValue = std::variant<OrganisationConfig,
+                                 ServiceConfig,
+                                 QuotaConfig,
+                                 WorkerConfig,
+                                 RequestPolicyConfig,
+                                 TaskPolicyConfig>;
 
 // Returns the typed value of a key, or nothing and all findings. `aPlace` is the place of the value
 // itself; the path of a member is appended to it. Accepts any JSON; never throws.
