Look for silent agents once per suspicion time instead of on each event

Ruled out: the codec, whose cost does not depend on the number of agents. Change: Membership keeps the earliest possible expiry; reports only move it later.

--- a/packages/requests/src/Membership.cpp
+++ b/packages/requests/src/Membership.cpp
@@ -87,6 +87,7 @@
   agent.incarnation = aAnnounce.incarnation;
   agent.link = aLink;
   agent.lastHeard = aNow;
+  this->nextExpiry = std::min(this->nextExpiry, aNow + kSuspectAfter);
   this->agentOfLink[aLink] = aAnnounce.agent;
 
   std::set<UpstreamId> named;
@@ -209,8 +210,16 @@
 std::vector<UpstreamPtr> Membership::Expire(Instant aNow)
 {
   std::vector<UpstreamPtr> expired;
+  if (aNow < this->nextExpiry) {
+    return expired;
+  }
+  this->nextExpiry = Instant::max();
   for (auto& [id, agent] : this->agents) {
-    if (agent.suspect || aNow - agent.lastHeard < kSuspectAfter) {
+    if (agent.suspect) {
+      continue;
+    }
+    if (aNow - agent.lastHeard < kSuspectAfter) {
+      this->nextExpiry = std::min(this->nextExpiry, agent.lastHeard + kSuspectAfter);
       continue;
     }
     agent.suspect = true;
@@ -223,17 +232,6 @@
   return expired;
 }
 
-Instant Membership::NextExpiry() const
-{
-  Instant next = Instant::max();
-  for (const auto& [id, agent] : this->agents) {
-    if (!agent.suspect) {
-      next = std::min(next, agent.lastHeard + kSuspectAfter);
-    }
-  }
-  return next;
-}
-
 void Membership::Forgive(Duration aPause)
 {
   for (auto& [id, agent] : this->agents) {
--- a/packages/requests/src/Membership.h
+++ b/packages/requests/src/Membership.h
@@ -35,7 +35,8 @@
 
   // Holds silent agents suspect; returns the upstreams concerned.
   std::vector<UpstreamPtr> Expire(Instant aNow);
-  Instant NextExpiry() const;
+  // Returns the earliest time at which an agent may have to be held suspect.
+  Instant NextExpiry() const { return this->nextExpiry; }
   // The entry itself was paused for so long: the silence of that time says nothing about agents.
   void Forgive(Duration aPause);
 
@@ -66,6 +67,9 @@
   absl::flat_hash_map<LinkId, AgentId> agentOfLink;
   std::map<AgentId, Agent> agents;
   std::map<PoolKey, std::vector<UpstreamPtr>> pools;
+  // No agent expires before this. Reports only move expiries later, so that agents are looked
+  // through about once in kSuspectAfter and not on each event.
+  Instant nextExpiry = Instant::max();
 };
 
 } // namespace oriolespread::internal
