Hand shards over in a planned stop

Cause: an entry that stopped let its ownership lease lapse, so that each planned replacement rested placement in its shards for 3 s. Change: ShardOwner::Release writes an owner row without lease once no transaction is in flight, then decides nothing more; EntryServer asks for it while it drains. Every third explorer seed stops entries this way.

--- a/packages/service/include/oriolespread/service/ControlDriver.h
+++ b/packages/service/include/oriolespread/service/ControlDriver.h
@@ -18,6 +18,7 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -78,6 +79,11 @@
   // Begins to follow tickets and to claim shards. Call after the loop has started.
   void Start();
 
+  // Gives up the shards of this entry in a planned stop. Returns whether all were given up within
+  // the limit; the others are taken over when their lease lapses. Call from any thread but the
+  // loop.
+  bool ReleaseShards(Duration aLimit);
+
   void OnAgentUp(const AgentId& aAgent);
   void OnAgentDown(const AgentId& aAgent);
   void OnMessage(const AgentId& aAgent, const LinkMessage& aMessage);
@@ -111,6 +117,8 @@
   };
 
   void MakeShards();
+  // Gives up shards until none is left, then sets the promise.
+  void ReleaseNext(const std::shared_ptr<std::promise<void>>& aDone);
   void HandleOwner(std::size_t aShard, const OwnerEvent& aEvent);
   void ApplyOwner(std::size_t aShard, const OwnerEffect& aEffect);
   void ArmOwner(std::size_t aShard);
--- a/packages/service/src/ControlDriver.cpp
+++ b/packages/service/src/ControlDriver.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t kDirectoryLimit = 1000;
 constexpr std::size_t kPlacementLimit = 200;
+constexpr Duration kReleaseRetry = std::chrono::milliseconds(10);
 
 Duration Until(Instant aWhen)
 {
@@ -79,6 +80,33 @@
   }
 }
 
+bool ControlDriver::ReleaseShards(Duration aLimit)
+{
+  auto done = std::make_shared<std::promise<void>>();
+  std::future<void> released = done->get_future();
+  this->loop.Deliver([this, done] { this->ReleaseNext(done); });
+  return released.wait_for(aLimit) == std::future_status::ready;
+}
+
+void ControlDriver::ReleaseNext(const std::shared_ptr<std::promise<void>>& aDone)
+{
+  bool all = true;
+  for (std::size_t index = 0; index < this->shards.size(); ++index) {
+    OwnerEffects effects;
+    all = this->shards[index].owner->Release(BootClock::now(), effects) && all;
+    for (const OwnerEffect& effect : effects) {
+      this->ApplyOwner(index, effect);
+    }
+  }
+  if (all) {
+    this->PublishStatus();
+    // The last writes are on the store threads, which end only after them.
+    aDone->set_value();
+    return;
+  }
+  this->loop.After(kReleaseRetry, [this, aDone] { this->ReleaseNext(aDone); });
+}
+
 // ---- Agents ----
 
 void ControlDriver::OnAgentUp(const AgentId& aAgent)
--- a/packages/service/src/EntryServer.cpp
+++ b/packages/service/src/EntryServer.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kStoreRing = 4096;
 // The balancer takes about this long to notice that readiness fails.
 constexpr Duration kReadinessLead = std::chrono::milliseconds(500);
+// A store that is slower than this is not waited for: the lease lapses by itself.
+constexpr Duration kReleaseLimit = std::chrono::seconds(1);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(5);
 
 std::unique_ptr<StorePool> MakeStore(const EntrySettings& aSettings)
@@ -158,9 +160,11 @@
     std::this_thread::sleep_for(kDrainPoll);
   }
   const bool drained = this->requests->IsDrained();
+  const bool released = this->control->ReleaseShards(kReleaseLimit);
   // Waits until the last answers are written to their callers.
   this->api->Stop();
-  Log(LogLevel::Info, "drain_finished", { { "complete", drained } });
+  Log(
+    LogLevel::Info, "drain_finished", { { "complete", drained }, { "shards_released", released } });
   this->Abort();
   return drained;
 }
--- a/packages/tasks/include/oriolespread/tasks/Journal.h
+++ b/packages/tasks/include/oriolespread/tasks/Journal.h
@@ -74,6 +74,11 @@
                                     const std::function<Duration()>& aInherited,
                                     CallCounter& aCalls,
                                     OwnerEffects& aEffects);
+  // Gives the shard up in a planned stop: writes an owner row without a lease and closes the
+  // journal, so that another entry need not wait for the lease. What is staged is dropped as in a
+  // crash. Returns false, and does nothing, while a transaction is in flight. `aInherited` is as
+  // for Poll.
+  bool Release(Instant aNow, Duration aInherited, CallCounter& aCalls, OwnerEffects& aEffects);
   Progress OnEvent(Instant aNow, const OwnerEvent& aEvent);
   std::vector<Deferred> TakeReleased();
 
@@ -92,7 +97,7 @@
 
   std::uint64_t Push(Item aItem);
   Transaction Build(std::size_t aItems, bool aRenew, Duration aInherited);
-  nlohmann::json NextOwnerRow(Duration aInherited);
+  OwnerRow NextOwnerRow(Duration aInherited);
   void OnCommitted();
 
   const OwnerOptions& options;
--- a/packages/tasks/include/oriolespread/tasks/ShardCore.h
+++ b/packages/tasks/include/oriolespread/tasks/ShardCore.h
@@ -107,6 +107,9 @@
   // Sends what is due; called last for every event.
   void Flush(Instant aNow, OwnerEffects& aEffects);
 
+  // See ShardOwner::Release.
+  bool Release(Instant aNow, OwnerEffects& aEffects);
+
   OwnerRole Role() const { return this->role; }
   Epoch CurrentEpoch() const { return this->journal.CurrentEpoch(); }
   const std::optional<OwnerRow>& SeenOwner() const { return this->claim.Seen(); }
--- a/packages/tasks/include/oriolespread/tasks/ShardOwner.h
+++ b/packages/tasks/include/oriolespread/tasks/ShardOwner.h
@@ -47,6 +47,16 @@
     this->UpdatePlacer(aNow);
   }
 
+  // For a planned stop: claims no more, and gives the shard up so that another entry can claim it
+  // at once. Returns false while a transaction is in flight; ask again after its result. Nothing is
+  // decided once it has returned true.
+  bool Release(Instant aNow, OwnerEffects& aEffects)
+  {
+    const bool released = this->core.Release(aNow, aEffects);
+    this->UpdatePlacer(aNow);
+    return released;
+  }
+
   // Returns when the next OwnerTick is due.
   Instant NextWakeup() const
   {
--- a/packages/tasks/src/Journal.cpp
+++ b/packages/tasks/src/Journal.cpp
@@ -99,7 +99,7 @@
   const std::string ownerKey = OwnerKey(this->options.shard);
   transaction.conditions.push_back({ ownerKey, this->ownerVersion });
   if (aRenew) {
-    transaction.writes.push_back({ ownerKey, this->NextOwnerRow(aInherited) });
+    transaction.writes.push_back({ ownerKey, ToJson(this->NextOwnerRow(aInherited)) });
   }
   nlohmann::json records = nlohmann::json::array();
   for (std::size_t index = 0; index < aItems; ++index) {
@@ -120,7 +120,7 @@
   return transaction;
 }
 
-nlohmann::json Journal::NextOwnerRow(Duration aInherited)
+OwnerRow Journal::NextOwnerRow(Duration aInherited)
 {
   OwnerRow row;
   row.entry = this->options.entry;
@@ -131,7 +131,28 @@
   row.taskLeaseMs = static_cast<std::uint64_t>(ToMilliseconds(this->options.taskLease));
   const Duration horizon = std::max(this->options.horizon, aInherited);
   row.horizonMs = static_cast<std::uint64_t>(ToMilliseconds(horizon)) + 1;
-  return ToJson(row);
+  return row;
+}
+
+bool Journal::Release(Instant aNow,
+                      Duration aInherited,
+                      CallCounter& aCalls,
+                      OwnerEffects& aEffects)
+{
+  if (this->commit.IsActive()) {
+    return false;
+  }
+  Transaction transaction = this->Build(0, false, aInherited);
+  OwnerRow row = this->NextOwnerRow(aInherited);
+  row.leaseMs = 0;
+  // This owner extends no lease from now on, so only earlier owners' horizons still count.
+  row.horizonMs = static_cast<std::uint64_t>(ToMilliseconds(aInherited)) + 1;
+  transaction.writes.push_back({ OwnerKey(this->options.shard), ToJson(row) });
+  // Sent once: if it is lost, the row stays as it was and its lease lapses.
+  PendingCommit last;
+  last.Send(aNow, std::move(transaction), aCalls, aEffects);
+  this->Close();
+  return true;
 }
 
 Journal::Progress Journal::OnEvent(Instant aNow, const OwnerEvent& aEvent)
--- a/packages/tasks/src/ShardCore.cpp
+++ b/packages/tasks/src/ShardCore.cpp
@@ -203,6 +203,22 @@
   this->updates.emplace_back(ResetPlacer{});
 }
 
+bool ShardCore::Release(Instant aNow, OwnerEffects& aEffects)
+{
+  // Far beyond the life of a process that is about to stop.
+  this->options.claimDelay = std::chrono::hours(24);
+  if (this->role != OwnerRole::Owning) {
+    return !this->claim.IsClaiming() && this->role != OwnerRole::Loading;
+  }
+  const Duration inherited = std::max(this->leases.InheritedWait(aNow), this->silentUntil - aNow);
+  if (!this->journal.Release(aNow, std::max(inherited, Duration::zero()), this->calls, aEffects)) {
+    return false;
+  }
+  this->counters.Add("shard_roles_total", "released");
+  this->StepDown();
+  return true;
+}
+
 std::size_t ShardCore::PlacementBudget(Instant aNow)
 {
   if (this->role != OwnerRole::Owning || aNow < this->nextPlacement ||
--- a/packages/tasks/testing/include/oriolespread/tasks/Explorer.h
+++ b/packages/tasks/testing/include/oriolespread/tasks/Explorer.h
@@ -120,7 +120,12 @@
     const Duration length = this->random.Exponential(seconds(this->random.Chance(0.2) ? 20 : 4));
     switch (this->random.Below(14)) {
       case 0:
-        this->world.KillEntry(entry);
+        // Every third seed stops entries in a planned way instead of killing them.
+        if (this->world.options.seed % 3 == 0) {
+          this->world.StopEntry(entry);
+        } else {
+          this->world.KillEntry(entry);
+        }
         this->Later(length, [this, entry] { this->world.StartEntry(entry); });
         break;
       case 1:
--- a/packages/tasks/testing/include/oriolespread/tasks/SimWorld.h
+++ b/packages/tasks/testing/include/oriolespread/tasks/SimWorld.h
@@ -111,6 +111,28 @@
     }
   }
 
+  // A planned stop: the entry gives its shard up if it can, and ends.
+  void StopEntry(std::size_t aIndex)
+  {
+    const EntryProcess& entry = this->entries[aIndex];
+    if (entry.alive && this->queue.Now() >= entry.pausedUntil) {
+      this->TryRelease(aIndex);
+    }
+    this->KillEntry(aIndex);
+  }
+
+  bool TryRelease(std::size_t aIndex)
+  {
+    EntryProcess& entry = this->entries[aIndex];
+    OwnerEffects effects;
+    const bool released = entry.owner->Release(entry.clock.At(this->queue.Now()), effects);
+    entry.held = released ? Epoch{} : entry.held;
+    for (const OwnerEffect& effect : effects) {
+      this->store.Execute(std::get<CommitCall>(effect), [](const OwnerEvent&) {});
+    }
+    return released;
+  }
+
   void KillAgent(std::size_t aIndex)
   {
     this->agents[aIndex].Kill();
--- a/packages/tasks/tests/ShardOwnerTest.cpp
+++ b/packages/tasks/tests/ShardOwnerTest.cpp
@@ -33,6 +33,33 @@
   CHECK(view->job->Count(TaskState::Completed) == 20);
 }
 
+// Guards against a planned stop that leaves the shard without an owner for a whole lease, or that
+// moves or pauses tasks.
+TEST_CASE("ShardOwner HandsItsShardOverInAPlannedStop")
+{
+  SimWorld world({});
+  REQUIRE(world.Submit("job", 12, seconds(30), { 1000, 512, 0 }));
+  world.RunFor(seconds(15));
+  REQUIRE(world.RunningTasks() == 12);
+  std::size_t owner = 0;
+  while (&world.entries[owner] != world.FindOwner()) {
+    ++owner;
+  }
+  // A transaction may be in flight; a driver asks again.
+  while (!world.TryRelease(owner)) {
+    world.RunFor(milliseconds(1));
+  }
+  world.RunFor(milliseconds(50));
+  world.KillEntry(owner);
+  world.RunFor(seconds(1));
+  CHECK(world.FindOwner() != nullptr);
+  world.RunFor(seconds(60));
+  INFO(world.checks.violation);
+  CHECK(world.checks.violation.empty());
+  CHECK(world.checks.completed == 12);
+  CHECK(world.checks.placements == 12);
+}
+
 // Explorer seed 5: a scan of the inbox was answered while the ownership lease had lapsed, and the
 // inbox was never read again.
 TEST_CASE("ShardOwner ReadsItsInboxAgainAfterItsLeaseHadLapsed")
