Dial an entry again that a directory had left out

Cause: a run of the site tests left an entry without a link for good. An agent that got a directory without an entry whose link was not up yet drained that dialer, which never told that it had drained, so the agent kept it and dialled no more. Ruled out: the directory itself, which lists both entries after its next refresh. Change: links that are not up are dropped at once; a drained link is looked at again; young entries refresh their directory each 500 ms. Socket addresses and HTTP listening, written twice, are shared.

--- a/packages/settings/src/SocketAddress.cpp
+++ b/packages/base/src/SocketAddress.cpp
@@ -1,4 +1,4 @@
-#include "oriolespread/settings/SocketAddress.h"
+#include "oriolespread/base/SocketAddress.h"
 
 #include <arpa/inet.h>
 
--- a/packages/bench/src/LoopbackBench.cpp
+++ b/packages/bench/src/LoopbackBench.cpp
@@ -30,7 +30,7 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-EntrySettings MakeEntrySettings(const HttpAddress& aPlatform)
+EntrySettings MakeEntrySettings(const SocketAddress& aPlatform)
 {
   EntrySettings settings;
   settings.entry.id = EntryId{ "entry-1" };
--- a/packages/platform/include/oriolespread/platform/HttpObjects.h
+++ b/packages/platform/include/oriolespread/platform/HttpObjects.h
@@ -3,8 +3,8 @@
 
 #include "absl/status/statusor.h"
 
+#include "oriolespread/base/SocketAddress.h"
 #include "oriolespread/base/Time.h"
-#include "oriolespread/platform/HttpAddress.h"
 
 #include <memory>
 #include <string>
@@ -19,7 +19,7 @@
 class HttpObjects
 {
 public:
-  HttpObjects(const HttpAddress& aAddress, Duration aTimeout);
+  HttpObjects(const SocketAddress& aAddress, Duration aTimeout);
   ~HttpObjects();
   HttpObjects(HttpObjects&&) noexcept;
 
--- a/packages/platform/include/oriolespread/platform/HttpTable.h
+++ b/packages/platform/include/oriolespread/platform/HttpTable.h
@@ -7,8 +7,8 @@
 // A write without "value" deletes its row. Each call waits at most the timeout for its answer.
 #pragma once
 
+#include "oriolespread/base/SocketAddress.h"
 #include "oriolespread/base/Time.h"
-#include "oriolespread/platform/HttpAddress.h"
 #include "oriolespread/platform/TableServicePort.h"
 
 #include <memory>
@@ -23,7 +23,7 @@
 class HttpTable
 {
 public:
-  HttpTable(const HttpAddress& aAddress, Duration aTimeout);
+  HttpTable(const SocketAddress& aAddress, Duration aTimeout);
   ~HttpTable();
   HttpTable(HttpTable&&) noexcept;
 
--- a/packages/platform/include/oriolespread/platform/HttpWorker.h
+++ b/packages/platform/include/oriolespread/platform/HttpWorker.h
@@ -2,7 +2,7 @@
 // checkpoint,throttle,stop,forget}, GET /v1/tasks and GET /v1/usage.
 #pragma once
 
-#include "oriolespread/platform/HttpAddress.h"
+#include "oriolespread/base/SocketAddress.h"
 #include "oriolespread/platform/WorkerPort.h"
 
 #include <memory>
@@ -18,7 +18,7 @@
 class HttpWorker
 {
 public:
-  HttpWorker(const HttpAddress& aAddress, Duration aTimeout);
+  HttpWorker(const SocketAddress& aAddress, Duration aTimeout);
   ~HttpWorker();
   HttpWorker(HttpWorker&&) noexcept;
 
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -4,9 +4,9 @@
 
 namespace oriolespread::internal {
 
-std::unique_ptr<httplib::Client> MakeClient(const HttpAddress& aAddress, Duration aTimeout)
+std::unique_ptr<httplib::Client> MakeClient(const SocketAddress& aAddress, Duration aTimeout)
 {
-  auto client = std::make_unique<httplib::Client>(aAddress.host, aAddress.port);
+  auto client = std::make_unique<httplib::Client>(aAddress.ip, aAddress.port);
   const auto timeout = std::chrono::duration_cast<std::chrono::microseconds>(aTimeout);
   client->set_connection_timeout(timeout);
   client->set_read_timeout(timeout);
--- a/packages/platform/src/HttpClient.h
+++ b/packages/platform/src/HttpClient.h
@@ -3,8 +3,8 @@
 
 #include "absl/status/status.h"
 
+#include "oriolespread/base/SocketAddress.h"
 #include "oriolespread/base/Time.h"
-#include "oriolespread/platform/HttpAddress.h"
 
 #include <httplib.h>
 
@@ -12,7 +12,7 @@
 
 namespace oriolespread::internal {
 
-std::unique_ptr<httplib::Client> MakeClient(const HttpAddress& aAddress, Duration aTimeout);
+std::unique_ptr<httplib::Client> MakeClient(const SocketAddress& aAddress, Duration aTimeout);
 
 // Returns whether the request surely did not reach the service.
 bool SurelyNotSent(httplib::Error aError);
--- a/packages/platform/src/HttpObjects.cpp
+++ b/packages/platform/src/HttpObjects.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-HttpObjects::HttpObjects(const HttpAddress& aAddress, Duration aTimeout)
+HttpObjects::HttpObjects(const SocketAddress& aAddress, Duration aTimeout)
   : client(internal::MakeClient(aAddress, aTimeout))
 {
 }
--- a/packages/platform/src/HttpTable.cpp
+++ b/packages/platform/src/HttpTable.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-HttpTable::HttpTable(const HttpAddress& aAddress, Duration aTimeout)
+HttpTable::HttpTable(const SocketAddress& aAddress, Duration aTimeout)
   : client(internal::MakeClient(aAddress, aTimeout))
 {
 }
--- a/packages/platform/src/HttpWorker.cpp
+++ b/packages/platform/src/HttpWorker.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-HttpWorker::HttpWorker(const HttpAddress& aAddress, Duration aTimeout)
+HttpWorker::HttpWorker(const SocketAddress& aAddress, Duration aTimeout)
   : client(internal::MakeClient(aAddress, aTimeout))
 {
 }
--- a/packages/service/include/oriolespread/service/ControlDriver.h
+++ b/packages/service/include/oriolespread/service/ControlDriver.h
@@ -157,6 +157,7 @@
   asio::steady_timer ticketTimer;
   // Set by Start.
   std::optional<EntryDirectoryKeeper> directory;
+  int refreshes = 0;
   std::map<AgentId, Announce> agents;
   std::uint64_t lastCall = 0;
   std::uint64_t lastTransaction = 0;
--- a/packages/service/include/oriolespread/service/PlatformClient.h
+++ b/packages/service/include/oriolespread/service/PlatformClient.h
@@ -14,8 +14,8 @@
 class PlatformClient
 {
 public:
-  static PlatformClient Http(const HttpAddress& aTable,
-                             const HttpAddress& aObjects,
+  static PlatformClient Http(const SocketAddress& aTable,
+                             const SocketAddress& aObjects,
                              Duration aTimeout);
   static PlatformClient Embedded(std::shared_ptr<EmbeddedPlatform> aPlatform);
 
--- a/packages/service/include/oriolespread/service/UpstreamCaller.h
+++ b/packages/service/include/oriolespread/service/UpstreamCaller.h
@@ -1,9 +1,9 @@
 // Calls upstreams over HTTP from a pool of threads.
 #pragma once
 
+#include "oriolespread/base/SocketAddress.h"
 #include "oriolespread/link/LinkTypes.h"
 #include "oriolespread/service/ThreadPool.h"
-#include "oriolespread/settings/SocketAddress.h"
 
 #include <httplib.h>
 
--- a/packages/service/src/AgentCore.cpp
+++ b/packages/service/src/AgentCore.cpp
@@ -175,10 +175,16 @@
     addresses.insert(entry.linkAddress);
     this->Dial(entry, false);
   }
-  for (auto& [address, link] : this->links) {
-    if (!addresses.contains(address)) {
+  for (auto it = this->links.begin(); it != this->links.end();) {
+    if (addresses.contains(it->first)) {
+      ++it;
+    } else if (it->second.id == LinkId{}) {
+      // A link that is not up has nothing to drain, and would never tell that it has drained.
+      it = this->links.erase(it);
+    } else {
       // Calls in flight on the link end first; it is forgotten when it is down.
-      link.dialer->Drain();
+      it->second.dialer->Drain();
+      ++it;
     }
   }
 }
@@ -240,12 +246,14 @@
   this->ledger.RemoveLink(link.id);
   this->book.RemoveLink(link.id);
   link.id = LinkId{};
-  if (aReason == "drained") {
-    this->links.erase(aAddress);
-  }
   if (this->tasks != nullptr) {
     this->tasks->Handle(EntryDown{ entry });
   }
+  if (aReason == "drained") {
+    this->links.erase(aAddress);
+    // The entry may be wanted again by now.
+    this->ChooseEntries();
+  }
   this->PollMessages();
 }
 
--- a/packages/service/src/AgentServer.cpp
+++ b/packages/service/src/AgentServer.cpp
@@ -1,5 +1,6 @@
 #include "oriolespread/service/AgentServer.h"
 
+#include "oriolespread/platform/HttpListen.h"
 #include "oriolespread/service/AgentCore.h"
 #include "oriolespread/service/Log.h"
 #include "oriolespread/service/MetricsText.h"
@@ -124,20 +125,9 @@
 
 absl::Status AgentServer::Bind()
 {
-  const SocketAddress& address = this->settings.agent.localHttpAddress;
-  if (address.port == 0) {
-    const int bound = this->server.bind_to_any_port(address.ip);
-    if (bound <= 0) {
-      return absl::UnavailableError("cannot bind " + ToString(address));
-    }
-    this->port = static_cast<std::uint16_t>(bound);
-    return absl::OkStatus();
-  }
-  if (!this->server.bind_to_port(address.ip, address.port)) {
-    return absl::UnavailableError("cannot bind " + ToString(address));
-  }
-  this->port = address.port;
-  return absl::OkStatus();
+  const auto bound = BindHttp(this->server, this->settings.agent.localHttpAddress);
+  this->port = bound.value_or(0);
+  return bound.status();
 }
 
 void AgentServer::AddRoutes()
@@ -217,11 +207,7 @@
   this->running = true;
   this->loop.Start();
   this->core->Start();
-  this->thread = std::thread([this] { this->server.listen_after_bind(); });
-  // stop() before the listening loop has begun would be lost.
-  while (!this->server.is_running()) {
-    std::this_thread::yield();
-  }
+  this->thread = ServeHttp(this->server);
   SocketAddress address = this->settings.agent.localHttpAddress;
   address.port = this->port;
   Log(LogLevel::Info,
--- a/packages/service/src/ApiServer.cpp
+++ b/packages/service/src/ApiServer.cpp
@@ -4,6 +4,7 @@
 #include "Await.h"
 
 #include "oriolespread/auth/Sha256.h"
+#include "oriolespread/platform/HttpListen.h"
 #include "oriolespread/service/Log.h"
 #include "oriolespread/service/MetricsText.h"
 
@@ -79,29 +80,14 @@
 
 absl::Status ApiServer::Bind()
 {
-  const SocketAddress& address = this->settings.entry.httpAddress;
-  if (address.port == 0) {
-    const int bound = this->server.bind_to_any_port(address.ip);
-    if (bound <= 0) {
-      return absl::UnavailableError("cannot bind " + ToString(address));
-    }
-    this->port = static_cast<std::uint16_t>(bound);
-    return absl::OkStatus();
-  }
-  if (!this->server.bind_to_port(address.ip, address.port)) {
-    return absl::UnavailableError("cannot bind " + ToString(address));
-  }
-  this->port = address.port;
-  return absl::OkStatus();
+  const auto bound = BindHttp(this->server, this->settings.entry.httpAddress);
+  this->port = bound.value_or(0);
+  return bound.status();
 }
 
 void ApiServer::Start()
 {
-  this->thread = std::thread([this] { this->server.listen_after_bind(); });
-  // stop() before the listening loop has begun would be lost.
-  while (!this->server.is_running()) {
-    std::this_thread::yield();
-  }
+  this->thread = ServeHttp(this->server);
 }
 
 void ApiServer::Stop()
--- a/packages/service/src/ControlDriver.cpp
+++ b/packages/service/src/ControlDriver.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t kDirectoryLimit = 1000;
 constexpr std::size_t kPlacementLimit = 200;
+constexpr int kYoungRefreshes = 6;
+constexpr Duration kYoungInterval = std::chrono::milliseconds(500);
 constexpr Duration kReleaseRetry = std::chrono::milliseconds(10);
 
 Duration Until(Instant aWhen)
@@ -403,7 +405,10 @@
                        }
                      }
                    });
-  this->loop.After(EntryDirectoryKeeper::kInterval, [this] { this->RefreshDirectory(); });
+  // Entries that start together have not seen one another's rows yet.
+  const bool young = ++this->refreshes <= kYoungRefreshes;
+  this->loop.After(young ? kYoungInterval : EntryDirectoryKeeper::kInterval,
+                   [this] { this->RefreshDirectory(); });
 }
 
 void ControlDriver::SendDirectory(const AgentId& aAgent)
--- a/packages/service/src/EntryServer.cpp
+++ b/packages/service/src/EntryServer.cpp
@@ -30,8 +30,8 @@
     return std::make_unique<StorePool>(
       kStoreThreads, kStoreRing, [embedded] { return PlatformClient::Embedded(embedded); });
   }
-  const HttpAddress table{ platform.tableAddress.ip, platform.tableAddress.port };
-  const HttpAddress objects{ platform.objectAddress.ip, platform.objectAddress.port };
+  const SocketAddress table = platform.tableAddress;
+  const SocketAddress objects = platform.objectAddress;
   return std::make_unique<StorePool>(
     kStoreThreads, kStoreRing, [table, objects, timeout = platform.timeout] {
       return PlatformClient::Http(table, objects, timeout);
--- a/packages/service/src/PlatformClient.cpp
+++ b/packages/service/src/PlatformClient.cpp
@@ -9,8 +9,8 @@
 {
 }
 
-PlatformClient PlatformClient::Http(const HttpAddress& aTable,
-                                    const HttpAddress& aObjects,
+PlatformClient PlatformClient::Http(const SocketAddress& aTable,
+                                    const SocketAddress& aObjects,
                                     Duration aTimeout)
 {
   return PlatformClient(
--- a/packages/service/src/TaskDriver.cpp
+++ b/packages/service/src/TaskDriver.cpp
@@ -104,8 +104,9 @@
   , runner(MakeOptions(aSettings, aIncarnation), BootClock::now(), aCounters)
   , pool(1,
          kWorkerRing,
-         [address = HttpAddress{ aSettings.worker.address.ip, aSettings.worker.address.port },
-          timeout = aSettings.worker.timeout] { return HttpWorker(address, timeout); })
+         [address = aSettings.worker.address, timeout = aSettings.worker.timeout] {
+           return HttpWorker(address, timeout);
+         })
   , timer(aLoop.Context())
 {
 }
--- a/packages/settings/include/oriolespread/settings/CommonSettings.h
+++ b/packages/settings/include/oriolespread/settings/CommonSettings.h
@@ -1,8 +1,8 @@
 // Settings that both binaries have, and how settings are read.
 #pragma once
 
+#include "oriolespread/base/SocketAddress.h"
 #include "oriolespread/base/Time.h"
-#include "oriolespread/settings/SocketAddress.h"
 
 #include <cstdint>
 #include <string>
--- a/packages/settings/src/SettingsReader.h
+++ b/packages/settings/src/SettingsReader.h
@@ -13,8 +13,8 @@
 
 #include "oriolespread/base/Findings.h"
 #include "oriolespread/base/Ids.h"
+#include "oriolespread/base/SocketAddress.h"
 #include "oriolespread/base/Time.h"
-#include "oriolespread/settings/SocketAddress.h"
 
 #include <cstdint>
 #include <set>
--- a/packages/standins/app/Main.cpp
+++ b/packages/standins/app/Main.cpp
@@ -19,7 +19,7 @@
 constexpr const char* kAnyPort = "127.0.0.1:0";
 
 // Announces the address and waits for a signal that ends the process.
-void PrintAndWait(const std::string& aKind, const HttpAddress& aAddress)
+void PrintAndWait(const std::string& aKind, const SocketAddress& aAddress)
 {
   const nlohmann::json line = { { "event", "listening" },
                                 { "kind", aKind },
@@ -43,7 +43,7 @@
 }
 
 template<typename StandIn>
-int RunStandIn(const std::string& aKind, StandIn& aStandIn, const HttpAddress& aAddress)
+int RunStandIn(const std::string& aKind, StandIn& aStandIn, const SocketAddress& aAddress)
 {
   if (const absl::Status status = aStandIn.Start(aAddress); !status.ok()) {
     std::cerr << status << "\n";
@@ -54,11 +54,11 @@
   return 0;
 }
 
-int RunUpstream(const cxxopts::ParseResult& aOptions, const HttpAddress& aAddress)
+int RunUpstream(const cxxopts::ParseResult& aOptions, const SocketAddress& aAddress)
 {
-  const auto agent = HttpAddress::Parse(aOptions["agent"].as<std::string>());
-  if (!agent.ok()) {
-    std::cerr << "--agent: " << agent.status().message() << "\n";
+  const auto agent = SocketAddress::Parse(aOptions["agent"].as<std::string>());
+  if (!agent.has_value()) {
+    std::cerr << "--agent is no IP address with port\n";
     return kExitUsage;
   }
   StandInUpstream upstream({ UpstreamId{ aOptions["id"].as<std::string>() },
@@ -72,9 +72,9 @@
 
 int Run(const cxxopts::ParseResult& aOptions)
 {
-  const auto address = HttpAddress::Parse(aOptions["listen"].as<std::string>());
-  if (!address.ok()) {
-    std::cerr << "--listen: " << address.status().message() << "\n";
+  const auto address = SocketAddress::Parse(aOptions["listen"].as<std::string>());
+  if (!address.has_value()) {
+    std::cerr << "--listen is no IP address with port\n";
     return kExitUsage;
   }
   const auto kind = aOptions["kind"].as<std::string>();
--- a/packages/standins/include/oriolespread/standins/HttpService.h
+++ b/packages/standins/include/oriolespread/standins/HttpService.h
@@ -3,7 +3,7 @@
 
 #include "absl/status/status.h"
 
-#include "oriolespread/platform/HttpAddress.h"
+#include "oriolespread/base/SocketAddress.h"
 
 #include <httplib.h>
 
@@ -24,14 +24,14 @@
 
   httplib::Server& Server() { return this->server; }
   // Port 0 of `aAddress` means any free port. Returns Unavailable when it cannot be bound.
-  absl::Status Start(const HttpAddress& aAddress);
+  absl::Status Start(const SocketAddress& aAddress);
   void Stop();
   // The address that Start has bound.
-  const HttpAddress& Address() const { return this->address; }
+  const SocketAddress& Address() const { return this->address; }
 
 private:
   httplib::Server server;
-  HttpAddress address;
+  SocketAddress address;
   std::thread thread;
 };
 
--- a/packages/standins/include/oriolespread/standins/StandInPlatform.h
+++ b/packages/standins/include/oriolespread/standins/StandInPlatform.h
@@ -25,9 +25,9 @@
 public:
   StandInPlatform();
 
-  absl::Status Start(const HttpAddress& aAddress) { return this->service.Start(aAddress); }
+  absl::Status Start(const SocketAddress& aAddress) { return this->service.Start(aAddress); }
   void Stop() { this->service.Stop(); }
-  const HttpAddress& Address() const { return this->service.Address(); }
+  const SocketAddress& Address() const { return this->service.Address(); }
   PlatformFaults& Faults() { return this->faults; }
   EmbeddedPlatform& Contents() { return this->contents; }
 
--- a/packages/standins/include/oriolespread/standins/StandInUpstream.h
+++ b/packages/standins/include/oriolespread/standins/StandInUpstream.h
@@ -23,7 +23,7 @@
   std::uint32_t slots = 8;
   std::uint32_t connections = 64;
   // Address of the agent's local HTTP interface.
-  HttpAddress agent;
+  SocketAddress agent;
 };
 
 // Thread-safe.
@@ -33,11 +33,11 @@
   explicit StandInUpstream(StandInUpstreamOptions aOptions);
   ~StandInUpstream();
 
-  absl::Status Start(const HttpAddress& aAddress);
+  absl::Status Start(const SocketAddress& aAddress);
   // Withdraws the announcement, so that no new requests come.
   void Leave();
   void Stop();
-  const HttpAddress& Address() const { return this->service.Address(); }
+  const SocketAddress& Address() const { return this->service.Address(); }
 
   // How many requests were received.
   int Total() const { return this->total.load(); }
--- a/packages/standins/include/oriolespread/standins/StandInWorker.h
+++ b/packages/standins/include/oriolespread/standins/StandInWorker.h
@@ -15,9 +15,9 @@
 public:
   explicit StandInWorker(const Resources& aCapacity);
 
-  absl::Status Start(const HttpAddress& aAddress) { return this->service.Start(aAddress); }
+  absl::Status Start(const SocketAddress& aAddress) { return this->service.Start(aAddress); }
   void Stop() { this->service.Stop(); }
-  const HttpAddress& Address() const { return this->service.Address(); }
+  const SocketAddress& Address() const { return this->service.Address(); }
   std::vector<WorkerTask> List();
   std::size_t Starts();
 
--- a/packages/standins/src/HttpService.cpp
+++ b/packages/standins/src/HttpService.cpp
@@ -1,5 +1,7 @@
 #include "oriolespread/standins/HttpService.h"
 
+#include "oriolespread/platform/HttpListen.h"
+
 namespace oriolespread {
 
 namespace {
@@ -22,23 +24,14 @@
   this->Stop();
 }
 
-absl::Status HttpService::Start(const HttpAddress& aAddress)
+absl::Status HttpService::Start(const SocketAddress& aAddress)
 {
-  this->address = aAddress;
-  if (aAddress.port == 0) {
-    const int port = this->server.bind_to_any_port(aAddress.host);
-    if (port <= 0) {
-      return absl::UnavailableError("cannot bind " + ToString(aAddress));
-    }
-    this->address.port = static_cast<std::uint16_t>(port);
-  } else if (!this->server.bind_to_port(aAddress.host, aAddress.port)) {
-    return absl::UnavailableError("cannot bind " + ToString(aAddress));
-  }
-  this->thread = std::thread([this] { this->server.listen_after_bind(); });
-  // stop() before the listening loop has begun would be lost.
-  while (!this->server.is_running()) {
-    std::this_thread::yield();
+  const auto port = BindHttp(this->server, aAddress);
+  if (!port.ok()) {
+    return port.status();
   }
+  this->address = { aAddress.ip, *port };
+  this->thread = ServeHttp(this->server);
   return absl::OkStatus();
 }
 
--- a/packages/standins/src/StandInUpstream.cpp
+++ b/packages/standins/src/StandInUpstream.cpp
@@ -38,7 +38,7 @@
   this->Stop();
 }
 
-absl::Status StandInUpstream::Start(const HttpAddress& aAddress)
+absl::Status StandInUpstream::Start(const SocketAddress& aAddress)
 {
   if (const absl::Status status = this->service.Start(aAddress); !status.ok()) {
     return status;
@@ -59,7 +59,7 @@
   }
   this->wake.notify_all();
   this->announcer.join();
-  httplib::Client client(this->options.agent.host, this->options.agent.port);
+  httplib::Client client(this->options.agent.ip, this->options.agent.port);
   client.Delete("/v1/upstreams/" + this->options.upstream.Value());
 }
 
@@ -93,7 +93,7 @@
                                 { "address", ToString(this->service.Address()) },
                                 { "slots", this->options.slots },
                                 { "connections", this->options.connections } };
-  httplib::Client client(this->options.agent.host, this->options.agent.port);
+  httplib::Client client(this->options.agent.ip, this->options.agent.port);
   std::unique_lock lock(this->mutex);
   while (this->announcing) {
     lock.unlock();
--- a/packages/standins/tests/StandInPlatformTest.cpp
+++ b/packages/standins/tests/StandInPlatformTest.cpp
@@ -54,7 +54,7 @@
   HttpTable table(platform.Address(), kTimeout);
   CHECK(table.Commit(Create("t1", "a")).status == CommitStatus::Unavailable);
   CHECK_FALSE(table.Scan("", "", 1).ok());
-  const HttpAddress address = platform.Address();
+  const SocketAddress address = platform.Address();
   platform.Stop();
   HttpTable absent(address, kTimeout);
   CHECK(absent.Commit(Create("t2", "a")).status == CommitStatus::Unavailable);
