Keep links that are up while an agent has fewer than enough

Cause: a keyed request at one of two entries was refused now and then in the site tests: the directory of a young entry lacked the other one, and the agent left a healthy entry for up to 5 s. Change: links that are up are kept while there are fewer than the configured number.

--- a/packages/service/src/AgentCore.cpp
+++ b/packages/service/src/AgentCore.cpp
@@ -175,9 +175,16 @@
     addresses.insert(entry.linkAddress);
     this->Dial(entry, false);
   }
+  // A link that is up proves its entry alive, also when the directory of a young entry lacks it, so
+  // such links are kept while there are fewer than enough.
+  std::size_t spare = this->settings.entries.links -
+                      std::min<std::size_t>(addresses.size(), this->settings.entries.links);
   for (auto it = this->links.begin(); it != this->links.end();) {
     if (addresses.contains(it->first)) {
       ++it;
+    } else if (it->second.id != LinkId{} && spare > 0) {
+      --spare;
+      ++it;
     } else if (it->second.id == LinkId{}) {
       // A link that is not up has nothing to drain, and would never tell that it has drained.
       it = this->links.erase(it);
