--- a/packages/service/include/oriolespread/service/ApiServer.h
+++ b/packages/service/include/oriolespread/service/ApiServer.h
@@ -80,6 +80,8 @@
   std::shared_ptr<const ConfigView> Config() const;
   // Answers an own failure of a request, with outcome and reason.
   void Refuse(httplib::Response& aResponse, int aStatus, const char* aReason);
+  // Returns whether the request keeps to the limits of the settings; answers it when not.
+  bool IsWithinLimits(const httplib::Request& aRequest, httplib::Response& aResponse);
   // Answers a request whose fate is not known, because the engine has stopped.
   void LoseAnswer(httplib::Response& aResponse);
 
--- a/packages/service/src/ApiServer.cpp
+++ b/packages/service/src/ApiServer.cpp
@@ -20,6 +20,7 @@
 constexpr int kAccepted = 202;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
+constexpr int kHeadersTooLarge = 431;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 // Keep-alive connections that stay idle for longer give their thread back.
@@ -122,6 +123,23 @@
   internal::SetFailure(aResponse, kUnavailable, "unknown", "answer_lost");
 }
 
+bool ApiServer::IsWithinLimits(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  const HttpLimits& limits = this->settings.limits.http;
+  std::size_t headerBytes = 0;
+  bool longLine = aRequest.target.size() > limits.lineBytes;
+  for (const auto& [name, value] : aRequest.headers) {
+    const std::size_t line = name.size() + value.size();
+    headerBytes += line;
+    longLine = longLine || line > limits.lineBytes;
+  }
+  if (longLine || headerBytes > limits.headerBytes || aRequest.headers.size() > kMaxHeaders) {
+    this->Refuse(aResponse, kHeadersTooLarge, "headers_too_large");
+    return false;
+  }
+  return true;
+}
+
 ApiServer::Handler ApiServer::ForOrganisation(
   std::function<void(const OrganisationId&, const httplib::Request&, httplib::Response&)> aHandler)
 {
@@ -132,11 +150,9 @@
       this->Refuse(aResponse, kUnauthorized, "unauthenticated");
       return;
     }
-    if (aRequest.headers.size() > kMaxHeaders) {
-      this->Refuse(aResponse, kBadRequest, "too_many_headers");
-      return;
+    if (this->IsWithinLimits(aRequest, aResponse)) {
+      handler(principal->organisation, aRequest, aResponse);
     }
-    handler(principal->organisation, aRequest, aResponse);
   };
 }
 
@@ -149,7 +165,9 @@
       this->Refuse(aResponse, kUnauthorized, "unauthenticated");
       return;
     }
-    handler(aRequest, aResponse);
+    if (this->IsWithinLimits(aRequest, aResponse)) {
+      handler(aRequest, aResponse);
+    }
   };
 }
 
--- a/packages/service/tests/SiteRequestsTest.cpp
+++ b/packages/service/tests/SiteRequestsTest.cpp
@@ -232,6 +232,9 @@
   httplib::Client local("127.0.0.1", agent.server->HttpPort());
   CHECK(local.Post("/v1/upstreams", "{\"upstream\": 3}", "application/json")->status == 400);
   CHECK(site.Send(0, "POST", "/v1/jobs", "acme-token", "\xff{")->status == 400);
+  const std::string part(6'000, 'x');
+  const httplib::Headers large = { { "A", part }, { "B", part }, { "C", part } };
+  CHECK(site.Send(0, "GET", "/v1/services/lookup/", "acme-token", "", large)->status == 431);
   CHECK(site
           .Send(0,
                 "GET",
