--- a/packages/apps/src/Agent.cpp
+++ b/packages/apps/src/Agent.cpp
@@ -2,6 +2,7 @@
 
 #include "CommandLine.h"
 
+#include "oriolespread/daemon/ClusterAgent.h"
 #include "oriolespread/service/AgentServer.h"
 #include "oriolespread/service/Log.h"
 
@@ -11,8 +12,34 @@
 
 using namespace oriolespread;
 
+int RunInCluster(bool aCheckOnly)
+{
+  auto settings = platformwire::LoadDaemonSettings();
+  if (!settings.ok()) {
+    std::cerr << settings.status().message();
+    return apps::kExitUsage;
+  }
+  if (aCheckOnly) {
+    std::cout << "settings are valid\n";
+    return apps::kExitOk;
+  }
+  InitLog(LogLevel::Info);
+  auto agent = daemon::ClusterAgent::Create(*std::move(settings));
+  if (!agent.ok()) {
+    Log(LogLevel::Error, "start_failed", { { "reason", std::string(agent.status().message()) } });
+    ShutdownLog();
+    return apps::kExitFailure;
+  }
+  (*agent)->Run();
+  ShutdownLog();
+  return apps::kExitOk;
+}
+
 int Run(const cxxopts::ParseResult& aOptions)
 {
+  if (aOptions.count("cluster") > 0) {
+    return RunInCluster(aOptions.count("check") > 0);
+  }
   if (aOptions.count("config") == 0) {
     std::cerr << "oriolespread-agent: --config is needed\n";
     return apps::kExitUsage;
@@ -49,6 +76,7 @@
                            "Runs beside a worker or upstream and connects it with the entries.\n"
                            "Exit codes: 0 done, 1 failed, 2 wrong command line or settings.");
   options.add_options()("config", "settings file (TOML)", cxxopts::value<std::string>())(
+    "cluster", "run on the platform whose settings file ORIOLESPREAD_SETTINGS names")(
     "check", "check the settings, report every finding and stop");
   int exitCode = 0;
   const auto parsed = oriolespread::apps::ParseOptions(options, argc, argv, exitCode);
--- a/packages/apps/src/Entry.cpp
+++ b/packages/apps/src/Entry.cpp
@@ -3,6 +3,7 @@
 #include "CommandLine.h"
 #include "Commands.h"
 
+#include "oriolespread/daemon/ClusterEntry.h"
 #include "oriolespread/service/EntryServer.h"
 #include "oriolespread/service/Log.h"
 
@@ -19,6 +20,8 @@
   "Usage: oriolespread COMMAND [options]\n"
   "\n"
   "  serve          run an entry\n"
+  "  serve-cluster  run an entry on the platform whose settings file\n"
+  "                 ORIOLESPREAD_SETTINGS names\n"
   "  check-config   check a settings file and report every finding\n"
   "  ticket submit  submit a change ticket\n"
   "  ticket show    show the configuration in force, or at a ticket\n"
@@ -65,6 +68,37 @@
   return complete ? apps::kExitOk : apps::kExitFailure;
 }
 
+int ServeCluster(int aCount, char** aArguments)
+{
+  cxxopts::Options options("oriolespread serve-cluster",
+                           "Runs an entry on the platform until SIGTERM or SIGINT.");
+  options.add_options()("check", "check the settings, report every finding and stop");
+  int exitCode = 0;
+  const auto parsed = apps::ParseOptions(options, aCount, aArguments, exitCode);
+  if (!parsed.has_value()) {
+    return exitCode;
+  }
+  auto settings = platformwire::LoadDaemonSettings();
+  if (!settings.ok()) {
+    std::cerr << settings.status().message();
+    return apps::kExitUsage;
+  }
+  if (parsed->count("check") > 0) {
+    std::cout << "settings are valid\n";
+    return apps::kExitOk;
+  }
+  InitLog(LogLevel::Info);
+  auto entry = daemon::ClusterEntry::Create(*std::move(settings));
+  if (!entry.ok()) {
+    Log(LogLevel::Error, "start_failed", { { "reason", std::string(entry.status().message()) } });
+    ShutdownLog();
+    return apps::kExitFailure;
+  }
+  (*entry)->Run();
+  ShutdownLog();
+  return apps::kExitOk;
+}
+
 int CheckConfig(int aCount, char** aArguments)
 {
   cxxopts::Options options("oriolespread check-config",
@@ -102,6 +136,9 @@
   if (command == "serve") {
     return Serve(argc - 1, argv + 1);
   }
+  if (command == "serve-cluster") {
+    return ServeCluster(argc - 1, argv + 1);
+  }
   if (command == "check-config") {
     return CheckConfig(argc - 1, argv + 1);
   }
--- /dev/null
+++ b/packages/cluster/include/oriolespread/cluster/ClusterConfig.h
@@ -0,0 +1,51 @@
+// The configuration that operators write: queues, pools of workers and limits of requests.
+#pragma once
+
+#include "oriolespread/jobs/JobSpec.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace oriolespread::cluster {
+
+struct QueueConfig
+{
+  // Requests of this host whose path begins with the prefix are for this queue.
+  std::string host;
+  std::string pathPrefix;
+  // For answers to callers, in milliseconds.
+  std::int64_t timeoutMs = 0;
+  // Workers for a step must be asked for at the advice service.
+  bool needsAdvice = false;
+  jobs::QueuePolicy policy;
+};
+
+struct ServiceConfig
+{
+  // Its workers refuse runs that do not fit.
+  bool checksAdmission = false;
+};
+
+struct RequestLimits
+{
+  std::uint32_t headerBytes = 16384;
+  std::uint64_t bodyBytes = 262144;
+  std::int64_t headerTimeoutMs = 3000;
+  std::int64_t idleTimeoutMs = 15000;
+};
+
+struct ClusterConfig
+{
+  std::uint64_t version = 0;
+  std::vector<QueueConfig> queues;
+  std::map<std::string, ServiceConfig> services;
+  RequestLimits limits;
+
+  // Returns the queue with the longest matching prefix, or null. A port in `aHost` is ignored.
+  const QueueConfig* FindQueue(std::string_view aHost, std::string_view aPath) const;
+};
+
+} // namespace oriolespread::cluster
--- /dev/null
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -0,0 +1,98 @@
+#include "oriolespread/cluster/LeaderElection.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+
+namespace oriolespread::cluster {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeadRow, entry, process, epoch, renewal, released)
+
+std::string EncodeLeadRow(const LeadRow& aRow)
+{
+  return nlohmann::json(aRow).dump();
+}
+
+std::optional<LeadRow> DecodeLeadRow(const std::string& aBytes)
+{
+  const auto parsed = nlohmann::json::parse(aBytes, nullptr, false);
+  if (!parsed.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    return parsed.get<LeadRow>();
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+LeaderElection::LeaderElection(ElectionSettings aSettings, std::string aEntry, std::string aProcess)
+  : settings(aSettings)
+  , entry(std::move(aEntry))
+  , process(std::move(aProcess))
+{
+  const std::size_t hash = std::hash<std::string>{}(this->entry);
+  this->wait = this->settings.silence + this->settings.jitter * static_cast<int>(hash % 8) / 8;
+}
+
+void LeaderElection::OnRow(const std::optional<StoredRow>& aRow,
+                           Instant aRequested,
+                           Instant /*aNow*/)
+{
+  const std::uint64_t found = aRow.has_value() ? aRow->version : 0;
+  if (this->read && found <= this->version && found != 0) {
+    return;
+  }
+  if (this->read && found == 0 && this->version == 0) {
+    return;
+  }
+  this->read = true;
+  this->leaderGone = false;
+  this->version = found;
+  // The row may have been renewed just before it was read, and not before the read was asked for.
+  this->unchangedSince = aRequested;
+  this->row = aRow.has_value() ? DecodeLeadRow(aRow->value) : std::nullopt;
+}
+
+void LeaderElection::OnLeaderGone(const std::string& aEntry)
+{
+  if (this->row.has_value() && this->row->entry == aEntry) {
+    this->leaderGone = true;
+  }
+}
+
+bool LeaderElection::ShouldClaim(Instant aNow) const
+{
+  if (!this->read) {
+    return false;
+  }
+  if (!this->row.has_value() || this->row->released || this->leaderGone) {
+    return true;
+  }
+  // A row of an earlier life of this entry has no living leader.
+  if (this->row->entry == this->entry && this->row->process != this->process) {
+    return true;
+  }
+  return aNow - this->unchangedSince >= this->wait;
+}
+
+LeadRow LeaderElection::ClaimedRow() const
+{
+  LeadRow claimed;
+  claimed.entry = this->entry;
+  claimed.process = this->process;
+  claimed.epoch = (this->row.has_value() ? this->row->epoch : 0) + 1;
+  claimed.renewal = 1;
+  return claimed;
+}
+
+StoreTransaction LeaderElection::MakeClaim() const
+{
+  const RowKey key{ std::string(jobs::kLeadTable), std::string(jobs::kLeaderKey) };
+  StoreTransaction claim;
+  claim.conditions.push_back({ key, this->version });
+  claim.changes.push_back({ key, EncodeLeadRow(this->ClaimedRow()), false });
+  return claim;
+}
+
+} // namespace oriolespread::cluster
--- /dev/null
+++ b/packages/daemon/include/oriolespread/daemon/EntryDirectory.h
@@ -0,0 +1,48 @@
+// The directory of entries in the store, and the key that entries and agents share for their links.
+// The first entry makes the key; whoever can reach the store may join.
+#pragma once
+
+#include "oriolespread/base/Counters.h"
+#include "oriolespread/platformwire/StoreClient.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace oriolespread::daemon {
+
+class EntryDirectory
+{
+public:
+  // Link addresses of entries by the entry's name.
+  using Entries = std::map<std::string, std::string>;
+
+  EntryDirectory(asio::io_context& aContext, platformwire::StoreClient& aStore, Counters& aCounters);
+
+  // Writes this entry's row and the key if it is missing; tries until the store took it.
+  void Register(const std::string& aName, const std::string& aLinkAddress);
+
+  // Calls `aChanged` with the key and the entries when they are known, and after each change.
+  void Follow(std::function<void(const std::string& aKey, const Entries&)> aChanged);
+
+private:
+  void WriteEntry(const std::string& aName, const std::string& aLinkAddress);
+  void WriteKey();
+  void ReadAll();
+  void Watch();
+  void Apply(const cluster::StoredRow& aRow);
+  void Publish();
+  void Later(std::function<void()> aCall);
+
+  asio::io_context& context;
+  platformwire::StoreClient& store;
+  Counters& counters;
+  std::function<void(const std::string&, const Entries&)> changed;
+  std::string key;
+  Entries entries;
+  std::uint64_t version = 0;
+};
+
+} // namespace oriolespread::daemon
--- /dev/null
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -0,0 +1,323 @@
+#include "oriolespread/daemon/ClusterEntry.h"
+
+#include "ConfigFollower.h"
+#include "JobApi.h"
+#include "LeaderDriver.h"
+#include "MetricsServer.h"
+
+#include "absl/strings/str_cat.h"
+
+#include "oriolespread/daemon/ClusterSettings.h"
+#include "oriolespread/daemon/EntryDirectory.h"
+#include "oriolespread/link/LinkListener.h"
+#include "oriolespread/platformwire/CallerMessages.h"
+#include "oriolespread/service/Log.h"
+
+#include <asio/signal_set.hpp>
+
+#include <csignal>
+#include <map>
+#include <random>
+
+namespace oriolespread::daemon {
+
+namespace {
+
+// An entry whose configuration was not confirmed for this long is not ready: it may miss a change,
+// and cannot store jobs either.
+constexpr Duration kReadyWithoutStore = std::chrono::milliseconds(4000);
+// Between looks at whether the last request has been answered.
+constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
+// Kept free of the time to stop, for the last answers.
+constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+
+std::string NewProcessName()
+{
+  std::random_device source;
+  return absl::StrCat(absl::Hex(source(), absl::kZeroPad8), absl::Hex(source(), absl::kZeroPad8));
+}
+
+} // namespace
+
+class ClusterEntry::Core
+{
+public:
+  explicit Core(platformwire::DaemonSettings aSettings)
+    : settings(std::move(aSettings))
+    , signals(this->context, SIGTERM, SIGINT, SIGHUP)
+    , drainTimer(this->context)
+  {
+  }
+
+  absl::Status Start();
+  void Run();
+
+private:
+  absl::Status StartServers();
+  absl::Status StartLinks(const std::string& aKey);
+  void OnConfig(const cluster::ClusterConfig& aConfig);
+  bool IsReady() const;
+  void SendToAgent(const std::string& aAgent, const LinkMessage& aMessage);
+  void AwaitSignal();
+  void Drain();
+  void AwaitIdle(Instant aEarliest, Instant aLatest);
+
+  platformwire::DaemonSettings settings;
+  Counters counters;
+  asio::io_context context{ 1 };
+  asio::signal_set signals;
+  asio::steady_timer drainTimer;
+  std::unique_ptr<platformwire::StoreClient> store;
+  std::unique_ptr<ConfigFollower> config;
+  std::unique_ptr<JobApi> api;
+  std::unique_ptr<HttpServer> front;
+  std::unique_ptr<HttpServer> ready;
+  std::unique_ptr<MetricsServer> metrics;
+  std::unique_ptr<EntryDirectory> directory;
+  std::unique_ptr<LinkListener> listener;
+  std::unique_ptr<LeaderDriver> leader;
+  std::map<std::string, LinkId> linkOfAgent;
+  std::map<LinkId, std::string> agentOfLink;
+  bool draining = false;
+};
+
+absl::Status ClusterEntry::Core::Start()
+{
+  auto client =
+    platformwire::StoreClient::Create(this->context, this->settings.storeAddress, this->counters);
+  if (!client.ok()) {
+    return client.status();
+  }
+  this->store = *std::move(client);
+  this->config = std::make_unique<ConfigFollower>(
+    this->context, *this->store, this->counters, [this](const cluster::ClusterConfig& aConfig) {
+      this->OnConfig(aConfig);
+    });
+  this->api =
+    std::make_unique<JobApi>(this->context, *this->store, *this->config, this->counters);
+  LeaderDriverOptions options;
+  options.entry = this->settings.machine;
+  options.process = NewProcessName();
+  options.workerLease = WorkerLease(this->settings.maxWorkerLease);
+  options.keepEnded = this->settings.keepEnded;
+  this->leader = std::make_unique<LeaderDriver>(
+    this->context,
+    *this->store,
+    options,
+    this->counters,
+    [this](const std::string& aAgent, const LinkMessage& aMessage) {
+      this->SendToAgent(aAgent, aMessage);
+    });
+  if (const absl::Status status = this->StartServers(); !status.ok()) {
+    return status;
+  }
+  this->directory =
+    std::make_unique<EntryDirectory>(this->context, *this->store, this->counters);
+  this->directory->Register(
+    this->settings.machine,
+    ToString(SocketAddress{ this->settings.ip, this->settings.innerPort }));
+  this->directory->Follow(
+    [this](const std::string& aKey, const EntryDirectory::Entries& /*aEntries*/) {
+      if (this->listener != nullptr) {
+        return;
+      }
+      if (const absl::Status status = this->StartLinks(aKey); !status.ok()) {
+        Log(LogLevel::Error, "links_unavailable", { { "reason", std::string(status.message()) } });
+      }
+    });
+  this->config->Start();
+  this->AwaitSignal();
+  Log(LogLevel::Info,
+      "entry_started",
+      { { "machine", this->settings.machine },
+        { "process", options.process },
+        { "front", ToString(this->settings.front) } });
+  return absl::OkStatus();
+}
+
+absl::Status ClusterEntry::Core::StartServers()
+{
+  auto front = HttpServer::Create(
+    this->context,
+    this->settings.front.ip,
+    this->settings.front.port,
+    {},
+    [this](const HttpRequest& aRequest, HttpServer::Reply aReply) {
+      this->api->Handle(aRequest, std::move(aReply));
+    },
+    this->counters);
+  if (!front.ok()) {
+    return front.status();
+  }
+  this->front = *std::move(front);
+  auto ready = HttpServer::Create(
+    this->context,
+    this->settings.ready.ip,
+    this->settings.ready.port,
+    {},
+    [this](const HttpRequest& aRequest, const HttpServer::Reply& aReply) {
+      const bool known = aRequest.target == platformwire::kReadyPath;
+      aReply({ !known ? kHttpNotFound : this->IsReady() ? kHttpOk : kHttpUnavailable, {}, {} });
+    },
+    this->counters);
+  if (!ready.ok()) {
+    return ready.status();
+  }
+  this->ready = *std::move(ready);
+  this->metrics = std::make_unique<MetricsServer>(
+    this->context, this->settings.ip, this->counters, [this] {
+      return this->leader->Gauges();
+    });
+  return absl::OkStatus();
+}
+
+absl::Status ClusterEntry::Core::StartLinks(const std::string& aKey)
+{
+  LinkListenerOptions options;
+  options.entry = EntryId{ this->settings.machine };
+  options.dataCentre = DataCentreId{ this->settings.dataCentre };
+  options.address = this->settings.ip;
+  options.port = this->settings.innerPort;
+  options.sharedKey = aKey;
+  options.limits = ClusterLinkLimits();
+  LinkListenerHandlers handlers;
+  handlers.up =
+    [this](LinkId aLink, const AgentId& aAgent, const DataCentreId& /*aDataCentre*/) {
+      const std::string agent = aAgent.Value();
+      if (const auto old = this->linkOfAgent.find(agent); old != this->linkOfAgent.end()) {
+        this->agentOfLink.erase(old->second);
+        this->leader->OnAgentDown(agent);
+      }
+      this->linkOfAgent[agent] = aLink;
+      this->agentOfLink[aLink] = agent;
+      this->leader->OnAgentUp(agent);
+    };
+  handlers.down = [this](LinkId aLink, std::string_view aReason) {
+    const auto it = this->agentOfLink.find(aLink);
+    if (it == this->agentOfLink.end()) {
+      return;
+    }
+    Log(LogLevel::Info,
+        "agent_link_down",
+        { { "agent", it->second }, { "reason", std::string(aReason) } });
+    this->linkOfAgent.erase(it->second);
+    this->leader->OnAgentDown(it->second);
+    this->agentOfLink.erase(it);
+  };
+  handlers.message = [this](LinkId aLink, const LinkMessage& aMessage) {
+    const auto it = this->agentOfLink.find(aLink);
+    if (const auto* report = std::get_if<WorkerReport>(&aMessage);
+        report != nullptr && it != this->agentOfLink.end()) {
+      this->leader->OnReport(it->second, *report);
+    }
+  };
+  auto made =
+    LinkListener::Create(this->context, std::move(options), std::move(handlers), this->counters);
+  if (!made.ok()) {
+    return made.status();
+  }
+  this->listener = *std::move(made);
+  this->leader->Start();
+  return absl::OkStatus();
+}
+
+void ClusterEntry::Core::OnConfig(const cluster::ClusterConfig& aConfig)
+{
+  HttpServerLimits limits;
+  limits.headerBytes = aConfig.limits.headerBytes;
+  limits.bodyBytes = aConfig.limits.bodyBytes;
+  limits.readTimeout = std::chrono::milliseconds(aConfig.limits.headerTimeoutMs);
+  limits.idleTimeout = std::chrono::milliseconds(aConfig.limits.idleTimeoutMs);
+  this->front->SetLimits(limits);
+}
+
+bool ClusterEntry::Core::IsReady() const
+{
+  return !this->draining && this->config->Config().has_value() &&
+         BootClock::now() - this->config->Confirmed() < kReadyWithoutStore;
+}
+
+void ClusterEntry::Core::SendToAgent(const std::string& aAgent, const LinkMessage& aMessage)
+{
+  const auto link = this->linkOfAgent.find(aAgent);
+  if (link != this->linkOfAgent.end()) {
+    this->listener->Send(link->second, aMessage);
+  }
+}
+
+void ClusterEntry::Core::AwaitSignal()
+{
+  this->signals.async_wait([this](asio::error_code aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    Log(LogLevel::Info, aSignal == SIGHUP ? "reload" : "stopping", { { "signal", aSignal } });
+    if (aSignal == SIGHUP) {
+      // Every setting of an entry is an address or a bound of the machine, fixed while it runs; what
+      // operators change comes with the configuration.
+      this->AwaitSignal();
+      return;
+    }
+    this->Drain();
+  });
+}
+
+void ClusterEntry::Core::Drain()
+{
+  this->draining = true;
+  this->front->Drain();
+  const Instant now = BootClock::now();
+  const Instant latest = now + std::max(this->settings.stopGrace - kStopReserve, Duration::zero());
+  this->leader->Release([this, now, latest] {
+    Log(LogLevel::Info, "leadership_left");
+    this->AwaitIdle(std::min(now + kEntryDrainTime, latest), latest);
+  });
+  // The store may not answer the release; the process ends in time all the same.
+  auto timer = std::make_shared<asio::steady_timer>(this->context, latest - now);
+  timer->async_wait([this, timer](asio::error_code /*aError*/) { this->context.stop(); });
+}
+
+void ClusterEntry::Core::AwaitIdle(Instant aEarliest, Instant aLatest)
+{
+  const Instant now = BootClock::now();
+  if (now >= aLatest || (now >= aEarliest && this->front->InFlight() == 0)) {
+    this->context.stop();
+    return;
+  }
+  this->drainTimer.expires_after(kDrainPoll);
+  this->drainTimer.async_wait([this, aEarliest, aLatest](asio::error_code aError) {
+    if (!aError) {
+      this->AwaitIdle(aEarliest, aLatest);
+    }
+  });
+}
+
+void ClusterEntry::Core::Run()
+{
+  this->context.run();
+  Log(LogLevel::Info, "entry_stopped", { { "in_flight", this->front->InFlight() } });
+}
+
+absl::StatusOr<std::unique_ptr<ClusterEntry>> ClusterEntry::Create(
+  platformwire::DaemonSettings aSettings)
+{
+  auto core = std::make_unique<Core>(std::move(aSettings));
+  if (const absl::Status status = core->Start(); !status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<ClusterEntry>(new ClusterEntry(std::move(core)));
+}
+
+ClusterEntry::ClusterEntry(std::unique_ptr<Core> aCore)
+  : core(std::move(aCore))
+{
+}
+
+ClusterEntry::~ClusterEntry() = default;
+
+void ClusterEntry::Run()
+{
+  this->core->Run();
+}
+
+} // namespace oriolespread::daemon
--- /dev/null
+++ b/packages/daemon/src/JobApi.h
@@ -0,0 +1,71 @@
+// Answers callers: takes jobs and cancellations into the store, and reads states from it. Needs no
+// leader, so that any entry that reaches the store answers.
+#pragma once
+
+#include "ConfigFollower.h"
+
+#include "oriolespread/http/HttpServer.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace oriolespread::daemon {
+
+class JobApi
+{
+public:
+  JobApi(asio::io_context& aContext,
+         platformwire::StoreClient& aStore,
+         const ConfigFollower& aConfig,
+         Counters& aCounters);
+
+  void Handle(const HttpRequest& aRequest, HttpServer::Reply aReply);
+
+  // When the store last took or answered a call.
+  Instant StoreAnswered() const { return this->storeAnswered; }
+
+private:
+  // One request on its way; ends with one answer.
+  struct Request
+  {
+    std::string id;
+    std::string method;
+    const char* kind = "";
+    HttpServer::Reply reply;
+    Instant arrived{};
+    Instant deadline{};
+    // An earlier try may have been applied, so that the request cannot be called refused.
+    bool uncertain = false;
+    int tries = 0;
+  };
+  using RequestPtr = std::shared_ptr<Request>;
+
+  void Submit(const RequestPtr& aRequest, const cluster::QueueConfig& aQueue, const std::string& aBody);
+  void Store(const RequestPtr& aRequest, const cluster::StoreTransaction& aTransaction);
+  void OnStored(const RequestPtr& aRequest,
+                const cluster::StoreTransaction& aTransaction,
+                const cluster::CommitResult& aResult);
+  void GetState(const RequestPtr& aRequest);
+  void GetUnstarted(const RequestPtr& aRequest);
+  void Cancel(const RequestPtr& aRequest);
+  void CountPending(const RequestPtr& aRequest,
+                    const std::string& aQueue,
+                    const std::string& aFrom,
+                    std::size_t aCounted);
+  // Runs the call again after a pause, or gives the request up if there is no time left.
+  void Retry(const RequestPtr& aRequest, const std::string& aReason, std::function<void()> aCall);
+  void Answer(const RequestPtr& aRequest, int aStatus, std::string aBody, std::string_view aReason);
+  void Remember(const std::string& aId, jobs::JobState aState);
+
+  asio::io_context& context;
+  platformwire::StoreClient& store;
+  const ConfigFollower& config;
+  Counters& counters;
+  Instant storeAnswered{};
+  Instant storeFailed{};
+  // Ended states, which do not change any more.
+  std::unordered_map<std::string, jobs::JobState> ended;
+};
+
+} // namespace oriolespread::daemon
--- /dev/null
+++ b/packages/daemon/src/LeaderDriver.h
@@ -0,0 +1,115 @@
+// Competes for the leadership of the cluster and, while it leads, runs the scheduler: loads what is
+// stored, follows new jobs, stores decisions and sends orders to agents.
+#pragma once
+
+#include "oriolespread/cluster/LeaderElection.h"
+#include "oriolespread/jobs/JobScheduler.h"
+#include "oriolespread/messages/MessageCodec.h"
+#include "oriolespread/platformwire/StoreClient.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace oriolespread::daemon {
+
+struct LeaderDriverOptions
+{
+  std::string entry;
+  // New with each start of the process.
+  std::string process;
+  Duration workerLease{};
+  Duration keepEnded{};
+};
+
+class LeaderDriver
+{
+public:
+  using SendToAgent = std::function<void(const std::string& aAgent, const LinkMessage& aMessage)>;
+
+  LeaderDriver(asio::io_context& aContext,
+               platformwire::StoreClient& aStore,
+               LeaderDriverOptions aOptions,
+               Counters& aCounters,
+               SendToAgent aSend);
+
+  void Start();
+
+  void OnAgentUp(const std::string& aAgent);
+  void OnAgentDown(const std::string& aAgent);
+  void OnReport(const std::string& aAgent, const WorkerReport& aReport);
+
+  // Gives the leadership up, or stops competing for it, and calls `aDone` when that is stored or
+  // cannot be.
+  void Release(std::function<void()> aDone);
+
+  std::map<std::string, double> Gauges() const;
+
+private:
+  enum class Phase
+  {
+    Standby,
+    Claiming,
+    Loading,
+    Leading,
+    Stopped,
+  };
+
+  void Poll();
+  void PollLater(Duration aDelay);
+  void Claim();
+  void Become(const cluster::LeadRow& aRow, std::uint64_t aVersion, Instant aSent);
+  void StepDown(std::string_view aReason);
+
+  void Load(std::string_view aTable, const std::string& aFrom);
+  void OnLoaded(std::string_view aTable, const cluster::ReadResult& aResult);
+  void FinishLoading();
+  void WatchJobs();
+  void ReloadJobs(const std::string& aFrom, std::uint64_t aVersion);
+
+  void Pump();
+  void PumpSoon();
+  void Tick();
+  void Commit(jobs::StoreBatch aBatch);
+  void Send(const std::shared_ptr<jobs::StoreBatch>& aBatch,
+            const cluster::StoreTransaction& aTransaction);
+  void OnCommitted(const std::shared_ptr<jobs::StoreBatch>& aBatch,
+                   const cluster::StoreTransaction& aTransaction,
+                   const cluster::CommitResult& aResult,
+                   Instant aSent);
+  void SendOrders();
+  void FinishRelease();
+
+  // Runs `aCall` after the delay unless the leadership changed meanwhile.
+  void After(Duration aDelay, std::function<void()> aCall);
+  jobs::Now Time() const;
+
+  asio::io_context& context;
+  platformwire::StoreClient& store;
+  LeaderDriverOptions options;
+  Counters& counters;
+  SendToAgent send;
+  cluster::LeaderElection election;
+  asio::steady_timer pollTimer;
+  asio::steady_timer tickTimer;
+  Phase phase = Phase::Standby;
+  // Rises with each change of phase, so that callbacks of an earlier one are dropped.
+  std::uint64_t term = 0;
+
+  cluster::LeadRow row;
+  std::uint64_t rowVersion = 0;
+  // When the last renewal that was applied had been sent.
+  Instant renewed{};
+  bool committing = false;
+  bool pumpPending = false;
+  std::uint64_t jobsVersion = 0;
+  std::unique_ptr<jobs::JobScheduler> scheduler;
+  jobs::SchedulerSettings schedulerSettings;
+  std::set<std::string> agents;
+  std::function<void()> released;
+};
+
+} // namespace oriolespread::daemon
--- /dev/null
+++ b/packages/daemon/src/MetricsServer.cpp
@@ -0,0 +1,37 @@
+#include "MetricsServer.h"
+
+#include "oriolespread/service/Log.h"
+
+namespace oriolespread::daemon {
+
+MetricsServer::MetricsServer(asio::io_context& aContext,
+                             const std::string& aIp,
+                             Counters& aCounters,
+                             Gauges aGauges)
+{
+  auto made = HttpServer::Create(
+    aContext,
+    aIp,
+    kMetricsPort,
+    {},
+    [&aCounters, gauges = std::move(aGauges)](const HttpRequest& aRequest,
+                                              const HttpServer::Reply& aReply) {
+      if (aRequest.target != "/metrics") {
+        aReply({ kHttpNotFound, {}, {} });
+        return;
+      }
+      aReply({ kHttpOk,
+               { { "Content-Type", "text/plain; version=0.0.4" } },
+               MetricsText(aCounters, gauges(), {}) });
+    },
+    aCounters);
+  if (!made.ok()) {
+    Log(LogLevel::Warning,
+        "metrics_unavailable",
+        { { "reason", std::string(made.status().message()) } });
+    return;
+  }
+  this->server = *std::move(made);
+}
+
+} // namespace oriolespread::daemon
--- /dev/null
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -0,0 +1,492 @@
+#include "WorkerDriver.h"
+
+#include "oriolespread/daemon/ClusterSettings.h"
+#include "oriolespread/service/Log.h"
+
+#include <algorithm>
+
+namespace oriolespread::daemon {
+
+using platformwire::WorkerAnswer;
+using platformwire::WorkerCallEnd;
+
+namespace {
+
+// A worker's clock may be 2% slow, and a call takes a moment to reach it.
+constexpr double kWorkerClockDrift = 1.03;
+constexpr Duration kLapseMargin = std::chrono::milliseconds(200);
+// Extensions for older reports are of no use.
+constexpr std::size_t kReportsKept = 16;
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<WorkerDriver>> WorkerDriver::Create(asio::io_context& aContext,
+                                                                   const std::string& aAddress,
+                                                                   Duration aMaxLease,
+                                                                   Counters& aCounters,
+                                                                   Send aSend)
+{
+  auto client = platformwire::WorkerClient::Create(aContext, aAddress, aCounters);
+  if (!client.ok()) {
+    return client.status();
+  }
+  return std::unique_ptr<WorkerDriver>(
+    new WorkerDriver(aContext, aMaxLease, aCounters, std::move(aSend), *std::move(client)));
+}
+
+WorkerDriver::WorkerDriver(asio::io_context& aContext,
+                           Duration aMaxLease,
+                           Counters& aCounters,
+                           Send aSend,
+                           std::unique_ptr<platformwire::WorkerClient> aClient)
+  : context(aContext)
+  , lease(WorkerLease(aMaxLease))
+  , maxLease(aMaxLease)
+  , counters(aCounters)
+  , send(std::move(aSend))
+  , client(std::move(aClient))
+  , lookTimer(aContext)
+  , pace(cluster::PaceSettings{})
+{
+}
+
+void WorkerDriver::OnHeartbeat(const platformwire::WorkerHeartbeat& aBeat)
+{
+  const bool sameLife = aBeat.worker.id == this->worker.id && aBeat.worker.born == this->worker.born;
+  if (!sameLife && aBeat.worker.born < this->worker.born) {
+    this->counters.Add("heartbeats_ignored_total", "earlier_life");
+    return;
+  }
+  if (sameLife && aBeat.sequence <= this->heartbeat) {
+    this->counters.Add("heartbeats_ignored_total", "late");
+    return;
+  }
+  if (!sameLife) {
+    this->BeginLife(aBeat);
+  }
+  this->heartbeat = aBeat.sequence;
+  const bool changed = aBeat.worker != this->worker;
+  const bool drains = aBeat.worker.draining && !this->worker.draining;
+  this->worker = aBeat.worker;
+  if (drains) {
+    Log(LogLevel::Info,
+        "worker_draining",
+        { { "worker", this->worker.id }, { "remaining_ms", this->worker.remainingMs } });
+  }
+  if (changed) {
+    this->ReportNow(false, {});
+  }
+}
+
+void WorkerDriver::BeginLife(const platformwire::WorkerHeartbeat& aBeat)
+{
+  Log(LogLevel::Info,
+      "worker_life",
+      { { "worker", aBeat.worker.id },
+        { "born", aBeat.worker.born },
+        { "earlier_worker", this->worker.id },
+        { "earlier_born", this->worker.born } });
+  ++this->life;
+  this->worker = aBeat.worker;
+  this->client->SetLife(aBeat.worker.id);
+  this->fenced = false;
+  this->clockMs.reset();
+  this->leaseUntil = {};
+  // An earlier agent beside this worker may have given it a lease of any length that it allows.
+  this->lapsesAt = BootClock::now() +
+                   std::chrono::duration_cast<Duration>(this->maxLease * kWorkerClockDrift) +
+                   kLapseMargin;
+  this->lastAnswer = BootClock::now();
+  this->refusals = 0;
+  this->allLost = false;
+  this->known.clear();
+  this->running.clear();
+  this->ended.clear();
+  this->reportedEnds.clear();
+  this->acknowledged.clear();
+  this->lastSeen = 0;
+  this->rejected.clear();
+  ++this->lastLook;
+  this->looking = false;
+  this->Look();
+}
+
+void WorkerDriver::OnLeave(const std::string& aId)
+{
+  if (aId == this->worker.id) {
+    this->worker.draining = true;
+    this->ReportNow(false, {});
+  }
+}
+
+void WorkerDriver::FollowLeader(Epoch aEpoch)
+{
+  this->linked = true;
+  this->lastOrders = 0;
+  this->reportsSent.clear();
+  this->reportedEnds.clear();
+  if (aEpoch > this->epoch) {
+    this->epoch = aEpoch;
+    this->fenced = false;
+  }
+  this->lastFull = {};
+  // A look that waits for an end may take long, so that its answer is not waited for.
+  this->looking = false;
+  this->LookLater(Duration::zero());
+}
+
+void WorkerDriver::LoseLeader()
+{
+  this->linked = false;
+}
+
+void WorkerDriver::OnExtension(const LeaseExtension& aExtension)
+{
+  const auto sent = this->reportsSent.find(aExtension.sequence);
+  if (aExtension.epoch != this->epoch || sent == this->reportsSent.end()) {
+    return;
+  }
+  this->leaseUntil = std::max(this->leaseUntil, sent->second + this->lease);
+  this->reportsSent.erase(this->reportsSent.begin(), std::next(sent));
+}
+
+void WorkerDriver::OnOrders(const WorkerOrders& aOrders)
+{
+  if (aOrders.epoch != this->epoch || aOrders.born != this->worker.born) {
+    this->counters.Add("orders_ignored_total",
+                       aOrders.epoch != this->epoch ? "other_epoch" : "other_life");
+    return;
+  }
+  this->lastOrders = aOrders.sequence;
+  for (const std::uint64_t number : aOrders.acknowledgedEnds) {
+    this->acknowledged.insert(number);
+  }
+  // The worker forgets ends up to a number, so only those without a gap before them count.
+  while (this->acknowledged.erase(this->lastSeen + 1) > 0) {
+    ++this->lastSeen;
+    this->ended.erase(this->lastSeen);
+    this->reportedEnds.erase(this->lastSeen);
+  }
+  for (const RunRef& stop : aOrders.stops) {
+    this->Stop(stop);
+  }
+  for (const StartRun& start : aOrders.starts) {
+    if (this->worker.draining) {
+      this->Reject(start.ref, "draining");
+      continue;
+    }
+    Known& item = this->known[start.ref];
+    if (item.starting || item.stopping) {
+      continue;
+    }
+    item = {};
+    item.start = start;
+    item.starting = true;
+    this->Start(start.ref);
+  }
+  if (!aOrders.acknowledgedEnds.empty()) {
+    this->LookLater(Duration::zero());
+  }
+}
+
+void WorkerDriver::Start(const RunRef& aRef)
+{
+  const auto it = this->known.find(aRef);
+  if (it == this->known.end() || !it->second.starting || it->second.stopping) {
+    return;
+  }
+  if (!this->fenced || !this->clockMs.has_value()) {
+    this->After(kWorkerRetryDelay, [this, aRef] { this->Start(aRef); });
+    return;
+  }
+  ++it->second.tries;
+  this->client->Start(it->second.start,
+                      this->epoch,
+                      this->WorkerDeadline(this->leaseUntil),
+                      kWorkerTimeout,
+                      [this, aRef, life = this->life](const WorkerAnswer& aAnswer) {
+                        if (life == this->life) {
+                          this->OnStarted(aRef, aAnswer);
+                        }
+                      });
+}
+
+void WorkerDriver::OnStarted(const RunRef& aRef, const WorkerAnswer& aAnswer)
+{
+  const auto it = this->known.find(aRef);
+  if (it == this->known.end() || !it->second.starting) {
+    return;
+  }
+  switch (aAnswer.end) {
+    case WorkerCallEnd::Done:
+      it->second.starting = false;
+      it->second.confirmed = BootClock::now();
+      return;
+    case WorkerCallEnd::Rejected:
+      this->Reject(aRef, aAnswer.reason);
+      return;
+    case WorkerCallEnd::Fenced:
+    case WorkerCallEnd::OtherLife:
+      // A later leader, or a later life of the worker, makes the order void.
+      this->counters.Add("starts_void_total", aAnswer.reason);
+      this->known.erase(it);
+      return;
+    case WorkerCallEnd::Refused:
+    case WorkerCallEnd::Unknown:
+      break;
+  }
+  this->counters.Add("starts_retried_total", aAnswer.reason);
+  if (it->second.stopping) {
+    return;
+  }
+  if (it->second.tries >= kStartTries) {
+    Log(LogLevel::Warning,
+        "start_unanswered",
+        { { "task", aRef.task }, { "run", aRef.run }, { "reason", aAnswer.reason } });
+    this->Stop(aRef);
+    return;
+  }
+  // The same run again: the worker takes it as done if it runs already.
+  this->After(aAnswer.end == WorkerCallEnd::Refused ? kWorkerRetryDelay : Duration::zero(),
+              [this, aRef] { this->Start(aRef); });
+}
+
+void WorkerDriver::Reject(const RunRef& aRef, const std::string& aReason)
+{
+  this->known.erase(aRef);
+  this->rejected.push_back({ aRef, aReason });
+  this->ReportNow(false, {});
+}
+
+void WorkerDriver::Stop(const RunRef& aRef)
+{
+  this->known[aRef].stopping = true;
+  this->client->Stop(
+    aRef,
+    this->epoch,
+    kWorkerTimeout,
+    [this, aRef, life = this->life, epoch = this->epoch](const WorkerAnswer& aAnswer) {
+      if (life != this->life || epoch != this->epoch) {
+        return;
+      }
+      if (aAnswer.end == WorkerCallEnd::Unknown || aAnswer.end == WorkerCallEnd::Refused) {
+        this->counters.Add("stops_retried_total", aAnswer.reason);
+        this->After(kWorkerRetryDelay, [this, aRef, life] {
+          if (life == this->life) {
+            this->Stop(aRef);
+          }
+        });
+        return;
+      }
+      // The run has been told to stop, or can never start: its absence from a look is its end.
+      if (const auto it = this->known.find(aRef); it != this->known.end()) {
+        it->second.starting = false;
+        it->second.confirmed = BootClock::now();
+      }
+      this->lastFull = {};
+    });
+}
+
+std::int64_t WorkerDriver::WorkerDeadline(Instant aLocal) const
+{
+  return this->clockMs.value_or(0) + ToMilliseconds(aLocal - this->clockRead);
+}
+
+void WorkerDriver::LookLater(Duration aDelay)
+{
+  if (this->looking) {
+    return;
+  }
+  this->lookTimer.expires_after(aDelay);
+  this->lookTimer.async_wait([this](asio::error_code aError) {
+    if (!aError) {
+      this->Look();
+    }
+  });
+}
+
+void WorkerDriver::Look()
+{
+  if (this->worker.id.empty() || this->looking) {
+    return;
+  }
+  this->looking = true;
+  const Instant now = BootClock::now();
+  platformwire::WorkerLook look;
+  look.fence = this->epoch;
+  look.acknowledgedEnds = this->lastSeen;
+  if (this->clockMs.has_value() && this->leaseUntil > now &&
+      now - this->lastAnswer < kWorkerSilence) {
+    look.deadlineMs = this->WorkerDeadline(this->leaseUntil);
+    this->lapsesAt =
+      std::max(this->lapsesAt,
+               now + std::chrono::duration_cast<Duration>((this->leaseUntil - now) * kWorkerClockDrift) +
+                 kLapseMargin);
+  }
+  // While ends wait for the leader an answer comes at once, so there is nothing to wait for.
+  const bool waits = this->ended.empty() && this->fenced;
+  look.wait = waits ? kLookWait : Duration::zero();
+  this->client->Look(look,
+                     look.wait + kWorkerTimeout,
+                     [this, look = ++this->lastLook, fence = this->epoch, now](
+                       const WorkerAnswer& aAnswer) {
+                       if (look == this->lastLook) {
+                         this->OnLook(aAnswer, fence, now);
+                       }
+                     });
+}
+
+void WorkerDriver::OnLook(const WorkerAnswer& aAnswer, Epoch aFence, Instant aSent)
+{
+  this->looking = false;
+  const Instant now = BootClock::now();
+  if (aAnswer.end != WorkerCallEnd::Done) {
+    if (aAnswer.end == WorkerCallEnd::Fenced) {
+      this->counters.Add("looks_fenced_total", "worker");
+    }
+    this->OnSilence(aAnswer);
+    this->LookLater(kWorkerRetryDelay);
+    return;
+  }
+  if (aAnswer.born != 0 && aAnswer.born != this->worker.born) {
+    // Another life than the one that sent heartbeats; its own heartbeat comes soon.
+    this->counters.Add("looks_of_other_life_total", "worker");
+    this->LookLater(kWorkerRetryDelay);
+    return;
+  }
+  this->lastAnswer = now;
+  this->refusals = 0;
+  this->allLost = false;
+  if (aAnswer.clockMs.has_value()) {
+    this->clockMs = aAnswer.clockMs;
+    this->clockRead = now;
+  }
+  this->fenced = aFence == this->epoch && this->epoch != Epoch{};
+  this->running = aAnswer.running;
+  bool fresh = false;
+  if (!aAnswer.ended.empty()) {
+    // Ends before the first one were acknowledged by an earlier agent.
+    this->lastSeen = std::max(this->lastSeen, aAnswer.ended.front().number - 1);
+  }
+  for (const EndedRun& end : aAnswer.ended) {
+    if (end.number > this->lastSeen && this->ended.emplace(end.number, end).second) {
+      this->known.erase(end.ref);
+      fresh = true;
+    }
+  }
+  std::erase_if(this->known, [&](const auto& aItem) {
+    const bool listed = std::any_of(this->running.begin(),
+                                    this->running.end(),
+                                    [&](const RunningRun& aRun) { return aRun.ref == aItem.first; });
+    return !listed && !aItem.second.starting && aItem.second.confirmed < aSent;
+  });
+  this->Pace(now);
+  const bool full = now - this->lastFull >= kReportInterval;
+  if (fresh || full) {
+    this->ReportNow(full, aSent);
+  }
+  this->LookLater(this->ended.empty() ? Duration::zero() : kLookPause);
+}
+
+void WorkerDriver::OnSilence(const WorkerAnswer& aAnswer)
+{
+  const Instant now = BootClock::now();
+  this->refusals = aAnswer.end == WorkerCallEnd::Refused ? this->refusals + 1 : 0;
+  const bool dead = this->refusals >= kRefusalsOfDeadWorker;
+  if ((dead || now > this->lapsesAt) && !this->allLost) {
+    this->allLost = true;
+    this->known.clear();
+    this->running.clear();
+    Log(LogLevel::Warning,
+        "worker_lost",
+        { { "worker", this->worker.id },
+          { "born", this->worker.born },
+          { "reason", dead ? "refused" : "lease_lapsed" },
+          { "silent_ms", ToMilliseconds(now - this->lastAnswer) } });
+    this->ReportNow(false, {});
+  } else if (now - this->lastFull >= kReportInterval) {
+    this->lastFull = now;
+    this->ReportNow(false, {});
+  }
+}
+
+void WorkerDriver::ReportNow(bool aFull, Instant aLookSent)
+{
+  if (!this->linked || !this->fenced || this->worker.id.empty()) {
+    return;
+  }
+  WorkerReport report;
+  report.allLost = this->allLost;
+  report.full = aFull;
+  if (aFull) {
+    this->lastFull = BootClock::now();
+    report.running = this->running;
+    for (const auto& [ref, item] : this->known) {
+      if (item.starting || item.confirmed >= aLookSent) {
+        report.starting.push_back(ref);
+      }
+    }
+  }
+  for (const auto& [number, end] : this->ended) {
+    if (this->reportedEnds.insert(number).second || aFull) {
+      report.ended.push_back(end);
+    }
+  }
+  report.rejected = std::exchange(this->rejected, {});
+  this->SendReport(std::move(report));
+}
+
+void WorkerDriver::SendReport(WorkerReport aReport)
+{
+  aReport.epoch = this->epoch;
+  aReport.sequence = ++this->sequence;
+  aReport.lastOrders = this->lastOrders;
+  aReport.worker = this->worker;
+  this->reportsSent[aReport.sequence] = BootClock::now();
+  if (this->reportsSent.size() > kReportsKept) {
+    this->reportsSent.erase(this->reportsSent.begin());
+  }
+  this->send(aReport);
+}
+
+void WorkerDriver::Pace(Instant aNow)
+{
+  std::vector<cluster::PacedRun> runs;
+  for (const RunningRun& run : this->running) {
+    const auto item = this->known.find(run.ref);
+    if (item == this->known.end()) {
+      continue;
+    }
+    const StartRun& start = item->second.start;
+    runs.push_back(
+      { run.ref, start.latencyTargetMs, start.fillsUnused, run.percent, run.figure });
+  }
+  for (const cluster::PaceOrder& order : this->pace.Update(runs, aNow)) {
+    this->counters.Add("paces_total", order.percent == 0 ? "paused" : "set");
+    Log(LogLevel::Info,
+        "run_paced",
+        { { "task", order.ref.task }, { "run", order.ref.run }, { "percent", order.percent } });
+    this->client->Pace(order.ref,
+                       order.percent,
+                       this->epoch,
+                       kWorkerTimeout,
+                       [this, order, life = this->life](const WorkerAnswer& aAnswer) {
+                         if (life == this->life && (aAnswer.end == WorkerCallEnd::Unknown ||
+                                                    aAnswer.end == WorkerCallEnd::Refused)) {
+                           this->pace.OnFailed(order.ref);
+                         }
+                       });
+  }
+}
+
+void WorkerDriver::After(Duration aDelay, std::function<void()> aCall)
+{
+  auto timer = std::make_shared<asio::steady_timer>(this->context, aDelay);
+  timer->async_wait([timer, call = std::move(aCall)](asio::error_code aError) {
+    if (!aError) {
+      call();
+    }
+  });
+}
+
+} // namespace oriolespread::daemon
--- /dev/null
+++ b/packages/http/include/oriolespread/http/HttpServer.h
@@ -0,0 +1,71 @@
+// An HTTP/1.1 server on one event loop. Connections are served one request at a time; answers may
+// be given later, from the loop thread.
+//
+//   auto server = HttpServer::Create(context, "127.0.0.1", 8080, {}, handler, counters);
+#pragma once
+
+#include "absl/status/statusor.h"
+
+#include "oriolespread/base/Counters.h"
+#include "oriolespread/base/Time.h"
+#include "oriolespread/http/HttpTypes.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace oriolespread {
+
+namespace internal {
+class ServerCore;
+}
+
+struct HttpServerLimits
+{
+  std::uint32_t headerBytes = 16384;
+  std::uint64_t bodyBytes = 262144;
+  // From the first byte of a request to its last header, and from there to the end of its body.
+  Duration readTimeout = std::chrono::seconds(3);
+  // A connection without a request is closed after this time.
+  Duration idleTimeout = std::chrono::seconds(60);
+  std::size_t connections = 2000;
+};
+
+class HttpServer
+{
+public:
+  // Sends the response; calls after the first are ignored. Safe after the connection is gone.
+  using Reply = std::function<void(HttpResponse)>;
+  using Handler = std::function<void(const HttpRequest&, Reply)>;
+
+  // Listens from now on; port 0 takes a free one. The references must outlive the server.
+  static absl::StatusOr<std::unique_ptr<HttpServer>> Create(asio::io_context& aContext,
+                                                            const std::string& aAddress,
+                                                            std::uint16_t aPort,
+                                                            HttpServerLimits aLimits,
+                                                            Handler aHandler,
+                                                            Counters& aCounters);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  std::uint16_t Port() const;
+
+  // Takes effect for requests that begin later.
+  void SetLimits(const HttpServerLimits& aLimits);
+
+  // Closes each connection after its next response; connections are still accepted.
+  void Drain();
+
+  // Returns how many requests have been read and not answered.
+  std::size_t InFlight() const;
+
+private:
+  explicit HttpServer(std::shared_ptr<internal::ServerCore> aCore);
+
+  std::shared_ptr<internal::ServerCore> core;
+};
+
+} // namespace oriolespread
--- /dev/null
+++ b/packages/http/src/ServerConnection.h
@@ -0,0 +1,49 @@
+// One connection of an HttpServer.
+#pragma once
+
+#include "ServerCore.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <optional>
+
+namespace oriolespread::internal {
+
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+  ServerConnection(std::shared_ptr<ServerCore> aCore, asio::ip::tcp::socket aSocket);
+
+  void Start();
+  void Close();
+
+private:
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void BeginRequest();
+  void Read();
+  void OnRead(asio::error_code aError, std::size_t aSize);
+  // Feeds buffered bytes to the parser; returns false when the connection was closed or refused.
+  bool Parse();
+  void HandleRequest();
+  void Reply(std::uint64_t aRequest, const HttpResponse& aResponse);
+  void Refuse(int aStatus);
+  void Write(const HttpResponse& aResponse, bool aClose);
+  void ArmTimer(Duration aTimeout);
+
+  std::shared_ptr<ServerCore> core;
+  asio::ip::tcp::socket socket;
+  asio::steady_timer timer;
+  std::array<char, 16384> chunk{};
+  std::string input;
+  std::string output;
+  std::optional<Parser> parser;
+  bool closing = false;
+  bool handling = false;
+  bool receiving = false;
+  std::uint64_t request = 0;
+};
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/http/src/ServerCore.cpp
@@ -0,0 +1,102 @@
+#include "ServerCore.h"
+
+#include "ServerConnection.h"
+#include "absl/strings/str_cat.h"
+
+namespace oriolespread::internal {
+
+namespace {
+
+// The pause after a failed accept, so that a lack of descriptors does not keep the loop busy.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+ServerCore::ServerCore(asio::io_context& aContext,
+                       HttpServerLimits aLimits,
+                       HttpServer::Handler aHandler,
+                       Counters& aCounters)
+  : context(aContext)
+  , limits(aLimits)
+  , handler(std::move(aHandler))
+  , counters(aCounters)
+  , acceptor(aContext)
+  , acceptTimer(aContext)
+{
+}
+
+absl::Status ServerCore::Listen(const std::string& aAddress, std::uint16_t aPort)
+{
+  asio::error_code error;
+  const asio::ip::address address = asio::ip::make_address(aAddress, error);
+  if (error) {
+    return absl::InvalidArgumentError(absl::StrCat("not an IP address: ", aAddress));
+  }
+  const asio::ip::tcp::endpoint endpoint(address, aPort);
+  this->acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    this->acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return absl::UnavailableError(
+      absl::StrCat("cannot listen on ", aAddress, ":", aPort, ": ", error.message()));
+  }
+  this->port = this->acceptor.local_endpoint().port();
+  this->Accept();
+  return absl::OkStatus();
+}
+
+void ServerCore::Accept()
+{
+  this->acceptor.async_accept(
+    [self = this->shared_from_this()](asio::error_code aError, asio::ip::tcp::socket aSocket) {
+      if (self->closed) {
+        return;
+      }
+      if (aError) {
+        self->counters.Add("http_accept_failed_total", aError.message());
+        self->acceptTimer.expires_after(kAcceptPause);
+        self->acceptTimer.async_wait([self](asio::error_code aTimerError) {
+          if (!aTimerError && !self->closed) {
+            self->Accept();
+          }
+        });
+        return;
+      }
+      if (self->connections.size() >= self->limits.connections) {
+        self->counters.Add("http_connections_refused_total", "too_many");
+      } else {
+        auto connection = std::make_shared<ServerConnection>(self, std::move(aSocket));
+        self->connections.insert(connection);
+        connection->Start();
+      }
+      self->Accept();
+    });
+}
+
+void ServerCore::Close()
+{
+  this->closed = true;
+  asio::error_code ignored;
+  this->acceptor.close(ignored);
+  this->acceptTimer.cancel();
+  this->handler = nullptr;
+  const auto open = std::move(this->connections);
+  this->connections.clear();
+  for (const auto& connection : open) {
+    connection->Close();
+  }
+}
+
+void ServerCore::Forget(const std::shared_ptr<ServerConnection>& aConnection)
+{
+  this->connections.erase(aConnection);
+}
+
+} // namespace oriolespread::internal
--- /dev/null
+++ b/packages/http/tests/HttpClientServerTest.cpp
@@ -0,0 +1,121 @@
+// Guards against lost, cut or mixed-up messages between the asynchronous server and client.
+#include "oriolespread/http/HttpClient.h"
+#include "oriolespread/http/HttpServer.h"
+
+#include <asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace oriolespread;
+
+namespace {
+
+struct Pair
+{
+  asio::io_context context;
+  Counters counters;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpClient> client;
+  HttpServer::Reply held;
+
+  explicit Pair(HttpServerLimits aLimits = {})
+  {
+    auto made = HttpServer::Create(
+      this->context,
+      "127.0.0.1",
+      0,
+      aLimits,
+      [this](const HttpRequest& aRequest, HttpServer::Reply aReply) {
+        if (aRequest.target == "/held") {
+          this->held = std::move(aReply);
+          return;
+        }
+        aReply({ kHttpOk, {}, aRequest.method + " " + aRequest.target + " " + aRequest.body });
+      },
+      this->counters);
+    REQUIRE(made.ok());
+    this->server = *std::move(made);
+    auto dialed = HttpClient::Create(this->context,
+                                     "127.0.0.1:" + std::to_string(this->server->Port()),
+                                     { .connections = 2 },
+                                     this->counters);
+    REQUIRE(dialed.ok());
+    this->client = *std::move(dialed);
+  }
+
+  HttpResult Call(HttpRequest aRequest, Duration aTimeout = std::chrono::seconds(5))
+  {
+    std::optional<HttpResult> result;
+    this->client->Call(
+      std::move(aRequest), aTimeout, [&](const HttpResult& aResult) { result = aResult; });
+    while (!result.has_value()) {
+      this->context.run_one();
+    }
+    return *result;
+  }
+};
+
+} // namespace
+
+TEST_CASE("HttpClientServer ReturnsTheWholeAnswerWhenBodiesSpanManyReads")
+{
+  Pair pair;
+  const std::string body(200000, 'x');
+  const HttpResult result = pair.Call({ "POST", "/big", {}, body });
+  INFO(result.reason);
+  REQUIRE(result.IsAnswer(kHttpOk));
+  CHECK(result.response.body == "POST /big " + body);
+}
+
+TEST_CASE("HttpClientServer UsesOneConnectionAgainWhenCallsFollowOneAnother")
+{
+  Pair pair;
+  for (int index = 0; index < 5; ++index) {
+    REQUIRE(pair.Call({ "GET", "/a", {}, {} }).IsAnswer(kHttpOk));
+  }
+  CHECK(pair.counters.Get("http_connections_opened_total", "client") == 1);
+}
+
+TEST_CASE("HttpClientServer ReportsUnknownWhenTheAnswerDoesNotComeInTime")
+{
+  Pair pair;
+  const HttpResult result =
+    pair.Call({ "GET", "/held", {}, {} }, std::chrono::milliseconds(50));
+  CHECK(result.end == HttpEnd::Unknown);
+  CHECK(pair.Call({ "GET", "/a", {}, {} }).IsAnswer(kHttpOk));
+}
+
+TEST_CASE("HttpClientServer ReportsRefusedWhenNothingListens")
+{
+  Pair pair;
+  pair.server.reset();
+  CHECK(pair.Call({ "GET", "/a", {}, {} }).end == HttpEnd::Refused);
+}
+
+TEST_CASE("HttpClientServer RefusesABodyAboveTheLimitWithoutReadingOn")
+{
+  Pair pair({ .bodyBytes = 1000 });
+  const HttpResult result = pair.Call({ "POST", "/big", {}, std::string(2000, 'x') });
+  CHECK(result.IsAnswer(kHttpTooLarge));
+}
+
+TEST_CASE("HttpClientServer AnswersARequestInFlightAndClosesWhenItDrains")
+{
+  Pair pair;
+  std::optional<HttpResult> result;
+  pair.client->Call({ "GET", "/held", {}, {} },
+                    std::chrono::seconds(5),
+                    [&](const HttpResult& aResult) { result = aResult; });
+  while (pair.held == nullptr) {
+    pair.context.run_one();
+  }
+  pair.server->Drain();
+  CHECK(pair.server->InFlight() == 1);
+  pair.held({ kHttpOk, {}, "late" });
+  while (!result.has_value()) {
+    pair.context.run_one();
+  }
+  CHECK(result->IsAnswer(kHttpOk));
+  CHECK(FindHeader(result->response.headers, "connection") == "close");
+}
--- /dev/null
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -0,0 +1,143 @@
+// The state of jobs, tasks and workers that the scheduler decides on.
+#pragma once
+
+#include "oriolespread/base/Time.h"
+#include "oriolespread/jobs/JobRows.h"
+#include "oriolespread/jobs/JobSpec.h"
+#include "oriolespread/messages/WorkerMessages.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oriolespread::jobs {
+
+// A life of a worker.
+struct WorkerKey
+{
+  std::string id;
+  std::int64_t born = 0;
+
+  friend auto operator<=>(const WorkerKey&, const WorkerKey&) = default;
+};
+
+enum class RunState
+{
+  // Decided; the order is held back until the decision is stored.
+  Committing,
+  // The order was given to the agent.
+  Ordered,
+  Running,
+  // To be stopped; ends when the worker lists its end.
+  Stopping,
+};
+
+struct Run
+{
+  std::uint64_t number = 0;
+  WorkerKey worker;
+  std::string agent;
+  RunState state = RunState::Committing;
+  Instant since{};
+  // The orders message in which the start was sent.
+  std::uint64_t orders = 0;
+  int percent = 0;
+  Instant percentChanged{};
+};
+
+enum class TaskState
+{
+  Waiting,
+  Active,
+  Done,
+};
+
+struct Task
+{
+  TaskState state = TaskState::Waiting;
+  std::uint64_t nextRun = 1;
+  std::uint32_t failures = 0;
+  std::string checkpoint;
+  std::vector<Run> runs;
+  // The worker on which a run failed last.
+  std::string failedOn;
+  // The task is not started again before this time.
+  Instant notBefore{};
+};
+
+struct Step
+{
+  std::vector<Task> tasks;
+  std::uint32_t done = 0;
+  std::uint32_t active = 0;
+
+  bool IsDone() const { return this->done == this->tasks.size(); }
+};
+
+struct Occurrence
+{
+  std::vector<Step> steps;
+};
+
+struct Job
+{
+  JobRecord record;
+  JobState state = JobState::Queued;
+  bool started = false;
+  std::map<std::uint32_t, Occurrence> occurrences;
+  std::uint32_t completedOccurrences = 0;
+  std::uint32_t nextOccurrence = 0;
+  // Unix time in milliseconds at which the job became terminal.
+  std::int64_t endedUnixMs = 0;
+  // The terminal state is stored, so that the rows of progress are not needed any more.
+  bool endStored = false;
+};
+
+// Names a task within the scheduler's own maps.
+struct TaskPlace
+{
+  std::string job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+
+  friend auto operator<=>(const TaskPlace&, const TaskPlace&) = default;
+};
+
+struct WorkerRun
+{
+  TaskPlace place;
+  std::uint64_t number = 0;
+
+  friend auto operator<=>(const WorkerRun&, const WorkerRun&) = default;
+};
+
+struct Worker
+{
+  WorkerKey key;
+  std::string agent;
+  WorkerState state;
+  bool linked = false;
+  // Reported to this leader in its epoch.
+  bool reported = false;
+  // A full report after the link came up has been compared with what should run.
+  bool reconciled = false;
+  // When the last report arrived.
+  Instant lastReport{};
+  // After this time every lease on the worker has lapsed, if no report comes.
+  Instant leaseBound{};
+  // No new runs before this time, after a rejection or a series of failures.
+  Instant avoidUntil{};
+  // Jobs, one a queue entry, whose runs failed here since the last run that was done.
+  std::set<std::string> failedJobs;
+  std::uint32_t stalledRuns = 0;
+  Resources reserved;
+  // `reserved` and what runs that use unused capacity ask for.
+  Resources demanded;
+  std::set<WorkerRun> runs;
+  // Ends that are decided and not stored yet.
+  std::set<std::uint64_t> endsInCommit;
+};
+
+} // namespace oriolespread::jobs
--- /dev/null
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -0,0 +1,170 @@
+// Decides which task runs on which worker, for all jobs of the cluster. Pure: it takes events and
+// the time, and returns rows to be stored and orders to be sent.
+//
+//   scheduler.OnReport(agent, report, now);
+//   scheduler.Decide(now);
+//   StoreBatch batch = scheduler.TakeBatch(kMaxRows);   // store it in one transaction, then
+//   scheduler.OnStored(std::move(batch), now);
+//   for (auto& [agent, orders] : scheduler.TakeOrders()) { send(agent, orders); }
+//
+// A start is ordered, and an end acknowledged, only after the row that tells of it is stored, so
+// that the next leader knows of every run that may exist. Not thread-safe.
+#pragma once
+
+#include "oriolespread/base/Counters.h"
+#include "oriolespread/jobs/JobModel.h"
+#include "oriolespread/jobs/SchedulerSettings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oriolespread::jobs {
+
+struct PlacementRequest;
+
+// The time as the scheduler needs it.
+struct Now
+{
+  Instant instant{};
+  // Time of day in Unix milliseconds, for due times and for what is kept across leaders.
+  std::int64_t unixMs = 0;
+};
+
+// An order that must not be sent before `row` is stored.
+struct HeldOrder
+{
+  RowKey row;
+  std::string agent;
+  WorkerKey worker;
+  // Either a start of this run, or the acknowledgement of an end.
+  std::optional<WorkerRun> start;
+  std::uint64_t endNumber = 0;
+};
+
+struct StoreBatch
+{
+  std::vector<RowChange> changes;
+  std::vector<HeldOrder> orders;
+
+  bool empty() const { return this->changes.empty(); }
+};
+
+class JobScheduler
+{
+public:
+  using DecisionLog = std::function<void(std::string_view, const nlohmann::ordered_json&)>;
+
+  JobScheduler(SchedulerSettings aSettings, Counters& aCounters, DecisionLog aLog);
+
+  // Rows as they were found at the start of an epoch, jobs first. A row that cannot be read is
+  // counted, logged and left out.
+  void LoadJob(const std::string& aKey, const std::string& aValue, Now aNow);
+  void LoadState(const std::string& aKey, const std::string& aValue);
+  void LoadProgress(const std::string& aKey, const std::string& aValue);
+  // `aClaimed` is when the earlier leader can last have renewed its leadership.
+  void FinishLoading(Epoch aEpoch, Instant aClaimed);
+
+  // A row of the table of jobs that was written after loading.
+  void OnJobRow(const std::string& aKey, const std::string& aValue, Now aNow);
+
+  void OnAgentUp(const std::string& aAgent, Now aNow);
+  void OnAgentDown(const std::string& aAgent, Now aNow);
+  void OnReport(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
+
+  // Acts on time that has passed and places tasks.
+  void Decide(Now aNow);
+
+  bool HasChanges() const { return !this->changed.empty(); }
+  StoreBatch TakeBatch(std::size_t aMaxRows);
+  void OnStored(StoreBatch aBatch, Now aNow);
+
+  std::map<std::string, WorkerOrders> TakeOrders();
+
+  const std::map<WorkerKey, Worker>& Workers() const { return this->workers; }
+  const std::map<std::string, Job>& Jobs() const { return this->jobs; }
+  std::size_t WaitingTasks() const { return this->waitingTasks; }
+
+private:
+  struct ReadyStep
+  {
+    Job* job = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    int lateness = 0;
+    std::int64_t deadlineUnixMs = 0;
+  };
+
+  // JobScheduler.cpp
+  void AddJob(JobRecord aRecord, Now aNow);
+  void Cancel(const std::string& aId, Now aNow);
+  void StartDueOccurrences(Job& aJob, Now aNow);
+  void End(Job& aJob, JobState aState, Now aNow);
+  void StopAllRuns(Job& aJob);
+  void StopRun(const TaskPlace& aPlace, Run& aRun);
+  void MarkChanged(RowKey aRow);
+  RowChange MakeChange(const RowKey& aRow) const;
+  void Forget(Now aNow);
+  void DropProgress(const Job& aJob);
+  void LogJob(std::string_view aEvent, const Job& aJob, const nlohmann::ordered_json& aFields);
+
+  // SchedulerReports.cpp
+  Worker* AcceptIdentity(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
+  void ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow);
+  void ApplyEnd(Worker& aWorker, const EndedRun& aEnd, Now aNow);
+  void ApplyRejection(Worker& aWorker, const RejectedRun& aRejected, Now aNow);
+  void Reconcile(Worker& aWorker, const WorkerReport& aReport, Now aNow);
+  void OnRunDone(Job& aJob, const TaskPlace& aPlace, Now aNow);
+  void OnRunFailed(Job& aJob, const TaskPlace& aPlace, Worker& aWorker, Now aNow);
+  void LoseWorker(Worker& aWorker, std::string_view aReason, Now aNow);
+  void LoseRuns(Worker& aWorker, std::string_view aReason, Now aNow);
+  void StopStalled(Worker& aWorker, const WorkerRun& aRun, Now aNow);
+  void LeaveDrainingWorker(Worker& aWorker);
+
+  // SchedulerPlacement.cpp
+  std::vector<ReadyStep> FindReadySteps(Now aNow);
+  void Place(const ReadyStep& aReady, Now aNow);
+  PlacementRequest RequestFor(const ReadyStep& aReady) const;
+  bool PlaceTask(const ReadyStep& aReady,
+                 std::uint32_t aIndex,
+                 PlacementRequest& aRequest,
+                 Now aNow);
+  void PlaceGang(const ReadyStep& aReady, Now aNow);
+  void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker, Now aNow);
+
+  // Access to parts by place; null when the place does not exist.
+  Job* FindJob(const std::string& aId);
+  Step* FindStep(const TaskPlace& aPlace);
+  Task* FindTask(const TaskPlace& aPlace);
+  Run* FindRun(const WorkerRun& aRun);
+  const StepSpec& SpecOf(const TaskPlace& aPlace);
+  void RemoveRun(const WorkerRun& aRun);
+  void Reserve(Worker& aWorker, const StepSpec& aStep, int aSign);
+  WorkerOrders& OrdersFor(const std::string& aAgent, const WorkerKey& aWorker);
+  void OrderStart(const WorkerRun& aRun);
+
+  SchedulerSettings settings;
+  Counters& counters;
+  DecisionLog log;
+  Epoch epoch;
+  std::map<std::string, Job> jobs;
+  std::map<WorkerKey, Worker> workers;
+  std::map<std::string, WorkerKey> workerOfAgent;
+  // Jobs that may have tasks to place.
+  std::set<std::string> activeJobs;
+  std::deque<RowKey> changed;
+  std::set<RowKey> changedKeys;
+  std::vector<HeldOrder> held;
+  std::map<std::string, WorkerOrders> outgoing;
+  std::uint64_t lastOrders = 0;
+  std::size_t waitingTasks = 0;
+  std::int64_t nextForgetUnixMs = 0;
+};
+
+} // namespace oriolespread::jobs
--- /dev/null
+++ b/packages/jobs/src/JobRows.cpp
@@ -0,0 +1,76 @@
+#include "oriolespread/jobs/JobRows.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <array>
+#include <charconv>
+
+namespace oriolespread::jobs {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> kStateNames = {
+  "queued", "running", "completed", "failed", "cancelled"
+};
+
+bool ParseNumber(std::string_view aText, std::uint32_t& aNumber)
+{
+  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), aNumber);
+  return error == std::errc{} && end == aText.data() + aText.size();
+}
+
+} // namespace
+
+std::string_view JobStateName(JobState aState)
+{
+  return kStateNames[static_cast<std::size_t>(aState)];
+}
+
+bool ParseJobState(std::string_view aText, JobState& aState)
+{
+  for (std::size_t index = 0; index < kStateNames.size(); ++index) {
+    if (kStateNames[index] == aText) {
+      aState = static_cast<JobState>(index);
+      return true;
+    }
+  }
+  return false;
+}
+
+bool IsTerminal(JobState aState)
+{
+  return aState != JobState::Queued && aState != JobState::Running;
+}
+
+bool TaskName::Parse(std::string_view aText, TaskName& aName)
+{
+  std::array<std::string_view, 4> parts;
+  for (std::size_t index = 3; index > 0; --index) {
+    const std::size_t dot = aText.rfind('.');
+    if (dot == std::string_view::npos) {
+      return false;
+    }
+    parts[index] = aText.substr(dot + 1);
+    aText = aText.substr(0, dot);
+  }
+  aName.job = std::string(aText);
+  return !aText.empty() && ParseNumber(parts[1], aName.occurrence) &&
+         ParseNumber(parts[2], aName.step) && ParseNumber(parts[3], aName.index);
+}
+
+std::string ToString(const TaskName& aName)
+{
+  return absl::StrCat(aName.job, ".", aName.occurrence, ".", aName.step, ".", aName.index);
+}
+
+std::string ProgressKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
+{
+  return absl::StrCat(aJob, ".", aOccurrence, ".", aStep);
+}
+
+std::string WaitingKey(const std::string& aQueue, const std::string& aJob)
+{
+  return absl::StrCat(aQueue, "/", aJob);
+}
+
+} // namespace oriolespread::jobs
--- /dev/null
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -0,0 +1,472 @@
+#include "oriolespread/jobs/JobScheduler.h"
+
+#include "ProgressCodec.h"
+#include "absl/strings/str_cat.h"
+
+#include "oriolespread/jobs/PlacementChoice.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace oriolespread::jobs {
+
+namespace {
+
+constexpr std::int64_t kForgetIntervalMs = 1000;
+
+Occurrence MakeOccurrence(const JobSpec& aSpec)
+{
+  Occurrence occurrence;
+  for (const StepSpec& step : aSpec.steps) {
+    occurrence.steps.emplace_back().tasks.resize(step.count);
+  }
+  return occurrence;
+}
+
+std::string EncodeState(const Job& aJob)
+{
+  return absl::StrCat(std::string(JobStateName(aJob.state)), " ", aJob.endedUnixMs);
+}
+
+} // namespace
+
+JobScheduler::JobScheduler(SchedulerSettings aSettings, Counters& aCounters, DecisionLog aLog)
+  : settings(aSettings)
+  , counters(aCounters)
+  , log(std::move(aLog))
+{
+}
+
+void JobScheduler::LoadJob(const std::string& aKey, const std::string& aValue, Now aNow)
+{
+  this->OnJobRow(aKey, aValue, aNow);
+}
+
+void JobScheduler::LoadState(const std::string& aKey, const std::string& aValue)
+{
+  Job* job = this->FindJob(aKey);
+  const std::size_t space = aValue.find(' ');
+  JobState state = JobState::Queued;
+  if (job == nullptr || space == std::string::npos ||
+      !ParseJobState(std::string_view(aValue).substr(0, space), state)) {
+    this->counters.Add("rows_unreadable_total", "state");
+    this->log("row_unreadable", { { "table", std::string(kStateTable) }, { "key", aKey } });
+    return;
+  }
+  const char* begin = aValue.data() + space + 1;
+  std::from_chars(begin, aValue.data() + aValue.size(), job->endedUnixMs);
+  job->started = true;
+  // A cancellation that was read with the jobs goes before any stored state but a terminal one.
+  if (IsTerminal(state) || !IsTerminal(job->state)) {
+    job->state = state;
+  }
+  job->endStored = IsTerminal(state);
+}
+
+void JobScheduler::LoadProgress(const std::string& aKey, const std::string& aValue)
+{
+  TaskName name;
+  Job* job = TaskName::Parse(aKey + ".0", name) ? this->FindJob(name.job) : nullptr;
+  if (job == nullptr || name.step >= job->record.spec.steps.size()) {
+    this->counters.Add("rows_unreadable_total", "progress");
+    this->log("row_unreadable", { { "table", std::string(kProgressTable) }, { "key", aKey } });
+    return;
+  }
+  auto& occurrence = job->occurrences[name.occurrence];
+  if (occurrence.steps.empty()) {
+    occurrence = MakeOccurrence(job->record.spec);
+  }
+  if (!internal::DecodeProgress(aValue, occurrence.steps[name.step])) {
+    this->counters.Add("rows_unreadable_total", "progress");
+    this->log("row_unreadable", { { "table", std::string(kProgressTable) }, { "key", aKey } });
+  }
+}
+
+void JobScheduler::FinishLoading(Epoch aEpoch, Instant aClaimed)
+{
+  this->epoch = aEpoch;
+  const Instant bound =
+    aClaimed + this->settings.sustainTime + this->settings.leaseMargin +
+    std::chrono::duration_cast<Duration>(this->settings.workerLease * this->settings.leaseDrift);
+  for (auto& [id, job] : this->jobs) {
+    for (auto& [number, occurrence] : job.occurrences) {
+      std::uint32_t doneSteps = 0;
+      for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        doneSteps += occurrence.steps[step].IsDone() ? 1 : 0;
+        for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+          for (const Run& run : occurrence.steps[step].tasks[index].runs) {
+            Worker& worker = this->workers[run.worker];
+            worker.key = run.worker;
+            worker.agent = run.agent;
+            worker.leaseBound = bound;
+            worker.runs.insert({ { id, number, step, index }, run.number });
+            this->workerOfAgent[run.agent] = run.worker;
+            this->Reserve(worker, job.record.spec.steps[step], 1);
+          }
+        }
+      }
+      job.completedOccurrences += doneSteps == occurrence.steps.size() ? 1 : 0;
+    }
+    if (IsTerminal(job.state)) {
+      this->activeJobs.erase(id);
+      this->StopAllRuns(job);
+      this->DropProgress(job);
+    }
+  }
+}
+
+void JobScheduler::OnJobRow(const std::string& aKey, const std::string& aValue, Now aNow)
+{
+  if (aKey.size() > kCancelSuffix.size() && aKey.ends_with(kCancelSuffix)) {
+    this->Cancel(aKey.substr(0, aKey.size() - kCancelSuffix.size()), aNow);
+    return;
+  }
+  if (this->jobs.contains(aKey)) {
+    return;
+  }
+  JobRecord record;
+  if (!DecodeJobRecord(aValue, record) || record.id != aKey) {
+    this->counters.Add("rows_unreadable_total", "jobs");
+    this->log("row_unreadable", { { "table", std::string(kJobsTable) }, { "key", aKey } });
+    return;
+  }
+  this->AddJob(std::move(record), aNow);
+}
+
+void JobScheduler::AddJob(JobRecord aRecord, Now aNow)
+{
+  const std::string id = aRecord.id;
+  Job& job = this->jobs[id];
+  job.record = std::move(aRecord);
+  this->activeJobs.insert(id);
+  if (job.record.spec.repeats == 0) {
+    job.occurrences[0] = MakeOccurrence(job.record.spec);
+    job.nextOccurrence = 1;
+  } else {
+    this->StartDueOccurrences(job, aNow);
+  }
+  this->LogJob("job_known",
+               job,
+               { { "age_ms", aNow.unixMs - job.record.submittedUnixMs },
+                 { "steps", job.record.spec.steps.size() } });
+}
+
+void JobScheduler::StartDueOccurrences(Job& aJob, Now aNow)
+{
+  const JobSpec& spec = aJob.record.spec;
+  const std::int64_t margin = ToMilliseconds(this->settings.dueMargin);
+  while (aJob.nextOccurrence < spec.repeats &&
+         spec.initialDelayMs + spec.intervalMs * aJob.nextOccurrence + margin <= aNow.unixMs) {
+    auto [it, fresh] = aJob.occurrences.try_emplace(aJob.nextOccurrence);
+    if (fresh) {
+      it->second = MakeOccurrence(spec);
+    }
+    ++aJob.nextOccurrence;
+  }
+}
+
+void JobScheduler::Cancel(const std::string& aId, Now aNow)
+{
+  Job* job = this->FindJob(aId);
+  if (job == nullptr || IsTerminal(job->state)) {
+    return;
+  }
+  this->End(*job, JobState::Cancelled, aNow);
+}
+
+void JobScheduler::End(Job& aJob, JobState aState, Now aNow)
+{
+  const std::string& id = aJob.record.id;
+  aJob.state = aState;
+  aJob.endedUnixMs = aNow.unixMs;
+  this->activeJobs.erase(id);
+  if (!aJob.started) {
+    aJob.started = true;
+    this->MarkChanged(
+      { std::string(kWaitingTable), WaitingKey(aJob.record.policy.queue, id) });
+  }
+  this->MarkChanged({ std::string(kStateTable), id });
+  this->counters.Add("jobs_ended_total", JobStateName(aState));
+  this->LogJob("job_ended",
+               aJob,
+               { { "state", std::string(JobStateName(aState)) },
+                 { "age_ms", aNow.unixMs - aJob.record.submittedUnixMs } });
+  this->StopAllRuns(aJob);
+}
+
+void JobScheduler::StopAllRuns(Job& aJob)
+{
+  for (auto& [number, occurrence] : aJob.occurrences) {
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      auto& tasks = occurrence.steps[step].tasks;
+      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        for (Run& run : tasks[index].runs) {
+          this->StopRun({ aJob.record.id, number, step, index }, run);
+        }
+      }
+    }
+  }
+}
+
+void JobScheduler::StopRun(const TaskPlace& aPlace, Run& aRun)
+{
+  if (aRun.state == RunState::Stopping) {
+    return;
+  }
+  const bool ordered = aRun.state != RunState::Committing;
+  aRun.state = RunState::Stopping;
+  if (ordered) {
+    WorkerOrders& orders = this->OrdersFor(aRun.agent, aRun.worker);
+    orders.stops.push_back(
+      { ToString(TaskName{ aPlace.job, aPlace.occurrence, aPlace.step, aPlace.index }),
+        aRun.number });
+    aRun.orders = orders.sequence;
+  }
+}
+
+void JobScheduler::MarkChanged(RowKey aRow)
+{
+  if (this->changedKeys.insert(aRow).second) {
+    this->changed.push_back(std::move(aRow));
+  }
+}
+
+RowChange JobScheduler::MakeChange(const RowKey& aRow) const
+{
+  RowChange change{ aRow, {}, true };
+  if (aRow.table == kStateTable) {
+    if (const auto job = this->jobs.find(aRow.key); job != this->jobs.end()) {
+      change = { aRow, EncodeState(job->second), false };
+    }
+  } else if (aRow.table == kProgressTable) {
+    TaskName name;
+    TaskName::Parse(aRow.key + ".0", name);
+    const auto job = this->jobs.find(name.job);
+    if (job != this->jobs.end() && !job->second.endStored &&
+        job->second.occurrences.contains(name.occurrence)) {
+      const Step& step = job->second.occurrences.at(name.occurrence).steps[name.step];
+      change = { aRow, internal::EncodeProgress(step), false };
+    }
+  }
+  return change;
+}
+
+StoreBatch JobScheduler::TakeBatch(std::size_t aMaxRows)
+{
+  StoreBatch batch;
+  std::set<RowKey> rows;
+  while (!this->changed.empty() && batch.changes.size() < aMaxRows) {
+    RowKey row = std::move(this->changed.front());
+    this->changed.pop_front();
+    this->changedKeys.erase(row);
+    batch.changes.push_back(this->MakeChange(row));
+    rows.insert(std::move(row));
+  }
+  const auto rest = std::stable_partition(
+    this->held.begin(), this->held.end(), [&](const HeldOrder& aOrder) {
+      return !rows.contains(aOrder.row);
+    });
+  batch.orders.assign(std::make_move_iterator(rest), std::make_move_iterator(this->held.end()));
+  this->held.erase(rest, this->held.end());
+  return batch;
+}
+
+void JobScheduler::OnStored(StoreBatch aBatch, Now aNow)
+{
+  for (HeldOrder& order : aBatch.orders) {
+    if (order.start.has_value()) {
+      if (Run* run = this->FindRun(*order.start); run == nullptr) {
+        continue;
+      } else if (run->state == RunState::Stopping) {
+        // It was never ordered, so that nothing has to be stopped.
+        this->RemoveRun(*order.start);
+      } else {
+        run->state = RunState::Ordered;
+        run->since = aNow.instant;
+        run->percentChanged = aNow.instant;
+        this->OrderStart(*order.start);
+      }
+      continue;
+    }
+    const auto worker = this->workers.find(order.worker);
+    if (worker != this->workers.end()) {
+      worker->second.endsInCommit.erase(order.endNumber);
+      this->OrdersFor(order.agent, order.worker).acknowledgedEnds.push_back(order.endNumber);
+    }
+  }
+  for (const RowChange& change : aBatch.changes) {
+    Job* job = change.row.table == kStateTable ? this->FindJob(change.row.key) : nullptr;
+    if (job == nullptr || !IsTerminal(job->state) || change.remove) {
+      continue;
+    }
+    job->endStored = true;
+    this->DropProgress(*job);
+  }
+}
+
+void JobScheduler::DropProgress(const Job& aJob)
+{
+  if (!aJob.endStored) {
+    return;
+  }
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      this->MarkChanged(
+        { std::string(kProgressTable), ProgressKey(aJob.record.id, number, step) });
+    }
+  }
+}
+
+std::map<std::string, WorkerOrders> JobScheduler::TakeOrders()
+{
+  return std::exchange(this->outgoing, {});
+}
+
+void JobScheduler::Forget(Now aNow)
+{
+  if (aNow.unixMs < this->nextForgetUnixMs) {
+    return;
+  }
+  this->nextForgetUnixMs = aNow.unixMs + kForgetIntervalMs;
+  const std::int64_t keep = ToMilliseconds(this->settings.keepEnded);
+  std::erase_if(this->jobs, [&](const auto& aItem) {
+    const Job& job = aItem.second;
+    if (!IsTerminal(job.state) || job.endedUnixMs + keep > aNow.unixMs) {
+      return false;
+    }
+    for (const auto& [number, occurrence] : job.occurrences) {
+      for (const Step& step : occurrence.steps) {
+        if (step.active > 0) {
+          return false;
+        }
+      }
+    }
+    this->MarkChanged({ std::string(kStateTable), aItem.first });
+    this->MarkChanged({ std::string(kJobsTable), aItem.first });
+    this->MarkChanged({ std::string(kJobsTable), aItem.first + std::string(kCancelSuffix) });
+    return true;
+  });
+}
+
+void JobScheduler::LogJob(std::string_view aEvent,
+                          const Job& aJob,
+                          const nlohmann::ordered_json& aFields)
+{
+  nlohmann::ordered_json fields{ { "job", aJob.record.id },
+                                 { "queue", aJob.record.policy.queue },
+                                 { "epoch", this->epoch.Value() } };
+  fields.update(aFields);
+  this->log(aEvent, fields);
+}
+
+Job* JobScheduler::FindJob(const std::string& aId)
+{
+  const auto it = this->jobs.find(aId);
+  return it == this->jobs.end() ? nullptr : &it->second;
+}
+
+Step* JobScheduler::FindStep(const TaskPlace& aPlace)
+{
+  Job* job = this->FindJob(aPlace.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const auto occurrence = job->occurrences.find(aPlace.occurrence);
+  if (occurrence == job->occurrences.end() || aPlace.step >= occurrence->second.steps.size()) {
+    return nullptr;
+  }
+  return &occurrence->second.steps[aPlace.step];
+}
+
+Task* JobScheduler::FindTask(const TaskPlace& aPlace)
+{
+  Step* step = this->FindStep(aPlace);
+  return step == nullptr || aPlace.index >= step->tasks.size() ? nullptr
+                                                               : &step->tasks[aPlace.index];
+}
+
+Run* JobScheduler::FindRun(const WorkerRun& aRun)
+{
+  Task* task = this->FindTask(aRun.place);
+  if (task == nullptr) {
+    return nullptr;
+  }
+  const auto it = std::find_if(task->runs.begin(), task->runs.end(), [&](const Run& aItem) {
+    return aItem.number == aRun.number;
+  });
+  return it == task->runs.end() ? nullptr : &*it;
+}
+
+const StepSpec& JobScheduler::SpecOf(const TaskPlace& aPlace)
+{
+  return this->jobs.at(aPlace.job).record.spec.steps[aPlace.step];
+}
+
+void JobScheduler::RemoveRun(const WorkerRun& aRun)
+{
+  Task* task = this->FindTask(aRun.place);
+  Run* run = this->FindRun(aRun);
+  if (task == nullptr || run == nullptr) {
+    return;
+  }
+  if (const auto worker = this->workers.find(run->worker); worker != this->workers.end()) {
+    worker->second.runs.erase(aRun);
+    this->Reserve(worker->second, this->SpecOf(aRun.place), -1);
+  }
+  std::erase_if(task->runs, [&](const Run& aItem) { return aItem.number == aRun.number; });
+  if (task->runs.empty() && task->state == TaskState::Active) {
+    task->state = TaskState::Waiting;
+    --this->FindStep(aRun.place)->active;
+  }
+  this->MarkChanged({ std::string(kProgressTable),
+                      ProgressKey(aRun.place.job, aRun.place.occurrence, aRun.place.step) });
+}
+
+void JobScheduler::Reserve(Worker& aWorker, const StepSpec& aStep, int aSign)
+{
+  Resources amount = aStep.demand;
+  if (aSign < 0) {
+    aWorker.demanded -= amount;
+  } else {
+    aWorker.demanded += amount;
+  }
+  if (aStep.fillsUnused) {
+    amount.milliCores = 0;
+  }
+  if (aSign < 0) {
+    aWorker.reserved -= amount;
+  } else {
+    aWorker.reserved += amount;
+  }
+}
+
+WorkerOrders& JobScheduler::OrdersFor(const std::string& aAgent, const WorkerKey& aWorker)
+{
+  auto [it, fresh] = this->outgoing.try_emplace(aAgent);
+  if (fresh || it->second.born != aWorker.born) {
+    it->second = {};
+    it->second.epoch = this->epoch;
+    it->second.sequence = ++this->lastOrders;
+    it->second.born = aWorker.born;
+  }
+  return it->second;
+}
+
+void JobScheduler::OrderStart(const WorkerRun& aRun)
+{
+  Run& run = *this->FindRun(aRun);
+  const StepSpec& step = this->SpecOf(aRun.place);
+  WorkerOrders& orders = this->OrdersFor(run.agent, run.worker);
+  StartRun start;
+  start.ref = { ToString(TaskName{
+                  aRun.place.job, aRun.place.occurrence, aRun.place.step, aRun.place.index }),
+                run.number };
+  start.payload = this->jobs.at(aRun.place.job).record.spec.payload;
+  start.checkpoint = this->FindTask(aRun.place)->checkpoint;
+  start.latencyTargetMs = step.longRunning ? step.latencyTargetMs : 0;
+  start.fillsUnused = step.fillsUnused;
+  orders.starts.push_back(std::move(start));
+  run.orders = orders.sequence;
+}
+
+} // namespace oriolespread::jobs
--- /dev/null
+++ b/packages/jobs/src/ProgressCodec.cpp
@@ -0,0 +1,78 @@
+#include "ProgressCodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace oriolespread::jobs::internal {
+
+namespace {
+
+nlohmann::json RunsOf(const Task& aTask)
+{
+  auto runs = nlohmann::json::array();
+  for (const Run& run : aTask.runs) {
+    runs.push_back({ run.number, run.worker.id, run.worker.born, run.agent });
+  }
+  return runs;
+}
+
+void ReadTask(const nlohmann::json& aJson, Task& aTask)
+{
+  aTask.state = aJson.at(0).get<bool>() ? TaskState::Done : TaskState::Waiting;
+  aTask.nextRun = aJson.at(1).get<std::uint64_t>();
+  aTask.failures = aJson.at(2).get<std::uint32_t>();
+  aTask.checkpoint = aJson.at(3).get<std::string>();
+  for (const auto& entry : aJson.at(4)) {
+    Run run;
+    run.number = entry.at(0).get<std::uint64_t>();
+    run.worker = { entry.at(1).get<std::string>(), entry.at(2).get<std::int64_t>() };
+    run.agent = entry.at(3).get<std::string>();
+    run.state = RunState::Ordered;
+    aTask.runs.push_back(std::move(run));
+    if (aTask.state != TaskState::Done) {
+      aTask.state = TaskState::Active;
+    }
+  }
+}
+
+} // namespace
+
+std::string EncodeProgress(const Step& aStep)
+{
+  auto tasks = nlohmann::json::array();
+  for (const Task& task : aStep.tasks) {
+    tasks.push_back({ task.state == TaskState::Done,
+                      task.nextRun,
+                      task.failures,
+                      task.checkpoint,
+                      RunsOf(task) });
+  }
+  std::string bytes;
+  nlohmann::json::to_msgpack(tasks, bytes);
+  return bytes;
+}
+
+bool DecodeProgress(const std::string& aBytes, Step& aStep)
+{
+  const auto tasks = nlohmann::json::from_msgpack(aBytes, true, false);
+  if (!tasks.is_array() || tasks.size() != aStep.tasks.size()) {
+    return false;
+  }
+  std::vector<Task> read(tasks.size());
+  try {
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+      ReadTask(tasks[index], read[index]);
+    }
+  } catch (const nlohmann::json::exception&) {
+    return false;
+  }
+  aStep.tasks = std::move(read);
+  aStep.done = 0;
+  aStep.active = 0;
+  for (const Task& task : aStep.tasks) {
+    aStep.done += task.state == TaskState::Done ? 1 : 0;
+    aStep.active += task.state == TaskState::Active ? 1 : 0;
+  }
+  return true;
+}
+
+} // namespace oriolespread::jobs::internal
--- a/packages/messages/include/oriolespread/messages/MessageCodec.h
+++ b/packages/messages/include/oriolespread/messages/MessageCodec.h
@@ -9,6 +9,7 @@
 #include "oriolespread/messages/ControlMessages.h"
 #include "oriolespread/messages/RequestMessages.h"
 #include "oriolespread/messages/TaskMessages.h"
+#include "oriolespread/messages/WorkerMessages.h"
 
 #include <string>
 #include <string_view>
@@ -30,7 +31,11 @@
                                  TaskCommand,
                                  UsageReport,
                                  TicketUpdate,
-                                 EntryDirectory>;
+                                 EntryDirectory,
+                                 WorkerReport,
+                                 LeaseExtension,
+                                 LeaderClaim,
+                                 WorkerOrders>;
 
 // Messages above this size are refused by DecodeMessage.
 constexpr std::size_t kMaxMessageBytes = std::size_t{ 4 } << 20U;
--- a/packages/messages/src/MessageCodec.cpp
+++ b/packages/messages/src/MessageCodec.cpp
@@ -16,6 +16,7 @@
   "announce",   "load_report",  "leave",        "credit_grant",  "credit_demand",
   "latency",    "heartbeat",    "lease_grant",  "task_event",    "task_event_ack",
   "start_task", "task_command", "usage_report", "ticket_update", "entry_directory",
+  "worker_report", "lease_extension", "leader_claim", "worker_orders",
 };
 
 // nlohmann's parser recurses once for each level, so that deep nesting would exhaust the stack.
--- a/packages/tickets/src/JsonReader.cpp
+++ b/packages/tickets/src/JsonReader.cpp
@@ -40,7 +40,7 @@
     case nlohmann::json::value_t::discarded:
       return "is not JSON";
     default:
-      return "is " + aValue.dump();
+      return absl::StrCat("is ", aValue.dump());
   }
 }
 
