Parse the platform's settings with the one toml++ configuration

Cause: platform/ included toml++ with its default options while settings compiles it header-only without exceptions; the two definitions clashed and a Release build crashed at start. Change: TomlDocument.h is a public header of settings and the only place that includes toml++.

--- a/packages/settings/src/SettingsReader.h
+++ b/packages/settings/src/SettingsReader.h
@@ -9,7 +9,7 @@
 //   reader.Finish();
 #pragma once
 
-#include "TomlDocument.h"
+#include "oriolespread/settings/TomlDocument.h"
 
 #include "oriolespread/base/Findings.h"
 #include "oriolespread/base/Ids.h"
--- a/packages/settings/src/TomlDocument.cpp
+++ b/packages/settings/src/TomlDocument.cpp
@@ -1,4 +1,4 @@
-#include "TomlDocument.h"
+#include "oriolespread/settings/TomlDocument.h"
 
 #include "absl/status/status.h"
 #include "absl/strings/str_cat.h"
