Learn which images disturb and place and pace by it

Change: fills may use what serving tasks leave; one weight an image is learned from reports; the most disturbing run is paced first.

--- a/packages/cluster/include/oriolespread/cluster/PaceController.h
+++ b/packages/cluster/include/oriolespread/cluster/PaceController.h
@@ -18,13 +18,15 @@
   // From a step until its effect shows in the figures: the delay of pacing and the half second
   // that a figure covers.
   Duration settle = std::chrono::milliseconds(700);
-  // The figures must be this far below the target, as a share of it, before the pace rises.
-  double riseBelow = 0.7;
+  // Shares of the target at which the pace is lowered and may be raised.
+  double lowerAbove = 0.95;
+  double raiseBelow = 0.65;
   // Time between steps up.
-  Duration riseInterval = std::chrono::milliseconds(1500);
-  int riseStep = 25;
-  // The first step down; a second one in a row stops the tasks until the target is met again.
+  Duration raiseInterval = std::chrono::milliseconds(1000);
+  // The first step down of a run; the second one pauses it.
   int firstStep = 40;
+  // A target missed for this long pauses everything that may disturb.
+  Duration pauseAllAfter = std::chrono::milliseconds(1800);
 };
 
 // A run on the worker as the controller sees it.
@@ -34,8 +36,10 @@
   // Above 0 for a run that serves users.
   std::int64_t latencyTargetMs = 0;
   bool fillsUnused = false;
-  int percent = 0;
+  // Tail latency in milliseconds for a run that serves.
   std::int64_t figure = 0;
+  // How much the run is known to disturb; only the order matters.
+  double disturbance = 0;
 };
 
 struct PaceOrder
@@ -55,14 +59,22 @@
   // The order for this run did not reach the worker; it is given again at the next update.
   void OnFailed(const RunRef& aRef);
 
-  int Percent() const { return this->percent; }
-
 private:
+  struct Pace
+  {
+    int wanted = 100;
+    int told = 100;
+    double disturbance = 0;
+  };
+
+  void Lower(bool aAll);
+  void Raise();
+
   PaceSettings settings;
-  int percent = 100;
   Instant changed{};
-  // What each run was last told; runs start at 100.
-  std::map<RunRef, int> told;
+  // Since when a target has been missed; nothing while all are met.
+  Instant missedSince{};
+  std::map<RunRef, Pace> paces;
 };
 
 } // namespace oriolespread::cluster
--- a/packages/cluster/src/PaceController.cpp
+++ b/packages/cluster/src/PaceController.cpp
@@ -18,47 +18,80 @@
 std::vector<PaceOrder> PaceController::Update(const std::vector<PacedRun>& aRuns, Instant aNow)
 {
   double worst = 0;
-  bool serves = false;
-  std::map<RunRef, int> present;
+  std::map<RunRef, Pace> present;
   for (const PacedRun& run : aRuns) {
     if (run.latencyTargetMs > 0) {
-      serves = true;
       worst = std::max(worst,
                        static_cast<double>(run.figure) / static_cast<double>(run.latencyTargetMs));
     }
     if (run.fillsUnused) {
-      const auto known = this->told.find(run.ref);
-      present[run.ref] = known == this->told.end() ? kFullPace : known->second;
+      const auto known = this->paces.find(run.ref);
+      Pace& pace = present[run.ref];
+      pace = known == this->paces.end() ? Pace{} : known->second;
+      pace.disturbance = run.disturbance;
     }
   }
-  this->told = std::move(present);
-  if (!serves) {
-    this->percent = kFullPace;
-  } else if (worst > 1.0) {
-    if (this->percent > 0 && aNow - this->changed >= this->settings.settle) {
-      this->percent = this->percent > this->settings.firstStep ? this->settings.firstStep : 0;
+  this->paces = std::move(present);
+  if (worst <= 1.0) {
+    this->missedSince = {};
+  } else if (this->missedSince == Instant{}) {
+    this->missedSince = aNow;
+  }
+  const bool missedLong =
+    this->missedSince != Instant{} && aNow - this->missedSince >= this->settings.pauseAllAfter;
+  if (worst > this->settings.lowerAbove) {
+    if (missedLong || aNow - this->changed >= this->settings.settle) {
+      this->Lower(missedLong);
       this->changed = aNow;
     }
-  } else if (worst < this->settings.riseBelow && this->percent < kFullPace &&
-             aNow - this->changed >= this->settings.riseInterval) {
-    this->percent = std::min(kFullPace, this->percent + this->settings.riseStep);
+  } else if (worst < this->settings.raiseBelow &&
+             aNow - this->changed >= this->settings.raiseInterval) {
+    this->Raise();
     this->changed = aNow;
   }
   std::vector<PaceOrder> orders;
-  for (auto& [ref, last] : this->told) {
-    if (last != this->percent) {
-      last = this->percent;
-      orders.push_back({ ref, this->percent });
+  for (auto& [ref, pace] : this->paces) {
+    if (pace.told != pace.wanted) {
+      pace.told = pace.wanted;
+      orders.push_back({ ref, pace.wanted });
     }
   }
   return orders;
 }
 
+void PaceController::Lower(bool aAll)
+{
+  Pace* most = nullptr;
+  for (auto& [ref, pace] : this->paces) {
+    if (aAll) {
+      pace.wanted = 0;
+    } else if (pace.wanted > 0 && (most == nullptr || pace.disturbance > most->disturbance)) {
+      most = &pace;
+    }
+  }
+  if (most != nullptr) {
+    most->wanted = most->wanted > this->settings.firstStep ? this->settings.firstStep : 0;
+  }
+}
+
+void PaceController::Raise()
+{
+  Pace* least = nullptr;
+  for (auto& [ref, pace] : this->paces) {
+    if (pace.wanted < kFullPace && (least == nullptr || pace.disturbance < least->disturbance)) {
+      least = &pace;
+    }
+  }
+  if (least != nullptr) {
+    least->wanted = least->wanted < this->settings.firstStep ? this->settings.firstStep : kFullPace;
+  }
+}
+
 void PaceController::OnFailed(const RunRef& aRef)
 {
-  if (const auto it = this->told.find(aRef); it != this->told.end()) {
+  if (const auto it = this->paces.find(aRef); it != this->paces.end()) {
     // Not a pace, so that the next update tells the run again.
-    it->second = -1;
+    it->second.told = -1;
   }
 }
 
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -341,7 +341,10 @@
     return;
   }
   if (BootClock::now() - this->renewed < this->schedulerSettings.sustainTime) {
-    this->send(aAgent, LeaseExtension{ aReport.epoch, aReport.sequence });
+    this->send(
+      aAgent,
+      LeaseExtension{
+        aReport.epoch, aReport.sequence, this->scheduler->Interference().Weights() });
   } else {
     this->counters.Add("extensions_refused_total", "not_renewed");
   }
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -146,6 +146,7 @@
   if (aExtension.epoch != this->epoch || sent == this->reportsSent.end()) {
     return;
   }
+  this->disturbance = aExtension.disturbance;
   this->leaseUntil = std::max(this->leaseUntil, sent->second + this->lease);
   this->reportsSent.erase(this->reportsSent.begin(), std::next(sent));
 }
@@ -458,8 +459,12 @@
       continue;
     }
     const StartRun& start = item->second.start;
-    runs.push_back(
-      { run.ref, start.latencyTargetMs, start.fillsUnused, run.percent, run.figure });
+    const auto known = this->disturbance.find(start.image);
+    runs.push_back({ run.ref,
+                     start.latencyTargetMs,
+                     start.fillsUnused,
+                     run.figure,
+                     known == this->disturbance.end() ? 0 : known->second });
   }
   for (const cluster::PaceOrder& order : this->pace.Update(runs, aNow)) {
     this->counters.Add("paces_total", order.percent == 0 ? "paused" : "set");
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -119,6 +119,8 @@
   std::vector<RejectedRun> rejected;
   Instant lastFull{};
   cluster::PaceController pace;
+  // By image, as the leader has learned.
+  std::map<std::string, double> disturbance;
 };
 
 } // namespace oriolespread::daemon
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -90,6 +90,8 @@
   std::uint32_t nextOccurrence = 0;
   // Unix time in milliseconds at which the job became terminal.
   std::int64_t endedUnixMs = 0;
+  // When a run of the job was last active.
+  Instant lastActive{};
   // The terminal state is stored, so that the rows of progress are not needed any more.
   bool endStored = false;
 };
@@ -135,6 +137,15 @@
   Resources reserved;
   // `reserved` and what runs that use unused capacity ask for.
   Resources demanded;
+  // Runs that serve users with a latency target, and runs that use unused capacity.
+  std::uint32_t serving = 0;
+  std::int64_t servingMilliCores = 0;
+  // How far ln(tail latency / target) of the runs that serve lies above what is expected of their
+  // company; smoothed.
+  double latencyResidual = 0;
+  // Sum of the weights of all runs here that use unused capacity.
+  double disturbance = 0;
+  std::uint32_t filling = 0;
   std::set<WorkerRun> runs;
   // Ends that are decided and not stored yet.
   std::set<std::uint64_t> endsInCommit;
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "oriolespread/base/Counters.h"
+#include "oriolespread/jobs/InterferenceBook.h"
 #include "oriolespread/jobs/JobModel.h"
 #include "oriolespread/jobs/SchedulerSettings.h"
 
@@ -89,6 +90,7 @@
 
   const std::map<WorkerKey, Worker>& Workers() const { return this->workers; }
   const std::map<std::string, Job>& Jobs() const { return this->jobs; }
+  const InterferenceBook& Interference() const { return this->interference; }
   std::size_t WaitingTasks() const { return this->waitingTasks; }
 
 private:
@@ -117,6 +119,7 @@
   // SchedulerReports.cpp
   Worker* AcceptIdentity(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
   void ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow);
+  void LearnInterference(Worker& aWorker, const WorkerReport& aReport);
   void ApplyEnd(Worker& aWorker, const EndedRun& aEnd, Now aNow);
   void ApplyRejection(Worker& aWorker, const RejectedRun& aRejected, Now aNow);
   void Reconcile(Worker& aWorker, const WorkerReport& aReport, Now aNow);
@@ -128,6 +131,7 @@
   void LeaveDrainingWorker(Worker& aWorker);
 
   // SchedulerPlacement.cpp
+  void SumDisturbance();
   std::vector<ReadyStep> FindReadySteps(Now aNow);
   void Place(const ReadyStep& aReady, Now aNow);
   PlacementRequest RequestFor(const ReadyStep& aReady) const;
@@ -153,6 +157,7 @@
   Counters& counters;
   DecisionLog log;
   Epoch epoch;
+  InterferenceBook interference;
   std::map<std::string, Job> jobs;
   std::map<WorkerKey, Worker> workers;
   std::map<std::string, WorkerKey> workerOfAgent;
--- a/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
+++ b/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
@@ -3,6 +3,7 @@
 // worker is filled while another is free.
 #pragma once
 
+#include "oriolespread/jobs/InterferenceBook.h"
 #include "oriolespread/jobs/JobModel.h"
 
 #include <map>
@@ -17,6 +18,10 @@
   std::string failedOn;
   // Workers, by id, that already run tasks of the step, and how many.
   std::map<std::string, std::uint32_t> sameStep;
+  // For a step that uses unused capacity: what is known of disturbance, and whether a worker may be
+  // chosen although its serving runs would miss their targets.
+  const InterferenceBook* interference = nullptr;
+  bool mayDisturb = false;
   // Workers that must not be chosen, by id.
   std::set<std::string> excluded;
 };
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -19,6 +19,10 @@
   Duration reportTimeout = std::chrono::milliseconds(2200);
   // A run whose progress has stood still for this long, several reports, is stopped.
   Duration stallTimeout = std::chrono::milliseconds(2500);
+  // As stallTimeout, for a run that is paused for others and would lose all its work.
+  Duration pausedTimeout = std::chrono::milliseconds(6000);
+  // A job of which nothing runs for this long is placed where it fits, whomever it disturbs.
+  Duration disturbAfter = std::chrono::milliseconds(2500);
   // Jobs that must fail on a worker in a row before it is avoided; jobs that fail everywhere are
   // rarer than that on a sound worker.
   std::size_t failingJobs = 3;
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -148,7 +148,13 @@
   this->LogJob("job_known",
                job,
                { { "age_ms", aNow.unixMs - job.record.submittedUnixMs },
-                 { "steps", job.record.spec.steps.size() } });
+                 { "steps", job.record.spec.steps.size() },
+                 { "fills", job.record.spec.steps.front().fillsUnused },
+                 { "image", job.record.spec.steps.front().image },
+                 { "milli_cores", job.record.spec.steps.front().demand.milliCores },
+                 { "apart", job.record.spec.steps.front().maxPerWorker },
+                 { "may_miss", job.record.spec.steps.front().maxUnavailable },
+                 { "tasks", job.record.spec.steps.front().count } });
 }
 
 void JobScheduler::StartDueOccurrences(Job& aJob, Now aNow)
@@ -425,6 +431,9 @@
 void JobScheduler::Reserve(Worker& aWorker, const StepSpec& aStep, int aSign)
 {
   Resources amount = aStep.demand;
+  aWorker.servingMilliCores += aStep.longRunning ? aSign * aStep.demand.milliCores : 0;
+  aWorker.serving += aStep.longRunning ? aSign : 0;
+  aWorker.filling += aStep.fillsUnused ? aSign : 0;
   if (aSign < 0) {
     aWorker.demanded -= amount;
   } else {
@@ -463,6 +472,7 @@
                 run.number };
   start.payload = this->jobs.at(aRun.place.job).record.spec.payload;
   start.checkpoint = this->FindTask(aRun.place)->checkpoint;
+  start.image = step.image;
   start.latencyTargetMs = step.longRunning ? step.latencyTargetMs : 0;
   start.fillsUnused = step.fillsUnused;
   orders.starts.push_back(std::move(start));
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -1,6 +1,7 @@
 #include "oriolespread/jobs/PlacementChoice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace oriolespread::jobs {
 
@@ -9,8 +10,26 @@
 // Costs are in shares of a worker: a fully loaded worker costs 1.
 constexpr double kOtherRackCost = 0.5;
 constexpr double kFailedHereCost = 4.0;
-constexpr double kServesBesideCost = 0.15;
 constexpr double kSameStepCost = 0.05;
+// Runs that use unused capacity disturb runs that serve, so a worker where the latter come near to
+// their targets is dearer than a loaded one.
+constexpr double kNearTargetCost = 1.5;
+constexpr double kFillingBesideCost = 0.1;
+// Expected ln(tail latency / target) above which nothing more is added: 0.8 of the target.
+constexpr double kMostExpected = -0.22;
+// Runs that serve share workers, so that others stay free of them.
+constexpr double kFirstServingCost = 0.8;
+
+// Runs that serve are sized for their peak; on average they leave about half of it unused.
+constexpr double kServingUse = 0.5;
+
+// Cores that all runs on the worker are expected to use.
+std::int64_t InUse(const Worker& aWorker)
+{
+  return aWorker.demanded.milliCores -
+         static_cast<std::int64_t>((1.0 - kServingUse) *
+                                   static_cast<double>(aWorker.servingMilliCores));
+}
 
 double LoadAfter(const Worker& aWorker, const StepSpec& aStep)
 {
@@ -19,7 +38,7 @@
   const double memory = static_cast<double>(
     std::max<std::int64_t>(aWorker.state.capacity.memoryMiB, 1));
   const double coreLoad =
-    static_cast<double>(aWorker.demanded.milliCores + aStep.demand.milliCores) / cores;
+    static_cast<double>(InUse(aWorker) + aStep.demand.milliCores) / cores;
   const double memoryLoad =
     static_cast<double>(aWorker.demanded.memoryMiB + aStep.demand.memoryMiB) / memory;
   return std::max(coreLoad, 0.5 * memoryLoad);
@@ -42,9 +61,11 @@
 
 bool HasRoomFor(const Worker& aWorker, const StepSpec& aStep)
 {
-  const Resources& used = aStep.fillsUnused ? aWorker.demanded : aWorker.reserved;
-  Resources needed = used + aStep.demand;
+  Resources needed = aWorker.reserved + aStep.demand;
   needed.memoryMiB = aWorker.demanded.memoryMiB + aStep.demand.memoryMiB;
+  if (aStep.fillsUnused) {
+    needed.milliCores = InUse(aWorker) + aStep.demand.milliCores;
+  }
   return needed.FitsIn(aWorker.state.capacity);
 }
 
@@ -74,7 +95,17 @@
       cost += kFailedHereCost;
     }
     if (aRequest.step->longRunning) {
-      cost += kServesBesideCost * count;
+      cost += worker.serving == 0 ? kFirstServingCost : 0;
+      cost += kFillingBesideCost * std::min(worker.filling, 4U);
+    }
+    if (aRequest.step->fillsUnused && worker.serving > 0 && aRequest.interference != nullptr) {
+      const double expected = aRequest.interference->Base() + worker.latencyResidual +
+                              worker.disturbance +
+                              aRequest.interference->Weight(aRequest.step->image);
+      if (expected > kMostExpected && !aRequest.mayDisturb) {
+        continue;
+      }
+      cost += kNearTargetCost * std::exp(expected);
     }
     cost += kSameStepCost * count;
     if (best == nullptr || cost < bestCost) {
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -26,6 +26,18 @@
          aRecord.policy.targetLatencyMs;
 }
 
+bool HasActiveRuns(const Job& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (const Step& step : occurrence.steps) {
+      if (step.active > 0) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 std::int64_t DueUnixMs(const JobRecord& aRecord, std::uint32_t aOccurrence)
 {
   return aRecord.spec.repeats == 0
@@ -52,6 +64,7 @@
       this->StartDueOccurrences(job, aNow);
     }
   }
+  this->SumDisturbance();
   std::vector<ReadyStep> ready = this->FindReadySteps(aNow);
   for (const ReadyStep& item : ready) {
     this->Place(item, aNow);
@@ -59,6 +72,20 @@
   this->Forget(aNow);
 }
 
+void JobScheduler::SumDisturbance()
+{
+  for (auto& [key, worker] : this->workers) {
+    worker.disturbance = 0;
+    if (worker.filling == 0) {
+      continue;
+    }
+    for (const WorkerRun& run : worker.runs) {
+      const StepSpec& step = this->SpecOf(run.place);
+      worker.disturbance += step.fillsUnused ? this->interference.Weight(step.image) : 0;
+    }
+  }
+}
+
 std::vector<JobScheduler::ReadyStep> JobScheduler::FindReadySteps(Now aNow)
 {
   this->waitingTasks = 0;
@@ -66,6 +93,9 @@
   for (const std::string& id : this->activeJobs) {
     Job& job = this->jobs.at(id);
     const std::int64_t objective = ObjectiveMs(job.record);
+    if (job.lastActive == Instant{} || HasActiveRuns(job)) {
+      job.lastActive = aNow.instant;
+    }
     for (auto& [number, occurrence] : job.occurrences) {
       for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
         const Step& step = occurrence.steps[index];
@@ -106,6 +136,7 @@
   PlacementRequest request;
   request.step = &record.spec.steps[aReady.step];
   request.service = record.policy.service;
+  request.interference = &this->interference;
   for (const Task& task : aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks) {
     for (const Run& run : task.runs) {
       ++request.sameStep[run.worker.id];
@@ -122,6 +153,7 @@
   }
   const auto& tasks = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks;
   PlacementRequest request = this->RequestFor(aReady);
+  request.mayDisturb = aNow.instant - aReady.job->lastActive > this->settings.disturbAfter;
   nlohmann::ordered_json placed = nlohmann::ordered_json::array();
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     const Task& task = tasks[index];
@@ -156,6 +188,10 @@
     return false;
   }
   ++aRequest.sameStep[worker->key.id];
+  if (aRequest.step->fillsUnused) {
+    worker->disturbance += this->interference.Weight(aRequest.step->image);
+    aRequest.mayDisturb = false;
+  }
   this->BeginRun(aReady, aIndex, *worker, aNow);
   return true;
 }
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+// A run that uses less than this is new or paused, and disturbs nobody.
+constexpr std::int64_t kLeastFillingMilliCores = 100;
+constexpr double kResidualRate = 0.3;
+
 bool ToPlace(const RunRef& aRef, WorkerRun& aRun)
 {
   TaskName name;
@@ -75,6 +79,7 @@
   }
   this->ApplyRunning(*worker, aReport, aNow);
   if (aReport.full) {
+    this->LearnInterference(*worker, aReport);
     this->Reconcile(*worker, aReport, aNow);
   }
   if (drains) {
@@ -142,16 +147,42 @@
   }
 }
 
+void JobScheduler::LearnInterference(Worker& aWorker, const WorkerReport& aReport)
+{
+  double worst = 0;
+  std::vector<std::string> images;
+  for (const RunningRun& running : aReport.running) {
+    WorkerRun place;
+    if (!ToPlace(running.ref, place) || this->FindRun(place) == nullptr) {
+      continue;
+    }
+    const StepSpec& step = this->SpecOf(place.place);
+    if (step.longRunning && step.latencyTargetMs > 0) {
+      worst = std::max(worst,
+                       static_cast<double>(running.figure) /
+                         static_cast<double>(step.latencyTargetMs));
+    } else if (step.fillsUnused && running.figure > kLeastFillingMilliCores) {
+      images.push_back(step.image);
+    }
+  }
+  if (worst > 0) {
+    const double error = this->interference.Observe(worst, images);
+    aWorker.latencyResidual += kResidualRate * (error - aWorker.latencyResidual);
+  }
+}
+
 void JobScheduler::StopStalled(Worker& aWorker, const WorkerRun& aRun, Now aNow)
 {
   Run& run = *this->FindRun(aRun);
   const StepSpec& step = this->SpecOf(aRun.place);
+  const Duration still = aNow.instant - run.percentChanged;
   if (run.state != RunState::Running || step.longRunning || step.gang ||
-      aNow.instant - run.percentChanged < this->settings.stallTimeout) {
+      still < this->settings.stallTimeout) {
     return;
   }
-  // A run that uses unused capacity may rightly stand still on a full worker.
-  if (step.fillsUnused && !aWorker.demanded.FitsIn(aWorker.state.capacity)) {
+  // Beside runs that serve it is rather paused for them, which is no fault of the worker.
+  const bool paused = step.fillsUnused && aWorker.serving > 0;
+  if (paused && !step.checkpointing && still < this->settings.pausedTimeout) {
     return;
   }
   this->counters.Add("runs_stopped_total", "stalled");
@@ -162,7 +193,9 @@
               { "percent", run.percent },
               { "still_ms", ToMilliseconds(aNow.instant - run.percentChanged) } });
   this->FindTask(aRun.place)->failedOn = aWorker.key.id;
-  aWorker.avoidUntil = std::max(aWorker.avoidUntil, aNow.instant + this->settings.failingAvoid);
+  if (!paused) {
+    aWorker.avoidUntil = std::max(aWorker.avoidUntil, aNow.instant + this->settings.failingAvoid);
+  }
   this->StopRun(aRun.place, run);
 }
 
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,8 @@
 {
   Epoch epoch;
   std::uint64_t sequence = 0;
+  // How much one run of an image disturbs runs that serve beside it, as the leader has learned.
+  std::map<std::string, double> disturbance;
 };
 
 // Entry to agent, on link-up and when it changes: this entry leads with this epoch; 0 if it does
@@ -115,6 +118,8 @@
   RunRef ref;
   std::string payload;
   std::string checkpoint;
+  // What the run executes; runs of one image behave alike.
+  std::string image;
   // Above 0 for a run that serves users: the tail latency that it has to keep, in milliseconds.
   std::int64_t latencyTargetMs = 0;
   // The run uses what others on the worker leave, and may be paced down for them.
@@ -164,12 +169,13 @@
                                    starting,
                                    ended,
                                    rejected)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseExtension, epoch, sequence)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseExtension, epoch, sequence, disturbance)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaderClaim, epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartRun,
                                    ref,
                                    payload,
                                    checkpoint,
+                                   image,
                                    latencyTargetMs,
                                    fillsUnused)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerOrders,
