Learn disturbance from sudden changes, and order steps by gain

Change: a residual for each worker takes up the slow part; steps go by what callers gain per core-second and disturbance; pace rises only where the expected ratio stays below 0.8.

--- a/packages/cluster/include/oriolespread/cluster/PaceController.h
+++ b/packages/cluster/include/oriolespread/cluster/PaceController.h
@@ -19,8 +19,12 @@
   // that a figure covers.
   Duration settle = std::chrono::milliseconds(700);
   // Shares of the target at which the pace is lowered and may be raised.
-  double lowerAbove = 0.95;
-  double raiseBelow = 0.65;
+  double lowerAbove = 0.9;
+  // The share that is expected after a step up, by the disturbance of the run, has to be below
+  // this.
+  double raiseBelow = 0.8;
+  // Above this share a run is paused in one step.
+  double pauseAbove = 1.2;
   // Time between steps up.
   Duration raiseInterval = std::chrono::milliseconds(1000);
   // The first step down of a run; the second one pauses it.
@@ -38,7 +42,7 @@
   bool fillsUnused = false;
   // Tail latency in milliseconds for a run that serves.
   std::int64_t figure = 0;
-  // How much the run is known to disturb; only the order matters.
+  // By how much the run at full pace raises ln(tail latency / target).
   double disturbance = 0;
 };
 
@@ -67,8 +71,8 @@
     double disturbance = 0;
   };
 
-  void Lower(bool aAll);
-  void Raise();
+  void Lower(double aWorst, bool aAll);
+  bool Raise(double aWorst);
 
   PaceSettings settings;
   Instant changed{};
--- a/packages/cluster/src/PaceController.cpp
+++ b/packages/cluster/src/PaceController.cpp
@@ -1,6 +1,7 @@
 #include "oriolespread/cluster/PaceController.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace oriolespread::cluster {
 
@@ -21,8 +22,8 @@
   std::map<RunRef, Pace> present;
   for (const PacedRun& run : aRuns) {
     if (run.latencyTargetMs > 0) {
-      worst = std::max(worst,
-                       static_cast<double>(run.figure) / static_cast<double>(run.latencyTargetMs));
+      worst =
+        std::max(worst, static_cast<double>(run.figure) / static_cast<double>(run.latencyTargetMs));
     }
     if (run.fillsUnused) {
       const auto known = this->paces.find(run.ref);
@@ -41,12 +42,10 @@
     this->missedSince != Instant{} && aNow - this->missedSince >= this->settings.pauseAllAfter;
   if (worst > this->settings.lowerAbove) {
     if (missedLong || aNow - this->changed >= this->settings.settle) {
-      this->Lower(missedLong);
+      this->Lower(worst, missedLong);
       this->changed = aNow;
     }
-  } else if (worst < this->settings.raiseBelow &&
-             aNow - this->changed >= this->settings.raiseInterval) {
-    this->Raise();
+  } else if (aNow - this->changed >= this->settings.raiseInterval && this->Raise(worst)) {
     this->changed = aNow;
   }
   std::vector<PaceOrder> orders;
@@ -59,7 +58,7 @@
   return orders;
 }
 
-void PaceController::Lower(bool aAll)
+void PaceController::Lower(double aWorst, bool aAll)
 {
   Pace* most = nullptr;
   for (auto& [ref, pace] : this->paces) {
@@ -70,11 +69,13 @@
     }
   }
   if (most != nullptr) {
-    most->wanted = most->wanted > this->settings.firstStep ? this->settings.firstStep : 0;
+    const bool first =
+      most->wanted > this->settings.firstStep && aWorst < this->settings.pauseAbove;
+    most->wanted = first ? this->settings.firstStep : 0;
   }
 }
 
-void PaceController::Raise()
+bool PaceController::Raise(double aWorst)
 {
   Pace* least = nullptr;
   for (auto& [ref, pace] : this->paces) {
@@ -82,9 +83,16 @@
       least = &pace;
     }
   }
-  if (least != nullptr) {
-    least->wanted = least->wanted < this->settings.firstStep ? this->settings.firstStep : kFullPace;
+  if (least == nullptr) {
+    return false;
   }
+  const int next = least->wanted < this->settings.firstStep ? this->settings.firstStep : kFullPace;
+  const double rise = least->disturbance * (next - least->wanted) / kFullPace;
+  if (aWorst * std::exp(rise) >= this->settings.raiseBelow) {
+    return false;
+  }
+  least->wanted = next;
+  return true;
 }
 
 void PaceController::OnFailed(const RunRef& aRef)
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -90,6 +90,8 @@
   std::uint32_t nextOccurrence = 0;
   // Unix time in milliseconds at which the job became terminal.
   std::int64_t endedUnixMs = 0;
+  // Core-seconds of all tasks by their estimates.
+  double work = 0;
   // When a run of the job was last active.
   Instant lastActive{};
   // The terminal state is stored, so that the rows of progress are not needed any more.
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -101,6 +101,9 @@
     std::uint32_t step = 0;
     int lateness = 0;
     std::int64_t deadlineUnixMs = 0;
+    // What callers gain by the rest of the job for each core-second that it takes, less where its
+    // image disturbs others.
+    double gain = 0;
   };
 
   // JobScheduler.cpp
@@ -132,6 +135,7 @@
 
   // SchedulerPlacement.cpp
   void SumDisturbance();
+  double GainOf(const Job& aJob, const Occurrence& aOccurrence, const StepSpec& aStep) const;
   std::vector<ReadyStep> FindReadySteps(Now aNow);
   void Place(const ReadyStep& aReady, Now aNow);
   PlacementRequest RequestFor(const ReadyStep& aReady) const;
@@ -159,6 +163,8 @@
   Epoch epoch;
   InterferenceBook interference;
   std::map<std::string, Job> jobs;
+  // Smoothed work of a job by queue.
+  std::map<std::string, double> meanWork;
   std::map<WorkerKey, Worker> workers;
   std::map<std::string, WorkerKey> workerOfAgent;
   // Jobs that may have tasks to place.
--- a/packages/jobs/include/oriolespread/jobs/JobSpec.h
+++ b/packages/jobs/include/oriolespread/jobs/JobSpec.h
@@ -80,6 +80,12 @@
 // Returns the length of the longest chain of steps, in milliseconds, by the estimates.
 std::int64_t LongestChainMs(const JobSpec& aSpec);
 
+// As LongestChainMs, for the chains that begin with this step.
+std::int64_t ChainFromMs(const JobSpec& aSpec, std::size_t aStep);
+
+// Returns the work of one task in core-seconds, by its estimate; never 0.
+double TaskWork(const StepSpec& aStep);
+
 // Encodes a record for the store, and reads it back; nothing for bytes that are not a record.
 std::string EncodeJobRecord(const JobRecord& aRecord);
 bool DecodeJobRecord(const std::string& aBytes, JobRecord& aRecord);
@@ -101,12 +107,7 @@
                                    image,
                                    latencyTargetMs,
                                    maxUnavailable)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobSpec,
-                                   payload,
-                                   steps,
-                                   repeats,
-                                   initialDelayMs,
-                                   intervalMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobSpec, payload, steps, repeats, initialDelayMs, intervalMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QueuePolicy,
                                    queue,
                                    service,
--- a/packages/jobs/src/InterferenceBook.cpp
+++ b/packages/jobs/src/InterferenceBook.cpp
@@ -8,30 +8,33 @@
 namespace {
 
 // Of an image that was not seen yet.
-constexpr double kFirstWeight = 0.25;
-// Share of an observation's error by which a weight moves.
-constexpr double kImageRate = 0.08;
-constexpr double kBaseRate = 0.02;
+constexpr double kFirstWeight = 0.3;
+// Share of an observation's error by which the weights, and the residual, move.
+constexpr double kImageRate = 0.15;
+constexpr double kResidualRate = 0.3;
 constexpr double kMaxWeight = 2.0;
 // Ratios below this say no more than that the target is far.
 constexpr double kLeastRatio = 0.1;
 
 } // namespace
 
-double InterferenceBook::Observe(double aRatio, const std::vector<std::string>& aImages)
+void InterferenceBook::Observe(double aRatio,
+                               const std::vector<Company>& aCompany,
+                               double& aResidual)
 {
-  double expected = this->base;
-  for (const std::string& image : aImages) {
-    expected += this->weights.try_emplace(image, kFirstWeight).first->second;
+  double expected = kBase + aResidual;
+  double norm = 0;
+  for (const Company& item : aCompany) {
+    expected += item.share * this->weights.try_emplace(item.image, kFirstWeight).first->second;
+    norm += item.share * item.share;
   }
   const double error = std::log(std::max(aRatio, kLeastRatio)) - expected;
-  this->base += kBaseRate * error;
-  const double share = aImages.empty() ? 0 : kImageRate * error / std::sqrt(aImages.size());
-  for (const std::string& image : aImages) {
-    double& weight = this->weights[image];
-    weight = std::clamp(weight + share, 0.0, kMaxWeight);
+  aResidual += kResidualRate * error;
+  for (const Company& item : aCompany) {
+    double& weight = this->weights[item.image];
+    weight =
+      std::clamp(weight + kImageRate * error * item.share / std::max(norm, 1.0), 0.0, kMaxWeight);
   }
-  return error;
 }
 
 double InterferenceBook::Weight(const std::string& aImage) const
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::int64_t kForgetIntervalMs = 1000;
+constexpr double kMeanWorkRate = 0.1;
 
 Occurrence MakeOccurrence(const JobSpec& aSpec)
 {
@@ -139,6 +140,11 @@
   Job& job = this->jobs[id];
   job.record = std::move(aRecord);
   this->activeJobs.insert(id);
+  for (const StepSpec& step : job.record.spec.steps) {
+    job.work += step.count * TaskWork(step);
+  }
+  double& mean = this->meanWork.try_emplace(job.record.policy.queue, job.work).first->second;
+  mean += kMeanWorkRate * (job.work - mean);
   if (job.record.spec.repeats == 0) {
     job.occurrences[0] = MakeOccurrence(job.record.spec);
     job.nextOccurrence = 1;
@@ -188,8 +194,7 @@
   this->activeJobs.erase(id);
   if (!aJob.started) {
     aJob.started = true;
-    this->MarkChanged(
-      { std::string(kWaitingTable), WaitingKey(aJob.record.policy.queue, id) });
+    this->MarkChanged({ std::string(kWaitingTable), WaitingKey(aJob.record.policy.queue, id) });
   }
   this->MarkChanged({ std::string(kStateTable), id });
   this->counters.Add("jobs_ended_total", JobStateName(aState));
@@ -268,8 +273,8 @@
     batch.changes.push_back(this->MakeChange(row));
     rows.insert(std::move(row));
   }
-  const auto rest = std::stable_partition(
-    this->held.begin(), this->held.end(), [&](const HeldOrder& aOrder) {
+  const auto rest =
+    std::stable_partition(this->held.begin(), this->held.end(), [&](const HeldOrder& aOrder) {
       return !rows.contains(aOrder.row);
     });
   batch.orders.assign(std::make_move_iterator(rest), std::make_move_iterator(this->held.end()));
@@ -317,8 +322,7 @@
   }
   for (const auto& [number, occurrence] : aJob.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-      this->MarkChanged(
-        { std::string(kProgressTable), ProgressKey(aJob.record.id, number, step) });
+      this->MarkChanged({ std::string(kProgressTable), ProgressKey(aJob.record.id, number, step) });
     }
   }
 }
--- a/packages/jobs/src/JobSpec.cpp
+++ b/packages/jobs/src/JobSpec.cpp
@@ -19,6 +19,33 @@
   return longest;
 }
 
+std::int64_t ChainFromMs(const JobSpec& aSpec, std::size_t aStep)
+{
+  // Length of the longest chain from aStep to the end of each step; -1 where none leads.
+  std::vector<std::int64_t> ends(aSpec.steps.size(), -1);
+  ends[aStep] = aSpec.steps[aStep].estimateMs;
+  std::int64_t longest = ends[aStep];
+  for (std::size_t index = aStep + 1; index < aSpec.steps.size(); ++index) {
+    std::int64_t start = -1;
+    for (const std::uint32_t before : aSpec.steps[index].after) {
+      start = std::max(start, ends[before]);
+    }
+    if (start >= 0) {
+      ends[index] = start + aSpec.steps[index].estimateMs;
+      longest = std::max(longest, ends[index]);
+    }
+  }
+  return longest;
+}
+
+double TaskWork(const StepSpec& aStep)
+{
+  constexpr double kMilliSquared = 1e6;
+  const double work =
+    static_cast<double>(aStep.estimateMs) * static_cast<double>(aStep.demand.milliCores);
+  return std::max(work / kMilliSquared, 1e-3);
+}
+
 std::string EncodeJobRecord(const JobRecord& aRecord)
 {
   std::string bytes;
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -15,8 +15,8 @@
 // their targets is dearer than a loaded one.
 constexpr double kNearTargetCost = 1.5;
 constexpr double kFillingBesideCost = 0.1;
-// Expected ln(tail latency / target) above which nothing more is added: 0.8 of the target.
-constexpr double kMostExpected = -0.22;
+// Expected ln(tail latency / target) above which nothing more is added: 0.75 of the target.
+constexpr double kMostExpected = -0.29;
 // Runs that serve share workers, so that others stay free of them.
 constexpr double kFirstServingCost = 0.8;
 
@@ -33,12 +33,11 @@
 
 double LoadAfter(const Worker& aWorker, const StepSpec& aStep)
 {
-  const double cores = static_cast<double>(
-    std::max<std::int64_t>(aWorker.state.capacity.milliCores, 1));
-  const double memory = static_cast<double>(
-    std::max<std::int64_t>(aWorker.state.capacity.memoryMiB, 1));
-  const double coreLoad =
-    static_cast<double>(InUse(aWorker) + aStep.demand.milliCores) / cores;
+  const double cores =
+    static_cast<double>(std::max<std::int64_t>(aWorker.state.capacity.milliCores, 1));
+  const double memory =
+    static_cast<double>(std::max<std::int64_t>(aWorker.state.capacity.memoryMiB, 1));
+  const double coreLoad = static_cast<double>(InUse(aWorker) + aStep.demand.milliCores) / cores;
   const double memoryLoad =
     static_cast<double>(aWorker.demanded.memoryMiB + aStep.demand.memoryMiB) / memory;
   return std::max(coreLoad, 0.5 * memoryLoad);
@@ -46,9 +45,9 @@
 
 bool HasLabel(const Worker& aWorker, const std::string& aLabel)
 {
-  return aLabel.empty() || std::find(aWorker.state.labels.begin(),
-                                     aWorker.state.labels.end(),
-                                     aLabel) != aWorker.state.labels.end();
+  return aLabel.empty() ||
+         std::find(aWorker.state.labels.begin(), aWorker.state.labels.end(), aLabel) !=
+           aWorker.state.labels.end();
 }
 
 } // namespace
@@ -87,8 +86,7 @@
       continue;
     }
     double cost = LoadAfter(worker, *aRequest.step);
-    if (!aRequest.step->preferredRack.empty() &&
-        !HasLabel(worker, aRequest.step->preferredRack)) {
+    if (!aRequest.step->preferredRack.empty() && !HasLabel(worker, aRequest.step->preferredRack)) {
       cost += kOtherRackCost;
     }
     if (key.id == aRequest.failedOn) {
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -12,6 +12,15 @@
 // A job is of use to its caller, though late, up to this multiple of its objective.
 constexpr double kLateFactor = 3.0;
 
+// What a finished job is worth, against the mean of its queue.
+constexpr double kWorthOfAny = 0.3;
+constexpr double kWorthOfWork = 0.7;
+constexpr double kMostWorth = 4.0;
+constexpr double kLeastWork = 0.01;
+constexpr double kLeastDisturbance = 0.3;
+// Estimates are rough, so only this share of them counts against a deadline.
+constexpr double kChainTrusted = 0.7;
+
 enum Lateness
 {
   kInTime = 0,
@@ -86,6 +95,23 @@
   }
 }
 
+double JobScheduler::GainOf(const Job& aJob,
+                            const Occurrence& aOccurrence,
+                            const StepSpec& aStep) const
+{
+  double left = 0;
+  for (std::size_t index = 0; index < aOccurrence.steps.size(); ++index) {
+    const Step& step = aOccurrence.steps[index];
+    left +=
+      static_cast<double>(step.tasks.size() - step.done) * TaskWork(aJob.record.spec.steps[index]);
+  }
+  const double mean = std::max(this->meanWork.at(aJob.record.policy.queue), kLeastWork);
+  // Finishing a job is worth something by itself, and the rest by its work.
+  const double worth = kWorthOfAny + kWorthOfWork * std::min(aJob.work / mean, kMostWorth);
+  const double disturbance = aStep.fillsUnused ? this->interference.Weight(aStep.image) : 0;
+  return worth / (std::max(left, kLeastWork) * (kLeastDisturbance + disturbance));
+}
+
 std::vector<JobScheduler::ReadyStep> JobScheduler::FindReadySteps(Now aNow)
 {
   this->waitingTasks = 0;
@@ -109,21 +135,25 @@
         this->waitingTasks += step.tasks.size() - step.done - step.active;
         const std::int64_t due = DueUnixMs(job.record, number);
         const auto late = static_cast<std::int64_t>(kLateFactor * static_cast<double>(objective));
-        const bool inTime = job.record.spec.steps[index].longRunning ||
-                            aNow.unixMs < due + objective;
-        const int lateness = inTime ? kInTime : aNow.unixMs < due + late ? kLate : kTooLate;
-        ready.push_back({ &job, number, index, lateness, due + objective });
+        const StepSpec& spec = job.record.spec.steps[index];
+        const std::int64_t ends =
+          aNow.unixMs + static_cast<std::int64_t>(
+                          kChainTrusted * static_cast<double>(ChainFromMs(job.record.spec, index)));
+        const bool inTime = spec.longRunning || ends < due + objective;
+        const int lateness = inTime ? kInTime : ends < due + late ? kLate : kTooLate;
+        ready.push_back(
+          { &job, number, index, lateness, due + objective, this->GainOf(job, occurrence, spec) });
       }
     }
   }
   std::sort(ready.begin(), ready.end(), [](const ReadyStep& aLeft, const ReadyStep& aRight) {
     return std::tuple(aLeft.job->record.policy.priority,
                       aLeft.lateness,
-                      aLeft.deadlineUnixMs,
+                      -aLeft.gain,
                       aLeft.job->record.id,
                       aLeft.step) < std::tuple(aRight.job->record.policy.priority,
                                                aRight.lateness,
-                                               aRight.deadlineUnixMs,
+                                               -aRight.gain,
                                                aRight.job->record.id,
                                                aRight.step);
   });
@@ -245,8 +275,7 @@
   ++step.active;
   aWorker.runs.insert(workerRun);
   this->Reserve(aWorker, job.record.spec.steps[aReady.step], 1);
-  RowKey row{ std::string(kProgressTable),
-              ProgressKey(place.job, place.occurrence, place.step) };
+  RowKey row{ std::string(kProgressTable), ProgressKey(place.job, place.occurrence, place.step) };
   if (!job.started) {
     job.started = true;
     job.state = JobState::Running;
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -9,7 +9,8 @@
 
 // A run that uses less than this is new or paused, and disturbs nobody.
 constexpr std::int64_t kLeastFillingMilliCores = 100;
-constexpr double kResidualRate = 0.3;
+// Tasks use about this much less than they declare when nothing slows them.
+constexpr double kDeclaredOverUsed = 1.4;
 
 bool ToPlace(const RunRef& aRef, WorkerRun& aRun)
 {
@@ -23,8 +24,8 @@
 
 RunRef ToRef(const WorkerRun& aRun)
 {
-  return { ToString(TaskName{
-             aRun.place.job, aRun.place.occurrence, aRun.place.step, aRun.place.index }),
+  return { ToString(
+             TaskName{ aRun.place.job, aRun.place.occurrence, aRun.place.step, aRun.place.index }),
            aRun.number };
 }
 
@@ -150,7 +151,7 @@
 void JobScheduler::LearnInterference(Worker& aWorker, const WorkerReport& aReport)
 {
   double worst = 0;
-  std::vector<std::string> images;
+  std::vector<InterferenceBook::Company> company;
   for (const RunningRun& running : aReport.running) {
     WorkerRun place;
     if (!ToPlace(running.ref, place) || this->FindRun(place) == nullptr) {
@@ -158,16 +159,16 @@
     }
     const StepSpec& step = this->SpecOf(place.place);
     if (step.longRunning && step.latencyTargetMs > 0) {
-      worst = std::max(worst,
-                       static_cast<double>(running.figure) /
-                         static_cast<double>(step.latencyTargetMs));
+      worst = std::max(
+        worst, static_cast<double>(running.figure) / static_cast<double>(step.latencyTargetMs));
     } else if (step.fillsUnused && running.figure > kLeastFillingMilliCores) {
-      images.push_back(step.image);
+      const auto declared = static_cast<double>(std::max<std::int64_t>(step.demand.milliCores, 1));
+      const double share = kDeclaredOverUsed * static_cast<double>(running.figure) / declared;
+      company.push_back({ step.image, std::min(1.0, share) });
     }
   }
   if (worst > 0) {
-    const double error = this->interference.Observe(worst, images);
-    aWorker.latencyResidual += kResidualRate * (error - aWorker.latencyResidual);
+    this->interference.Observe(worst, company, aWorker.latencyResidual);
   }
 }
 
@@ -216,16 +217,14 @@
     this->FindTask(place.place)->checkpoint = aEnd.checkpoint;
   }
   this->RemoveRun(place);
-  const std::string row =
-    ProgressKey(place.place.job, place.place.occurrence, place.place.step);
+  const std::string row = ProgressKey(place.place.job, place.place.occurrence, place.place.step);
   aWorker.endsInCommit.insert(aEnd.number);
   this->held.push_back({ { std::string(kProgressTable), row },
                          aWorker.agent,
                          aWorker.key,
                          std::nullopt,
                          aEnd.number });
-  this->counters.Add("runs_ended_total",
-                     nlohmann::json(aEnd.how).get_ref<const std::string&>());
+  this->counters.Add("runs_ended_total", nlohmann::json(aEnd.how).get_ref<const std::string&>());
   this->log("run_ended",
             { { "task", aEnd.ref.task },
               { "run", aEnd.ref.run },
@@ -264,10 +263,9 @@
     task.state = TaskState::Done;
     ++step.done;
   }
-  const bool occurrenceDone =
-    std::all_of(occurrence.steps.begin(), occurrence.steps.end(), [](const Step& aStep) {
-      return aStep.IsDone();
-    });
+  const bool occurrenceDone = std::all_of(occurrence.steps.begin(),
+                                          occurrence.steps.end(),
+                                          [](const Step& aStep) { return aStep.IsDone(); });
   if (!occurrenceDone) {
     return;
   }
