Do not take the end of a connection for an empty answer

The parser takes the end of a stream without a byte for a complete answer of status 200, so that a start or a commit without an answer counted as done. Change: the end of the stream completes an answer only after its first byte.

--- a/packages/http/src/ClientConnection.cpp
+++ b/packages/http/src/ClientConnection.cpp
@@ -3,7 +3,6 @@
 #include "absl/strings/str_cat.h"
 
 #include <asio/write.hpp>
-
 #include <netinet/tcp.h>
 
 namespace oriolespread::internal {
@@ -111,7 +110,8 @@
     return;
   }
   boost::system::error_code error;
-  if (aError == asio::error::eof) {
+  // Without a byte the parser would take the end of the stream for an empty answer of status 200.
+  if (aError == asio::error::eof && this->parser->got_some()) {
     this->parser->put_eof(error);
     if (!error && this->parser->is_done()) {
       this->Complete();
@@ -124,8 +124,8 @@
   }
   this->input.append(this->chunk.data(), aSize);
   while (!this->input.empty() && !this->parser->is_done()) {
-    const std::size_t used = this->parser->put(
-      boost::asio::const_buffer(this->input.data(), this->input.size()), error);
+    const std::size_t used =
+      this->parser->put(boost::asio::const_buffer(this->input.data(), this->input.size()), error);
     this->input.erase(0, used);
     if (error == http::error::need_more || (!error && used == 0)) {
       break;
@@ -151,8 +151,8 @@
   for (const auto& field : message) {
     const auto name = field.name_string();
     const auto value = field.value();
-    result.response.headers.push_back({ std::string(name.data(), name.size()),
-                                        std::string(value.data(), value.size()) });
+    result.response.headers.push_back(
+      { std::string(name.data(), name.size()), std::string(value.data(), value.size()) });
   }
   result.response.body = std::move(message.body());
   const bool reusable = message.keep_alive();
--- a/packages/http/tests/HttpClientServerTest.cpp
+++ b/packages/http/tests/HttpClientServerTest.cpp
@@ -80,8 +80,7 @@
 TEST_CASE("HttpClientServer ReportsUnknownWhenTheAnswerDoesNotComeInTime")
 {
   Pair pair;
-  const HttpResult result =
-    pair.Call({ "GET", "/held", {}, {} }, std::chrono::milliseconds(50));
+  const HttpResult result = pair.Call({ "GET", "/held", {}, {} }, std::chrono::milliseconds(50));
   CHECK(result.end == HttpEnd::Unknown);
   CHECK(pair.Call({ "GET", "/a", {}, {} }).IsAnswer(kHttpOk));
 }
@@ -119,3 +118,22 @@
   CHECK(result->IsAnswer(kHttpOk));
   CHECK(FindHeader(result->response.headers, "connection") == "close");
 }
+
+// Guards against a connection that ends without an answer being taken for an empty answer of
+// status 200: a start or a job would then count as accepted.
+TEST_CASE("HttpClientServer ReportsUnknownWhenTheConnectionEndsWithoutAnAnswer")
+{
+  Pair pair;
+  std::optional<HttpResult> result;
+  pair.client->Call({ "GET", "/held", {}, {} },
+                    std::chrono::seconds(5),
+                    [&](const HttpResult& aResult) { result = aResult; });
+  while (pair.held == nullptr) {
+    pair.context.run_one();
+  }
+  pair.server.reset();
+  while (!result.has_value()) {
+    pair.context.run_one();
+  }
+  CHECK(result->end == HttpEnd::Unknown);
+}
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -15,8 +15,8 @@
 // their targets is dearer than a loaded one.
 constexpr double kNearTargetCost = 1.5;
 constexpr double kFillingBesideCost = 0.1;
-// Expected ln(tail latency / target) above which nothing more is added: 0.75 of the target.
-constexpr double kMostExpected = -0.29;
+// Expected ln(tail latency / target) above which nothing more is added: 0.9 of the target.
+constexpr double kMostExpected = -0.10;
 // Runs that serve share workers, so that others stay free of them.
 constexpr double kFirstServingCost = 0.8;
 
--- /dev/null
+++ b/packages/jobs/tests/JobRowsTest.cpp
@@ -0,0 +1,58 @@
+#include "oriolespread/jobs/JobRows.h"
+
+#include "oriolespread/jobs/JobSpec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread::jobs;
+
+namespace {
+
+StepSpec MakeStep(std::int64_t aEstimateMs, std::vector<std::uint32_t> aAfter)
+{
+  StepSpec step;
+  step.count = 3;
+  step.estimateMs = aEstimateMs;
+  step.after = std::move(aAfter);
+  step.image = "i";
+  return step;
+}
+
+} // namespace
+
+TEST_CASE("JobRows ReadsBackTheNameOfATask")
+{
+  TaskName name;
+  REQUIRE(TaskName::Parse("5c0e7a21d94b36f8.2.1.17", name));
+  CHECK(name.job == "5c0e7a21d94b36f8");
+  CHECK(name.occurrence == 2);
+  CHECK(name.step == 1);
+  CHECK(name.index == 17);
+  CHECK(ToString(name) == "5c0e7a21d94b36f8.2.1.17");
+  CHECK_FALSE(TaskName::Parse("a.b.c", name));
+  CHECK_FALSE(TaskName::Parse("j.0.0.x", name));
+  CHECK_FALSE(TaskName::Parse("", name));
+}
+
+TEST_CASE("JobRecord ReadsBackWhatWasEncodedAndRefusesOtherBytes")
+{
+  JobRecord record;
+  record.id = "j";
+  record.spec.steps.push_back(MakeStep(10, {}));
+  JobRecord read;
+  REQUIRE(DecodeJobRecord(EncodeJobRecord(record), read));
+  CHECK(read.spec.steps.at(0).count == 3);
+  CHECK(read.spec.steps.at(0).image == "i");
+  CHECK_FALSE(DecodeJobRecord("no record", read));
+}
+
+TEST_CASE("JobSpec FindsTheLongestChainOverSeveralBranches")
+{
+  JobSpec spec;
+  spec.steps.push_back(MakeStep(100, {}));
+  spec.steps.push_back(MakeStep(500, { 0 }));
+  spec.steps.push_back(MakeStep(50, { 0 }));
+  spec.steps.push_back(MakeStep(10, { 1, 2 }));
+  CHECK(LongestChainMs(spec) == 610);
+  CHECK(ChainFromMs(spec, 2) == 60);
+}
--- /dev/null
+++ b/packages/soak/src/Main.cpp
@@ -0,0 +1,83 @@
+// The soak's program: one run a seed, one line a run, and the faults and logs of a run that failed.
+
+#include "Soak.h"
+
+#include <cxxopts.hpp>
+#include <unistd.h>
+
+#include <filesystem>
+#include <iostream>
+
+namespace {
+
+using namespace oriolespread;
+using namespace oriolespread::soak;
+
+constexpr int kNetworks = 200;
+
+bool RunSeed(const cxxopts::ParseResult& aOptions, std::uint64_t aSeed)
+{
+  SoakOptions options;
+  options.programs = aOptions["programs"].as<std::string>();
+  options.seed = aSeed;
+  options.length = std::chrono::seconds(aOptions["seconds"].as<int>());
+  options.entries = aOptions["entries"].as<std::size_t>();
+  options.workers = aOptions["workers"].as<std::size_t>();
+  options.calm = aOptions.count("calm") > 0;
+  options.network = 20 + static_cast<int>(::getpid() % kNetworks);
+  options.directory = aOptions["directory"].as<std::string>() + "/" + std::to_string(::getpid()) +
+                      "-" + std::to_string(aSeed);
+  Soak soak(options);
+  const std::vector<std::string> broken = soak.Run();
+  std::cout << "seed " << aSeed << ": " << soak.Jobs() << " jobs, " << soak.Starts() << " starts, "
+            << soak.Faults().size() << " faults, " << broken.size() << " promises broken"
+            << std::endl;
+  if (broken.empty()) {
+    std::filesystem::remove_all(options.directory);
+    return true;
+  }
+  for (const std::string& fault : soak.Faults()) {
+    std::cout << "  fault  " << fault << "\n";
+  }
+  for (const std::string& promise : broken) {
+    std::cout << "  BROKEN " << promise << "\n";
+  }
+  std::cout << "  logs in " << options.directory << std::endl;
+  return false;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  cxxopts::Options options(
+    "oriolespread-soak",
+    "Runs the real programs against stand-ins under faults that a seed chooses.\n"
+    "Exit codes: 0 all promises kept, 1 one was broken, 2 wrong command line.");
+  options.add_options()("programs", "folder of the programs", cxxopts::value<std::string>())(
+    "seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+    "count", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
+    "seconds", "time with faults in each run", cxxopts::value<int>()->default_value("10"))(
+    "entries", "entries", cxxopts::value<std::size_t>()->default_value("3"))(
+    "workers", "workers", cxxopts::value<std::size_t>()->default_value("5"))(
+    "directory",
+    "settings and logs",
+    cxxopts::value<std::string>()->default_value("/tmp/oriolespread-soak"))("calm", "no faults")(
+    "help", "this text");
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    bool kept = true;
+    const auto first = parsed["seed"].as<std::uint64_t>();
+    for (std::uint64_t seed = first; seed < first + parsed["count"].as<std::uint64_t>(); ++seed) {
+      kept = RunSeed(parsed, seed) && kept;
+    }
+    return kept ? 0 : 1;
+  } catch (const std::exception& error) {
+    std::cerr << "oriolespread-soak: " << error.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/packages/soak/src/Soak.h
@@ -0,0 +1,93 @@
+// Runs the programs as processes beside stand-ins for the store, the workers and callers, and
+// injects faults that a seed chooses.
+#pragma once
+
+#include "LinkProxy.h"
+#include "Process.h"
+#include "Promises.h"
+
+#include "oriolespread/base/RandomSource.h"
+#include "oriolespread/platformwire_testing/StandInStore.h"
+#include "oriolespread/platformwire_testing/StandInWorker.h"
+
+#include <asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace oriolespread::soak {
+
+struct SoakOptions
+{
+  std::string programs;
+  std::string directory;
+  std::uint64_t seed = 1;
+  Duration length = std::chrono::seconds(10);
+  std::size_t entries = 3;
+  std::size_t workers = 5;
+  // Distinguishes the loopback addresses of runs side by side, 1 to 250.
+  int network = 1;
+  bool calm = false;
+};
+
+class Soak
+{
+public:
+  explicit Soak(SoakOptions aOptions);
+
+  // Returns the promises that were broken.
+  std::vector<std::string> Run();
+  std::size_t Starts() const { return this->promises.Starts(); }
+  std::size_t Jobs() const { return this->promises.jobs.size(); }
+  const std::vector<std::string>& Faults() const { return this->faults; }
+
+private:
+  std::string Ip(int aKind, std::size_t aIndex) const;
+  void AddEntry(std::size_t aIndex);
+  void AddWorker(std::size_t aIndex);
+  std::string WriteSettings(const std::string& aName,
+                            const std::string& aIp,
+                            const std::string& aStore,
+                            const std::string& aRest);
+  void PutConfig();
+  void RunFor(Duration aTime);
+  void RunUntil(Instant aTime);
+
+  void SubmitSoon();
+  void Submit();
+  void Post(const std::string& aId, int aTries);
+  void Ask(const std::string& aId);
+  void CancelJob(const std::string& aId);
+  HttpClient& AnyEntry();
+
+  void InjectSoon();
+  void Inject();
+  void InjectIntoProcess(std::size_t aIndex);
+  void InjectIntoStore(std::size_t aIndex);
+  void InjectIntoLink(std::size_t aIndex);
+  void InjectIntoWorker(std::size_t aIndex);
+  void Note(const std::string& aFault);
+  void KeepRunning();
+  void After(Duration aTime, std::function<void()> aCall);
+
+  SoakOptions options;
+  RandomSource random;
+  asio::io_context context{ 1 };
+  Counters counters;
+  Instant start;
+  Instant faultsEnd;
+  Promises promises;
+  platformwire_testing::StandInStore store;
+  std::vector<std::unique_ptr<Process>> processes;
+  // When a process that has ended is started again.
+  std::vector<Instant> restarts;
+  std::vector<std::unique_ptr<LinkProxy>> proxies;
+  std::vector<std::unique_ptr<platformwire_testing::StandInWorker>> workers;
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  std::vector<std::string> faults;
+  std::uint64_t configVersion = 0;
+  std::uint64_t lastJob = 0;
+};
+
+} // namespace oriolespread::soak
