Hold a start back until the worker has a lease

Change: a start waits until the agent has a lease to pass on. Result: WorkerDriverTest HoldsAStartBackUntilTheWorkerHasALease fails before (the run was reported as rejected) and passes after.

--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -41,6 +41,8 @@
 inline constexpr Duration kLookPause = std::chrono::milliseconds(25);
 // A worker that did not answer for this long gets no longer lease.
 inline constexpr Duration kWorkerSilence = std::chrono::milliseconds(1500);
+// Between looks at whether the worker has a lease, while a start waits for one.
+inline constexpr Duration kLeasePoll = std::chrono::milliseconds(30);
 // Tries of a start that stays unanswered, before the run is stopped and reported as rejected.
 inline constexpr int kStartTries = 6;
 // Refused connections in a row that show that the worker's process is gone.
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -196,8 +196,9 @@
   if (it == this->known.end() || !it->second.starting || it->second.stopping) {
     return;
   }
-  if (!this->fenced || !this->clockMs.has_value()) {
-    this->After(kWorkerRetryDelay, [this, aRef] { this->Start(aRef); });
+  // Without a lease the deadline of the start would have passed when it reaches the worker.
+  if (!this->fenced || !this->clockMs.has_value() || this->leaseUntil <= BootClock::now()) {
+    this->After(kLeasePoll, [this, aRef] { this->Start(aRef); });
     return;
   }
   ++it->second.tries;
--- /dev/null
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -0,0 +1,180 @@
+#include "WorkerDriver.h"
+
+#include "oriolespread/platformwire_testing/StandInWorker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+using namespace oriolespread::daemon;
+
+namespace {
+
+constexpr Duration kMs = std::chrono::milliseconds(1);
+
+// A driver beside a stand-in worker, with the test in the place of the leader.
+struct Beside
+{
+  asio::io_context context{ 1 };
+  Counters counters;
+  std::vector<WorkerReport> reports;
+  std::vector<std::string> started;
+  std::vector<std::pair<std::string, std::string>> ended;
+  std::unique_ptr<HttpServer> control;
+  std::unique_ptr<platformwire_testing::StandInWorker> worker;
+  std::unique_ptr<WorkerDriver> driver;
+  bool extends = true;
+  std::uint64_t orders = 0;
+
+  Beside()
+  {
+    this->control = *HttpServer::Create(
+      this->context,
+      "127.0.0.1",
+      0,
+      {},
+      [this](const HttpRequest& aRequest, const HttpServer::Reply& aReply) {
+        const auto beat = platformwire::DecodeHeartbeat("w", aRequest.body);
+        if (beat.ok() && this->driver != nullptr) {
+          this->driver->OnHeartbeat(*beat);
+        }
+        aReply({ kHttpOk, {}, "{}" });
+      },
+      this->counters);
+    platformwire_testing::StandInWorkerOptions options;
+    options.id = "w";
+    options.service = "s";
+    options.ip = "127.0.0.1";
+    options.agentAddress = "127.0.0.1:" + std::to_string(this->control->Port());
+    options.heartbeatInterval = 50 * kMs;
+    options.runTime = 100 * kMs;
+    platformwire_testing::StandInWorkerObserver observer;
+    observer.started = [this](const std::string& aTask, std::uint64_t, const std::string&) {
+      this->started.push_back(aTask);
+    };
+    observer.ended = [this](const std::string& aTask, std::uint64_t, const std::string& aHow) {
+      this->ended.emplace_back(aTask, aHow);
+    };
+    observer.acknowledged = [](const std::string&, std::uint64_t, const std::string&) {};
+    this->worker = std::make_unique<platformwire_testing::StandInWorker>(
+      this->context, options, std::move(observer), 1);
+    this->driver = *WorkerDriver::Create(
+      this->context,
+      "127.0.0.1:" + std::to_string(this->worker->Port()),
+      std::chrono::seconds(6),
+      this->counters,
+      [this](const WorkerReport& aReport) {
+        this->reports.push_back(aReport);
+        if (this->extends) {
+          this->driver->OnExtension({ aReport.epoch, aReport.sequence, {} });
+        }
+      });
+  }
+
+  void RunFor(Duration aTime)
+  {
+    const Instant until = BootClock::now() + aTime;
+    while (BootClock::now() < until) {
+      this->context.run_one_for(5 * kMs);
+    }
+  }
+
+  // Runs until the condition holds, for five seconds at most.
+  template<typename Condition>
+  bool Await(Condition aCondition)
+  {
+    const Instant until = BootClock::now() + std::chrono::seconds(5);
+    while (!aCondition() && BootClock::now() < until) {
+      this->context.run_one_for(5 * kMs);
+    }
+    return aCondition();
+  }
+
+  WorkerOrders Orders(Epoch aEpoch)
+  {
+    WorkerOrders given;
+    given.epoch = aEpoch;
+    given.sequence = ++this->orders;
+    given.born = this->reports.back().worker.born;
+    return given;
+  }
+
+  void StartTask(const std::string& aTask)
+  {
+    WorkerOrders given = this->Orders(Epoch{ 1 });
+    StartRun start;
+    start.ref = { aTask, 1 };
+    given.starts.push_back(start);
+    this->driver->OnOrders(given);
+  }
+};
+
+} // namespace
+
+TEST_CASE("WorkerDriver StartsARunAndReportsItsEndUntilItIsAcknowledged")
+{
+  Beside beside;
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  beside.StartTask("j.0.0.0");
+  REQUIRE(beside.Await([&] {
+    return !beside.reports.back().ended.empty() && beside.reports.back().full;
+  }));
+  CHECK(beside.reports.back().ended[0].how == RunEnd::Done);
+  WorkerOrders given = beside.Orders(Epoch{ 1 });
+  given.acknowledgedEnds.push_back(beside.reports.back().ended[0].number);
+  beside.driver->OnOrders(given);
+  CHECK(beside.Await([&] {
+    return beside.reports.back().full && beside.reports.back().ended.empty();
+  }));
+}
+
+// Guards against a start whose deadline has passed before it is sent: without an extension for this
+// life of the worker there is no lease to give it, and the worker refuses it.
+TEST_CASE("WorkerDriver HoldsAStartBackUntilTheWorkerHasALease")
+{
+  Beside beside;
+  beside.extends = false;
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  beside.StartTask("j.0.0.0");
+  beside.RunFor(300 * kMs);
+  for (const WorkerReport& report : beside.reports) {
+    CHECK(report.rejected.empty());
+  }
+  CHECK(beside.started.empty());
+  beside.extends = true;
+  CHECK(beside.Await([&] { return !beside.started.empty(); }));
+}
+
+// Guards against orders of a leader that another one has replaced.
+TEST_CASE("WorkerDriver IgnoresOrdersOfAnEarlierEpoch")
+{
+  Beside beside;
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  beside.driver->FollowLeader(Epoch{ 2 });
+  REQUIRE(beside.Await([&] { return beside.reports.back().epoch == Epoch{ 2 }; }));
+  beside.StartTask("j.0.0.0");
+  beside.RunFor(300 * kMs);
+  CHECK(beside.started.empty());
+}
+
+TEST_CASE("WorkerDriver ReportsTheNewLifeWhenTheWorkerRestarts")
+{
+  Beside beside;
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  const std::int64_t before = beside.reports.back().worker.born;
+  beside.worker->Restart();
+  CHECK(beside.Await([&] { return beside.reports.back().worker.born > before; }));
+}
+
+// Guards against a worker that is taken for alive, and its runs for running, when nothing listens.
+TEST_CASE("WorkerDriver ReportsAllRunsLostWhenNothingListensAtTheWorker")
+{
+  Beside beside;
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  beside.worker.reset();
+  CHECK(beside.Await([&] { return beside.reports.back().allLost; }));
+}
