Keep jobs known that were cancelled before a take-over

A new leader read the cancellation, then the state stored before it, whose missing time of end replaced that of the cancellation; the job counted as ended for long and its rows were removed. Change: the time of an end is taken only from a stored terminal state.

--- a/packages/daemon/include/oriolespread/daemon/EntryDirectory.h
+++ b/packages/daemon/include/oriolespread/daemon/EntryDirectory.h
@@ -19,7 +19,9 @@
   // Link addresses of entries by the entry's name.
   using Entries = std::map<std::string, std::string>;
 
-  EntryDirectory(asio::io_context& aContext, platformwire::StoreClient& aStore, Counters& aCounters);
+  EntryDirectory(asio::io_context& aContext,
+                 platformwire::StoreClient& aStore,
+                 Counters& aCounters);
 
   // Writes this entry's row and the key if it is missing; tries until the store took it.
   void Register(const std::string& aName, const std::string& aLinkAddress);
--- a/packages/daemon/src/ClusterAgent.cpp
+++ b/packages/daemon/src/ClusterAgent.cpp
@@ -67,12 +67,12 @@
     return client.status();
   }
   this->store = *std::move(client);
-  auto driver = WorkerDriver::Create(
-    this->context,
-    this->settings.workerAddress,
-    this->settings.maxWorkerLease,
-    this->counters,
-    [this](const WorkerReport& aReport) { this->SendToLeader(aReport); });
+  auto driver =
+    WorkerDriver::Create(this->context,
+                         this->settings.workerAddress,
+                         this->settings.maxWorkerLease,
+                         this->counters,
+                         [this](const WorkerReport& aReport) { this->SendToLeader(aReport); });
   if (!driver.ok()) {
     return driver.status();
   }
@@ -90,17 +90,15 @@
     return server.status();
   }
   this->control = *std::move(server);
-  this->metrics = std::make_unique<MetricsServer>(
-    this->context, this->settings.ip, this->counters, [this] {
+  this->metrics =
+    std::make_unique<MetricsServer>(this->context, this->settings.ip, this->counters, [this] {
       return std::map<std::string, double>{ { "leader_epoch",
                                               static_cast<double>(this->epoch.Value()) } };
     });
-  this->directory =
-    std::make_unique<EntryDirectory>(this->context, *this->store, this->counters);
-  this->directory->Follow(
-    [this](const std::string& aKey, const EntryDirectory::Entries& aEntries) {
-      this->OnDirectory(aKey, aEntries);
-    });
+  this->directory = std::make_unique<EntryDirectory>(this->context, *this->store, this->counters);
+  this->directory->Follow([this](const std::string& aKey, const EntryDirectory::Entries& aEntries) {
+    this->OnDirectory(aKey, aEntries);
+  });
   this->AwaitSignal();
   Log(LogLevel::Info,
       "agent_started",
@@ -197,7 +195,8 @@
   handlers.message = [this, aName](const LinkMessage& aMessage) {
     this->OnMessage(aName, aMessage);
   };
-  handlers.call = [](const CallRequest& /*aRequest*/, const std::shared_ptr<Responder>& aResponder) {
+  handlers.call = [](const CallRequest& /*aRequest*/,
+                     const std::shared_ptr<Responder>& aResponder) {
     aResponder->Refuse("not_served_here");
   };
   auto dialer =
--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -4,7 +4,6 @@
 #include "JobApi.h"
 #include "LeaderDriver.h"
 #include "MetricsServer.h"
-
 #include "absl/strings/str_cat.h"
 
 #include "oriolespread/daemon/ClusterSettings.h"
@@ -93,29 +92,26 @@
     this->context, *this->store, this->counters, [this](const cluster::ClusterConfig& aConfig) {
       this->OnConfig(aConfig);
     });
-  this->api =
-    std::make_unique<JobApi>(this->context, *this->store, *this->config, this->counters);
+  this->api = std::make_unique<JobApi>(this->context, *this->store, *this->config, this->counters);
   LeaderDriverOptions options;
   options.entry = this->settings.machine;
   options.process = NewProcessName();
   options.workerLease = WorkerLease(this->settings.maxWorkerLease);
   options.keepEnded = this->settings.keepEnded;
-  this->leader = std::make_unique<LeaderDriver>(
-    this->context,
-    *this->store,
-    options,
-    this->counters,
-    [this](const std::string& aAgent, const LinkMessage& aMessage) {
-      this->SendToAgent(aAgent, aMessage);
-    });
+  this->leader =
+    std::make_unique<LeaderDriver>(this->context,
+                                   *this->store,
+                                   options,
+                                   this->counters,
+                                   [this](const std::string& aAgent, const LinkMessage& aMessage) {
+                                     this->SendToAgent(aAgent, aMessage);
+                                   });
   if (const absl::Status status = this->StartServers(); !status.ok()) {
     return status;
   }
-  this->directory =
-    std::make_unique<EntryDirectory>(this->context, *this->store, this->counters);
-  this->directory->Register(
-    this->settings.machine,
-    ToString(SocketAddress{ this->settings.ip, this->settings.innerPort }));
+  this->directory = std::make_unique<EntryDirectory>(this->context, *this->store, this->counters);
+  this->directory->Register(this->settings.machine,
+                            ToString(SocketAddress{ this->settings.ip, this->settings.innerPort }));
   this->directory->Follow(
     [this](const std::string& aKey, const EntryDirectory::Entries& /*aEntries*/) {
       if (this->listener != nullptr) {
@@ -165,9 +161,7 @@
   }
   this->ready = *std::move(ready);
   this->metrics = std::make_unique<MetricsServer>(
-    this->context, this->settings.ip, this->counters, [this] {
-      return this->leader->Gauges();
-    });
+    this->context, this->settings.ip, this->counters, [this] { return this->leader->Gauges(); });
   return absl::OkStatus();
 }
 
@@ -181,17 +175,16 @@
   options.sharedKey = aKey;
   options.limits = ClusterLinkLimits();
   LinkListenerHandlers handlers;
-  handlers.up =
-    [this](LinkId aLink, const AgentId& aAgent, const DataCentreId& /*aDataCentre*/) {
-      const std::string agent = aAgent.Value();
-      if (const auto old = this->linkOfAgent.find(agent); old != this->linkOfAgent.end()) {
-        this->agentOfLink.erase(old->second);
-        this->leader->OnAgentDown(agent);
-      }
-      this->linkOfAgent[agent] = aLink;
-      this->agentOfLink[aLink] = agent;
-      this->leader->OnAgentUp(agent);
-    };
+  handlers.up = [this](LinkId aLink, const AgentId& aAgent, const DataCentreId& /*aDataCentre*/) {
+    const std::string agent = aAgent.Value();
+    if (const auto old = this->linkOfAgent.find(agent); old != this->linkOfAgent.end()) {
+      this->agentOfLink.erase(old->second);
+      this->leader->OnAgentDown(agent);
+    }
+    this->linkOfAgent[agent] = aLink;
+    this->agentOfLink[aLink] = agent;
+    this->leader->OnAgentUp(agent);
+  };
   handlers.down = [this](LinkId aLink, std::string_view aReason) {
     const auto it = this->agentOfLink.find(aLink);
     if (it == this->agentOfLink.end()) {
@@ -253,8 +246,8 @@
     }
     Log(LogLevel::Info, aSignal == SIGHUP ? "reload" : "stopping", { { "signal", aSignal } });
     if (aSignal == SIGHUP) {
-      // Every setting of an entry is an address or a bound of the machine, fixed while it runs; what
-      // operators change comes with the configuration.
+      // Every setting of an entry is an address or a bound of the machine, fixed while it runs;
+      // what operators change comes with the configuration.
       this->AwaitSignal();
       return;
     }
--- a/packages/daemon/src/EntryDirectory.cpp
+++ b/packages/daemon/src/EntryDirectory.cpp
@@ -59,7 +59,8 @@
         this->Later([this, aName, aLinkAddress] { this->WriteEntry(aName, aLinkAddress); });
         return;
       }
-      Log(LogLevel::Info, "entry_registered", { { "entry", aName }, { "version", aResult.version } });
+      Log(
+        LogLevel::Info, "entry_registered", { { "entry", aName }, { "version", aResult.version } });
     });
 }
 
--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -121,22 +121,21 @@
   const cluster::RowKey row{ std::string(jobs::kJobsTable), aRequest->id };
   transaction.conditions.push_back({ row, 0 });
   transaction.changes.push_back({ row, jobs::EncodeJobRecord(record), false });
-  transaction.changes.push_back({ { std::string(jobs::kWaitingTable),
-                                    jobs::WaitingKey(aQueue.policy.queue, aRequest->id) },
-                                  {},
-                                  false });
+  transaction.changes.push_back(
+    { { std::string(jobs::kWaitingTable), jobs::WaitingKey(aQueue.policy.queue, aRequest->id) },
+      {},
+      false });
   this->Store(aRequest, transaction);
 }
 
 void JobApi::Store(const RequestPtr& aRequest, const cluster::StoreTransaction& aTransaction)
 {
   ++aRequest->tries;
-  this->store.Commit(
-    aTransaction,
-    kStoreTimeout,
-    [this, aRequest, aTransaction](const cluster::CommitResult& aResult) {
-      this->OnStored(aRequest, aTransaction, aResult);
-    });
+  this->store.Commit(aTransaction,
+                     kStoreTimeout,
+                     [this, aRequest, aTransaction](const cluster::CommitResult& aResult) {
+                       this->OnStored(aRequest, aTransaction, aResult);
+                     });
 }
 
 void JobApi::OnStored(const RequestPtr& aRequest,
@@ -261,10 +260,10 @@
       cluster::StoreTransaction transaction;
       const cluster::StoredRow& job = aResult.rows.front();
       transaction.conditions.push_back({ job.row, job.version });
-      transaction.changes.push_back({ { std::string(jobs::kJobsTable),
-                                        aRequest->id + std::string(jobs::kCancelSuffix) },
-                                      {},
-                                      false });
+      transaction.changes.push_back(
+        { { std::string(jobs::kJobsTable), aRequest->id + std::string(jobs::kCancelSuffix) },
+          {},
+          false });
       this->Store(aRequest, transaction);
     });
 }
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -41,7 +41,9 @@
   };
   using RequestPtr = std::shared_ptr<Request>;
 
-  void Submit(const RequestPtr& aRequest, const cluster::QueueConfig& aQueue, const std::string& aBody);
+  void Submit(const RequestPtr& aRequest,
+              const cluster::QueueConfig& aQueue,
+              const std::string& aBody);
   void Store(const RequestPtr& aRequest, const cluster::StoreTransaction& aTransaction);
   void OnStored(const RequestPtr& aRequest,
                 const cluster::StoreTransaction& aTransaction,
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -80,27 +80,27 @@
 
 void LeaderDriver::Poll()
 {
-  this->store.Read({ std::string(kLeadTable), LeadKey().key, LeadKey().key + "~", 1 },
-                   kStoreTimeout,
-                   [this, before = this->term, asked = BootClock::now()](
-                     const cluster::ReadResult& aResult) {
-                     if (before != this->term || this->phase != Phase::Standby) {
-                       return;
-                     }
-                     const Instant now = BootClock::now();
-                     if (aResult.end == ReadEnd::Done) {
-                       std::optional<cluster::StoredRow> found;
-                       if (!aResult.rows.empty()) {
-                         found = aResult.rows.front();
-                       }
-                       this->election.OnRow(found, asked, now);
-                       if (this->election.ShouldClaim(now)) {
-                         this->Claim();
-                         return;
-                       }
-                     }
-                     this->PollLater(kElectionPoll);
-                   });
+  this->store.Read(
+    { std::string(kLeadTable), LeadKey().key, LeadKey().key + "~", 1 },
+    kStoreTimeout,
+    [this, before = this->term, asked = BootClock::now()](const cluster::ReadResult& aResult) {
+      if (before != this->term || this->phase != Phase::Standby) {
+        return;
+      }
+      const Instant now = BootClock::now();
+      if (aResult.end == ReadEnd::Done) {
+        std::optional<cluster::StoredRow> found;
+        if (!aResult.rows.empty()) {
+          found = aResult.rows.front();
+        }
+        this->election.OnRow(found, asked, now);
+        if (this->election.ShouldClaim(now)) {
+          this->Claim();
+          return;
+        }
+      }
+      this->PollLater(kElectionPoll);
+    });
 }
 
 void LeaderDriver::Claim()
@@ -114,36 +114,36 @@
         { "earlier", current.has_value() ? current->entry : "" },
         { "released", current.has_value() && current->released },
         { "silent_ms", ToMilliseconds(BootClock::now() - this->election.UnchangedSince()) } });
-  this->store.Commit(
-    this->election.MakeClaim(),
-    kStoreTimeout,
-    [this, claimed, before = this->term, sent = BootClock::now()](
-      const cluster::CommitResult& aResult) {
-      if (before != this->term || this->phase != Phase::Claiming) {
-        return;
-      }
-      if (aResult.end == CommitEnd::Applied) {
-        this->Become(claimed, aResult.version, sent);
-        return;
-      }
-      // A lost answer shows in the row: it then names this process.
-      if (aResult.end == CommitEnd::Conflict && !aResult.current.empty()) {
-        const cluster::StoredRow& found = aResult.current.front();
-        const auto value = cluster::DecodeLeadRow(found.value);
-        if (value.has_value() && *value == claimed) {
-          this->Become(claimed, found.version, sent);
-          return;
-        }
-      }
-      this->counters.Add("leadership_total", "claim_failed");
-      this->phase = Phase::Standby;
-      // An unanswered claim is tried again with the same row, so that one of the two shows.
-      if (aResult.end == CommitEnd::Unknown) {
-        this->Claim();
-        return;
-      }
-      this->PollLater(kStoreRetryDelay);
-    });
+  this->store.Commit(this->election.MakeClaim(),
+                     kStoreTimeout,
+                     [this, claimed, before = this->term, sent = BootClock::now()](
+                       const cluster::CommitResult& aResult) {
+                       if (before != this->term || this->phase != Phase::Claiming) {
+                         return;
+                       }
+                       if (aResult.end == CommitEnd::Applied) {
+                         this->Become(claimed, aResult.version, sent);
+                         return;
+                       }
+                       // A lost answer shows in the row: it then names this process.
+                       if (aResult.end == CommitEnd::Conflict && !aResult.current.empty()) {
+                         const cluster::StoredRow& found = aResult.current.front();
+                         const auto value = cluster::DecodeLeadRow(found.value);
+                         if (value.has_value() && *value == claimed) {
+                           this->Become(claimed, found.version, sent);
+                           return;
+                         }
+                       }
+                       this->counters.Add("leadership_total", "claim_failed");
+                       this->phase = Phase::Standby;
+                       // An unanswered claim is tried again with the same row, so that one of the
+                       // two shows.
+                       if (aResult.end == CommitEnd::Unknown) {
+                         this->Claim();
+                         return;
+                       }
+                       this->PollLater(kStoreRetryDelay);
+                     });
 }
 
 void LeaderDriver::Become(const cluster::LeadRow& aRow, std::uint64_t aVersion, Instant aSent)
@@ -192,20 +192,20 @@
 
 void LeaderDriver::Load(std::string_view aTable, const std::string& aFrom)
 {
-  this->store.Read(
-    { std::string(aTable), aFrom, "", 0 },
-    kStoreTimeout,
-    [this, aTable, aFrom, before = this->term](const cluster::ReadResult& aResult) {
-      if (before != this->term) {
-        return;
-      }
-      if (aResult.end != ReadEnd::Done) {
-        this->counters.Add("loading_retries_total", aResult.reason);
-        this->After(kStoreRetryDelay, [this, aTable, aFrom] { this->Load(aTable, aFrom); });
-        return;
-      }
-      this->OnLoaded(aTable, aResult);
-    });
+  this->store.Read({ std::string(aTable), aFrom, "", 0 },
+                   kStoreTimeout,
+                   [this, aTable, aFrom, before = this->term](const cluster::ReadResult& aResult) {
+                     if (before != this->term) {
+                       return;
+                     }
+                     if (aResult.end != ReadEnd::Done) {
+                       this->counters.Add("loading_retries_total", aResult.reason);
+                       this->After(kStoreRetryDelay,
+                                   [this, aTable, aFrom] { this->Load(aTable, aFrom); });
+                       return;
+                     }
+                     this->OnLoaded(aTable, aResult);
+                   });
 }
 
 void LeaderDriver::OnLoaded(std::string_view aTable, const cluster::ReadResult& aResult)
@@ -252,36 +252,35 @@
 
 void LeaderDriver::WatchJobs()
 {
-  this->store.Watch(
-    std::string(kJobsTable),
-    this->jobsVersion,
-    kWatchWait,
-    kWatchTimeout,
-    [this, before = this->term](const cluster::ReadResult& aResult) {
-      if (before != this->term) {
-        return;
-      }
-      if (aResult.end == ReadEnd::HistoryGone) {
-        this->counters.Add("watch_restarts_total", "history_gone");
-        this->ReloadJobs("", 0);
-        return;
-      }
-      if (aResult.end != ReadEnd::Done) {
-        this->counters.Add("watch_restarts_total", aResult.reason);
-        this->After(kStoreRetryDelay, [this] { this->WatchJobs(); });
-        return;
-      }
-      for (const cluster::StoredRow& row : aResult.rows) {
-        if (!row.removed) {
-          this->scheduler->OnJobRow(row.row.key, row.value, this->Time());
-        }
-      }
-      this->jobsVersion = std::max(this->jobsVersion, aResult.version);
-      if (!aResult.rows.empty()) {
-        this->PumpSoon();
-      }
-      this->WatchJobs();
-    });
+  this->store.Watch(std::string(kJobsTable),
+                    this->jobsVersion,
+                    kWatchWait,
+                    kWatchTimeout,
+                    [this, before = this->term](const cluster::ReadResult& aResult) {
+                      if (before != this->term) {
+                        return;
+                      }
+                      if (aResult.end == ReadEnd::HistoryGone) {
+                        this->counters.Add("watch_restarts_total", "history_gone");
+                        this->ReloadJobs("", 0);
+                        return;
+                      }
+                      if (aResult.end != ReadEnd::Done) {
+                        this->counters.Add("watch_restarts_total", aResult.reason);
+                        this->After(kStoreRetryDelay, [this] { this->WatchJobs(); });
+                        return;
+                      }
+                      for (const cluster::StoredRow& row : aResult.rows) {
+                        if (!row.removed) {
+                          this->scheduler->OnJobRow(row.row.key, row.value, this->Time());
+                        }
+                      }
+                      this->jobsVersion = std::max(this->jobsVersion, aResult.version);
+                      if (!aResult.rows.empty()) {
+                        this->PumpSoon();
+                      }
+                      this->WatchJobs();
+                    });
 }
 
 void LeaderDriver::ReloadJobs(const std::string& aFrom, std::uint64_t aVersion)
@@ -343,8 +342,7 @@
   if (BootClock::now() - this->renewed < this->schedulerSettings.sustainTime) {
     this->send(
       aAgent,
-      LeaseExtension{
-        aReport.epoch, aReport.sequence, this->scheduler->Interference().Weights() });
+      LeaseExtension{ aReport.epoch, aReport.sequence, this->scheduler->Interference().Weights() });
   } else {
     this->counters.Add("extensions_refused_total", "not_renewed");
   }
@@ -418,15 +416,14 @@
 void LeaderDriver::Send(const std::shared_ptr<jobs::StoreBatch>& aBatch,
                         const cluster::StoreTransaction& aTransaction)
 {
-  this->store.Commit(
-    aTransaction,
-    kStoreTimeout,
-    [this, aBatch, aTransaction, before = this->term, sent = BootClock::now()](
-      const cluster::CommitResult& aResult) {
-      if (before == this->term) {
-        this->OnCommitted(aBatch, aTransaction, aResult, sent);
-      }
-    });
+  this->store.Commit(aTransaction,
+                     kStoreTimeout,
+                     [this, aBatch, aTransaction, before = this->term, sent = BootClock::now()](
+                       const cluster::CommitResult& aResult) {
+                       if (before == this->term) {
+                         this->OnCommitted(aBatch, aTransaction, aResult, sent);
+                       }
+                     });
 }
 
 void LeaderDriver::OnCommitted(const std::shared_ptr<jobs::StoreBatch>& aBatch,
@@ -503,8 +500,7 @@
 
 std::map<std::string, double> LeaderDriver::Gauges() const
 {
-  std::map<std::string, double> gauges{ { "leader_epoch",
-                                          static_cast<double>(this->row.epoch) } };
+  std::map<std::string, double> gauges{ { "leader_epoch", static_cast<double>(this->row.epoch) } };
   if (this->scheduler != nullptr) {
     gauges["jobs_known"] = static_cast<double>(this->scheduler->Jobs().size());
     gauges["workers_known"] = static_cast<double>(this->scheduler->Workers().size());
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -52,7 +52,8 @@
 
 void WorkerDriver::OnHeartbeat(const platformwire::WorkerHeartbeat& aBeat)
 {
-  const bool sameLife = aBeat.worker.id == this->worker.id && aBeat.worker.born == this->worker.born;
+  const bool sameLife =
+    aBeat.worker.id == this->worker.id && aBeat.worker.born == this->worker.born;
   if (!sameLife && aBeat.worker.born < this->worker.born) {
     this->counters.Add("heartbeats_ignored_total", "earlier_life");
     return;
@@ -320,22 +321,22 @@
   if (this->clockMs.has_value() && this->leaseUntil > now &&
       now - this->lastAnswer < kWorkerSilence) {
     look.deadlineMs = this->WorkerDeadline(this->leaseUntil);
-    this->lapsesAt =
-      std::max(this->lapsesAt,
-               now + std::chrono::duration_cast<Duration>((this->leaseUntil - now) * kWorkerClockDrift) +
-                 kLapseMargin);
+    this->lapsesAt = std::max(
+      this->lapsesAt,
+      now + std::chrono::duration_cast<Duration>((this->leaseUntil - now) * kWorkerClockDrift) +
+        kLapseMargin);
   }
   // While ends wait for the leader an answer comes at once, so there is nothing to wait for.
   const bool waits = this->ended.empty() && this->fenced;
   look.wait = waits ? kLookWait : Duration::zero();
-  this->client->Look(look,
-                     look.wait + kWorkerTimeout,
-                     [this, look = ++this->lastLook, fence = this->epoch, now](
-                       const WorkerAnswer& aAnswer) {
-                       if (look == this->lastLook) {
-                         this->OnLook(aAnswer, fence, now);
-                       }
-                     });
+  this->client->Look(
+    look,
+    look.wait + kWorkerTimeout,
+    [this, look = ++this->lastLook, fence = this->epoch, now](const WorkerAnswer& aAnswer) {
+      if (look == this->lastLook) {
+        this->OnLook(aAnswer, fence, now);
+      }
+    });
 }
 
 void WorkerDriver::OnLook(const WorkerAnswer& aAnswer, Epoch aFence, Instant aSent)
@@ -377,9 +378,10 @@
     }
   }
   std::erase_if(this->known, [&](const auto& aItem) {
-    const bool listed = std::any_of(this->running.begin(),
-                                    this->running.end(),
-                                    [&](const RunningRun& aRun) { return aRun.ref == aItem.first; });
+    const bool listed =
+      std::any_of(this->running.begin(), this->running.end(), [&](const RunningRun& aRun) {
+        return aRun.ref == aItem.first;
+      });
     return !listed && !aItem.second.starting && aItem.second.confirmed < aSent;
   });
   this->Pace(now);
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -57,17 +57,17 @@
     observer.acknowledged = [](const std::string&, std::uint64_t, const std::string&) {};
     this->worker = std::make_unique<platformwire_testing::StandInWorker>(
       this->context, options, std::move(observer), 1);
-    this->driver = *WorkerDriver::Create(
-      this->context,
-      "127.0.0.1:" + std::to_string(this->worker->Port()),
-      std::chrono::seconds(6),
-      this->counters,
-      [this](const WorkerReport& aReport) {
-        this->reports.push_back(aReport);
-        if (this->extends) {
-          this->driver->OnExtension({ aReport.epoch, aReport.sequence, {} });
-        }
-      });
+    this->driver =
+      *WorkerDriver::Create(this->context,
+                            "127.0.0.1:" + std::to_string(this->worker->Port()),
+                            std::chrono::seconds(6),
+                            this->counters,
+                            [this](const WorkerReport& aReport) {
+                              this->reports.push_back(aReport);
+                              if (this->extends) {
+                                this->driver->OnExtension({ aReport.epoch, aReport.sequence, {} });
+                              }
+                            });
   }
 
   void RunFor(Duration aTime)
@@ -116,16 +116,14 @@
   beside.driver->FollowLeader(Epoch{ 1 });
   REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
   beside.StartTask("j.0.0.0");
-  REQUIRE(beside.Await([&] {
-    return !beside.reports.back().ended.empty() && beside.reports.back().full;
-  }));
+  REQUIRE(beside.Await(
+    [&] { return !beside.reports.back().ended.empty() && beside.reports.back().full; }));
   CHECK(beside.reports.back().ended[0].how == RunEnd::Done);
   WorkerOrders given = beside.Orders(Epoch{ 1 });
   given.acknowledgedEnds.push_back(beside.reports.back().ended[0].number);
   beside.driver->OnOrders(given);
-  CHECK(beside.Await([&] {
-    return beside.reports.back().full && beside.reports.back().ended.empty();
-  }));
+  CHECK(beside.Await(
+    [&] { return beside.reports.back().full && beside.reports.back().ended.empty(); }));
 }
 
 // Guards against a start whose deadline has passed before it is sent: without an extension for this
--- a/packages/http/src/ClientCore.cpp
+++ b/packages/http/src/ClientCore.cpp
@@ -33,9 +33,7 @@
     std::make_shared<ClientCall>(this->context, std::move(aRequest), std::move(aCallback));
   if (this->waiting.size() >= this->limits.waitingCalls) {
     this->counters.Add("http_calls_failed_total", "queue_full");
-    asio::post(this->context, [call] {
-      call->Finish({ HttpEnd::NotSent, {}, "queue_full" });
-    });
+    asio::post(this->context, [call] { call->Finish({ HttpEnd::NotSent, {}, "queue_full" }); });
     return;
   }
   call->timer.expires_after(aTimeout);
@@ -50,8 +48,7 @@
 
 void ClientCore::Assign()
 {
-  while (!this->closed && !this->waiting.empty() &&
-         this->busy.size() < this->limits.connections) {
+  while (!this->closed && !this->waiting.empty() && this->busy.size() < this->limits.connections) {
     std::shared_ptr<ClientConnection> connection = this->TakeIdle();
     if (connection == nullptr) {
       connection = std::make_shared<ClientConnection>(this->shared_from_this());
--- a/packages/http/src/ServerConnection.cpp
+++ b/packages/http/src/ServerConnection.cpp
@@ -3,7 +3,6 @@
 #include "absl/strings/str_cat.h"
 
 #include <asio/write.hpp>
-
 #include <sys/socket.h>
 
 namespace oriolespread::internal {
@@ -90,8 +89,8 @@
   }
   boost::system::error_code error;
   while (!this->input.empty() && !this->parser->is_done()) {
-    const std::size_t used = this->parser->put(
-      boost::asio::const_buffer(this->input.data(), this->input.size()), error);
+    const std::size_t used =
+      this->parser->put(boost::asio::const_buffer(this->input.data(), this->input.size()), error);
     this->input.erase(0, used);
     if (error == http::error::need_more || (!error && used == 0)) {
       return true;
@@ -124,8 +123,8 @@
   for (const auto& field : message) {
     const auto name = field.name_string();
     const auto value = field.value();
-    request.headers.push_back({ std::string(name.data(), name.size()),
-                                std::string(value.data(), value.size()) });
+    request.headers.push_back(
+      { std::string(name.data(), name.size()), std::string(value.data(), value.size()) });
   }
   request.body = std::move(message.body());
   this->core->handler(request,
--- a/packages/jobs/src/JobRows.cpp
+++ b/packages/jobs/src/JobRows.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 5> kStateNames = {
-  "queued", "running", "completed", "failed", "cancelled"
-};
+constexpr std::array<std::string_view, 5> kStateNames = { "queued",
+                                                          "running",
+                                                          "completed",
+                                                          "failed",
+                                                          "cancelled" };
 
 bool ParseNumber(std::string_view aText, std::uint32_t& aNumber)
 {
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -54,14 +54,16 @@
     this->log("row_unreadable", { { "table", std::string(kStateTable) }, { "key", aKey } });
     return;
   }
-  const char* begin = aValue.data() + space + 1;
-  std::from_chars(begin, aValue.data() + aValue.size(), job->endedUnixMs);
   job->started = true;
   // A cancellation that was read with the jobs goes before any stored state but a terminal one.
   if (IsTerminal(state) || !IsTerminal(job->state)) {
     job->state = state;
   }
   job->endStored = IsTerminal(state);
+  if (job->endStored) {
+    const char* begin = aValue.data() + space + 1;
+    std::from_chars(begin, aValue.data() + aValue.size(), job->endedUnixMs);
+  }
 }
 
 void JobScheduler::LoadProgress(const std::string& aKey, const std::string& aValue)
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -464,3 +464,25 @@
   CHECK(site.rows.empty());
   CHECK(site.scheduler.Jobs().empty());
 }
+
+// Guards against a cancelled job that a new leader forgets at once, so that its caller is told that
+// it does not exist: the state stored before the cancellation has no time of its end.
+TEST_CASE("JobScheduler KeepsAJobKnownThatWasCancelledBeforeTheTakeOver")
+{
+  Site first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(1) }));
+  first.Settle();
+
+  Site second;
+  second.rows = first.rows;
+  second.scheduler.LoadJob("j", first.rows.at({ std::string(kJobsTable), "j" }), second.now);
+  second.scheduler.LoadJob("j.cancel", "", second.now);
+  second.scheduler.LoadState("j", first.rows.at({ std::string(kStateTable), "j" }));
+  second.scheduler.LoadProgress("j.0.0", first.rows.at({ std::string(kProgressTable), "j.0.0" }));
+  second.scheduler.FinishLoading(Epoch{ 2 }, second.now.instant);
+  second.AddAgent("a");
+  second.Settle();
+  CHECK(second.rows.contains({ std::string(kJobsTable), "j" }));
+  CHECK(second.rows.at({ std::string(kStateTable), "j" }).starts_with("cancelled"));
+}
--- a/packages/messages/src/MessageCodec.cpp
+++ b/packages/messages/src/MessageCodec.cpp
@@ -13,9 +13,9 @@
 
 // Names in the order of the alternatives of LinkMessage; they are part of the protocol.
 constexpr std::array<std::string_view, std::variant_size_v<LinkMessage>> kNames = {
-  "announce",   "load_report",  "leave",        "credit_grant",  "credit_demand",
-  "latency",    "heartbeat",    "lease_grant",  "task_event",    "task_event_ack",
-  "start_task", "task_command", "usage_report", "ticket_update", "entry_directory",
+  "announce",      "load_report",     "leave",        "credit_grant",  "credit_demand",
+  "latency",       "heartbeat",       "lease_grant",  "task_event",    "task_event_ack",
+  "start_task",    "task_command",    "usage_report", "ticket_update", "entry_directory",
   "worker_report", "lease_extension", "leader_claim", "worker_orders",
 };
 
--- a/packages/settings/src/SettingsReader.h
+++ b/packages/settings/src/SettingsReader.h
@@ -9,12 +9,11 @@
 //   reader.Finish();
 #pragma once
 
-#include "oriolespread/settings/TomlDocument.h"
-
 #include "oriolespread/base/Findings.h"
 #include "oriolespread/base/Ids.h"
 #include "oriolespread/base/SocketAddress.h"
 #include "oriolespread/base/Time.h"
+#include "oriolespread/settings/TomlDocument.h"
 
 #include <cstdint>
 #include <set>
