--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 SEED ?= 1
+COUNT ?= 5
 
-.PHONY: deps build test lint format bench run golden sanitize clean
+.PHONY: deps build test lint format bench run soak golden sanitize clean
 
 deps:
 	@./tools/install-packages
@@ -28,6 +29,9 @@
 run: build
 	@./tools/run-site $(BUILD)
 
+soak: build
+	@./$(BUILD)/packages/soak/oriolespread-soak --programs $(BUILD)/packages/apps --seed $(SEED) --count $(COUNT)
+
 bench: build
 	@./$(BUILD)/packages/bench/oriolespread-bench --seed $(SEED)
 
--- a/packages/service/include/oriolespread/service/ApiServer.h
+++ b/packages/service/include/oriolespread/service/ApiServer.h
@@ -1,5 +1,5 @@
 // The HTTP interface of an entry: requests of callers, jobs, change tickets, status and metrics.
-// docs/operations.md lists the paths.
+// docs/OPERATIONS.md lists the paths.
 #pragma once
 
 #include "oriolespread/auth/TokenTable.h"
