Do not start a task again whose unanswered start was carried out

The agent reported a rejection, and the leader placed the task again. Change: that refusal is an answer of its own, EndedBefore; the run's end, or its absence from the next look, decides. Result: WorkerDriverTest ReportsTheEndOfARunWhoseStartWasNotAnswered fails before and passes after; soak workers leave orders unanswered as well.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -222,6 +222,8 @@
   }
   switch (aAnswer.end) {
     case WorkerCallEnd::Done:
+    case WorkerCallEnd::EndedBefore:
+      // A run whose unanswered start was carried out may have ended by now; its end is listed.
       it->second.starting = false;
       it->second.confirmed = BootClock::now();
       return;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -176,3 +176,26 @@
   beside.worker.reset();
   CHECK(beside.Await([&] { return beside.reports.back().allLost; }));
 }
+
+// Guards against a second run of a task that is done: the worker runs it and leaves the start
+// unanswered, and the repeated start is refused as one that has ended.
+TEST_CASE("WorkerDriver ReportsTheEndOfARunWhoseStartWasNotAnswered")
+{
+  Beside beside;
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  beside.worker->SetMute(1.0);
+  beside.worker->SetMuteLooks(true);
+  // The look that is under way is answered before the run ends.
+  beside.RunFor(600 * kMs);
+  beside.StartTask("j.0.0.0");
+  REQUIRE(beside.Await([&] { return !beside.started.empty(); }));
+  beside.worker->SetMute(0);
+  beside.RunFor(800 * kMs);
+  for (const WorkerReport& report : beside.reports) {
+    CHECK(report.rejected.empty());
+  }
+  beside.worker->SetMuteLooks(false);
+  CHECK(beside.Await([&] { return !beside.reports.back().ended.empty(); }));
+  CHECK(beside.started.size() == 1);
+}
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -441,11 +441,19 @@
 
 void Soak::InjectIntoWorker(std::size_t aIndex)
 {
-  if (this->random.Chance(0.5)) {
+  const std::uint64_t kind = this->random.Below(3);
+  if (kind == 0) {
     this->Note("worker " + std::to_string(aIndex) + " restarts");
     this->workers[aIndex]->Restart();
     return;
   }
+  if (kind == 1) {
+    this->Note("worker " + std::to_string(aIndex) + " leaves orders unanswered");
+    this->workers[aIndex]->SetMute(0.5);
+    this->After(std::chrono::milliseconds(3000),
+                [this, aIndex] { this->workers[aIndex]->SetMute(0); });
+    return;
+  }
   this->Note("worker " + std::to_string(aIndex) + " carries out orders late");
   this->workers[aIndex]->SetLate(0.3);
   this->After(std::chrono::milliseconds(2000),
