--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -154,6 +154,7 @@
   this->rowVersion = aVersion;
   this->renewed = aSent;
   this->committing = false;
+  this->jobsVersion = 0;
   this->counters.Add("leadership_total", "claimed");
   Log(LogLevel::Info, "leadership_claimed", { { "epoch", aRow.epoch }, { "version", aVersion } });
   this->scheduler = std::make_unique<jobs::JobScheduler>(
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -21,11 +21,12 @@
 // Estimates are rough, so only this share of them counts against a deadline.
 constexpr double kChainTrusted = 0.7;
 
+// Whether a step can still end within its objective, or within its multiple.
 enum Lateness
 {
-  kInTime = 0,
-  kLate = 1,
-  kTooLate = 2,
+  InTime = 0,
+  Late = 1,
+  TooLate = 2,
 };
 
 std::int64_t ObjectiveMs(const JobRecord& aRecord)
@@ -122,12 +123,13 @@
     if (job.lastActive == Instant{} || HasActiveRuns(job)) {
       job.lastActive = aNow.instant;
     }
-    for (auto& [number, occurrence] : job.occurrences) {
-      for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
-        const Step& step = occurrence.steps[index];
+    for (const auto& [number, occurrence] : job.occurrences) {
+      const std::vector<Step>& steps = occurrence.steps;
+      for (std::uint32_t index = 0; index < steps.size(); ++index) {
+        const Step& step = steps[index];
         const auto& after = job.record.spec.steps[index].after;
         const bool turn = std::all_of(after.begin(), after.end(), [&](std::uint32_t aBefore) {
-          return occurrence.steps[aBefore].IsDone();
+          return steps[aBefore].IsDone();
         });
         if (!turn || step.done + step.active == step.tasks.size()) {
           continue;
@@ -140,7 +142,7 @@
           aNow.unixMs + static_cast<std::int64_t>(
                           kChainTrusted * static_cast<double>(ChainFromMs(job.record.spec, index)));
         const bool inTime = spec.longRunning || ends < due + objective;
-        const int lateness = inTime ? kInTime : ends < due + late ? kLate : kTooLate;
+        const int lateness = inTime ? InTime : ends < due + late ? Late : TooLate;
         ready.push_back(
           { &job, number, index, lateness, due + objective, this->GainOf(job, occurrence, spec) });
       }
