Count every lease that a silent worker was given

A worker that answered nothing carried out repeated starts, whose deadlines extended its lease; the agent counted only the deadlines of looks, reported the worker as lapsed, and its runs were started elsewhere while they went on. Change: one function passes leases on and keeps the latest one; a worker that is silent gets none beyond it.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -93,6 +93,7 @@
   this->fenced = false;
   this->clockMs.reset();
   this->leaseUntil = {};
+  this->grantedUntil = {};
   // An earlier agent beside this worker may have given it a lease of any length that it allows.
   this->lapsesAt = BootClock::now() +
                    std::chrono::duration_cast<Duration>(this->maxLease * kWorkerClockDrift) +
@@ -198,14 +199,14 @@
     return;
   }
   // Without a lease the deadline of the start would have passed when it reaches the worker.
-  if (!this->fenced || !this->clockMs.has_value() || this->leaseUntil <= BootClock::now()) {
+  if (!this->fenced || !this->clockMs.has_value() || !this->GrantLease()) {
     this->After(kLeasePoll, [this, aRef] { this->Start(aRef); });
     return;
   }
   ++it->second.tries;
   this->client->Start(it->second.start,
                       this->epoch,
-                      this->WorkerDeadline(this->leaseUntil),
+                      this->WorkerDeadline(this->grantedUntil),
                       kWorkerTimeout,
                       [this, aRef, life = this->life](const WorkerAnswer& aAnswer) {
                         if (life == this->life) {
@@ -292,6 +293,23 @@
     });
 }
 
+bool WorkerDriver::GrantLease()
+{
+  const Instant now = BootClock::now();
+  // A worker that does not answer may still carry calls out, so that each deadline it is given
+  // counts; it gets none beyond the last one until it answers.
+  if (now - this->lastAnswer < kWorkerSilence) {
+    this->grantedUntil = std::max(this->grantedUntil, this->leaseUntil);
+  }
+  if (this->grantedUntil <= now) {
+    return false;
+  }
+  const auto left =
+    std::chrono::duration_cast<Duration>((this->grantedUntil - now) * kWorkerClockDrift);
+  this->lapsesAt = std::max(this->lapsesAt, now + left + kLapseMargin);
+  return true;
+}
+
 std::int64_t WorkerDriver::WorkerDeadline(Instant aLocal) const
 {
   return this->clockMs.value_or(0) + ToMilliseconds(aLocal - this->clockRead);
@@ -320,13 +338,8 @@
   platformwire::WorkerLook look;
   look.fence = this->epoch;
   look.acknowledgedEnds = this->lastSeen;
-  if (this->clockMs.has_value() && this->leaseUntil > now &&
-      now - this->lastAnswer < kWorkerSilence) {
-    look.deadlineMs = this->WorkerDeadline(this->leaseUntil);
-    this->lapsesAt = std::max(
-      this->lapsesAt,
-      now + std::chrono::duration_cast<Duration>((this->leaseUntil - now) * kWorkerClockDrift) +
-        kLapseMargin);
+  if (this->clockMs.has_value() && now - this->lastAnswer < kWorkerSilence && this->GrantLease()) {
+    look.deadlineMs = this->WorkerDeadline(this->grantedUntil);
   }
   // While ends wait for the leader an answer comes at once, so there is nothing to wait for.
   const bool waits = this->ended.empty() && this->fenced;
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -72,6 +72,9 @@
   void Stop(const RunRef& aRef);
   void Reject(const RunRef& aRef, const std::string& aReason);
   void Pace(Instant aNow);
+  // Brings `grantedUntil` and `lapsesAt` up to date before a deadline is passed on. Returns false
+  // when there is no lease to pass on.
+  bool GrantLease();
   std::int64_t WorkerDeadline(Instant aLocal) const;
   void After(Duration aDelay, std::function<void()> aCall);
 
@@ -104,7 +107,9 @@
   Instant clockRead{};
   // Until when the leader lets the worker run, on this machine's clock.
   Instant leaseUntil{};
-  // The latest deadline that the worker may have been given, on this machine's clock.
+  // The end of the lease that was last passed on to the worker.
+  Instant grantedUntil{};
+  // When every deadline that the worker may have been given has certainly passed on its clock.
   Instant lapsesAt{};
   Instant lastAnswer{};
   int refusals = 0;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -25,7 +25,7 @@
   bool extends = true;
   std::uint64_t orders = 0;
 
-  Beside()
+  explicit Beside(Duration aMaxLease = std::chrono::seconds(6), Duration aRunTime = 100 * kMs)
   {
     this->control = *HttpServer::Create(
       this->context,
@@ -46,7 +46,7 @@
     options.ip = "127.0.0.1";
     options.agentAddress = "127.0.0.1:" + std::to_string(this->control->Port());
     options.heartbeatInterval = 50 * kMs;
-    options.runTime = 100 * kMs;
+    options.runTime = aRunTime;
     platformwire_testing::StandInWorkerObserver observer;
     observer.started = [this](const std::string& aTask, std::uint64_t, const std::string&) {
       this->started.push_back(aTask);
@@ -60,7 +60,7 @@
     this->driver =
       *WorkerDriver::Create(this->context,
                             "127.0.0.1:" + std::to_string(this->worker->Port()),
-                            std::chrono::seconds(6),
+                            aMaxLease,
                             this->counters,
                             [this](const WorkerReport& aReport) {
                               this->reports.push_back(aReport);
@@ -199,3 +199,22 @@
   CHECK(beside.Await([&] { return !beside.reports.back().ended.empty(); }));
   CHECK(beside.started.size() == 1);
 }
+
+// Guards against two runs of one task: a worker that answers nothing carries out repeated starts,
+// whose deadlines extend its lease. It must not be reported as lapsed before they have passed.
+TEST_CASE("WorkerDriver ReportsASilentWorkerAsLostOnlyAfterEveryLeaseItWasGiven")
+{
+  Beside beside(1500 * kMs, std::chrono::seconds(60));
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  beside.StartTask("j.0.0.0");
+  REQUIRE(beside.Await([&] { return !beside.started.empty(); }));
+  beside.worker->SetMuteLooks(true);
+  beside.worker->SetMute(1.0);
+  for (int index = 1; index <= 30 && !beside.reports.back().allLost; ++index) {
+    beside.StartTask("k.0.0." + std::to_string(index));
+    beside.RunFor(200 * kMs);
+  }
+  REQUIRE(beside.Await([&] { return beside.reports.back().allLost; }));
+  CHECK(beside.ended.size() == beside.started.size());
+}
