Serve latency histograms of the cluster processes

Change: request, commit, job_start and run_start in seconds; MetricsServer takes one source for gauges and histograms. Result: MetricsServer ServesCountersGaugesAndHistograms passes.

--- a/packages/daemon/src/ClusterAgent.cpp
+++ b/packages/daemon/src/ClusterAgent.cpp
@@ -92,8 +92,10 @@
   this->control = *std::move(server);
   this->metrics =
     std::make_unique<MetricsServer>(this->context, this->settings.ip, this->counters, [this] {
-      return std::map<std::string, double>{ { "leader_epoch",
-                                              static_cast<double>(this->epoch.Value()) } };
+      MetricsServer::Values values;
+      values.gauges["leader_epoch"] = static_cast<double>(this->epoch.Value());
+      values.histograms["run_start"] = &this->worker->StartLatency();
+      return values;
     });
   this->directory = std::make_unique<EntryDirectory>(this->context, *this->store, this->counters);
   this->directory->Follow([this](const std::string& aKey, const EntryDirectory::Entries& aEntries) {
--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -161,7 +161,12 @@
   }
   this->ready = *std::move(ready);
   this->metrics = std::make_unique<MetricsServer>(
-    this->context, this->settings.ip, this->counters, [this] { return this->leader->Gauges(); });
+    this->context, this->settings.ip, this->counters, [this] {
+      return MetricsServer::Values{ this->leader->Gauges(),
+                                    { { "request", &this->api->Latency() },
+                                      { "commit", &this->leader->CommitLatency() },
+                                      { "job_start", &this->leader->JobStartLatency() } } };
+    });
   return absl::OkStatus();
 }
 
--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -307,6 +307,7 @@
   if (aStatus == kHttpUnavailable) {
     response.headers.push_back({ "Retry-After", kRetryAfterSeconds });
   }
+  this->latency.Add(BootClock::now() - aRequest->arrived);
   this->counters.Add(aStatus == kHttpOk ? "requests_answered_total" : "requests_refused_total",
                      aReason);
   const LogLevel level =
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -5,6 +5,7 @@
 #include "ConfigFollower.h"
 
 #include "oriolespread/http/HttpServer.h"
+#include "oriolespread/service/LatencyHistogram.h"
 
 #include <memory>
 #include <string>
@@ -25,6 +26,9 @@
   // When the store last took or answered a call.
   Instant StoreAnswered() const { return this->storeAnswered; }
 
+  // From a request's arrival to its answer.
+  const LatencyHistogram& Latency() const { return this->latency; }
+
 private:
   // One request on its way; ends with one answer.
   struct Request
@@ -63,6 +67,7 @@
   platformwire::StoreClient& store;
   const ConfigFollower& config;
   Counters& counters;
+  LatencyHistogram latency;
   Instant storeAnswered{};
   Instant storeFailed{};
   // Ended states, which do not change any more.
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -380,6 +380,9 @@
   jobs::StoreBatch batch;
   if (this->phase == Phase::Leading && this->released == nullptr) {
     this->scheduler->Decide(this->Time());
+    for (const Duration delay : this->scheduler->TakeStartDelays()) {
+      this->jobStartLatency.Add(delay);
+    }
     this->SendOrders();
   }
   if (this->committing) {
@@ -401,6 +404,7 @@
 void LeaderDriver::Commit(jobs::StoreBatch aBatch)
 {
   this->committing = true;
+  this->commitBegun = BootClock::now();
   ++this->row.renewal;
   cluster::StoreTransaction transaction;
   transaction.conditions.push_back({ LeadKey(), this->rowVersion });
@@ -452,6 +456,7 @@
   this->rowVersion = version;
   this->renewed = aSent;
   this->committing = false;
+  this->commitLatency.Add(BootClock::now() - this->commitBegun);
   if (this->row.released) {
     this->FinishRelease();
     return;
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -8,6 +8,7 @@
 #include "oriolespread/jobs/JobScheduler.h"
 #include "oriolespread/messages/MessageCodec.h"
 #include "oriolespread/platformwire/StoreClient.h"
+#include "oriolespread/service/LatencyHistogram.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -49,6 +50,10 @@
   void Release(std::function<void()> aDone);
 
   std::map<std::string, double> Gauges() const;
+  // From the first try of a transaction of the leader until it is known to be applied.
+  const LatencyHistogram& CommitLatency() const { return this->commitLatency; }
+  // From the first read of a job to the placement of its first task.
+  const LatencyHistogram& JobStartLatency() const { return this->jobStartLatency; }
 
 private:
   enum class Phase
@@ -109,6 +114,7 @@
   // When the last renewal that was applied had been sent.
   Instant renewed{};
   bool committing = false;
+  Instant commitBegun{};
   // A transaction that removes rows outside the leader's part is on its way.
   bool removing = false;
   bool pumpPending = false;
@@ -117,6 +123,8 @@
   jobs::SchedulerSettings schedulerSettings;
   std::set<std::string> agents;
   std::function<void()> released;
+  LatencyHistogram commitLatency;
+  LatencyHistogram jobStartLatency;
 };
 
 } // namespace oriolespread::daemon
--- a/packages/daemon/src/MetricsServer.cpp
+++ b/packages/daemon/src/MetricsServer.cpp
@@ -7,22 +7,23 @@
 MetricsServer::MetricsServer(asio::io_context& aContext,
                              const std::string& aIp,
                              Counters& aCounters,
-                             Gauges aGauges)
+                             Source aSource)
 {
   auto made = HttpServer::Create(
     aContext,
     aIp,
     kMetricsPort,
     {},
-    [&aCounters, gauges = std::move(aGauges)](const HttpRequest& aRequest,
+    [&aCounters, source = std::move(aSource)](const HttpRequest& aRequest,
                                               const HttpServer::Reply& aReply) {
       if (aRequest.target != "/metrics") {
         aReply({ kHttpNotFound, {}, {} });
         return;
       }
+      const Values values = source();
       aReply({ kHttpOk,
                { { "Content-Type", "text/plain; version=0.0.4" } },
-               MetricsText(aCounters, gauges(), {}) });
+               MetricsText(aCounters, values.gauges, values.histograms) });
     },
     aCounters);
   if (!made.ok()) {
--- a/packages/daemon/src/MetricsServer.h
+++ b/packages/daemon/src/MetricsServer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "oriolespread/http/HttpServer.h"
+#include "oriolespread/service/LatencyHistogram.h"
 #include "oriolespread/service/MetricsText.h"
 
 #include <functional>
@@ -14,13 +15,20 @@
 class MetricsServer
 {
 public:
-  using Gauges = std::function<std::map<std::string, double>()>;
+  // What a process shows besides its counters.
+  struct Values
+  {
+    std::map<std::string, double> gauges;
+    // Shown in seconds under the name and "_seconds".
+    std::map<std::string, const LatencyHistogram*> histograms;
+  };
+  using Source = std::function<Values()>;
 
   // Without the port the process runs on without metrics, and logs why.
   MetricsServer(asio::io_context& aContext,
                 const std::string& aIp,
                 Counters& aCounters,
-                Gauges aGauges);
+                Source aSource);
 
 private:
   std::unique_ptr<HttpServer> server;
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -185,6 +185,7 @@
     item = {};
     item.start = start;
     item.starting = true;
+    item.ordered = BootClock::now();
     this->Start(start.ref);
   }
   if (!aOrders.acknowledgedEnds.empty()) {
@@ -227,6 +228,7 @@
       // A run whose unanswered start was carried out may have ended by now; its end is listed.
       it->second.starting = false;
       it->second.confirmed = BootClock::now();
+      this->startLatency.Add(it->second.confirmed - it->second.ordered);
       return;
     case WorkerCallEnd::Rejected:
       this->Reject(aRef, aAnswer.reason);
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -6,6 +6,7 @@
 #include "oriolespread/cluster/PaceController.h"
 #include "oriolespread/messages/WorkerMessages.h"
 #include "oriolespread/platformwire/WorkerClient.h"
+#include "oriolespread/service/LatencyHistogram.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -42,6 +43,9 @@
   void OnExtension(const LeaseExtension& aExtension);
   void OnOrders(const WorkerOrders& aOrders);
 
+  // From the order of a run to the worker's confirmation that it has started.
+  const LatencyHistogram& StartLatency() const { return this->startLatency; }
+
 private:
   struct Known
   {
@@ -50,6 +54,7 @@
     bool starting = false;
     bool stopping = false;
     int tries = 0;
+    Instant ordered{};
     // When the worker confirmed the start.
     Instant confirmed{};
   };
@@ -123,6 +128,7 @@
   std::uint64_t lastSeen = 0;
   std::vector<RejectedRun> rejected;
   Instant lastFull{};
+  LatencyHistogram startLatency;
   cluster::PaceController pace;
   // By image, as the leader has learned.
   std::map<std::string, double> disturbance;
--- /dev/null
+++ b/packages/daemon/tests/MetricsServerTest.cpp
@@ -0,0 +1,40 @@
+#include "MetricsServer.h"
+
+#include "oriolespread/http/HttpClient.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace oriolespread;
+using namespace oriolespread::daemon;
+
+// Guards against a process whose counters, gauges or histograms cannot be read on its metrics port.
+TEST_CASE("MetricsServer ServesCountersGaugesAndHistograms")
+{
+  asio::io_context context{ 1 };
+  Counters counters;
+  counters.Add("requests_answered_total", "stored");
+  LatencyHistogram latency;
+  latency.Add(std::chrono::milliseconds(20));
+  // An address of its own within the loopback network, as the port is fixed.
+  MetricsServer server(context, "127.77.3.9", counters, [&] {
+    return MetricsServer::Values{ { { "workers_known", 3 } }, { { "request", &latency } } };
+  });
+  auto client = *HttpClient::Create(
+    context, "127.77.3.9:" + std::to_string(kMetricsPort), HttpClientLimits{}, counters);
+  std::optional<HttpResult> result;
+  client->Call({ "GET", "/metrics", {}, {} },
+               std::chrono::seconds(5),
+               [&](const HttpResult& aResult) { result = aResult; });
+  while (!result.has_value()) {
+    context.run_one();
+  }
+  REQUIRE(result->IsAnswer(kHttpOk));
+  const std::string& text = result->response.body;
+  INFO(text);
+  CHECK(text.find("oriolespread_requests_answered_total{reason=\"stored\"} 1") !=
+        std::string::npos);
+  CHECK(text.find("oriolespread_workers_known 3") != std::string::npos);
+  CHECK(text.find("oriolespread_request_seconds_count 1") != std::string::npos);
+}
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -93,6 +93,8 @@
   JobRecord record;
   JobState state = JobState::Queued;
   bool started = false;
+  // When this leader first read of the job.
+  Instant known{};
   std::map<std::uint32_t, Occurrence> occurrences;
   std::uint32_t completedOccurrences = 0;
   std::uint32_t nextOccurrence = 0;
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -24,6 +24,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace oriolespread::jobs {
@@ -98,6 +99,9 @@
   const std::map<WorkerKey, Worker>& Workers() const { return this->workers; }
   const std::map<std::string, Job>& Jobs() const { return this->jobs; }
   const InterferenceBook& Interference() const { return this->interference; }
+  // Returns how long the jobs waited whose first task was placed since the last call, from when this
+  // leader first read of them.
+  std::vector<Duration> TakeStartDelays() { return std::exchange(this->startDelays, {}); }
   std::size_t WaitingTasks() const { return this->waitingTasks; }
 
 private:
@@ -182,6 +186,7 @@
   std::map<std::string, WorkerOrders> outgoing;
   std::uint64_t lastOrders = 0;
   std::size_t waitingTasks = 0;
+  std::vector<Duration> startDelays;
   std::vector<RowKey> removable;
   // Stored states of jobs that have no row, and when they were read.
   std::map<std::string, Instant> orphans;
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -161,6 +161,7 @@
   const std::string id = aRecord.id;
   Job& job = this->jobs[id];
   job.record = std::move(aRecord);
+  job.known = aNow.instant;
   this->activeJobs.insert(id);
   for (const StepSpec& step : job.record.spec.steps) {
     job.work += step.count * TaskWork(step);
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -281,6 +281,7 @@
   if (!job.started) {
     job.started = true;
     job.state = JobState::Running;
+    this->startDelays.push_back(aNow.instant - job.known);
     this->MarkChanged(StateRow(job.record.id));
     this->removable.push_back(WaitingRow(job.record.policy.queue, job.record.id));
   }
