Move the platform's texts of the soak into platform/testing

Cause: the soak and the tests wrote settings, configurations and jobs in the platform's form outside its folder. Change: EncodeSettings, EncodeConfig and EncodeJob are the inverse of the adapter's decoders and take the product's types; usage texts no longer name the settings variable.

--- a/packages/apps/src/Agent.cpp
+++ b/packages/apps/src/Agent.cpp
@@ -76,7 +76,7 @@
                            "Runs beside a worker or upstream and connects it with the entries.\n"
                            "Exit codes: 0 done, 1 failed, 2 wrong command line or settings.");
   options.add_options()("config", "settings file (TOML)", cxxopts::value<std::string>())(
-    "cluster", "run on the platform whose settings file ORIOLESPREAD_SETTINGS names")(
+    "cluster", "run on the platform that starts it")(
     "check", "check the settings, report every finding and stop");
   int exitCode = 0;
   const auto parsed = oriolespread::apps::ParseOptions(options, argc, argv, exitCode);
--- a/packages/daemon/tests/ConfigFollowerTest.cpp
+++ b/packages/daemon/tests/ConfigFollowerTest.cpp
@@ -61,7 +61,7 @@
   fixture.PutConfig(1);
   fixture.config.Start();
   REQUIRE(fixture.RunUntil([&] { return fixture.config.Config().has_value(); }));
-  fixture.store.Put("op", "config", "{\"version\":2,\"routes\":[{}]}");
+  fixture.PutConfig(std::string("{\"version\":2,\"routes\":[{}]}"));
   REQUIRE(fixture.RunUntil(
     [&] { return fixture.counters.Get("config_reads_total", "unreadable") == 1; }));
   CHECK(fixture.config.Config()->version == 1);
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -13,7 +13,14 @@
 
 constexpr Duration kMs = std::chrono::milliseconds(1);
 constexpr const char* kJob = "00000000000000a1";
-constexpr const char* kBody = R"({"spec":"x","steps":[{"count":1,"cpu":100}]})";
+
+std::string Body()
+{
+  jobs::JobSpec spec;
+  spec.payload = "x";
+  spec.steps.emplace_back().count = 1;
+  return platformwire_testing::EncodeJob(spec);
+}
 
 struct Api : StoreFixture
 {
@@ -60,8 +67,8 @@
 TEST_CASE("JobApi StoresAJobOnceAndShowsItAsQueued")
 {
   Api api;
-  CHECK(api.Call("POST", Path(), kBody).status == kHttpOk);
-  CHECK(api.Call("POST", Path(), kBody).status == kHttpOk);
+  CHECK(api.Call("POST", Path(), Body()).status == kHttpOk);
+  CHECK(api.Call("POST", Path(), Body()).status == kHttpOk);
   CHECK(api.store.CountRows("jobs") == 1);
   CHECK(api.Call("GET", Path()).body == platformwire::EncodeState(jobs::JobState::Queued));
   CHECK(api.Pending() == platformwire::EncodePending(1));
@@ -74,7 +81,7 @@
   Api api;
   for (int job = 0; job < 40; ++job) {
     const std::string id = "00000000000000" + std::to_string(10 + job);
-    REQUIRE(api.Call("POST", Path(id), kBody).status == kHttpOk);
+    REQUIRE(api.Call("POST", Path(id), Body()).status == kHttpOk);
   }
   CHECK(api.store.PartsOf("jobs").size() == jobs::kJobParts);
   CHECK(api.store.PartsOf("jobs") == api.store.PartsOf("waiting"));
@@ -96,7 +103,7 @@
 TEST_CASE("JobApi KeepsACancellationWithTheJob")
 {
   Api api;
-  REQUIRE(api.Call("POST", Path(), kBody).status == kHttpOk);
+  REQUIRE(api.Call("POST", Path(), Body()).status == kHttpOk);
   CHECK(api.Call("DELETE", Path()).status == kHttpOk);
   CHECK(api.Call("DELETE", Path()).status == kHttpOk);
   CHECK(api.Call("GET", Path()).body == platformwire::EncodeState(jobs::JobState::Cancelled));
@@ -108,7 +115,7 @@
 {
   Api api;
   api.store.SetFault(api.server, { .lost = 1.0 });
-  const HttpResponse answer = api.Call("POST", Path(), kBody);
+  const HttpResponse answer = api.Call("POST", Path(), Body());
   CHECK(answer.status != kHttpUnavailable);
   CHECK(answer.status != kHttpTooManyRequests);
 }
@@ -119,7 +126,7 @@
   Api api;
   api.store.SetFault(api.server, { .busy = true });
   const Instant asked = BootClock::now();
-  const HttpResponse answer = api.Call("POST", Path(), kBody);
+  const HttpResponse answer = api.Call("POST", Path(), Body());
   CHECK(answer.status == kHttpUnavailable);
   CHECK(FindHeader(answer.headers, "Retry-After") == "1");
   CHECK(BootClock::now() - asked < 700 * kMs);
@@ -130,14 +137,14 @@
 TEST_CASE("JobApi AnswersUnavailableWithoutAConfiguration")
 {
   Api api(false);
-  CHECK(api.Call("POST", Path(), kBody).status == kHttpUnavailable);
+  CHECK(api.Call("POST", Path(), Body()).status == kHttpUnavailable);
 }
 
 TEST_CASE("JobApi AnswersNotFoundForAnUnknownQueueAndBadRequestForAnUnreadableJob")
 {
   Api api;
-  CHECK(api.Call("POST", "/other/00000000000000a1", kBody).status == kHttpNotFound);
-  CHECK(api.Call("POST", Path("not-an-id"), kBody).status == kHttpNotFound);
+  CHECK(api.Call("POST", "/other/00000000000000a1", Body()).status == kHttpNotFound);
+  CHECK(api.Call("POST", Path("not-an-id"), Body()).status == kHttpNotFound);
   CHECK(api.Call("POST", Path(), "{").status == kHttpBadRequest);
   CHECK(api.store.CountRows("jobs") == 0);
 }
@@ -148,6 +155,6 @@
   Api api;
   api.store.SetFault(api.server, { .silent = true });
   const Instant asked = BootClock::now();
-  CHECK(api.Call("POST", Path(), kBody, "1200").status == kHttpGatewayTimeout);
+  CHECK(api.Call("POST", Path(), Body(), "1200").status == kHttpGatewayTimeout);
   CHECK(BootClock::now() - asked < 1300 * kMs);
 }
--- a/packages/daemon/tests/StoreFixture.h
+++ b/packages/daemon/tests/StoreFixture.h
@@ -4,6 +4,7 @@
 #include "ConfigFollower.h"
 
 #include "oriolespread/platformwire_testing/StandInStore.h"
+#include "oriolespread/platformwire_testing/WireTexts.h"
 
 #include <string>
 
@@ -27,11 +28,21 @@
   // Writes a configuration with one queue "q" at host "h", path "/q/".
   void PutConfig(std::uint64_t aVersion)
   {
-    this->store.Put("op",
-                    "config",
-                    R"({"version":)" + std::to_string(aVersion) +
-                      R"(,"routes":[{"host":"h","path_prefix":"/q/","name":"q","service":"s",)"
-                      R"("timeout_ms":2000,"max_attempts":3}],"services":[],"limits":{}})");
+    cluster::ClusterConfig written;
+    written.version = aVersion;
+    cluster::QueueConfig& queue = written.queues.emplace_back();
+    queue.host = "h";
+    queue.pathPrefix = "/q/";
+    queue.timeoutMs = 2000;
+    queue.policy.queue = "q";
+    queue.policy.service = "s";
+    this->PutConfig(platformwire_testing::EncodeConfig(written));
+  }
+
+  void PutConfig(const std::string& aValue)
+  {
+    this->store.Put(
+      std::string(platformwire::kOperatorTable), std::string(platformwire::kConfigKey), aValue);
   }
 
   // Runs the loop until the condition holds; returns whether it does in time.
--- a/packages/soak/src/Process.cpp
+++ b/packages/soak/src/Process.cpp
@@ -1,5 +1,7 @@
 #include "Process.h"
 
+#include "oriolespread/platformwire/DaemonSettings.h"
+
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
@@ -12,7 +14,7 @@
 
 Process::Process(std::vector<std::string> aCommand, std::string aSettings, std::string aLog)
   : command(std::move(aCommand))
-  , settings("ORIOLESPREAD_SETTINGS=" + std::move(aSettings))
+  , settings(std::string(platformwire::kSettingsVariable) + "=" + std::move(aSettings))
   , log(std::move(aLog))
 {
 }
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -1,6 +1,7 @@
 #include "Soak.h"
 
-#include <nlohmann/json.hpp>
+#include "oriolespread/platformwire/StoreClient.h"
+#include "oriolespread/platformwire_testing/WireTexts.h"
 
 #include <csignal>
 #include <filesystem>
@@ -10,10 +11,9 @@
 
 namespace oriolespread::soak {
 
-using nlohmann::json;
-
 namespace {
 
+constexpr const char* kService = "s";
 constexpr std::uint16_t kFrontPort = 8161;
 constexpr std::uint16_t kReadyPort = 8167;
 constexpr std::uint16_t kControlPort = 8166;
@@ -31,13 +31,6 @@
 constexpr Duration kCallTimeout = std::chrono::seconds(4);
 constexpr int kPostTries = 5;
 
-std::string Number(const char* aKey, double aValue)
-{
-  std::ostringstream text;
-  text << aKey << " = " << aValue << "\n";
-  return text.str();
-}
-
 } // namespace
 
 Soak::Soak(SoakOptions aOptions)
@@ -73,66 +66,61 @@
          std::to_string(aIndex + 1);
 }
 
-std::string Soak::WriteSettings(const std::string& aName,
-                                const std::string& aIp,
-                                const std::string& aStore,
-                                const std::string& aRest)
+std::string Soak::WriteSettings(platformwire::DaemonSettings aSettings)
 {
-  const std::string path = this->options.directory + "/" + aName + ".toml";
-  std::ofstream file(path);
-  file << "node_name = \"" << aName << "\"\nip = \"" << aIp << "\"\nzone = \"z\"\n"
-       << "port_range = [" << kLinkPort << ", " << kLinkPort + 10 << "]\n"
-       << aRest << "[bounds]\n"
-       << Number("max_hold_ms", 6000) << Number("grace_s", 6) << Number("status_s", 120)
-       << Number("drain_ms", 2000) << "[platform]\naddress = \"" << aStore << "\"\n";
+  const std::string storeIp = this->Ip(3, this->processes.size());
+  this->store.Serve(storeIp, kStorePort);
+  aSettings.dataCentre = "z";
+  aSettings.innerPort = kLinkPort;
+  aSettings.maxWorkerLease = std::chrono::seconds(6);
+  aSettings.stopGrace = std::chrono::seconds(6);
+  aSettings.keepEnded = std::chrono::seconds(120);
+  aSettings.drainTime = std::chrono::seconds(2);
+  aSettings.storeAddress = ToString(SocketAddress{ storeIp, kStorePort });
+  const std::string path = this->options.directory + "/" + aSettings.machine + ".toml";
+  std::ofstream(path) << platformwire_testing::EncodeSettings(aSettings);
   return path;
 }
 
 void Soak::AddEntry(std::size_t aIndex)
 {
-  const std::string ip = this->Ip(1, aIndex);
-  const std::string name = "edge-" + std::to_string(aIndex + 1);
-  const std::string storeIp = this->Ip(3, this->processes.size());
-  this->store.Serve(storeIp, kStorePort);
-  std::ostringstream rest;
-  rest << "[listen_addrs]\nfront = \"" << ip << ":" << kFrontPort << "\"\nready = \"" << ip << ":"
-       << kReadyPort << "\"\n";
-  const std::string settings =
-    this->WriteSettings(name, ip, storeIp + ":" + std::to_string(kStorePort), rest.str());
+  platformwire::DaemonSettings settings;
+  settings.machine = "edge-" + std::to_string(aIndex + 1);
+  settings.ip = this->Ip(1, aIndex);
+  settings.front = { settings.ip, kFrontPort };
+  settings.ready = { settings.ip, kReadyPort };
+  const std::string path = this->WriteSettings(settings);
   this->proxies.push_back(
-    std::make_unique<LinkProxy>(this->context, this->Ip(4, aIndex), ip, kLinkPort));
+    std::make_unique<LinkProxy>(this->context, this->Ip(4, aIndex), settings.ip, kLinkPort));
   this->processes.push_back(std::make_unique<Process>(
     std::vector<std::string>{ this->options.programs + "/oriolespread", "serve-cluster" },
-    settings,
-    this->options.directory + "/" + name + ".log"));
+    path,
+    this->options.directory + "/" + settings.machine + ".log"));
   this->restarts.push_back({});
   this->clients.push_back(
-    *HttpClient::Create(this->context, ip + ":" + std::to_string(kFrontPort), {}, this->counters));
+    *HttpClient::Create(this->context, ToString(settings.front), {}, this->counters));
 }
 
 void Soak::AddWorker(std::size_t aIndex)
 {
-  const std::string ip = this->Ip(2, aIndex);
-  const std::string name = "side-" + std::to_string(aIndex + 1);
-  const std::string storeIp = this->Ip(3, this->processes.size());
-  this->store.Serve(storeIp, kStorePort);
-  std::ostringstream rest;
-  rest << "app = \"" << ip << ":" << kWorkerPort
-       << "\"\nservice = \"s\"\n[listen_addrs]\ncontrol = \"" << ip << ":" << kControlPort
-       << "\"\n";
-  const std::string settings =
-    this->WriteSettings(name, ip, storeIp + ":" + std::to_string(kStorePort), rest.str());
+  platformwire::DaemonSettings settings;
+  settings.machine = "side-" + std::to_string(aIndex + 1);
+  settings.ip = this->Ip(2, aIndex);
+  settings.control = { settings.ip, kControlPort };
+  settings.workerAddress = ToString(SocketAddress{ settings.ip, kWorkerPort });
+  settings.workerService = kService;
+  const std::string path = this->WriteSettings(settings);
   this->processes.push_back(std::make_unique<Process>(
     std::vector<std::string>{ this->options.programs + "/oriolespread-agent", "--cluster" },
-    settings,
-    this->options.directory + "/" + name + ".log"));
+    path,
+    this->options.directory + "/" + settings.machine + ".log"));
   this->restarts.push_back({});
   platformwire_testing::StandInWorkerOptions options;
   options.id = "w-" + std::to_string(aIndex + 1);
-  options.service = "s";
-  options.ip = ip;
+  options.service = kService;
+  options.ip = settings.ip;
   options.port = kWorkerPort;
-  options.agentAddress = ip + ":" + std::to_string(kControlPort);
+  options.agentAddress = ToString(settings.control);
   platformwire_testing::StandInWorkerObserver observer;
   observer.started = [this, id = options.id](
                        const std::string& aTask, std::uint64_t aRun, const std::string& aPayload) {
@@ -152,16 +140,21 @@
 
 void Soak::PutConfig()
 {
-  const json queue{ { "name", "q" },        { "host", kHost },           { "path_prefix", kPrefix },
-                    { "timeout_ms", 3000 }, { "service", "s" },          { "max_attempts", 3 },
-                    { "stretch", 2.0 },     { "target_latency_ms", 500 } };
-  this->store.Put("op",
-                  "config",
-                  json{ { "version", ++this->configVersion },
-                        { "routes", json::array({ queue }) },
-                        { "services", json::array({ { { "name", "s" } } }) },
-                        { "limits", json::object() } }
-                    .dump());
+  cluster::ClusterConfig config;
+  config.version = ++this->configVersion;
+  config.services[kService] = {};
+  cluster::QueueConfig& queue = config.queues.emplace_back();
+  queue.host = kHost;
+  queue.pathPrefix = kPrefix;
+  queue.timeoutMs = 3000;
+  queue.policy.queue = "q";
+  queue.policy.service = kService;
+  queue.policy.maxAttempts = 3;
+  queue.policy.stretch = 2.0;
+  queue.policy.targetLatencyMs = 500;
+  this->store.Put(std::string(platformwire::kOperatorTable),
+                  std::string(platformwire::kConfigKey),
+                  platformwire_testing::EncodeConfig(config));
 }
 
 std::vector<std::string> Soak::Run()
@@ -243,20 +236,20 @@
 void Soak::Post(const std::string& aId, int aTries)
 {
   const SoakJob& job = this->promises.jobs.at(aId);
-  json steps = json::array();
-  for (std::size_t index = 0; index < job.steps.size(); ++index) {
-    json step{
-      { "count", job.steps[index] }, { "cpu", 1000 }, { "mem_mb", 100 }, { "estimate_ms", 300 }
-    };
+  jobs::JobSpec spec;
+  spec.payload = job.payload;
+  for (std::uint32_t index = 0; index < job.steps.size(); ++index) {
+    jobs::StepSpec& step = spec.steps.emplace_back();
+    step.count = job.steps[index];
+    step.demand = { 1000, 100, 0 };
+    step.estimateMs = 300;
     if (index > 0) {
-      step["after"] = json::array({ index - 1 });
+      step.after = { index - 1 };
     }
-    steps.push_back(std::move(step));
   }
-  HttpRequest request{ "POST",
-                       kPrefix + aId,
-                       { { "Host", kHost } },
-                       json{ { "spec", job.payload }, { "steps", steps } }.dump() };
+  HttpRequest request{
+    "POST", kPrefix + aId, { { "Host", kHost } }, platformwire_testing::EncodeJob(spec)
+  };
   this->AnyEntry().Call(
     std::move(request), kCallTimeout, [this, aId, aTries](const HttpResult& aResult) {
       SoakJob& known = this->promises.jobs.at(aId);
@@ -288,8 +281,8 @@
                           if (aResult.IsAnswer(kHttpGone)) {
                             this->promises.OnUnknown(aId);
                           } else if (aResult.IsAnswer(kHttpOk)) {
-                            const json body = json::parse(aResult.response.body);
-                            this->promises.OnShown(aId, body.at("state").get<std::string>());
+                            this->promises.OnShown(
+                              aId, platformwire_testing::DecodeState(aResult.response.body));
                           }
                         });
 }
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -7,6 +7,7 @@
 #include "Promises.h"
 
 #include "oriolespread/base/RandomSource.h"
+#include "oriolespread/platformwire/DaemonSettings.h"
 #include "oriolespread/platformwire_testing/StandInStore.h"
 #include "oriolespread/platformwire_testing/StandInWorker.h"
 
@@ -46,10 +47,8 @@
   std::string Ip(int aKind, std::size_t aIndex) const;
   void AddEntry(std::size_t aIndex);
   void AddWorker(std::size_t aIndex);
-  std::string WriteSettings(const std::string& aName,
-                            const std::string& aIp,
-                            const std::string& aStore,
-                            const std::string& aRest);
+  // Fills in what all machines have in common, and returns the path of the file.
+  std::string WriteSettings(platformwire::DaemonSettings aSettings);
   void PutConfig();
   void RunFor(Duration aTime);
   void RunUntil(Instant aTime);
