Give the leadership to entries with fast processors

Cause: any entry led. Change: each entry measures its processor; the row of the leadership tells the leader's speed. An entry twice as fast takes over; one half as fast as the last leader lets others claim first. Leaders measure every 2 s, so that a slowed machine gives way. LeaderElection::OnLeaderGone had no caller and is removed.

--- a/packages/cluster/include/oriolespread/cluster/LeaderElection.h
+++ b/packages/cluster/include/oriolespread/cluster/LeaderElection.h
@@ -26,6 +26,9 @@
   std::uint64_t renewal = 0;
   // The leader has stopped as planned; anyone may claim at once.
   bool released = false;
+  // How fast the leader's processor works for it, in any unit that all entries share; 0 when that
+  // is not known.
+  double speed = 0;
 
   friend bool operator==(const LeadRow&, const LeadRow&) = default;
 };
@@ -39,6 +42,15 @@
   Duration silence = std::chrono::milliseconds(1600);
   // Spreads claims of several entries.
   Duration jitter = std::chrono::milliseconds(200);
+  // An entry whose processor is this many times faster than the leader's takes the leadership over:
+  // a slow leader places late and needs seconds to load at a take-over. Well above what two
+  // measurements of one machine differ by.
+  double muchFaster = 2.0;
+  // The least time between such take-overs.
+  Duration settled = std::chrono::milliseconds(1500);
+  // An entry that is much slower than the last leader lets others claim first; one more look at the
+  // row.
+  Duration yield = std::chrono::milliseconds(400);
 };
 
 class LeaderElection
@@ -47,11 +59,12 @@
   LeaderElection(ElectionSettings aSettings, std::string aEntry, std::string aProcess);
 
   // The row as read from the store at `aRequested` or later; nothing when it does not exist.
-  void OnRow(const std::optional<StoredRow>& aRow, Instant aRequested, Instant aNow);
+  void OnRow(const std::optional<StoredRow>& aRow, Instant aRequested);
 
-  // The link to the leader's process broke; the leader may be claimed from once its row is still
-  // for one more read.
-  void OnLeaderGone(const std::string& aEntry);
+  // The speed of this entry's processor, in the unit of LeadRow.
+  void SetSpeed(double aSpeed) { this->speed = aSpeed; }
+  // Returns whether the leader's processor is much slower than this entry's.
+  bool IsLeaderSlow() const;
 
   bool ShouldClaim(Instant aNow) const;
 
@@ -69,10 +82,12 @@
   std::string process;
   Duration wait{};
   bool read = false;
-  bool leaderGone = false;
   std::uint64_t version = 0;
   std::optional<LeadRow> row;
   Instant unchangedSince{};
+  // When the present epoch was first seen.
+  Instant epochSince{};
+  double speed = 0;
 };
 
 } // namespace oriolespread::cluster
--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -6,7 +6,13 @@
 
 namespace oriolespread::cluster {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeadRow, entry, process, epoch, renewal, released)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LeadRow,
+                                                entry,
+                                                process,
+                                                epoch,
+                                                renewal,
+                                                released,
+                                                speed)
 
 std::string EncodeLeadRow(const LeadRow& aRow)
 {
@@ -35,9 +41,7 @@
   this->wait = this->settings.silence + this->settings.jitter * static_cast<int>(hash % 8) / 8;
 }
 
-void LeaderElection::OnRow(const std::optional<StoredRow>& aRow,
-                           Instant aRequested,
-                           Instant /*aNow*/)
+void LeaderElection::OnRow(const std::optional<StoredRow>& aRow, Instant aRequested)
 {
   const std::uint64_t found = aRow.has_value() ? aRow->version : 0;
   if (this->read && found <= this->version && found != 0) {
@@ -47,18 +51,20 @@
     return;
   }
   this->read = true;
-  this->leaderGone = false;
   this->version = found;
   // The row may have been renewed just before it was read, and not before the read was asked for.
   this->unchangedSince = aRequested;
+  const std::uint64_t epochBefore = this->row.has_value() ? this->row->epoch : 0;
   this->row = aRow.has_value() ? DecodeLeadRow(aRow->value) : std::nullopt;
+  if (this->row.has_value() && this->row->epoch != epochBefore) {
+    this->epochSince = aRequested;
+  }
 }
 
-void LeaderElection::OnLeaderGone(const std::string& aEntry)
+bool LeaderElection::IsLeaderSlow() const
 {
-  if (this->row.has_value() && this->row->entry == aEntry) {
-    this->leaderGone = true;
-  }
+  return this->row.has_value() && this->row->speed > 0 &&
+         this->speed >= this->settings.muchFaster * this->row->speed;
 }
 
 bool LeaderElection::ShouldClaim(Instant aNow) const
@@ -66,14 +72,23 @@
   if (!this->read) {
     return false;
   }
-  if (!this->row.has_value() || this->row->released || this->leaderGone) {
+  if (!this->row.has_value()) {
     return true;
   }
   // A row of an earlier life of this entry has no living leader.
   if (this->row->entry == this->entry && this->row->process != this->process) {
     return true;
   }
-  return aNow - this->unchangedSince >= this->wait;
+  const bool slow = this->row->speed >= this->settings.muchFaster * this->speed;
+  const Duration yield = slow && this->speed > 0 ? this->settings.yield : Duration::zero();
+  const Duration still = aNow - this->unchangedSince;
+  if (this->row->released) {
+    return still >= yield;
+  }
+  if (this->IsLeaderSlow() && aNow - this->epochSince >= this->settings.settled) {
+    return true;
+  }
+  return still >= this->wait + yield;
 }
 
 LeadRow LeaderElection::ClaimedRow() const
@@ -83,6 +98,7 @@
   claimed.process = this->process;
   claimed.epoch = (this->row.has_value() ? this->row->epoch : 0) + 1;
   claimed.renewal = 1;
+  claimed.speed = this->speed;
   return claimed;
 }
 
--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -17,7 +17,7 @@
 
 LeadRow Held(const std::string& aEntry)
 {
-  return { aEntry, "p-" + aEntry, 4, 9, false };
+  return { aEntry, "p-" + aEntry, 4, 9, false, 0 };
 }
 
 } // namespace
@@ -26,7 +26,7 @@
 {
   LeaderElection election({}, "a", "p-a");
   CHECK_FALSE(election.ShouldClaim(kStart));
-  election.OnRow(std::nullopt, kStart, kStart);
+  election.OnRow(std::nullopt, kStart);
   CHECK(election.ShouldClaim(kStart));
   CHECK(election.MakeClaim().conditions.at(0).version == 0);
   CHECK(election.ClaimedRow().epoch == 1);
@@ -37,7 +37,7 @@
   LeaderElection election({}, "a", "p-a");
   Instant now = kStart;
   for (std::uint64_t version = 10; version < 30; ++version) {
-    election.OnRow(RowOf(Held("b"), version), now, now);
+    election.OnRow(RowOf(Held("b"), version), now);
     CHECK_FALSE(election.ShouldClaim(now));
     now += 450 * kMs;
   }
@@ -47,10 +47,10 @@
 TEST_CASE("LeaderElection ClaimsAHigherEpochOnTheVersionSeenWhenTheLeaderIsSilent")
 {
   LeaderElection election({}, "a", "p-a");
-  election.OnRow(RowOf(Held("b"), 10), kStart, kStart);
-  election.OnRow(RowOf(Held("b"), 10), kStart + 1000 * kMs, kStart + 1000 * kMs);
+  election.OnRow(RowOf(Held("b"), 10), kStart);
+  election.OnRow(RowOf(Held("b"), 10), kStart + 1000 * kMs);
   CHECK_FALSE(election.ShouldClaim(kStart + 1000 * kMs));
-  election.OnRow(RowOf(Held("b"), 10), kStart + 1900 * kMs, kStart + 1900 * kMs);
+  election.OnRow(RowOf(Held("b"), 10), kStart + 1900 * kMs);
   REQUIRE(election.ShouldClaim(kStart + 1900 * kMs));
   CHECK(election.MakeClaim().conditions.at(0).version == 10);
   CHECK(election.ClaimedRow().epoch == 5);
@@ -61,14 +61,14 @@
   LeaderElection election({}, "a", "p-a");
   LeadRow released = Held("b");
   released.released = true;
-  election.OnRow(RowOf(released, 10), kStart, kStart);
+  election.OnRow(RowOf(released, 10), kStart);
   CHECK(election.ShouldClaim(kStart));
 }
 
 TEST_CASE("LeaderElection ClaimsAtOnceWhenItsOwnEarlierProcessLed")
 {
   LeaderElection election({}, "a", "p-new");
-  election.OnRow(RowOf(Held("a"), 10), kStart, kStart);
+  election.OnRow(RowOf(Held("a"), 10), kStart);
   CHECK(election.ShouldClaim(kStart));
 }
 
@@ -76,7 +76,58 @@
 TEST_CASE("LeaderElection IgnoresARowOlderThanTheOneSeen")
 {
   LeaderElection election({}, "a", "p-a");
-  election.OnRow(RowOf(Held("b"), 12), kStart, kStart);
-  election.OnRow(RowOf(Held("c"), 10), kStart + 10 * kMs, kStart + 20 * kMs);
+  election.OnRow(RowOf(Held("b"), 12), kStart);
+  election.OnRow(RowOf(Held("c"), 10), kStart + 10 * kMs);
   CHECK(election.Current()->entry == "b");
 }
+
+// Guards against a leader on the smallest machine: placement waits for its processor.
+TEST_CASE("LeaderElection TakesOverFromALeaderOnAMuchSlowerProcessor")
+{
+  LeaderElection fast({}, "a", "p-a");
+  fast.SetSpeed(4.0);
+  LeadRow slow = Held("b");
+  slow.speed = 1.0;
+  fast.OnRow(RowOf(slow, 10), kStart);
+  CHECK_FALSE(fast.ShouldClaim(kStart));
+  fast.OnRow(RowOf(slow, 11), kStart + 1600 * kMs);
+  CHECK(fast.ShouldClaim(kStart + 1600 * kMs));
+  CHECK(fast.ClaimedRow().speed == 4.0);
+}
+
+// Guards against entries of equal machines that take the leadership from one another.
+TEST_CASE("LeaderElection LeavesALeaderOfSimilarSpeedAlone")
+{
+  LeaderElection election({}, "a", "p-a");
+  election.SetSpeed(1.7);
+  LeadRow held = Held("b");
+  held.speed = 1.0;
+  for (std::uint64_t version = 10; version < 40; ++version) {
+    const Instant now = kStart + static_cast<int>(version) * 450 * kMs;
+    election.OnRow(RowOf(held, version), now);
+    CHECK_FALSE(election.ShouldClaim(now));
+  }
+}
+
+TEST_CASE("LeaderElection LetsFasterEntriesClaimFirstWhenItIsMuchSlowerThanTheLastLeader")
+{
+  LeaderElection election({}, "a", "p-a");
+  election.SetSpeed(1.0);
+  LeadRow released = Held("b");
+  released.speed = 4.0;
+  released.released = true;
+  election.OnRow(RowOf(released, 10), kStart);
+  CHECK_FALSE(election.ShouldClaim(kStart));
+  // Nobody faster is there.
+  CHECK(election.ShouldClaim(kStart + 450 * kMs));
+}
+
+// Guards against a row of an earlier version of the program that cannot be read.
+TEST_CASE("LeaderElection ReadsARowWithoutASpeed")
+{
+  const auto row =
+    DecodeLeadRow(R"({"entry":"b","process":"p","epoch":3,"renewal":1,"released":false})");
+  REQUIRE(row.has_value());
+  CHECK(row->epoch == 3);
+  CHECK(row->speed == 0);
+}
--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -24,6 +24,8 @@
 // leader renews it. A standby gives up on a leader after three missed renewals.
 inline constexpr Duration kElectionPoll = std::chrono::milliseconds(450);
 inline constexpr Duration kRenewInterval = std::chrono::milliseconds(450);
+// How often a leader measures its processor, so that a machine that becomes slow gives way.
+inline constexpr Duration kSpeedInterval = std::chrono::milliseconds(2000);
 // Events within this time are decided on, and stored, together.
 inline constexpr Duration kBatchDelay = std::chrono::milliseconds(8);
 // Without events the scheduler looks at the time this often.
--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -160,8 +160,8 @@
     return ready.status();
   }
   this->ready = *std::move(ready);
-  this->metrics = std::make_unique<MetricsServer>(
-    this->context, this->settings.ip, this->counters, [this] {
+  this->metrics =
+    std::make_unique<MetricsServer>(this->context, this->settings.ip, this->counters, [this] {
       return MetricsServer::Values{ this->leader->Gauges(),
                                     { { "request", &this->api->Latency() },
                                       { "commit", &this->leader->CommitLatency() },
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -1,5 +1,7 @@
 #include "LeaderDriver.h"
 
+#include "ProcessorSpeed.h"
+
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/service/Log.h"
 
@@ -44,6 +46,7 @@
 
 void LeaderDriver::Start()
 {
+  this->MeasureSpeed();
   this->Poll();
 }
 
@@ -78,6 +81,14 @@
   });
 }
 
+double LeaderDriver::MeasureSpeed()
+{
+  const double speed = MeasureProcessorSpeed();
+  this->speedMeasured = BootClock::now();
+  this->election.SetSpeed(speed);
+  return speed;
+}
+
 void LeaderDriver::Poll()
 {
   this->store.Read(
@@ -93,7 +104,11 @@
         if (!aResult.rows.empty()) {
           found = aResult.rows.front();
         }
-        this->election.OnRow(found, asked, now);
+        this->election.OnRow(found, asked);
+        if (this->election.IsLeaderSlow()) {
+          // This machine may have become slow as well.
+          this->MeasureSpeed();
+        }
         if (this->election.ShouldClaim(now)) {
           this->Claim();
           return;
@@ -113,7 +128,9 @@
       { { "epoch", claimed.epoch },
         { "earlier", current.has_value() ? current->entry : "" },
         { "released", current.has_value() && current->released },
-        { "silent_ms", ToMilliseconds(BootClock::now() - this->election.UnchangedSince()) } });
+        { "silent_ms", ToMilliseconds(BootClock::now() - this->election.UnchangedSince()) },
+        { "speed", claimed.speed },
+        { "earlier_speed", current.has_value() ? current->speed : 0.0 } });
   this->store.Commit(this->election.MakeClaim(),
                      kStoreTimeout,
                      [this, claimed, before = this->term, sent = BootClock::now()](
@@ -205,9 +222,10 @@
 
 void LeaderDriver::Load()
 {
+  // The scheduler wants jobs last.
   std::vector<cluster::RowRange> ranges = JobRanges(kJobsTable, "", "");
-  ranges.push_back({ std::string(kStateTable), "", "", 0 });
-  ranges.push_back({ std::string(kProgressTable), "", "", 0 });
+  ranges.insert(ranges.begin(),
+                { { std::string(kStateTable), "", "" }, { std::string(kProgressTable), "", "" } });
   RangesReader::Read(this->context,
                      this->store,
                      std::move(ranges),
@@ -222,13 +240,12 @@
 void LeaderDriver::OnLoaded(const RangesResult& aResult)
 {
   const jobs::Now now = this->Time();
-  // The ranges of jobs come first, as the other rows name jobs.
   for (const auto& rows : aResult.rows) {
     for (const cluster::StoredRow& row : rows) {
       if (row.row.table == kJobsTable) {
         this->scheduler->LoadJob(row.row.key, row.value, now);
       } else if (row.row.table == kStateTable) {
-        this->scheduler->LoadState(row.row.key, row.value, now);
+        this->scheduler->LoadState(row.row.key, row.value);
       } else {
         this->scheduler->LoadProgress(row.row.key, row.value);
       }
@@ -236,7 +253,7 @@
   }
   this->jobsVersion = aResult.version;
   this->phase = Phase::Leading;
-  this->scheduler->FinishLoading(Epoch{ this->row.epoch }, this->election.UnchangedSince());
+  this->scheduler->FinishLoading(Epoch{ this->row.epoch }, this->election.UnchangedSince(), now);
   Log(LogLevel::Info,
       "leadership_ready",
       { { "epoch", this->row.epoch },
@@ -405,6 +422,9 @@
 {
   this->committing = true;
   this->commitBegun = BootClock::now();
+  if (this->commitBegun - this->speedMeasured >= kSpeedInterval) {
+    this->row.speed = this->MeasureSpeed();
+  }
   ++this->row.renewal;
   cluster::StoreTransaction transaction;
   transaction.conditions.push_back({ LeadKey(), this->rowVersion });
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -67,6 +67,8 @@
 
   void Poll();
   void PollLater(Duration aDelay);
+  // Measures the processor's speed again, and returns it.
+  double MeasureSpeed();
   void Claim();
   void Become(const cluster::LeadRow& aRow, std::uint64_t aVersion, Instant aSent);
   void StepDown(std::string_view aReason);
@@ -111,6 +113,7 @@
 
   cluster::LeadRow row;
   std::uint64_t rowVersion = 0;
+  Instant speedMeasured{};
   // When the last renewal that was applied had been sent.
   Instant renewed{};
   bool committing = false;
