Release the leadership with the last transaction

Cause: a planned stop of the leader first stored what was pending and released the row in a further transaction; reports that came meanwhile added more. Change: the last batch releases the row itself, and reports are left to the next leader from the release on.

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -352,6 +352,11 @@
     this->counters.Add("reports_ignored_total", leads ? "other_epoch" : "not_leading");
     return;
   }
+  if (this->released != nullptr) {
+    // What it tells goes to the next leader; storing it here would delay the hand-over.
+    this->counters.Add("reports_ignored_total", "releasing");
+    return;
+  }
   if (BootClock::now() - this->renewed < this->schedulerSettings.sustainTime) {
     this->send(
       aAgent,
@@ -407,11 +412,9 @@
   }
   const bool stale = BootClock::now() - this->renewed >= kRenewInterval;
   if (this->phase == Phase::Leading) {
-    if (this->scheduler->HasChanges()) {
-      batch = this->scheduler->TakeBatch(kBatchRows);
-    } else if (this->released != nullptr) {
-      this->row.released = true;
-    }
+    batch = this->scheduler->TakeBatch(kBatchRows);
+    // The last batch releases the leadership itself, which saves a call to the store.
+    this->row.released = this->released != nullptr && !this->scheduler->HasChanges();
   }
   if (!batch.empty() || stale || this->row.released) {
     this->Commit(std::move(batch));
@@ -477,13 +480,13 @@
   this->renewed = aSent;
   this->committing = false;
   this->commitLatency.Add(BootClock::now() - this->commitBegun);
-  if (this->row.released) {
-    this->FinishRelease();
-    return;
-  }
   if (this->phase == Phase::Leading) {
     this->scheduler->OnStored(std::move(*aBatch), this->Time());
     this->SendOrders();
+    if (this->row.released) {
+      this->FinishRelease();
+      return;
+    }
     if (this->scheduler->HasChanges()) {
       this->PumpSoon();
     }
--- /dev/null
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -0,0 +1,155 @@
+#include "LeaderDriver.h"
+
+#include "StoreFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+using namespace oriolespread::daemon;
+
+namespace {
+
+constexpr Duration kMs = std::chrono::milliseconds(1);
+
+// An entry's driver, with the test in the place of the agents.
+struct Entry
+{
+  std::vector<Epoch> claims;
+  std::vector<WorkerOrders> orders;
+  std::unique_ptr<LeaderDriver> driver;
+
+  Entry(StoreFixture& aFixture, const std::string& aName)
+  {
+    LeaderDriverOptions options;
+    options.entry = aName;
+    options.process = "process of " + aName;
+    options.workerLease = std::chrono::seconds(5);
+    options.keepEnded = std::chrono::seconds(120);
+    this->driver = std::make_unique<LeaderDriver>(
+      aFixture.context,
+      *aFixture.client,
+      options,
+      aFixture.counters,
+      [this](const std::string& /*aAgent*/, const LinkMessage& aMessage) {
+        if (const auto* claim = std::get_if<LeaderClaim>(&aMessage)) {
+          this->claims.push_back(claim->epoch);
+        } else if (const auto* sent = std::get_if<WorkerOrders>(&aMessage)) {
+          this->orders.push_back(*sent);
+        }
+      });
+    this->driver->OnAgentUp("agent");
+  }
+
+  // Only a leader has a scheduler, which tells how many jobs it knows.
+  bool Leads() const { return this->driver->Gauges().contains("jobs_known"); }
+  double Jobs() const
+  {
+    const auto gauges = this->driver->Gauges();
+    return gauges.contains("jobs_known") ? gauges.at("jobs_known") : -1;
+  }
+
+  void Report()
+  {
+    WorkerReport report;
+    report.epoch = this->claims.back();
+    report.sequence = 1;
+    report.full = true;
+    report.worker.id = "w";
+    report.worker.born = 1;
+    report.worker.service = "s";
+    report.worker.capacity = { 8000, 64000, 0 };
+    this->driver->OnReport("agent", report);
+  }
+};
+
+void SubmitJob(StoreFixture& aFixture, const std::string& aId)
+{
+  jobs::JobRecord record;
+  record.id = aId;
+  record.policy.queue = "q";
+  record.policy.service = "s";
+  record.spec.steps.emplace_back().count = 1;
+  cluster::StoreTransaction submission;
+  submission.changes.push_back({ jobs::JobRow(aId), jobs::EncodeJobRecord(record), false });
+  bool stored = false;
+  aFixture.client->Commit(submission, 1000 * kMs, [&](const cluster::CommitResult& aResult) {
+    stored = aResult.end == cluster::CommitEnd::Applied;
+  });
+  REQUIRE(aFixture.RunUntil([&] { return stored; }));
+}
+
+} // namespace
+
+TEST_CASE("LeaderDriver OrdersATaskOfANewJobOnceItsRunIsStored")
+{
+  StoreFixture fixture;
+  Entry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  entry.Report();
+  SubmitJob(fixture, "j");
+  REQUIRE(fixture.RunUntil([&] { return !entry.orders.empty(); }));
+  REQUIRE(entry.orders.front().starts.size() == 1);
+  CHECK(fixture.store.CountRows("progress") == 1);
+  CHECK(entry.driver->CommitLatency().Buckets().count > 0);
+}
+
+// Guards against a pause in which nobody places tasks during a rolling restart.
+TEST_CASE("LeaderDriver HandsOverAtOnceWhenItIsStoppedAsPlanned")
+{
+  StoreFixture fixture;
+  Entry first(fixture, "a");
+  first.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return first.Leads(); }));
+  SubmitJob(fixture, "j");
+  REQUIRE(fixture.RunUntil([&] { return first.Jobs() == 1; }));
+  Entry second(fixture, "b");
+  second.driver->Start();
+  fixture.RunFor(100 * kMs);
+  REQUIRE_FALSE(second.Leads());
+  bool released = false;
+  first.driver->Release([&] { released = true; });
+  const Instant begun = BootClock::now();
+  REQUIRE(fixture.RunUntil([&] { return second.Jobs() == 1; }));
+  CHECK(released);
+  CHECK(BootClock::now() - begun < 1500 * kMs);
+}
+
+// Guards against two leaders: one that was claimed from must not go on.
+TEST_CASE("LeaderDriver StepsDownWhenAnotherEntryHasClaimed")
+{
+  StoreFixture fixture;
+  Entry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.Leads(); }));
+  cluster::LeadRow other;
+  other.entry = "b";
+  other.process = "p";
+  other.epoch = 7;
+  other.speed = 1e9;
+  cluster::StoreTransaction claim;
+  claim.changes.push_back({ { std::string(jobs::kLeadTable), std::string(jobs::kLeaderKey) },
+                            cluster::EncodeLeadRow(other),
+                            false });
+  fixture.client->Commit(claim, 1000 * kMs, [](const cluster::CommitResult&) {});
+  CHECK(fixture.RunUntil([&] { return !entry.Leads(); }, 2000 * kMs));
+  CHECK(fixture.counters.Get("leadership_total", "lost") == 1);
+}
+
+TEST_CASE("LeaderDriver TakesOverFromALeaderThatStopsRenewing")
+{
+  StoreFixture fixture;
+  cluster::LeadRow silent;
+  silent.entry = "b";
+  silent.process = "p";
+  silent.epoch = 7;
+  cluster::StoreTransaction claim;
+  claim.changes.push_back({ { std::string(jobs::kLeadTable), std::string(jobs::kLeaderKey) },
+                            cluster::EncodeLeadRow(silent),
+                            false });
+  fixture.client->Commit(claim, 1000 * kMs, [](const cluster::CommitResult&) {});
+  Entry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.Leads(); }));
+  CHECK(entry.claims.front() == Epoch{ 8 });
+}
