Start nothing until a recent report was answered

Change: a start waits while no report of the last 2 s has been answered; the link keeps its order, so that by then every earlier order has arrived.

--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -35,6 +35,9 @@
 
 // How often an agent reports everything on its worker. Three may be missed.
 inline constexpr Duration kReportInterval = std::chrono::milliseconds(600);
+// A start waits while no report sent within this time has been answered; three missed reports, as
+// the leader places nothing on such a worker either.
+inline constexpr Duration kOrdersFresh = std::chrono::milliseconds(2000);
 // How long a call to the worker may take; it is on the same machine.
 inline constexpr Duration kWorkerTimeout = std::chrono::milliseconds(500);
 // How long a look at the worker waits for an end.
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -199,8 +199,9 @@
   if (it == this->known.end() || !it->second.starting || it->second.stopping) {
     return;
   }
-  // Without a lease the deadline of the start would have passed when it reaches the worker.
-  if (!this->fenced || !this->clockMs.has_value() || !this->GrantLease()) {
+  // Without a lease the deadline of the start would have passed when it reaches the worker. Without
+  // a recent answer of the leader, an order to stop may wait behind the order to start.
+  if (!this->fenced || !this->clockMs.has_value() || !this->HeardLately() || !this->GrantLease()) {
     this->After(kLeasePoll, [this, aRef] { this->Start(aRef); });
     return;
   }
@@ -295,6 +296,12 @@
     });
 }
 
+bool WorkerDriver::HeardLately() const
+{
+  // A lease counts from when the report was sent for which it was extended.
+  return BootClock::now() - (this->leaseUntil - this->lease) < kOrdersFresh;
+}
+
 bool WorkerDriver::GrantLease()
 {
   const Instant now = BootClock::now();
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -80,6 +80,9 @@
   // Brings `grantedUntil` and `lapsesAt` up to date before a deadline is passed on. Returns false
   // when there is no lease to pass on.
   bool GrantLease();
+  // Returns whether the leader has answered a report that was sent lately, after which all its
+  // earlier orders have arrived.
+  bool HeardLately() const;
   std::int64_t WorkerDeadline(Instant aLocal) const;
   void After(Duration aDelay, std::function<void()> aCall);
 
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace oriolespread;
 using namespace oriolespread::daemon;
 
@@ -218,3 +220,25 @@
   REQUIRE(beside.Await([&] { return beside.reports.back().allLost; }));
   CHECK(beside.ended.size() == beside.started.size());
 }
+
+// Guards against a task that starts after its job was cancelled (soak seed 949): an agent that
+// wakes from a pause finds the order to start and the order to stop waiting, and acts on the first
+// one.
+TEST_CASE("WorkerDriver StartsNothingThatWasStoppedWhileItWasPaused")
+{
+  Beside beside;
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  beside.RunFor(1000 * kMs);
+  std::this_thread::sleep_for(2500 * kMs);
+  beside.StartTask("j.0.0.0");
+  beside.RunFor(5 * kMs);
+  WorkerOrders given = beside.Orders(Epoch{ 1 });
+  given.stops.push_back({ "j.0.0.0", 1 });
+  beside.driver->OnOrders(given);
+  beside.RunFor(800 * kMs);
+  CHECK(beside.started.empty());
+  // Orders that come after the next extension are carried out.
+  beside.StartTask("k.0.0.0");
+  CHECK(beside.Await([&] { return !beside.started.empty(); }));
+}
