Refuse a count at once when the store refuses, and tidy the diff

Cause: since jobs lie in eight parts a count of pending jobs retried refused reads until the caller's time was over (1.2 s of 2 s), and its calls to the store were not cut to that time, unlike all other requests. Reading the diff again found two functions that tell whether a job has active runs, three copies of the key of the leadership, three read callbacks of one shape, and a copy of the weights for each choice of a worker. Change: RangesReader takes the time-out from its caller, and a failed count goes through Retry as every request does; one function each for the rest. Result: JobApi RefusesToCountAtOnceWhenTheStoreRefuses fails before (504 after 1.2 s) and passes after.

--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -104,7 +104,7 @@
 
 StoreTransaction LeaderElection::MakeClaim() const
 {
-  const RowKey key{ std::string(jobs::kLeadTable), std::string(jobs::kLeaderKey) };
+  const RowKey key = jobs::LeaderRow();
   StoreTransaction claim;
   claim.conditions.push_back({ key, this->version });
   claim.changes.push_back({ key, EncodeLeadRow(this->ClaimedRow()), false });
--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -190,6 +190,24 @@
   });
 }
 
+void JobApi::Read(const RequestPtr& aRequest,
+                  const cluster::RowRange& aRange,
+                  std::function<void()> aAgain,
+                  std::function<void(const std::vector<cluster::StoredRow>&)> aThen)
+{
+  this->store.Read(aRange,
+                   StoreTimeoutOf(*aRequest),
+                   [this, aRequest, again = std::move(aAgain), then = std::move(aThen)](
+                     const cluster::ReadResult& aResult) {
+                     if (aResult.end != ReadEnd::Done) {
+                       this->Retry(aRequest, aResult.reason, again);
+                       return;
+                     }
+                     this->storeAnswered = BootClock::now();
+                     then(aResult.rows);
+                   });
+}
+
 void JobApi::GetState(const RequestPtr& aRequest)
 {
   if (const auto known = this->ended.find(aRequest->id); known != this->ended.end()) {
@@ -198,20 +216,16 @@
   }
   ++aRequest->tries;
   const std::string id = aRequest->id;
-  this->store.Read(
+  this->Read(
+    aRequest,
     { std::string(jobs::kStateTable), id, id + "~", 1 },
-    StoreTimeoutOf(*aRequest),
-    [this, aRequest](const cluster::ReadResult& aResult) {
-      if (aResult.end != ReadEnd::Done) {
-        this->Retry(aRequest, aResult.reason, [this, aRequest] { this->GetState(aRequest); });
-        return;
-      }
-      this->storeAnswered = BootClock::now();
-      if (aResult.rows.empty()) {
+    [this, aRequest] { this->GetState(aRequest); },
+    [this, aRequest](const std::vector<cluster::StoredRow>& aRows) {
+      if (aRows.empty()) {
         this->GetUnstarted(aRequest);
         return;
       }
-      const std::string& value = aResult.rows.front().value;
+      const std::string& value = aRows.front().value;
       JobState state = JobState::Running;
       if (!jobs::ParseJobState(std::string_view(value).substr(0, value.find(' ')), state)) {
         this->counters.Add("rows_unreadable_total", "state");
@@ -221,22 +235,31 @@
     });
 }
 
-void JobApi::GetUnstarted(const RequestPtr& aRequest)
+void JobApi::ReadJob(const RequestPtr& aRequest,
+                     std::function<void()> aAgain,
+                     std::function<void(const cluster::StoredRow&, bool aCancelled)> aThen)
 {
   const std::string id = aRequest->id;
-  this->store.Read(
+  this->Read(
+    aRequest,
     { std::string(jobs::kJobsTable), id, id + "~", 2, jobs::JobPartOf(id) },
-    StoreTimeoutOf(*aRequest),
-    [this, aRequest](const cluster::ReadResult& aResult) {
-      if (aResult.end != ReadEnd::Done) {
-        this->Retry(aRequest, aResult.reason, [this, aRequest] { this->GetState(aRequest); });
-        return;
-      }
-      if (aResult.rows.empty()) {
+    std::move(aAgain),
+    [this, aRequest, then = std::move(aThen)](const std::vector<cluster::StoredRow>& aRows) {
+      if (aRows.empty()) {
         this->Answer(aRequest, kHttpGone, {}, "no_such_job");
         return;
       }
-      const JobState state = aResult.rows.size() > 1 ? JobState::Cancelled : JobState::Queued;
+      then(aRows.front(), aRows.size() > 1);
+    });
+}
+
+void JobApi::GetUnstarted(const RequestPtr& aRequest)
+{
+  this->ReadJob(
+    aRequest,
+    [this, aRequest] { this->GetState(aRequest); },
+    [this, aRequest](const cluster::StoredRow& /*aJob*/, bool aCancelled) {
+      const JobState state = aCancelled ? JobState::Cancelled : JobState::Queued;
       this->Answer(aRequest, kHttpOk, platformwire::EncodeState(state), "not_started");
     });
 }
@@ -244,30 +267,19 @@
 void JobApi::Cancel(const RequestPtr& aRequest)
 {
   ++aRequest->tries;
-  const std::string id = aRequest->id;
-  this->store.Read({ std::string(jobs::kJobsTable), id, id + "~", 2, jobs::JobPartOf(id) },
-                   StoreTimeoutOf(*aRequest),
-                   [this, aRequest](const cluster::ReadResult& aResult) {
-                     if (aResult.end != ReadEnd::Done) {
-                       this->Retry(
-                         aRequest, aResult.reason, [this, aRequest] { this->Cancel(aRequest); });
-                       return;
-                     }
-                     this->storeAnswered = BootClock::now();
-                     if (aResult.rows.empty()) {
-                       this->Answer(aRequest, kHttpGone, {}, "no_such_job");
-                       return;
-                     }
-                     if (aResult.rows.size() > 1) {
-                       this->Answer(aRequest, kHttpOk, "{}", "stored_before");
-                       return;
-                     }
-                     cluster::StoreTransaction transaction;
-                     const cluster::StoredRow& job = aResult.rows.front();
-                     transaction.conditions.push_back({ job.row, job.version });
-                     transaction.changes.push_back({ jobs::CancelRow(aRequest->id), {}, false });
-                     this->Store(aRequest, transaction);
-                   });
+  this->ReadJob(
+    aRequest,
+    [this, aRequest] { this->Cancel(aRequest); },
+    [this, aRequest](const cluster::StoredRow& aJob, bool aCancelled) {
+      if (aCancelled) {
+        this->Answer(aRequest, kHttpOk, "{}", "stored_before");
+        return;
+      }
+      cluster::StoreTransaction transaction;
+      transaction.conditions.push_back({ aJob.row, aJob.version });
+      transaction.changes.push_back({ jobs::CancelRow(aRequest->id), {}, false });
+      this->Store(aRequest, transaction);
+    });
 }
 
 void JobApi::CountPending(const RequestPtr& aRequest, const std::string& aQueue)
@@ -278,15 +290,13 @@
     this->context,
     this->store,
     JobRanges(jobs::kWaitingTable, aQueue + "/", aQueue + "0"),
-    [this, aRequest](const std::string& aReason) {
-      this->storeFailed = BootClock::now();
-      this->counters.Add("request_retries_total", aReason);
-      ++aRequest->tries;
-      return BootClock::now() + kStoreRetryDelay < aRequest->deadline;
-    },
-    [this, aRequest](const RangesResult& aResult) {
+    [aRequest] { return StoreTimeoutOf(*aRequest); },
+    [](const std::string& /*aReason*/) { return false; },
+    [this, aRequest, aQueue](const RangesResult& aResult) {
       if (!aResult.done) {
-        this->Answer(aRequest, kHttpGatewayTimeout, {}, "store_silent");
+        this->Retry(aRequest, aResult.reason, [this, aRequest, aQueue] {
+          this->CountPending(aRequest, aQueue);
+        });
         return;
       }
       this->storeAnswered = BootClock::now();
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -54,6 +54,15 @@
   void OnStored(const RequestPtr& aRequest,
                 const cluster::StoreTransaction& aTransaction,
                 const cluster::CommitResult& aResult);
+  // Reads one range; a failed read is retried by `aAgain` as Retry allows.
+  void Read(const RequestPtr& aRequest,
+            const cluster::RowRange& aRange,
+            std::function<void()> aAgain,
+            std::function<void(const std::vector<cluster::StoredRow>&)> aThen);
+  // Reads the job's row and whether it is cancelled; answers 410 when there is none.
+  void ReadJob(const RequestPtr& aRequest,
+               std::function<void()> aAgain,
+               std::function<void(const cluster::StoredRow&, bool aCancelled)> aThen);
   void GetState(const RequestPtr& aRequest);
   void GetUnstarted(const RequestPtr& aRequest);
   void Cancel(const RequestPtr& aRequest);
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -12,20 +12,9 @@
 using cluster::CommitEnd;
 using cluster::ReadEnd;
 using jobs::kJobsTable;
-using jobs::kLeadTable;
 using jobs::kProgressTable;
 using jobs::kStateTable;
 
-namespace {
-
-const cluster::RowKey& LeadKey()
-{
-  static const cluster::RowKey key{ std::string(kLeadTable), std::string(jobs::kLeaderKey) };
-  return key;
-}
-
-} // namespace
-
 LeaderDriver::LeaderDriver(asio::io_context& aContext,
                            platformwire::StoreClient& aStore,
                            LeaderDriverOptions aOptions,
@@ -91,8 +80,9 @@
 
 void LeaderDriver::Poll()
 {
+  const cluster::RowKey lead = jobs::LeaderRow();
   this->store.Read(
-    { LeadKey().table, LeadKey().key, LeadKey().key + "~", 1 },
+    { lead.table, lead.key, lead.key + "~", 1, lead.part },
     kStoreTimeout,
     [this, before = this->term, asked = BootClock::now()](const cluster::ReadResult& aResult) {
       if (before != this->term || this->phase != Phase::Standby) {
@@ -226,15 +216,17 @@
   std::vector<cluster::RowRange> ranges = JobRanges(kJobsTable, "", "");
   ranges.insert(ranges.begin(),
                 { { std::string(kStateTable), "", "" }, { std::string(kProgressTable), "", "" } });
-  RangesReader::Read(this->context,
-                     this->store,
-                     std::move(ranges),
-                     this->RetryInTerm("loading_retries_total"),
-                     [this, before = this->term](const RangesResult& aResult) {
-                       if (before == this->term && aResult.done) {
-                         this->OnLoaded(aResult);
-                       }
-                     });
+  RangesReader::Read(
+    this->context,
+    this->store,
+    std::move(ranges),
+    [] { return kStoreTimeout; },
+    this->RetryInTerm("loading_retries_total"),
+    [this, before = this->term](const RangesResult& aResult) {
+      if (before == this->term && aResult.done) {
+        this->OnLoaded(aResult);
+      }
+    });
 }
 
 void LeaderDriver::OnLoaded(const RangesResult& aResult)
@@ -296,20 +288,22 @@
 
 void LeaderDriver::ReloadJobs()
 {
-  RangesReader::Read(this->context,
-                     this->store,
-                     JobRanges(kJobsTable, "", ""),
-                     this->RetryInTerm("loading_retries_total"),
-                     [this, before = this->term](const RangesResult& aResult) {
-                       if (before != this->term || !aResult.done) {
-                         return;
-                       }
-                       for (const auto& rows : aResult.rows) {
-                         this->TakeJobRows(rows);
-                       }
-                       this->jobsVersion = std::max(this->jobsVersion, aResult.version);
-                       this->WatchJobs();
-                     });
+  RangesReader::Read(
+    this->context,
+    this->store,
+    JobRanges(kJobsTable, "", ""),
+    [] { return kStoreTimeout; },
+    this->RetryInTerm("loading_retries_total"),
+    [this, before = this->term](const RangesResult& aResult) {
+      if (before != this->term || !aResult.done) {
+        return;
+      }
+      for (const auto& rows : aResult.rows) {
+        this->TakeJobRows(rows);
+      }
+      this->jobsVersion = std::max(this->jobsVersion, aResult.version);
+      this->WatchJobs();
+    });
 }
 
 void LeaderDriver::TakeJobRows(const std::vector<cluster::StoredRow>& aRows)
@@ -430,8 +424,8 @@
   }
   ++this->row.renewal;
   cluster::StoreTransaction transaction;
-  transaction.conditions.push_back({ LeadKey(), this->rowVersion });
-  transaction.changes.push_back({ LeadKey(), cluster::EncodeLeadRow(this->row), false });
+  transaction.conditions.push_back({ jobs::LeaderRow(), this->rowVersion });
+  transaction.changes.push_back({ jobs::LeaderRow(), cluster::EncodeLeadRow(this->row), false });
   transaction.changes.insert(
     transaction.changes.end(), aBatch.changes.begin(), aBatch.changes.end());
   this->Send(std::make_shared<jobs::StoreBatch>(std::move(aBatch)), transaction);
@@ -460,7 +454,7 @@
   if (aResult.end == CommitEnd::Conflict) {
     // An earlier try whose answer was lost leaves exactly the row that it wrote.
     for (const cluster::StoredRow& found : aResult.current) {
-      if (found.row == LeadKey() && found.value == aTransaction.changes.front().value) {
+      if (found.row == jobs::LeaderRow() && found.value == aTransaction.changes.front().value) {
         applied = true;
         version = found.version;
       }
--- a/packages/daemon/src/RangesReader.cpp
+++ b/packages/daemon/src/RangesReader.cpp
@@ -12,11 +12,12 @@
 void RangesReader::Read(asio::io_context& aContext,
                         platformwire::StoreClient& aStore,
                         std::vector<cluster::RowRange> aRanges,
+                        TimeoutPolicy aTimeout,
                         RetryPolicy aRetry,
                         Callback aCallback)
 {
-  const std::shared_ptr<RangesReader> reader(
-    new RangesReader(aContext, aStore, std::move(aRetry), std::move(aCallback)));
+  const std::shared_ptr<RangesReader> reader(new RangesReader(
+    aContext, aStore, std::move(aTimeout), std::move(aRetry), std::move(aCallback)));
   reader->open = aRanges.size();
   reader->result.rows.resize(aRanges.size());
   for (std::size_t index = 0; index < aRanges.size(); ++index) {
@@ -26,10 +27,12 @@
 
 RangesReader::RangesReader(asio::io_context& aContext,
                            platformwire::StoreClient& aStore,
+                           TimeoutPolicy aTimeout,
                            RetryPolicy aRetry,
                            Callback aCallback)
   : context(aContext)
   , store(aStore)
+  , timeout(std::move(aTimeout))
   , retry(std::move(aRetry))
   , callback(std::move(aCallback))
 {
@@ -39,7 +42,7 @@
 {
   this->store.Read(
     aRange,
-    kStoreTimeout,
+    this->timeout(),
     [self = this->shared_from_this(), aIndex, aRange](const cluster::ReadResult& aResult) {
       self->OnPage(aIndex, aRange, aResult);
     });
--- a/packages/daemon/src/RangesReader.h
+++ b/packages/daemon/src/RangesReader.h
@@ -30,18 +30,22 @@
   using Callback = std::function<void(RangesResult)>;
   // Told of each failed page; returns whether to ask for it again after kStoreRetryDelay.
   using RetryPolicy = std::function<bool(const std::string& aReason)>;
+  // How long the next call to the store may take.
+  using TimeoutPolicy = std::function<Duration()>;
 
   // Calls `aCallback` once, from the loop of `aContext`: when everything is read, or when `aRetry`
   // has returned false.
   static void Read(asio::io_context& aContext,
                    platformwire::StoreClient& aStore,
                    std::vector<cluster::RowRange> aRanges,
+                   TimeoutPolicy aTimeout,
                    RetryPolicy aRetry,
                    Callback aCallback);
 
 private:
   RangesReader(asio::io_context& aContext,
                platformwire::StoreClient& aStore,
+               TimeoutPolicy aTimeout,
                RetryPolicy aRetry,
                Callback aCallback);
 
@@ -53,6 +57,7 @@
 
   asio::io_context& context;
   platformwire::StoreClient& store;
+  TimeoutPolicy timeout;
   RetryPolicy retry;
   Callback callback;
   RangesResult result;
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -158,3 +158,24 @@
   CHECK(api.Call("POST", Path(), Body(), "1200").status == kHttpGatewayTimeout);
   CHECK(BootClock::now() - asked < 1300 * kMs);
 }
+
+// Guards against callers that wait until their time is over for a count that the store refuses.
+TEST_CASE("JobApi RefusesToCountAtOnceWhenTheStoreRefuses")
+{
+  Api api;
+  api.store.SetFault(api.server, { .busy = true });
+  const Instant asked = BootClock::now();
+  const HttpResponse answer = api.Call("GET", "/q/");
+  CHECK(answer.status == kHttpUnavailable);
+  CHECK(FindHeader(answer.headers, "Retry-After") == "1");
+  CHECK(BootClock::now() - asked < 700 * kMs);
+}
+
+TEST_CASE("JobApi AnswersACountWithinTheTimeThatTheCallerWaits")
+{
+  Api api;
+  api.store.SetFault(api.server, { .silent = true });
+  const Instant asked = BootClock::now();
+  CHECK(api.Call("GET", "/q/", "", "1000").status != kHttpOk);
+  CHECK(BootClock::now() - asked < 1100 * kMs);
+}
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -128,9 +128,7 @@
   other.epoch = 7;
   other.speed = 1e9;
   cluster::StoreTransaction claim;
-  claim.changes.push_back({ { std::string(jobs::kLeadTable), std::string(jobs::kLeaderKey) },
-                            cluster::EncodeLeadRow(other),
-                            false });
+  claim.changes.push_back({ jobs::LeaderRow(), cluster::EncodeLeadRow(other), false });
   fixture.client->Commit(claim, 1000 * kMs, [](const cluster::CommitResult&) {});
   CHECK(fixture.RunUntil([&] { return !entry.Leads(); }, 2000 * kMs));
   CHECK(fixture.counters.Get("leadership_total", "lost") == 1);
@@ -144,9 +142,7 @@
   silent.process = "p";
   silent.epoch = 7;
   cluster::StoreTransaction claim;
-  claim.changes.push_back({ { std::string(jobs::kLeadTable), std::string(jobs::kLeaderKey) },
-                            cluster::EncodeLeadRow(silent),
-                            false });
+  claim.changes.push_back({ jobs::LeaderRow(), cluster::EncodeLeadRow(silent), false });
   fixture.client->Commit(claim, 1000 * kMs, [](const cluster::CommitResult&) {});
   Entry entry(fixture, "a");
   entry.driver->Start();
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -78,6 +78,12 @@
 struct Occurrence
 {
   std::vector<Step> steps;
+
+  bool HasActiveRuns() const
+  {
+    return std::any_of(
+      this->steps.begin(), this->steps.end(), [](const Step& aStep) { return aStep.active > 0; });
+  }
 };
 
 // How far the removal of an ended job's row has come.
@@ -111,6 +117,13 @@
   Instant lastActive{};
   // The terminal state is stored, so that the rows of progress are not needed any more.
   bool endStored = false;
+
+  bool HasActiveRuns() const
+  {
+    return std::any_of(this->occurrences.begin(), this->occurrences.end(), [](const auto& aItem) {
+      return aItem.second.HasActiveRuns();
+    });
+  }
 };
 
 // Names a task within the scheduler's own maps.
--- a/packages/jobs/include/oriolespread/jobs/JobRows.h
+++ b/packages/jobs/include/oriolespread/jobs/JobRows.h
@@ -85,6 +85,7 @@
 // The part of a job's rows, the same in every process and build.
 std::string JobPartOf(const std::string& aJob);
 
+RowKey LeaderRow();
 RowKey JobRow(const std::string& aJob);
 RowKey CancelRow(const std::string& aJob);
 RowKey WaitingRow(const std::string& aQueue, const std::string& aJob);
--- a/packages/jobs/src/JobRows.cpp
+++ b/packages/jobs/src/JobRows.cpp
@@ -85,6 +85,11 @@
   return JobPart(hash % kJobParts);
 }
 
+RowKey LeaderRow()
+{
+  return { std::string(kLeadTable), std::string(kLeaderKey) };
+}
+
 RowKey JobRow(const std::string& aJob)
 {
   return { std::string(kJobsTable), aJob, JobPartOf(aJob) };
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -16,18 +16,6 @@
 constexpr Duration kStaleReads = std::chrono::seconds(10);
 constexpr double kMeanWorkRate = 0.1;
 
-bool HasRuns(const Job& aJob)
-{
-  for (const auto& [number, occurrence] : aJob.occurrences) {
-    for (const Step& step : occurrence.steps) {
-      if (step.active > 0) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
 std::string EncodeState(const Job& aJob)
 {
   return absl::StrCat(
@@ -321,7 +309,7 @@
   });
   for (auto& [id, job] : this->jobs) {
     if (job.removal != Removal::None || !IsTerminal(job.state) || !job.endStored ||
-        job.ended + this->settings.keepEnded > aNow.instant || HasRuns(job)) {
+        job.ended + this->settings.keepEnded > aNow.instant || job.HasActiveRuns()) {
       continue;
     }
     job.removal = Removal::Requested;
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -85,9 +85,10 @@
                      const PlacementRequest& aRequest,
                      Instant aNow)
 {
-  const InterferenceBook::Row disturbs = aRequest.interference != nullptr
-                                           ? aRequest.interference->RowOf(aRequest.step->image)
-                                           : InterferenceBook::Row();
+  const InterferenceBook::Row* disturbs =
+    aRequest.step->fillsUnused && aRequest.interference != nullptr
+      ? &aRequest.interference->RowOf(aRequest.step->image)
+      : nullptr;
   Worker* best = nullptr;
   double bestCost = 0;
   for (auto& [key, worker] : aWorkers) {
@@ -112,8 +113,8 @@
       cost += worker.serving == 0 ? kFirstServingCost : 0;
       cost += kFillingBesideCost * std::min(worker.filling, 4U);
     }
-    if (aRequest.step->fillsUnused && worker.serving > 0 && aRequest.interference != nullptr) {
-      const double expected = ExpectedRatio(worker, disturbs);
+    if (disturbs != nullptr && worker.serving > 0) {
+      const double expected = ExpectedRatio(worker, *disturbs);
       if (expected > kMostExpected && !aRequest.mayDisturb) {
         continue;
       }
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -36,18 +36,6 @@
          aRecord.policy.targetLatencyMs;
 }
 
-bool HasActiveRuns(const Job& aJob)
-{
-  for (const auto& [number, occurrence] : aJob.occurrences) {
-    for (const Step& step : occurrence.steps) {
-      if (step.active > 0) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
 std::int64_t DueUnixMs(const JobRecord& aRecord, std::uint32_t aOccurrence)
 {
   return aRecord.spec.repeats == 0
@@ -131,7 +119,7 @@
   for (const std::string& id : this->activeJobs) {
     Job& job = this->jobs.at(id);
     const std::int64_t objective = ObjectiveMs(job.record);
-    if (job.lastActive == Instant{} || HasActiveRuns(job)) {
+    if (job.lastActive == Instant{} || job.HasActiveRuns()) {
       job.lastActive = aNow.instant;
     }
     for (const auto& [number, occurrence] : job.occurrences) {
