Split the long files of the cluster mode

Change: LeaderLoading.cpp and WorkerLooks.cpp take what their names say; the tests share SchedulerSite.h; RunClusterEntry and RunClusterAgent replace the two wrappers. No behaviour and no check is changed.

--- a/packages/apps/src/Agent.cpp
+++ b/packages/apps/src/Agent.cpp
@@ -24,15 +24,12 @@
     return apps::kExitOk;
   }
   InitLog(LogLevel::Info);
-  auto agent = daemon::ClusterAgent::Create(*std::move(settings));
-  if (!agent.ok()) {
-    Log(LogLevel::Error, "start_failed", { { "reason", std::string(agent.status().message()) } });
-    ShutdownLog();
-    return apps::kExitFailure;
+  const absl::Status status = daemon::RunClusterAgent(*std::move(settings));
+  if (!status.ok()) {
+    Log(LogLevel::Error, "start_failed", { { "reason", std::string(status.message()) } });
   }
-  (*agent)->Run();
   ShutdownLog();
-  return apps::kExitOk;
+  return status.ok() ? apps::kExitOk : apps::kExitFailure;
 }
 
 int Run(const cxxopts::ParseResult& aOptions)
--- a/packages/apps/src/Entry.cpp
+++ b/packages/apps/src/Entry.cpp
@@ -87,15 +87,12 @@
     return apps::kExitOk;
   }
   InitLog(LogLevel::Info);
-  auto entry = daemon::ClusterEntry::Create(*std::move(settings));
-  if (!entry.ok()) {
-    Log(LogLevel::Error, "start_failed", { { "reason", std::string(entry.status().message()) } });
-    ShutdownLog();
-    return apps::kExitFailure;
+  const absl::Status status = daemon::RunClusterEntry(*std::move(settings));
+  if (!status.ok()) {
+    Log(LogLevel::Error, "start_failed", { { "reason", std::string(status.message()) } });
   }
-  (*entry)->Run();
   ShutdownLog();
-  return apps::kExitOk;
+  return status.ok() ? apps::kExitOk : apps::kExitFailure;
 }
 
 int CheckConfig(int aCount, char** aArguments)
--- a/packages/daemon/src/ClusterAgent.cpp
+++ b/packages/daemon/src/ClusterAgent.cpp
@@ -16,10 +16,12 @@
 
 namespace oriolespread::daemon {
 
-class ClusterAgent::Core
+namespace {
+
+class ClusterAgent
 {
 public:
-  explicit Core(platformwire::DaemonSettings aSettings)
+  explicit ClusterAgent(platformwire::DaemonSettings aSettings)
     : settings(std::move(aSettings))
     , signals(this->context, SIGTERM, SIGINT, SIGHUP)
   {
@@ -59,7 +61,7 @@
   std::string leader;
 };
 
-absl::Status ClusterAgent::Core::Start()
+absl::Status ClusterAgent::Start()
 {
   auto client =
     platformwire::StoreClient::Create(this->context, this->settings.storeAddress, this->counters);
@@ -108,7 +110,7 @@
   return absl::OkStatus();
 }
 
-void ClusterAgent::Core::AwaitSignal()
+void ClusterAgent::AwaitSignal()
 {
   this->signals.async_wait([this](asio::error_code aError, int aSignal) {
     if (aError) {
@@ -124,14 +126,13 @@
   });
 }
 
-void ClusterAgent::Core::Run()
+void ClusterAgent::Run()
 {
   this->context.run();
   Log(LogLevel::Info, "agent_stopped");
 }
 
-void ClusterAgent::Core::OnControlRequest(const HttpRequest& aRequest,
-                                          const HttpServer::Reply& aReply)
+void ClusterAgent::OnControlRequest(const HttpRequest& aRequest, const HttpServer::Reply& aReply)
 {
   if (!std::string_view(aRequest.target).starts_with(platformwire::kHeartbeatPrefix)) {
     aReply({ kHttpNotFound, {}, {} });
@@ -156,8 +157,7 @@
   aReply({ kHttpOk, { { "Content-Type", "application/json" } }, "{}" });
 }
 
-void ClusterAgent::Core::OnDirectory(const std::string& aKey,
-                                     const EntryDirectory::Entries& aEntries)
+void ClusterAgent::OnDirectory(const std::string& aKey, const EntryDirectory::Entries& aEntries)
 {
   std::erase_if(this->entries, [&](const auto& aItem) {
     const auto listed = aEntries.find(aItem.first);
@@ -170,9 +170,9 @@
   }
 }
 
-void ClusterAgent::Core::Dial(const std::string& aName,
-                              const std::string& aAddress,
-                              const std::string& aKey)
+void ClusterAgent::Dial(const std::string& aName,
+                        const std::string& aAddress,
+                        const std::string& aKey)
 {
   const auto address = SocketAddress::Parse(aAddress);
   if (!address.has_value()) {
@@ -212,7 +212,7 @@
   this->entries[aName] = { aAddress, *std::move(dialer), {} };
 }
 
-void ClusterAgent::Core::OnLinkDown(const std::string& aEntry, std::string_view aReason)
+void ClusterAgent::OnLinkDown(const std::string& aEntry, std::string_view aReason)
 {
   Log(LogLevel::Info, "link_down", { { "entry", aEntry }, { "reason", std::string(aReason) } });
   if (this->leader == aEntry) {
@@ -221,7 +221,7 @@
   }
 }
 
-void ClusterAgent::Core::OnMessage(const std::string& aEntry, const LinkMessage& aMessage)
+void ClusterAgent::OnMessage(const std::string& aEntry, const LinkMessage& aMessage)
 {
   if (const auto* claim = std::get_if<LeaderClaim>(&aMessage)) {
     if (claim->epoch == Epoch{} || claim->epoch < this->epoch) {
@@ -246,7 +246,7 @@
   }
 }
 
-void ClusterAgent::Core::SendToLeader(const WorkerReport& aReport)
+void ClusterAgent::SendToLeader(const WorkerReport& aReport)
 {
   const auto entry = this->entries.find(this->leader);
   if (entry == this->entries.end() || !entry->second.dialer->Send(aReport)) {
@@ -254,26 +254,16 @@
   }
 }
 
-absl::StatusOr<std::unique_ptr<ClusterAgent>> ClusterAgent::Create(
-  platformwire::DaemonSettings aSettings)
-{
-  auto core = std::make_unique<Core>(std::move(aSettings));
-  if (const absl::Status status = core->Start(); !status.ok()) {
-    return status;
-  }
-  return std::unique_ptr<ClusterAgent>(new ClusterAgent(std::move(core)));
-}
+} // namespace
 
-ClusterAgent::ClusterAgent(std::unique_ptr<Core> aCore)
-  : core(std::move(aCore))
+absl::Status RunClusterAgent(platformwire::DaemonSettings aSettings)
 {
-}
-
-ClusterAgent::~ClusterAgent() = default;
-
-void ClusterAgent::Run()
-{
-  this->core->Run();
+  ClusterAgent agent(std::move(aSettings));
+  const absl::Status status = agent.Start();
+  if (status.ok()) {
+    agent.Run();
+  }
+  return status;
 }
 
 } // namespace oriolespread::daemon
--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -36,12 +36,10 @@
   return absl::StrCat(absl::Hex(source(), absl::kZeroPad8), absl::Hex(source(), absl::kZeroPad8));
 }
 
-} // namespace
-
-class ClusterEntry::Core
+class ClusterEntry
 {
 public:
-  explicit Core(platformwire::DaemonSettings aSettings)
+  explicit ClusterEntry(platformwire::DaemonSettings aSettings)
     : settings(std::move(aSettings))
     , signals(this->context, SIGTERM, SIGINT, SIGHUP)
     , drainTimer(this->context)
@@ -80,7 +78,7 @@
   bool draining = false;
 };
 
-absl::Status ClusterEntry::Core::Start()
+absl::Status ClusterEntry::Start()
 {
   auto client =
     platformwire::StoreClient::Create(this->context, this->settings.storeAddress, this->counters);
@@ -131,7 +129,7 @@
   return absl::OkStatus();
 }
 
-absl::Status ClusterEntry::Core::StartServers()
+absl::Status ClusterEntry::StartServers()
 {
   auto front = HttpServer::Create(
     this->context,
@@ -170,7 +168,7 @@
   return absl::OkStatus();
 }
 
-absl::Status ClusterEntry::Core::StartLinks(const std::string& aKey)
+absl::Status ClusterEntry::StartLinks(const std::string& aKey)
 {
   LinkListenerOptions options;
   options.entry = EntryId{ this->settings.machine };
@@ -219,7 +217,7 @@
   return absl::OkStatus();
 }
 
-void ClusterEntry::Core::OnConfig(const cluster::ClusterConfig& aConfig)
+void ClusterEntry::OnConfig(const cluster::ClusterConfig& aConfig)
 {
   HttpServerLimits limits;
   limits.headerBytes = aConfig.limits.headerBytes;
@@ -229,13 +227,13 @@
   this->front->SetLimits(limits);
 }
 
-bool ClusterEntry::Core::IsReady() const
+bool ClusterEntry::IsReady() const
 {
   return !this->draining && this->config->Config().has_value() &&
          BootClock::now() - this->config->Confirmed() < kReadyWithoutStore;
 }
 
-void ClusterEntry::Core::SendToAgent(const std::string& aAgent, const LinkMessage& aMessage)
+void ClusterEntry::SendToAgent(const std::string& aAgent, const LinkMessage& aMessage)
 {
   const auto link = this->linkOfAgent.find(aAgent);
   if (link != this->linkOfAgent.end()) {
@@ -243,7 +241,7 @@
   }
 }
 
-void ClusterEntry::Core::AwaitSignal()
+void ClusterEntry::AwaitSignal()
 {
   this->signals.async_wait([this](asio::error_code aError, int aSignal) {
     if (aError) {
@@ -260,7 +258,7 @@
   });
 }
 
-void ClusterEntry::Core::Drain()
+void ClusterEntry::Drain()
 {
   this->draining = true;
   this->front->Drain();
@@ -275,7 +273,7 @@
   timer->async_wait([this, timer](asio::error_code /*aError*/) { this->context.stop(); });
 }
 
-void ClusterEntry::Core::AwaitIdle(Instant aEarliest, Instant aLatest)
+void ClusterEntry::AwaitIdle(Instant aEarliest, Instant aLatest)
 {
   const Instant now = BootClock::now();
   if (now >= aLatest || (now >= aEarliest && this->front->InFlight() == 0)) {
@@ -290,32 +288,22 @@
   });
 }
 
-void ClusterEntry::Core::Run()
+void ClusterEntry::Run()
 {
   this->context.run();
   Log(LogLevel::Info, "entry_stopped", { { "in_flight", this->front->InFlight() } });
 }
 
-absl::StatusOr<std::unique_ptr<ClusterEntry>> ClusterEntry::Create(
-  platformwire::DaemonSettings aSettings)
-{
-  auto core = std::make_unique<Core>(std::move(aSettings));
-  if (const absl::Status status = core->Start(); !status.ok()) {
-    return status;
-  }
-  return std::unique_ptr<ClusterEntry>(new ClusterEntry(std::move(core)));
-}
-
-ClusterEntry::ClusterEntry(std::unique_ptr<Core> aCore)
-  : core(std::move(aCore))
-{
-}
-
-ClusterEntry::~ClusterEntry() = default;
+} // namespace
 
-void ClusterEntry::Run()
+absl::Status RunClusterEntry(platformwire::DaemonSettings aSettings)
 {
-  this->core->Run();
+  ClusterEntry entry(std::move(aSettings));
+  const absl::Status status = entry.Start();
+  if (status.ok()) {
+    entry.Run();
+  }
+  return status;
 }
 
 } // namespace oriolespread::daemon
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -73,6 +73,7 @@
   void Become(const cluster::LeadRow& aRow, std::uint64_t aVersion, Instant aSent);
   void StepDown(std::string_view aReason);
 
+  // LeaderLoading.cpp
   void Load();
   void OnLoaded(const RangesResult& aResult);
   void WatchJobs();
@@ -81,6 +82,7 @@
   // Asks for failed pages again while this leadership lasts.
   RangesReader::RetryPolicy RetryInTerm(std::string aCounter);
 
+  // LeaderDriver.cpp
   void Pump();
   void PumpSoon();
   void Tick();
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -66,17 +66,20 @@
                std::unique_ptr<platformwire::WorkerClient> aClient);
 
   void BeginLife(const platformwire::WorkerHeartbeat& aBeat);
-  void Look();
+  // WorkerLooks.cpp
   void LookLater(Duration aDelay);
+  void Look();
   void OnLook(const platformwire::WorkerAnswer& aAnswer, Epoch aFence, Instant aSent);
   void OnSilence(const platformwire::WorkerAnswer& aAnswer);
   void ReportNow(bool aFull, Instant aLookSent);
   void SendReport(WorkerReport aReport);
+  void Pace(Instant aNow);
+
+  // WorkerDriver.cpp
   void Start(const RunRef& aRef);
   void OnStarted(const RunRef& aRef, const platformwire::WorkerAnswer& aAnswer);
   void Stop(const RunRef& aRef);
   void Reject(const RunRef& aRef, const std::string& aReason);
-  void Pace(Instant aNow);
   // Brings `grantedUntil` and `lapsesAt` up to date before a deadline is passed on. Returns false
   // when there is no lease to pass on.
   bool GrantLease();
--- a/packages/jobs/tests/JobRowsTest.cpp
+++ b/packages/jobs/tests/JobRowsTest.cpp
@@ -56,3 +56,12 @@
   CHECK(LongestChainMs(spec) == 610);
   CHECK(ChainFromMs(spec, 2) == 60);
 }
+
+// Guards against entries of two builds that look for a job in different parts.
+TEST_CASE("JobRows GivesAJobTheSamePartInEveryBuild")
+{
+  CHECK(JobPartOf("00000000000000a1") == "j7");
+  CHECK(JobRow("00000000000000a1").part == CancelRow("00000000000000a1").part);
+  CHECK(JobRow("00000000000000a1").part == WaitingRow("q", "00000000000000a1").part);
+  CHECK(StateRow("00000000000000a1").part == LeaderRow().part);
+}
--- /dev/null
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -0,0 +1,91 @@
+#include "SchedulerSite.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+using namespace oriolespread::jobs;
+
+// Guards against a task that is started again by a leader that does not know of its run.
+TEST_CASE("JobScheduler KnowsRunningTasksFromTheStoreWhenItTakesOver")
+{
+  SchedulerSite first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(2), MakeStep(1, { 0 }) }));
+  first.Settle();
+  first.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  first.Settle();
+
+  SchedulerSite second(first.rows);
+  second.AddAgent("b");
+  second.Settle();
+  CHECK(second.starts.empty());
+  // The agent of the run reports it; nothing is started, and its end completes the step.
+  second.agents["a"] = first.agents["a"];
+  second.lastEnd = first.lastEnd;
+  second.Report("a");
+  second.Settle();
+  CHECK(second.starts.empty());
+  second.End("a", { "j.0.0.1", 1 }, RunEnd::Done);
+  second.Settle();
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].second.ref.task == "j.0.1.0");
+}
+
+// Guards against a slow take-over, in which nothing is placed: most jobs in the store have ended.
+TEST_CASE("JobScheduler KnowsAnEndedJobWithoutDecodingItsRecord")
+{
+  SchedulerSite first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(1) }));
+  first.Settle();
+  first.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  first.Settle();
+  first.rows[JobRow("j")] = "not a record";
+  SchedulerSite second(first.rows);
+  second.AddAgent("a");
+  second.Settle();
+  CHECK(second.starts.empty());
+  CHECK(second.StateOf("j") == JobState::Completed);
+  second.Advance(std::chrono::seconds(300));
+  second.Settle();
+  second.Advance(std::chrono::seconds(11));
+  second.Settle();
+  CHECK(second.rows.empty());
+}
+
+// Guards against stops that carry no fencing token, which agents ignore: a cancellation is read
+// before the new leader's epoch counts.
+TEST_CASE("JobScheduler StopsRunsOfAJobThatWasCancelledBeforeTheTakeOver")
+{
+  SchedulerSite first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(2) }));
+  first.Settle();
+  first.rows[CancelRow("j")] = "";
+  SchedulerSite second(first.rows);
+  second.agents["a"] = first.agents["a"];
+  second.Report("a");
+  for (const auto& [agent, orders] : second.scheduler.TakeOrders()) {
+    CHECK(orders.epoch == Epoch{ 2 });
+    second.stops.insert(second.stops.end(), orders.stops.begin(), orders.stops.end());
+  }
+  CHECK(second.stops.size() >= 2);
+  CHECK(second.starts.empty());
+}
+
+// Guards against a cancelled job that a new leader forgets at once, so that its caller is told that
+// it does not exist: the state stored before the cancellation has no time of its end.
+TEST_CASE("JobScheduler KeepsAJobKnownThatWasCancelledBeforeTheTakeOver")
+{
+  SchedulerSite first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(1) }));
+  first.Settle();
+
+  first.rows[CancelRow("j")] = "";
+  SchedulerSite second(first.rows);
+  second.AddAgent("a");
+  second.Settle();
+  CHECK(second.rows.contains(JobRow("j")));
+  CHECK(second.rows.at(StateRow("j")).starts_with("cancelled"));
+}
--- /dev/null
+++ b/packages/jobs/tests/SchedulerSite.h
@@ -0,0 +1,164 @@
+// A scheduler with a store that applies every batch, and agents that do what they are told.
+#pragma once
+
+#include "oriolespread/jobs/JobScheduler.h"
+
+namespace oriolespread::jobs {
+
+inline constexpr Duration kMs = std::chrono::milliseconds(1);
+
+inline JobRecord MakeJob(const std::string& aId, std::vector<StepSpec> aSteps)
+{
+  JobRecord record;
+  record.id = aId;
+  record.policy = { "queue", "service", 0, 2, 2.0, 1000 };
+  record.spec.payload = "payload";
+  record.spec.steps = std::move(aSteps);
+  return record;
+}
+
+inline StepSpec MakeStep(std::uint32_t aCount, std::vector<std::uint32_t> aAfter = {})
+{
+  StepSpec step;
+  step.count = aCount;
+  step.demand = { 1000, 100, 0 };
+  step.estimateMs = 1000;
+  step.after = std::move(aAfter);
+  return step;
+}
+
+struct SchedulerSite
+{
+  Counters counters;
+  JobScheduler scheduler{ {}, counters, [](std::string_view, const nlohmann::ordered_json&) {} };
+  Now now{ Instant{} + std::chrono::hours(1), 1'000'000 };
+  std::map<RowKey, std::string> rows;
+  std::map<std::string, WorkerReport> agents;
+  std::vector<std::pair<std::string, StartRun>> starts;
+  std::vector<RunRef> stops;
+  std::vector<std::uint64_t> acknowledged;
+
+  // The first leader of a cluster.
+  SchedulerSite() { this->scheduler.FinishLoading(Epoch{ 1 }, this->now.instant, this->now); }
+  // A leader that takes over what an earlier one has stored.
+  explicit SchedulerSite(const std::map<RowKey, std::string>& aStored)
+    : rows(aStored)
+  {
+    this->Load();
+  }
+
+  void AddAgent(const std::string& aName, std::int64_t aMilliCores = 8000)
+  {
+    WorkerReport& report = this->agents[aName];
+    report.worker.id = "w-" + aName;
+    report.worker.born = 1;
+    report.worker.service = "service";
+    report.worker.capacity = { aMilliCores, 64000, 0 };
+    report.full = true;
+    this->scheduler.OnAgentUp(aName, this->now);
+    this->Report(aName);
+  }
+
+  void Report(const std::string& aName)
+  {
+    this->scheduler.OnReport(aName, this->agents[aName], this->now);
+  }
+
+  void Submit(const JobRecord& aRecord)
+  {
+    const std::string bytes = EncodeJobRecord(aRecord);
+    this->rows[JobRow(aRecord.id)] = bytes;
+    this->scheduler.OnJobRow(aRecord.id, bytes, this->now);
+  }
+
+  void Advance(Duration aTime)
+  {
+    this->now.instant += aTime;
+    this->now.unixMs += ToMilliseconds(aTime);
+  }
+
+  void TakeOrders()
+  {
+    for (auto& [agent, orders] : this->scheduler.TakeOrders()) {
+      WorkerReport& report = this->agents[agent];
+      report.lastOrders = orders.sequence;
+      for (const StartRun& start : orders.starts) {
+        this->starts.emplace_back(agent, start);
+        report.running.push_back({ start.ref, "", 0, 0 });
+      }
+      this->stops.insert(this->stops.end(), orders.stops.begin(), orders.stops.end());
+      for (const std::uint64_t number : orders.acknowledgedEnds) {
+        this->acknowledged.push_back(number);
+        std::erase_if(report.ended, [&](const EndedRun& aEnd) { return aEnd.number == number; });
+      }
+    }
+  }
+
+  // Decides and stores until nothing changes.
+  void Settle()
+  {
+    for (int round = 0; round < 20; ++round) {
+      this->scheduler.Decide(this->now);
+      this->TakeOrders();
+      StoreBatch batch = this->scheduler.TakeBatch(50);
+      const std::vector<RowKey> removals = this->scheduler.TakeRemovals(50);
+      for (const RowKey& row : removals) {
+        this->rows.erase(row);
+      }
+      this->scheduler.OnRemoved(removals, this->now);
+      if (batch.empty() && removals.empty()) {
+        return;
+      }
+      this->Apply(batch);
+      this->scheduler.OnStored(std::move(batch), this->now);
+      this->TakeOrders();
+    }
+  }
+
+  void Apply(const StoreBatch& aBatch)
+  {
+    for (const RowChange& change : aBatch.changes) {
+      if (change.remove) {
+        this->rows.erase(change.row);
+      } else {
+        this->rows[change.row] = change.value;
+      }
+    }
+  }
+
+  // Reads the rows of an earlier leader as one that has just claimed the leadership.
+  void Load()
+  {
+    for (const auto& [row, value] : this->rows) {
+      if (row.table == kStateTable) {
+        this->scheduler.LoadState(row.key, value);
+      } else if (row.table == kProgressTable) {
+        this->scheduler.LoadProgress(row.key, value);
+      }
+    }
+    for (const auto& [row, value] : this->rows) {
+      if (row.table == kJobsTable) {
+        this->scheduler.LoadJob(row.key, value, this->now);
+      }
+    }
+    this->scheduler.FinishLoading(Epoch{ 2 }, this->now.instant, this->now);
+  }
+
+  // Ends the run of a task on its agent.
+  void End(const std::string& aAgent,
+           const RunRef& aRef,
+           RunEnd aHow,
+           const std::string& aSaved = "")
+  {
+    WorkerReport& report = this->agents[aAgent];
+    std::erase_if(report.running, [&](const RunningRun& aRun) { return aRun.ref == aRef; });
+    report.ended.push_back({ ++this->lastEnd, aRef, aHow, aSaved });
+    this->Report(aAgent);
+  }
+
+  JobState StateOf(const std::string& aId) { return this->scheduler.Jobs().at(aId).state; }
+
+  std::uint64_t lastEnd = 0;
+};
+
+} // namespace oriolespread::jobs
