Learn disturbance as headroom, and group serving images

Cause: of the tail latencies of serving runs that nothing fills beside, all follow t0 / (1 - load), with one load for all tasks of a step; company adds to the load. Serving images lay mixed on nearly every worker, so that every filling image disturbed somebody everywhere.

Change: InterferenceModel, a Kalman filter for each serving image, with the headroom of a step by itself shared by its tasks; placement by the headroom that is left at the recent peak and now; serving tasks beside their own image; paces lowered by as much as the missing headroom asks for.

Ruled out: queueing (first placement within 0.1 s) and processor time (trials with --no-cpu).

--- a/packages/cluster/include/oriolespread/cluster/PaceController.h
+++ b/packages/cluster/include/oriolespread/cluster/PaceController.h
@@ -1,6 +1,7 @@
 // Slows tasks that use unused capacity on a worker while a task that serves users there misses its
-// latency target, and lets them speed up again step by step. Works on reports that lag by half a
-// second, so each step waits until the last one shows.
+// latency target, and lets them speed up again. Each run's pace is lowered by as much as the
+// missing headroom (target / tail latency) asks for, that of the run which disturbs most first.
+// Works on reports that lag by half a second, so each change waits until the last one shows.
 //
 //   for (const PaceOrder& order : controller.Update(runs, now)) { pace(order.ref, order.percent); }
 #pragma once
@@ -18,17 +19,19 @@
   // From a step until its effect shows in the figures: the delay of pacing and the half second
   // that a figure covers.
   Duration settle = std::chrono::milliseconds(700);
-  // Shares of the target at which the pace is lowered and may be raised.
-  double lowerAbove = 0.9;
-  // The share that is expected after a step up, by the disturbance of the run, has to be below
-  // this.
-  double raiseBelow = 0.8;
-  // Above this share a run is paused in one step.
-  double pauseAbove = 1.2;
-  // Time between steps up.
+  // Headroom below which paces are lowered, and the one that is aimed at then.
+  double lowerBelow = 1.1;
+  double lowerTo = 1.25;
+  // Headroom that has to be left when paces are raised; loads rise further within seconds.
+  double raiseTo = 1.4;
+  // Time between raises.
   Duration raiseInterval = std::chrono::milliseconds(1000);
-  // The first step down of a run; the second one pauses it.
-  int firstStep = 40;
+  // A slower run gains nothing over a paused one; smaller raises are not worth a call.
+  int leastPace = 15;
+  // A step down where the disturbance of no run explains the missing headroom.
+  int blindStep = 50;
+  // A run is known to disturb from this headroom on.
+  double leastDisturbance = 0.1;
   // A target missed for this long pauses everything that may disturb.
   Duration pauseAllAfter = std::chrono::milliseconds(1800);
 };
@@ -42,7 +45,7 @@
   bool fillsUnused = false;
   // Tail latency in milliseconds for a run that serves.
   std::int64_t figure = 0;
-  // By how much the run at full pace raises ln(tail latency / target).
+  // The headroom that the run takes at full pace.
   double disturbance = 0;
 };
 
@@ -71,8 +74,10 @@
     double disturbance = 0;
   };
 
-  void Lower(double aWorst, bool aAll);
-  bool Raise(double aWorst);
+  // By headroom: what is missing, and what may be given away.
+  void Lower(double aMissing);
+  bool Raise(double aSpare);
+  Pace* MostDisturbing();
 
   PaceSettings settings;
   Instant changed{};
--- a/packages/cluster/src/PaceController.cpp
+++ b/packages/cluster/src/PaceController.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int kFullPace = 100;
+// Stands for runs without a figure, and for workers without a serving run.
+constexpr double kMostHeadroom = 10.0;
 
 } // namespace
 
@@ -18,12 +20,12 @@
 
 std::vector<PaceOrder> PaceController::Update(const std::vector<PacedRun>& aRuns, Instant aNow)
 {
-  double worst = 0;
+  double headroom = kMostHeadroom;
   std::map<RunRef, Pace> present;
   for (const PacedRun& run : aRuns) {
-    if (run.latencyTargetMs > 0) {
-      worst =
-        std::max(worst, static_cast<double>(run.figure) / static_cast<double>(run.latencyTargetMs));
+    if (run.latencyTargetMs > 0 && run.figure > 0) {
+      headroom = std::min(
+        headroom, static_cast<double>(run.latencyTargetMs) / static_cast<double>(run.figure));
     }
     if (run.fillsUnused) {
       const auto known = this->paces.find(run.ref);
@@ -33,19 +35,23 @@
     }
   }
   this->paces = std::move(present);
-  if (worst <= 1.0) {
+  if (headroom >= 1.0) {
     this->missedSince = {};
   } else if (this->missedSince == Instant{}) {
     this->missedSince = aNow;
   }
-  const bool missedLong =
-    this->missedSince != Instant{} && aNow - this->missedSince >= this->settings.pauseAllAfter;
-  if (worst > this->settings.lowerAbove) {
-    if (missedLong || aNow - this->changed >= this->settings.settle) {
-      this->Lower(worst, missedLong);
+  if (this->missedSince != Instant{} && aNow - this->missedSince >= this->settings.pauseAllAfter) {
+    for (auto& [ref, pace] : this->paces) {
+      pace.wanted = 0;
+    }
+    this->changed = aNow;
+  } else if (headroom < this->settings.lowerBelow) {
+    if (aNow - this->changed >= this->settings.settle) {
+      this->Lower(this->settings.lowerTo - headroom);
       this->changed = aNow;
     }
-  } else if (aNow - this->changed >= this->settings.raiseInterval && this->Raise(worst)) {
+  } else if (aNow - this->changed >= this->settings.raiseInterval &&
+             this->Raise(headroom - this->settings.raiseTo)) {
     this->changed = aNow;
   }
   std::vector<PaceOrder> orders;
@@ -58,41 +64,62 @@
   return orders;
 }
 
-void PaceController::Lower(double aWorst, bool aAll)
+PaceController::Pace* PaceController::MostDisturbing()
 {
   Pace* most = nullptr;
   for (auto& [ref, pace] : this->paces) {
-    if (aAll) {
-      pace.wanted = 0;
-    } else if (pace.wanted > 0 && (most == nullptr || pace.disturbance > most->disturbance)) {
+    if (pace.wanted > 0 &&
+        (most == nullptr || pace.wanted * pace.disturbance > most->wanted * most->disturbance)) {
       most = &pace;
     }
   }
-  if (most != nullptr) {
-    const bool first =
-      most->wanted > this->settings.firstStep && aWorst < this->settings.pauseAbove;
-    most->wanted = first ? this->settings.firstStep : 0;
+  return most;
+}
+
+void PaceController::Lower(double aMissing)
+{
+  double missing = aMissing;
+  Pace* most = this->MostDisturbing();
+  if (most != nullptr && most->disturbance < this->settings.leastDisturbance) {
+    // What is known explains nothing, so that the runs are tried one by one.
+    most->wanted = most->wanted > this->settings.blindStep ? this->settings.blindStep : 0;
+    return;
+  }
+  while (missing > 0 && most != nullptr && most->disturbance >= this->settings.leastDisturbance) {
+    const int before = most->wanted;
+    const int cut = static_cast<int>(std::ceil(kFullPace * missing / most->disturbance));
+    most->wanted = before - cut >= this->settings.leastPace ? before - cut : 0;
+    missing -= most->disturbance * (before - most->wanted) / kFullPace;
+    most = this->MostDisturbing();
   }
 }
 
-bool PaceController::Raise(double aWorst)
+bool PaceController::Raise(double aSpare)
 {
-  Pace* least = nullptr;
+  double spare = aSpare;
+  bool raised = false;
+  std::vector<Pace*> lowered;
   for (auto& [ref, pace] : this->paces) {
-    if (pace.wanted < kFullPace && (least == nullptr || pace.disturbance < least->disturbance)) {
-      least = &pace;
+    if (pace.wanted < kFullPace) {
+      lowered.push_back(&pace);
     }
   }
-  if (least == nullptr) {
-    return false;
-  }
-  const int next = least->wanted < this->settings.firstStep ? this->settings.firstStep : kFullPace;
-  const double rise = least->disturbance * (next - least->wanted) / kFullPace;
-  if (aWorst * std::exp(rise) >= this->settings.raiseBelow) {
-    return false;
+  std::sort(lowered.begin(), lowered.end(), [](const Pace* aLeft, const Pace* aRight) {
+    return aLeft->disturbance < aRight->disturbance;
+  });
+  for (Pace* pace : lowered) {
+    const double disturbance = std::max(pace->disturbance, this->settings.leastDisturbance);
+    const int affordable =
+      static_cast<int>(std::min<double>(kFullPace, kFullPace * spare / disturbance));
+    const int next = std::min(kFullPace, pace->wanted + affordable);
+    if (next - pace->wanted < this->settings.leastPace && next < kFullPace) {
+      break;
+    }
+    spare -= disturbance * (next - pace->wanted) / kFullPace;
+    pace->wanted = next;
+    raised = true;
   }
-  least->wanted = next;
-  return true;
+  return raised;
 }
 
 void PaceController::OnFailed(const RunRef& aRef)
--- a/packages/jobs/include/oriolespread/jobs/InterferenceModel.h
+++ b/packages/jobs/include/oriolespread/jobs/InterferenceModel.h
@@ -1,14 +1,20 @@
-// Learns how much runs that use unused capacity raise the tail latency of runs that serve beside
-// them. Serves loads in which an image disturbs some serving images much and others not at all:
-// each pair of images gets a weight, found by stochastic gradient descent on
+// Learns how much runs that use unused capacity slow down runs that serve beside them.
 //
-//   ln(tail latency / target) = base + residual + sum of the weights of what is at work beside it
+// The tail latency of a serving run grows like that of a queue, t0 / (1 - utilisation), and what
+// works beside it adds to the utilisation. The headroom, target / tail latency, is therefore
+// linear:
 //
-// The residual belongs to a serving image on a worker and follows its load, which swings slowly.
-// What fills comes and goes within reports, so that a sudden change of the ratio is the doing of
-// the images that changed.
+//   headroom = headroom of the step by itself - sum over filling runs of weight x share of cores
+//
+// A target is met at a headroom of 1 or more. The headroom of a step by itself follows the load of
+// its users and is the same for all tasks of the step, so tasks that have company are told from the
+// ones that have none, whatever the load does. Each pair of a serving and a filling image has a
+// weight; a Kalman filter a serving image estimates them. Serves loads in which an image disturbs
+// some serving images much and others hardly. Not thread-safe.
 #pragma once
 
+#include "oriolespread/base/Time.h"
+
 #include <cstddef>
 #include <map>
 #include <string>
@@ -16,44 +22,60 @@
 
 namespace oriolespread::jobs {
 
-class InterferenceBook
+// The headroom that the tasks of one serving step have without company.
+struct OwnHeadroom
+{
+  // Before the first observation: what a step that is at its busiest was seen to keep.
+  double now = 1.6;
+  double variance = 1.0;
+  // The least of the recent past, as loads come back to it.
+  double low = 1.6;
+  Instant updated{};
+};
+
+class InterferenceModel
 {
 public:
-  // A run beside those that serve, and at what share of its full speed it works, 0 to 1.
+  // Runs of one image beside a serving run, and the share of the worker's cores that they use.
   struct Company
   {
     std::string image;
-    double share = 1.0;
+    double cores = 0;
   };
-  // Weights of one filling image, by the number of the serving image; images beyond its end have
-  // the weight of an image that was not seen yet.
-  using Row = std::vector<double>;
 
-  // Returns the number of a serving image, the same as long as the book lives.
+  // Returns the number of a serving image, the same as long as the model lives.
   std::size_t NumberOf(const std::string& aServing);
 
-  // `aRatio` is the worst tail latency against its target of a serving image's runs on a worker;
-  // `aResidual` is moved towards what the company does not explain.
+  // `aHeadroom` was measured for a run of the serving image at `aNow`; `aOwn` belongs to its step.
   void Observe(std::size_t aServing,
-               double aRatio,
+               double aHeadroom,
                const std::vector<Company>& aCompany,
-               double& aResidual);
+               OwnHeadroom& aOwn,
+               Instant aNow);
 
-  // The expected rise of ln(ratio) of a serving image by one run of a filling image.
-  const Row& RowOf(const std::string& aFilling) const;
-  static double Weight(const Row& aRow, std::size_t aServing);
-  // The mean over all serving images that were seen.
+  // Returns the headroom that runs of a filling image take from a serving image if they use all
+  // cores of the worker; never negative.
+  double Weight(const std::string& aFilling, std::size_t aServing) const;
+  // Returns the weight by the number of the serving image.
+  std::vector<double> WeightsOf(const std::string& aFilling) const;
+  // Returns the mean over all serving images that were seen.
   double MeanWeight(const std::string& aFilling) const;
 
-  // The expected ln(ratio) of a run that serves alone.
-  static double Base() { return kBase; }
-
 private:
-  // A serving run without company is at about two fifths of its target.
-  static constexpr double kBase = -0.9;
+  // What is known of the weights of all filling images beside one serving image.
+  struct Estimate
+  {
+    std::vector<double> weights;
+    // Of the weights, by rows; symmetric.
+    std::vector<std::vector<double>> covariance;
+
+    void Grow(std::size_t aSize);
+  };
 
-  std::map<std::string, std::size_t> numbers;
-  std::map<std::string, Row> rows;
+  std::map<std::string, std::size_t> servingNumbers;
+  std::map<std::string, std::size_t> fillingNumbers;
+  // By the number of the serving image.
+  std::vector<Estimate> estimates;
 };
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "oriolespread/base/Time.h"
+#include "oriolespread/jobs/InterferenceModel.h"
 #include "oriolespread/jobs/JobRows.h"
 #include "oriolespread/jobs/JobSpec.h"
 #include "oriolespread/messages/WorkerMessages.h"
@@ -71,6 +72,8 @@
   std::vector<Task> tasks;
   std::uint32_t done = 0;
   std::uint32_t active = 0;
+  // Of a step that serves users.
+  OwnHeadroom own;
 
   bool IsDone() const { return this->done == this->tasks.size(); }
 };
@@ -145,15 +148,16 @@
   friend auto operator<=>(const WorkerRun&, const WorkerRun&) = default;
 };
 
-// A serving image on one worker.
+// A serving step with runs on one worker, as it was when the worker last reported.
 struct ServingLoad
 {
-  // By InterferenceBook::NumberOf.
+  // By InterferenceModel::NumberOf.
   std::size_t image = 0;
-  // How far ln(tail latency / target) lies above what is expected of the company; smoothed.
-  double residual = 0;
-  // Sum of the weights of all runs on the worker that use unused capacity.
-  double disturbance = 0;
+  // The headroom of the step by itself, and the least that it came down to lately.
+  double now = 0;
+  double low = 0;
+  // What all runs on the worker that use unused capacity take of it at full pace.
+  double taken = 0;
 };
 
 struct Worker
@@ -181,8 +185,9 @@
   // Runs that serve users with a latency target, and runs that use unused capacity.
   std::uint32_t serving = 0;
   std::int64_t servingMilliCores = 0;
-  // The serving images on the worker, as last reported.
   std::vector<ServingLoad> servingLoads;
+  // Runs by the image of their long-running step.
+  std::map<std::string, std::uint32_t> servingImages;
   std::uint32_t filling = 0;
   std::set<WorkerRun> runs;
   // Ends that are decided and not stored yet.
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -12,7 +12,7 @@
 #pragma once
 
 #include "oriolespread/base/Counters.h"
-#include "oriolespread/jobs/InterferenceBook.h"
+#include "oriolespread/jobs/InterferenceModel.h"
 #include "oriolespread/jobs/JobModel.h"
 #include "oriolespread/jobs/SchedulerSettings.h"
 
@@ -99,8 +99,8 @@
 
   const std::map<WorkerKey, Worker>& Workers() const { return this->workers; }
   const std::map<std::string, Job>& Jobs() const { return this->jobs; }
-  // Returns, by image of the runs on the agent's worker that use unused capacity, by how much one
-  // of them raises ln(tail latency / target) of what it disturbs most there.
+  // Returns, by image of the runs on the agent's worker that use unused capacity, the headroom that
+  // one of them takes from what it disturbs most there.
   std::map<std::string, double> DisturbanceOn(const std::string& aAgent) const;
   // Returns how long the jobs waited whose first task was placed since the last call, from when
   // this leader first read of them.
@@ -154,7 +154,7 @@
   // SchedulerReports.cpp
   Worker* AcceptIdentity(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
   void ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow);
-  void LearnInterference(Worker& aWorker, const WorkerReport& aReport);
+  void LearnInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   void ApplyEnd(Worker& aWorker, const EndedRun& aEnd, Now aNow);
   void ApplyRejection(Worker& aWorker, const RejectedRun& aRejected, Now aNow);
   void Reconcile(Worker& aWorker, const WorkerReport& aReport, Now aNow);
@@ -166,8 +166,8 @@
   void LeaveDrainingWorker(Worker& aWorker);
 
   // SchedulerPlacement.cpp
-  void SumDisturbance();
-  void AddDisturbance(Worker& aWorker, const std::string& aImage) const;
+  void SumTakenHeadroom(Worker& aWorker) const;
+  void AddTakenHeadroom(Worker& aWorker, const StepSpec& aStep) const;
   double GainOf(const Job& aJob, const Occurrence& aOccurrence, const StepSpec& aStep) const;
   std::vector<ReadyStep> FindReadySteps(Now aNow);
   void Place(const ReadyStep& aReady, Now aNow);
@@ -194,7 +194,7 @@
   Counters& counters;
   DecisionLog log;
   Epoch epoch;
-  InterferenceBook interference;
+  InterferenceModel interference;
   std::map<std::string, Job> jobs;
   // Smoothed work of a job by queue.
   std::map<std::string, double> meanWork;
--- a/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
+++ b/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
@@ -3,7 +3,6 @@
 // worker is filled while another is free.
 #pragma once
 
-#include "oriolespread/jobs/InterferenceBook.h"
 #include "oriolespread/jobs/JobModel.h"
 
 #include <map>
@@ -18,9 +17,9 @@
   std::string failedOn;
   // Workers, by id, that already run tasks of the step, and how many.
   std::map<std::string, std::uint32_t> sameStep;
-  // For a step that uses unused capacity: what is known of disturbance, and whether a worker may be
-  // chosen although its serving runs would miss their targets.
-  const InterferenceBook* interference = nullptr;
+  // For a step that uses unused capacity: the weight of its image by the number of the serving
+  // image, and whether a worker may be chosen although its serving runs would miss their targets.
+  std::vector<double> weights;
   bool mayDisturb = false;
   // Workers that must not be chosen, by id.
   std::set<std::string> excluded;
@@ -29,6 +28,9 @@
 // Returns whether the worker may take new runs at all.
 bool AcceptsRuns(const Worker& aWorker, Instant aNow);
 
+// Returns the share of the worker's cores that a task which uses unused capacity takes.
+double CoresTaken(const Worker& aWorker, const StepSpec& aStep);
+
 // Returns whether the worker has the resources for one more task of the step.
 bool HasRoomFor(const Worker& aWorker, const StepSpec& aStep);
 
--- a/packages/jobs/src/InterferenceModel.cpp
+++ b/packages/jobs/src/InterferenceModel.cpp
@@ -1,4 +1,4 @@
-#include "oriolespread/jobs/InterferenceBook.h"
+#include "oriolespread/jobs/InterferenceModel.h"
 
 #include <algorithm>
 #include <cmath>
@@ -8,65 +8,148 @@
 
 namespace {
 
-// Of a pair that was not seen yet: the mean of the pairs measured on abenov-rota-grown.
-constexpr double kFirstWeight = 0.15;
-// Share of an observation's error by which the weights, and the residual, move. Replayed on 5,000
-// reports of abenov-rota-grown, these predict the next report best of the rates that still tell
-// pairs apart.
-constexpr double kPairRate = 0.1;
-constexpr double kResidualRate = 0.3;
-constexpr double kMaxWeight = 2.0;
-// Ratios outside say no more than that the target is far, or that the run only starts.
-constexpr double kLeastRatio = 0.1;
-constexpr double kMostRatio = 4.5;
+// Of a pair that was not seen yet. On the further sites a fifth of the pairs has a weight of about
+// 9 and the others of about 1 or less.
+constexpr double kFirstWeight = 2.5;
+constexpr double kFirstVariance = 12.0;
+// Filling images that are told apart; further ones keep the first weight. Bounds an estimate to
+// 128 KiB.
+constexpr std::size_t kMostImages = 128;
+// How fast the headroom of a step by itself may drift, as variance a second: loads that swing from
+// one end to the other within 7 s change by at most 0.5 a second.
+constexpr double kDriftVariance = 0.15;
+constexpr double kMostVariance = 1.0;
+// Of a measured headroom: rough figures scatter by about a tenth.
+constexpr double kRelativeNoise = 0.1;
+constexpr double kLeastNoise = 0.1;
+// Some figures are off by half; they count as being off by this many standard deviations.
+constexpr double kMostDeviations = 3.0;
+// Beyond these a figure tells no more than that the target is far.
+constexpr double kLeastHeadroom = 0.2;
+constexpr double kMostHeadroom = 8.0;
+// The lowest headroom is forgotten over about twice the longest period of loads seen, 20 s.
+constexpr double kLowMemorySeconds = 40.0;
+
+double Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
 
 } // namespace
 
-std::size_t InterferenceBook::NumberOf(const std::string& aServing)
+void InterferenceModel::Estimate::Grow(std::size_t aSize)
+{
+  const std::size_t before = this->weights.size();
+  if (aSize <= before) {
+    return;
+  }
+  this->weights.resize(aSize, kFirstWeight);
+  this->covariance.resize(aSize);
+  for (auto& row : this->covariance) {
+    row.resize(aSize, 0);
+  }
+  for (std::size_t index = before; index < aSize; ++index) {
+    this->covariance[index][index] = kFirstVariance;
+  }
+}
+
+std::size_t InterferenceModel::NumberOf(const std::string& aServing)
 {
-  return this->numbers.try_emplace(aServing, this->numbers.size()).first->second;
+  const std::size_t number =
+    this->servingNumbers.try_emplace(aServing, this->servingNumbers.size()).first->second;
+  this->estimates.resize(this->servingNumbers.size());
+  return number;
 }
 
-void InterferenceBook::Observe(std::size_t aServing,
-                               double aRatio,
-                               const std::vector<Company>& aCompany,
-                               double& aResidual)
+void InterferenceModel::Observe(std::size_t aServing,
+                                double aHeadroom,
+                                const std::vector<Company>& aCompany,
+                                OwnHeadroom& aOwn,
+                                Instant aNow)
 {
-  double expected = kBase + aResidual;
-  double norm = 0;
+  Estimate& estimate = this->estimates[aServing];
+  // Pairs of the image's index and its share of cores.
+  std::vector<std::pair<std::size_t, double>> company;
   for (const Company& item : aCompany) {
-    Row& row = this->rows[item.image];
-    row.resize(std::max(row.size(), this->numbers.size()), kFirstWeight);
-    expected += item.share * row[aServing];
-    norm += item.share * item.share;
+    const std::size_t index =
+      this->fillingNumbers.try_emplace(item.image, this->fillingNumbers.size()).first->second;
+    if (index < kMostImages) {
+      company.emplace_back(index, item.cores);
+    }
   }
-  const double error = std::log(std::clamp(aRatio, kLeastRatio, kMostRatio)) - expected;
-  aResidual += kResidualRate * error;
-  for (const Company& item : aCompany) {
-    double& weight = this->rows[item.image][aServing];
-    weight =
-      std::clamp(weight + kPairRate * error * item.share / std::max(norm, 1.0), 0.0, kMaxWeight);
+  estimate.Grow(std::min(this->fillingNumbers.size(), kMostImages));
+  const std::size_t size = estimate.weights.size();
+  // The covariance of each weight with the headroom that the company takes.
+  std::vector<double> shared(size, 0);
+  double taken = 0;
+  double takenVariance = 0;
+  for (const auto& [index, cores] : company) {
+    taken += cores * estimate.weights[index];
+    for (std::size_t other = 0; other < size; ++other) {
+      shared[other] += cores * estimate.covariance[other][index];
+    }
+  }
+  for (const auto& [index, cores] : company) {
+    takenVariance += cores * shared[index];
+  }
+  const double measured = std::clamp(aHeadroom, kLeastHeadroom, kMostHeadroom);
+  if (aOwn.updated == Instant{}) {
+    aOwn.now = std::max(aOwn.now, measured + taken);
+  } else {
+    aOwn.variance =
+      std::min(kMostVariance, aOwn.variance + kDriftVariance * Seconds(aNow - aOwn.updated));
+  }
+  const double noise = std::max(kLeastNoise, kRelativeNoise * measured);
+  const double total = noise * noise + aOwn.variance + takenVariance;
+  const double most = kMostDeviations * std::sqrt(total);
+  const double error = std::clamp(measured - (aOwn.now - taken), -most, most);
+  if (aOwn.updated != Instant{}) {
+    const double keep = std::exp(-Seconds(aNow - aOwn.updated) / kLowMemorySeconds);
+    aOwn.low = aOwn.now - keep * (aOwn.now - aOwn.low);
+  }
+  aOwn.now += error * aOwn.variance / total;
+  aOwn.variance -= aOwn.variance * aOwn.variance / total;
+  aOwn.low = std::min(aOwn.low, aOwn.now);
+  aOwn.updated = aNow;
+  if (company.empty()) {
+    return;
+  }
+  for (std::size_t row = 0; row < size; ++row) {
+    if (shared[row] == 0) {
+      continue;
+    }
+    estimate.weights[row] = std::max(0.0, estimate.weights[row] - error * shared[row] / total);
+    for (std::size_t column = 0; column < size; ++column) {
+      estimate.covariance[row][column] -= shared[row] * shared[column] / total;
+    }
   }
 }
 
-const InterferenceBook::Row& InterferenceBook::RowOf(const std::string& aFilling) const
+double InterferenceModel::Weight(const std::string& aFilling, std::size_t aServing) const
 {
-  static const Row kUnknown;
-  const auto it = this->rows.find(aFilling);
-  return it == this->rows.end() ? kUnknown : it->second;
+  const auto index = this->fillingNumbers.find(aFilling);
+  if (index == this->fillingNumbers.end() || aServing >= this->estimates.size()) {
+    return kFirstWeight;
+  }
+  const std::vector<double>& weights = this->estimates[aServing].weights;
+  return index->second < weights.size() ? weights[index->second] : kFirstWeight;
 }
 
-double InterferenceBook::Weight(const Row& aRow, std::size_t aServing)
+std::vector<double> InterferenceModel::WeightsOf(const std::string& aFilling) const
 {
-  return aServing < aRow.size() ? aRow[aServing] : kFirstWeight;
+  std::vector<double> weights;
+  for (std::size_t serving = 0; serving < this->estimates.size(); ++serving) {
+    weights.push_back(this->Weight(aFilling, serving));
+  }
+  return weights;
 }
 
-double InterferenceBook::MeanWeight(const std::string& aFilling) const
+double InterferenceModel::MeanWeight(const std::string& aFilling) const
 {
-  const Row& row = this->RowOf(aFilling);
-  return row.empty()
-           ? kFirstWeight
-           : std::accumulate(row.begin(), row.end(), 0.0) / static_cast<double>(row.size());
+  const std::vector<double> weights = this->WeightsOf(aFilling);
+  return weights.empty() ? kFirstWeight
+                         : std::accumulate(weights.begin(), weights.end(), 0.0) /
+                             static_cast<double>(weights.size());
 }
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -384,6 +384,9 @@
   if (const auto worker = this->workers.find(run->worker); worker != this->workers.end()) {
     worker->second.runs.erase(aRun);
     this->Reserve(worker->second, this->SpecOf(aRun.place), -1);
+    if (this->SpecOf(aRun.place).fillsUnused) {
+      this->SumTakenHeadroom(worker->second);
+    }
   }
   std::erase_if(task->runs, [&](const Run& aItem) { return aItem.number == aRun.number; });
   if (task->runs.empty() && task->state == TaskState::Active) {
@@ -398,6 +401,13 @@
   Resources amount = aStep.demand;
   aWorker.servingMilliCores += aStep.longRunning ? aSign * aStep.demand.milliCores : 0;
   aWorker.serving += aStep.longRunning ? aSign : 0;
+  if (aStep.longRunning) {
+    const auto image = aWorker.servingImages.try_emplace(aStep.image).first;
+    image->second += aSign;
+    if (image->second == 0) {
+      aWorker.servingImages.erase(image);
+    }
+  }
   aWorker.filling += aStep.fillsUnused ? aSign : 0;
   if (aSign < 0) {
     aWorker.demanded -= amount;
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -1,7 +1,8 @@
 #include "oriolespread/jobs/PlacementChoice.h"
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
+#include <optional>
 
 namespace oriolespread::jobs {
 
@@ -11,14 +12,23 @@
 constexpr double kOtherRackCost = 0.5;
 constexpr double kFailedHereCost = 4.0;
 constexpr double kSameStepCost = 0.05;
-// Runs that use unused capacity disturb runs that serve, so a worker where the latter come near to
-// their targets is dearer than a loaded one.
-constexpr double kNearTargetCost = 1.5;
 constexpr double kFillingBesideCost = 0.1;
-// Expected ln(tail latency / target) above which nothing more is added: 0.9 of the target.
-constexpr double kMostExpected = -0.10;
-// Runs that serve share workers, so that others stay free of them.
+// Headroom that has to be left beside what serves: figures scatter by a tenth.
+constexpr double kSafeHeadroom = 1.0;
+// From here on nothing is gained by more of it.
+constexpr double kAmpleHeadroom = 2.0;
+constexpr double kNearTargetCost = 1.0;
+// Headroom at the load of now that lasts for about a task's time while the load rises.
+constexpr double kPassingHeadroom = 1.6;
+constexpr double kPassingCost = 3.0;
+constexpr double kDisturbingCost = 6.0;
+// Costs of a serving task on a worker without any, beside other images only, and beside its own
+// and other images.
 constexpr double kFirstServingCost = 0.8;
+constexpr double kOtherImageCost = 1.6;
+constexpr double kMixedImagesCost = 0.4;
+// Tasks that use unused capacity use nearly all that they declare.
+constexpr double kFillingUse = 0.9;
 
 // Runs that serve are sized for their peak; on average they leave about half of it unused.
 constexpr double kServingUse = 0.5;
@@ -43,17 +53,55 @@
   return std::max(coreLoad, 0.5 * memoryLoad);
 }
 
-// Returns the highest ln(tail latency / target) expected of what serves on the worker once one more
-// run with these weights is there.
-double ExpectedRatio(const Worker& aWorker, const InterferenceBook::Row& aDisturbs)
+// How well what serves on a worker would keep its target with one more filling task there.
+struct HeadroomLeft
 {
-  double highest = InterferenceBook::Base();
+  // At the load of now, and when loads come back to their recent peak.
+  double now = std::numeric_limits<double>::max();
+  double low = std::numeric_limits<double>::max();
+};
+
+HeadroomLeft HeadroomWith(const Worker& aWorker, const PlacementRequest& aRequest)
+{
+  HeadroomLeft left;
+  const double cores = CoresTaken(aWorker, *aRequest.step);
   for (const ServingLoad& load : aWorker.servingLoads) {
-    highest = std::max(highest,
-                       InterferenceBook::Base() + load.residual + load.disturbance +
-                         InterferenceBook::Weight(aDisturbs, load.image));
+    const double weight = load.image < aRequest.weights.size() ? aRequest.weights[load.image] : 0;
+    const double taken = load.taken + weight * cores;
+    left.now = std::min(left.now, load.now - taken);
+    left.low = std::min(left.low, load.low - taken);
+  }
+  return left;
+}
+
+// Returns the cost of disturbing what serves on the worker, or nothing if the task must not be
+// placed there.
+std::optional<double> DisturbanceCost(const Worker& aWorker, const PlacementRequest& aRequest)
+{
+  const HeadroomLeft left = HeadroomWith(aWorker, aRequest);
+  if (left.low >= kSafeHeadroom) {
+    return kNearTargetCost * std::max(0.0, kAmpleHeadroom - left.low);
+  }
+  if (left.now >= kPassingHeadroom) {
+    return kPassingCost + kNearTargetCost * std::max(0.0, kAmpleHeadroom - left.low);
+  }
+  if (aRequest.mayDisturb) {
+    return kDisturbingCost + std::max(0.0, kAmpleHeadroom - left.now);
   }
-  return highest;
+  return std::nullopt;
+}
+
+// Returns the cost of mixing a serving task with others. An image that fills disturbs some serving
+// images only, so that workers with few serving images have room for more of what fills.
+double MixCost(const Worker& aWorker, const StepSpec& aStep)
+{
+  if (aWorker.serving == 0) {
+    return kFirstServingCost;
+  }
+  if (!aWorker.servingImages.contains(aStep.image)) {
+    return kOtherImageCost;
+  }
+  return aWorker.servingImages.size() > 1 ? kMixedImagesCost : 0;
 }
 
 bool HasLabel(const Worker& aWorker, const std::string& aLabel)
@@ -71,6 +119,12 @@
          aNow >= aWorker.avoidUntil;
 }
 
+double CoresTaken(const Worker& aWorker, const StepSpec& aStep)
+{
+  return kFillingUse * static_cast<double>(aStep.demand.milliCores) /
+         static_cast<double>(std::max<std::int64_t>(aWorker.state.capacity.milliCores, 1));
+}
+
 bool HasRoomFor(const Worker& aWorker, const StepSpec& aStep)
 {
   Resources needed = aWorker.reserved + aStep.demand;
@@ -85,10 +139,6 @@
                      const PlacementRequest& aRequest,
                      Instant aNow)
 {
-  const InterferenceBook::Row* disturbs =
-    aRequest.step->fillsUnused && aRequest.interference != nullptr
-      ? &aRequest.interference->RowOf(aRequest.step->image)
-      : nullptr;
   Worker* best = nullptr;
   double bestCost = 0;
   for (auto& [key, worker] : aWorkers) {
@@ -110,15 +160,15 @@
       cost += kFailedHereCost;
     }
     if (aRequest.step->longRunning) {
-      cost += worker.serving == 0 ? kFirstServingCost : 0;
+      cost += MixCost(worker, *aRequest.step);
       cost += kFillingBesideCost * std::min(worker.filling, 4U);
     }
-    if (disturbs != nullptr && worker.serving > 0) {
-      const double expected = ExpectedRatio(worker, *disturbs);
-      if (expected > kMostExpected && !aRequest.mayDisturb) {
+    if (aRequest.step->fillsUnused) {
+      const std::optional<double> disturbance = DisturbanceCost(worker, aRequest);
+      if (!disturbance.has_value()) {
         continue;
       }
-      cost += kNearTargetCost * std::exp(expected);
+      cost += *disturbance;
     }
     cost += kSameStepCost * count;
     if (best == nullptr || cost < bestCost) {
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -18,6 +18,8 @@
 constexpr double kMostWorth = 4.0;
 constexpr double kLeastWork = 0.01;
 constexpr double kLeastDisturbance = 0.3;
+// The share of a worker's cores that a filling task usually takes.
+constexpr double kTypicalCores = 0.1;
 // Estimates are rough, so only this share of them counts against a deadline.
 constexpr double kChainTrusted = 0.7;
 
@@ -62,7 +64,6 @@
       this->StartDueOccurrences(job, aNow);
     }
   }
-  this->SumDisturbance();
   std::vector<ReadyStep> ready = this->FindReadySteps(aNow);
   for (const ReadyStep& item : ready) {
     this->Place(item, aNow);
@@ -70,28 +71,26 @@
   this->Forget(aNow);
 }
 
-void JobScheduler::SumDisturbance()
+void JobScheduler::SumTakenHeadroom(Worker& aWorker) const
 {
-  for (auto& [key, worker] : this->workers) {
-    for (ServingLoad& load : worker.servingLoads) {
-      load.disturbance = 0;
-    }
-    if (worker.filling == 0 || worker.servingLoads.empty()) {
-      continue;
-    }
-    for (const WorkerRun& run : worker.runs) {
-      if (const StepSpec& step = this->SpecOf(run.place); step.fillsUnused) {
-        this->AddDisturbance(worker, step.image);
-      }
+  for (ServingLoad& load : aWorker.servingLoads) {
+    load.taken = 0;
+  }
+  if (aWorker.filling == 0 || aWorker.servingLoads.empty()) {
+    return;
+  }
+  for (const WorkerRun& run : aWorker.runs) {
+    if (const StepSpec& step = this->SpecOf(run.place); step.fillsUnused) {
+      this->AddTakenHeadroom(aWorker, step);
     }
   }
 }
 
-void JobScheduler::AddDisturbance(Worker& aWorker, const std::string& aImage) const
+void JobScheduler::AddTakenHeadroom(Worker& aWorker, const StepSpec& aStep) const
 {
-  const InterferenceBook::Row& row = this->interference.RowOf(aImage);
+  const double cores = CoresTaken(aWorker, aStep);
   for (ServingLoad& load : aWorker.servingLoads) {
-    load.disturbance += InterferenceBook::Weight(row, load.image);
+    load.taken += cores * this->interference.Weight(aStep.image, load.image);
   }
 }
 
@@ -108,7 +107,8 @@
   const double mean = std::max(this->meanWork.at(aJob.record.policy.queue), kLeastWork);
   // Finishing a job is worth something by itself, and the rest by its work.
   const double worth = kWorthOfAny + kWorthOfWork * std::min(aJob.work / mean, kMostWorth);
-  const double disturbance = aStep.fillsUnused ? this->interference.MeanWeight(aStep.image) : 0;
+  const double disturbance =
+    aStep.fillsUnused ? kTypicalCores * this->interference.MeanWeight(aStep.image) : 0;
   return worth / (std::max(left, kLeastWork) * (kLeastDisturbance + disturbance));
 }
 
@@ -167,7 +167,9 @@
   PlacementRequest request;
   request.step = &record.spec.steps[aReady.step];
   request.service = record.policy.service;
-  request.interference = &this->interference;
+  if (request.step->fillsUnused) {
+    request.weights = this->interference.WeightsOf(request.step->image);
+  }
   for (const Task& task : aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks) {
     for (const Run& run : task.runs) {
       ++request.sameStep[run.worker.id];
@@ -220,7 +222,7 @@
   }
   ++aRequest.sameStep[worker->key.id];
   if (aRequest.step->fillsUnused) {
-    this->AddDisturbance(*worker, aRequest.step->image);
+    this->AddTakenHeadroom(*worker, *aRequest.step);
     aRequest.mayDisturb = false;
   }
   this->BeginRun(aReady, aIndex, *worker, aNow);
@@ -275,7 +277,13 @@
   task.state = TaskState::Active;
   ++step.active;
   aWorker.runs.insert(workerRun);
-  this->Reserve(aWorker, job.record.spec.steps[aReady.step], 1);
+  const StepSpec& spec = job.record.spec.steps[aReady.step];
+  this->Reserve(aWorker, spec, 1);
+  if (spec.longRunning && spec.latencyTargetMs > 0) {
+    aWorker.servingLoads.push_back(
+      { this->interference.NumberOf(spec.image), step.own.now, step.own.low, 0 });
+    this->SumTakenHeadroom(aWorker);
+  }
   RowKey row = ProgressRow(place.job, place.occurrence, place.step);
   if (!job.started) {
     job.started = true;
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -1,5 +1,6 @@
 // What the scheduler learns from agents.
 #include "oriolespread/jobs/JobScheduler.h"
+#include "oriolespread/jobs/PlacementChoice.h"
 
 #include <algorithm>
 
@@ -9,8 +10,6 @@
 
 // A run that uses less than this is new or paused, and disturbs nobody.
 constexpr std::int64_t kLeastFillingMilliCores = 100;
-// Tasks use about this much less than they declare when nothing slows them.
-constexpr double kDeclaredOverUsed = 1.4;
 
 bool ToPlace(const RunRef& aRef, WorkerRun& aRun)
 {
@@ -80,7 +79,7 @@
   }
   this->ApplyRunning(*worker, aReport, aNow);
   if (aReport.full) {
-    this->LearnInterference(*worker, aReport);
+    this->LearnInterference(*worker, aReport, aNow);
     this->Reconcile(*worker, aReport, aNow);
   }
   if (drains) {
@@ -148,11 +147,12 @@
   }
 }
 
-void JobScheduler::LearnInterference(Worker& aWorker, const WorkerReport& aReport)
+void JobScheduler::LearnInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow)
 {
-  // The worst ratio of each serving image.
-  std::map<std::size_t, double> ratios;
-  std::vector<InterferenceBook::Company> company;
+  std::vector<InterferenceModel::Company> company;
+  std::vector<std::pair<TaskPlace, double>> serving;
+  const auto capacity =
+    static_cast<double>(std::max<std::int64_t>(aWorker.state.capacity.milliCores, 1));
   for (const RunningRun& running : aReport.running) {
     WorkerRun place;
     if (!ToPlace(running.ref, place) || this->FindRun(place) == nullptr) {
@@ -160,52 +160,51 @@
     }
     const StepSpec& step = this->SpecOf(place.place);
     if (step.longRunning && step.latencyTargetMs > 0) {
-      double& worst = ratios[this->interference.NumberOf(step.image)];
-      worst = std::max(
-        worst, static_cast<double>(running.figure) / static_cast<double>(step.latencyTargetMs));
+      const double headroom = running.figure > 0 ? static_cast<double>(step.latencyTargetMs) /
+                                                     static_cast<double>(running.figure)
+                                                 : 0;
+      serving.emplace_back(place.place, headroom);
     } else if (step.fillsUnused && running.figure > kLeastFillingMilliCores) {
-      const auto declared = static_cast<double>(std::max<std::int64_t>(step.demand.milliCores, 1));
-      const double share = kDeclaredOverUsed * static_cast<double>(running.figure) / declared;
-      company.push_back({ step.image, std::min(1.0, share) });
+      company.push_back({ step.image, static_cast<double>(running.figure) / capacity });
     }
   }
-  std::vector<ServingLoad> loads;
-  for (const auto& [image, ratio] : ratios) {
-    const auto known =
-      std::find_if(aWorker.servingLoads.begin(),
-                   aWorker.servingLoads.end(),
-                   [number = image](const ServingLoad& aLoad) { return aLoad.image == number; });
-    ServingLoad& load = loads.emplace_back();
-    load.image = image;
-    load.residual = known == aWorker.servingLoads.end() ? 0 : known->residual;
-    if (ratio > 0) {
-      this->interference.Observe(image, ratio, company, load.residual);
+  std::map<OwnHeadroom*, std::size_t> steps;
+  for (const auto& [place, headroom] : serving) {
+    OwnHeadroom& own = this->FindStep(place)->own;
+    const std::size_t image = this->interference.NumberOf(this->SpecOf(place).image);
+    if (headroom > 0) {
+      this->interference.Observe(image, headroom, company, own, aNow.instant);
     }
+    steps[&own] = image;
   }
-  aWorker.servingLoads = std::move(loads);
+  aWorker.servingLoads.clear();
+  for (const auto& [own, image] : steps) {
+    aWorker.servingLoads.push_back({ image, own->now, own->low, 0 });
+  }
+  this->SumTakenHeadroom(aWorker);
 }
 
 std::map<std::string, double> JobScheduler::DisturbanceOn(const std::string& aAgent) const
 {
-  std::map<std::string, double> weights;
+  std::map<std::string, double> taken;
   const auto key = this->workerOfAgent.find(aAgent);
   const auto worker =
     key == this->workerOfAgent.end() ? this->workers.end() : this->workers.find(key->second);
   if (worker == this->workers.end()) {
-    return weights;
+    return taken;
   }
   for (const WorkerRun& run : worker->second.runs) {
     const StepSpec& step = this->SpecOf(run.place);
-    if (!step.fillsUnused || weights.contains(step.image)) {
+    if (!step.fillsUnused) {
       continue;
     }
-    const InterferenceBook::Row& row = this->interference.RowOf(step.image);
-    double& most = weights[step.image];
+    double& most = taken[step.image];
     for (const ServingLoad& load : worker->second.servingLoads) {
-      most = std::max(most, InterferenceBook::Weight(row, load.image));
+      most = std::max(
+        most, this->interference.Weight(step.image, load.image) * CoresTaken(worker->second, step));
     }
   }
-  return weights;
+  return taken;
 }
 
 void JobScheduler::StopStalled(Worker& aWorker, const WorkerRun& aRun, Now aNow)
--- a/packages/jobs/tests/PlacementChoiceTest.cpp
+++ b/packages/jobs/tests/PlacementChoiceTest.cpp
@@ -2,8 +2,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <cmath>
-
 using namespace oriolespread;
 using namespace oriolespread::jobs;
 
@@ -23,41 +21,39 @@
   return worker;
 }
 
-// Two workers that serve, "frail" on the first and "firm" on the second, and a book that knows that
-// "heavy" disturbs "frail".
+constexpr std::size_t kFrail = 0;
+constexpr std::size_t kFirm = 1;
+
+// Two workers that serve, "frail" on the first and "firm" on the second, and a task of an image
+// that takes a headroom of 1 from "frail" and next to none from "firm".
 struct Serving
 {
   std::map<WorkerKey, Worker> workers;
-  InterferenceBook book;
   StepSpec step;
+  std::vector<double> weights;
 
   Serving()
   {
-    const std::size_t frail = this->book.NumberOf("frail");
-    const std::size_t firm = this->book.NumberOf("firm");
-    double frailResidual = 0;
-    double firmResidual = 0;
-    for (int round = 0; round < 400; ++round) {
-      const bool heavy = round / 5 % 2 == 0;
-      std::vector<InterferenceBook::Company> company;
-      if (heavy) {
-        company.push_back({ "heavy", 1.0 });
-      }
-      this->book.Observe(frail, std::exp(heavy ? 0.1 : -0.9), company, frailResidual);
-      this->book.Observe(firm, std::exp(-0.9), company, firmResidual);
-    }
-    this->AddServing("a", frail);
-    this->AddServing("b", firm);
-    this->step.demand = { 2000, 100, 0 };
+    this->AddServing("a", kFrail);
+    this->AddServing("b", kFirm);
+    this->step.demand = { 1000, 100, 0 };
     this->step.fillsUnused = true;
     this->step.image = "heavy";
+    const double cores = CoresTaken(this->workers.at({ "a", 1 }), this->step);
+    this->weights = { 1.0 / cores, 0.05 / cores };
   }
 
   void AddServing(const std::string& aId, std::size_t aImage)
   {
     Worker& worker = AddWorker(this->workers, aId);
     worker.serving = 1;
-    worker.servingLoads.push_back({ aImage, 0, 0 });
+    worker.servingImages[aImage == kFrail ? "frail" : "firm"] = 1;
+    worker.servingLoads.push_back({ aImage, 2.5, 1.7, 0 });
+  }
+
+  ServingLoad& LoadOf(const std::string& aId)
+  {
+    return this->workers.at({ aId, 1 }).servingLoads.front();
   }
 
   std::string Choose(bool aMayDisturb = false)
@@ -65,7 +61,7 @@
     PlacementRequest request;
     request.step = &this->step;
     request.service = "service";
-    request.interference = &this->book;
+    request.weights = this->weights;
     request.mayDisturb = aMayDisturb;
     const Worker* chosen = ChooseWorker(this->workers, request, kNow);
     return chosen == nullptr ? "" : chosen->key.id;
@@ -117,14 +113,54 @@
 {
   Serving load;
   load.workers.erase({ "b", 1 });
+  load.LoadOf("a").now = 1.7;
   CHECK(load.Choose().empty());
   CHECK(load.Choose(true) == "a");
 }
 
+// Guards against workers that stay empty while the users of what serves there are few.
+TEST_CASE("PlacementChoice UsesAWorkerWhileItsServingRunsHaveHeadroomForNow")
+{
+  Serving load;
+  load.workers.erase({ "b", 1 });
+  load.LoadOf("a").now = 3.5;
+  CHECK(load.Choose() == "a");
+}
+
+// Guards against a task that has to be slowed down as soon as the load rises, while another worker
+// would bear it at its peak.
+TEST_CASE("PlacementChoice PrefersAWorkerThatBearsTheTaskAtItsPeak")
+{
+  Serving load;
+  load.LoadOf("a").now = 3.9;
+  load.LoadOf("b").now = 1.8;
+  load.workers.at({ "b", 1 }).demanded = { 3000, 0, 0 };
+  CHECK(load.Choose() == "b");
+}
+
 // Guards against many tasks that are harmless one by one and disturb together.
 TEST_CASE("PlacementChoice CountsWhatAlreadyDisturbs")
 {
   Serving load;
-  load.workers.at({ "b", 1 }).servingLoads[0].disturbance = 1.0;
+  load.LoadOf("b").taken = 1.5;
+  load.LoadOf("a").now = 1.7;
   CHECK(load.Choose().empty());
 }
+
+// Guards against serving images spread over all workers: each image that fills then disturbs
+// somebody on every one of them.
+TEST_CASE("PlacementChoice PutsAServingTaskBesideItsOwnImage")
+{
+  Serving load;
+  AddWorker(load.workers, "c");
+  load.workers.at({ "b", 1 }).demanded = { 4000, 0, 0 };
+  load.step = {};
+  load.step.demand = { 1000, 100, 0 };
+  load.step.longRunning = true;
+  load.step.image = "firm";
+  CHECK(load.Choose() == "b");
+  load.step.image = "other";
+  CHECK(load.Choose() == "c");
+  load.workers.erase({ "c", 1 });
+  CHECK_FALSE(load.Choose().empty());
+}
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -102,7 +102,8 @@
 {
   Epoch epoch;
   std::uint64_t sequence = 0;
-  // How much one run of an image disturbs runs that serve beside it, as the leader has learned.
+  // The headroom, target / tail latency, that one run of an image at full pace takes from what
+  // serves beside it, as the leader has learned.
   std::map<std::string, double> disturbance;
 };
 
