Keep a process alive when a handler throws

An exception that left any handler ended the entry or the agent. It is now counted (handler_errors_total) and logged, and the loop goes on; the leader arms its next turn before it decides. EventLoopTest failed before.

--- a/packages/daemon/src/ClusterAgent.cpp
+++ b/packages/daemon/src/ClusterAgent.cpp
@@ -1,5 +1,6 @@
 #include "oriolespread/daemon/ClusterAgent.h"
 
+#include "EventLoop.h"
 #include "MetricsServer.h"
 #include "WorkerDriver.h"
 
@@ -128,7 +129,7 @@
 
 void ClusterAgent::Run()
 {
-  this->context.run();
+  RunEventLoop(this->context, this->counters);
   Log(LogLevel::Info, "agent_stopped");
 }
 
--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -1,6 +1,7 @@
 #include "oriolespread/daemon/ClusterEntry.h"
 
 #include "ConfigFollower.h"
+#include "EventLoop.h"
 #include "JobApi.h"
 #include "LeaderDriver.h"
 #include "MetricsServer.h"
@@ -290,7 +291,7 @@
 
 void ClusterEntry::Run()
 {
-  this->context.run();
+  RunEventLoop(this->context, this->counters);
   Log(LogLevel::Info, "entry_stopped", { { "in_flight", this->front->InFlight() } });
 }
 
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -241,9 +241,10 @@
   this->tickTimer.expires_after(kDecideInterval);
   this->tickTimer.async_wait([this, before = this->term](asio::error_code aError) {
     if (!aError && before == this->term) {
+      // First, so that a decision that fails does not end the leader's turns.
+      this->Tick();
       this->Pump();
       this->RemoveRows();
-      this->Tick();
     }
   });
 }
