Follow a worker's life that seems to be born earlier

A worker that restarts after its clock was set back reports an earlier birth than its last life. Its heartbeats were taken for late ones, and it was not used again. Such a life now counts once the worker's own answers name it.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -54,6 +54,7 @@
     aBeat.worker.id == this->worker.id && aBeat.worker.born == this->worker.born;
   if (!sameLife && aBeat.worker.born < this->worker.born) {
     this->counters.Add("heartbeats_ignored_total", "earlier_life");
+    this->unconfirmed = aBeat;
     return;
   }
   if (sameLife && aBeat.sequence <= this->heartbeat) {
@@ -87,6 +88,8 @@
         { "earlier_born", this->worker.born } });
   ++this->life;
   this->worker = aBeat.worker;
+  this->heartbeat = aBeat.sequence;
+  this->unconfirmed.reset();
   this->client->SetLife(aBeat.worker.id);
   this->fenced = false;
   this->clockMs.reset();
@@ -111,6 +114,24 @@
   this->Look();
 }
 
+bool WorkerDriver::ConfirmLife(const WorkerAnswer& aAnswer)
+{
+  if (!this->unconfirmed.has_value()) {
+    return false;
+  }
+  // A call that names the life refuses by saying that another one lives there.
+  const bool confirmed = aAnswer.end == WorkerCallEnd::OtherLife
+                           ? this->unconfirmed->worker.id != this->worker.id
+                           : aAnswer.born == this->unconfirmed->worker.born;
+  if (!confirmed) {
+    return false;
+  }
+  this->counters.Add("lives_confirmed_total", "clock_set_back");
+  const platformwire::WorkerHeartbeat beat = *std::move(this->unconfirmed);
+  this->BeginLife(beat);
+  return true;
+}
+
 void WorkerDriver::OnLeave(const std::string& aId)
 {
   if (aId == this->worker.id) {
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -66,6 +66,9 @@
                std::unique_ptr<platformwire::WorkerClient> aClient);
 
   void BeginLife(const platformwire::WorkerHeartbeat& aBeat);
+  // Begins the life of `unconfirmed` if the worker's answer shows that it is the living one.
+  // Returns whether it does.
+  bool ConfirmLife(const platformwire::WorkerAnswer& aAnswer);
   // WorkerLooks.cpp
   void LookLater(Duration aDelay);
   void Look();
@@ -99,6 +102,9 @@
 
   WorkerState worker;
   std::uint64_t heartbeat = 0;
+  // The last heartbeat of another life that seems to be born earlier: one that was delayed, or a
+  // new life on a machine whose clock was set back. The worker's own answers tell which.
+  std::optional<platformwire::WorkerHeartbeat> unconfirmed;
   // Changes with each life, so that answers of an earlier one are dropped.
   std::uint64_t life = 0;
   bool looking = false;
--- a/packages/daemon/src/WorkerLooks.cpp
+++ b/packages/daemon/src/WorkerLooks.cpp
@@ -60,6 +60,9 @@
   this->looking = false;
   const Instant now = BootClock::now();
   if (aAnswer.end != WorkerCallEnd::Done) {
+    if (aAnswer.end == WorkerCallEnd::OtherLife && this->ConfirmLife(aAnswer)) {
+      return;
+    }
     if (aAnswer.end == WorkerCallEnd::Fenced) {
       this->counters.Add("looks_fenced_total", "worker");
     }
@@ -68,6 +71,9 @@
     return;
   }
   if (aAnswer.born != 0 && aAnswer.born != this->worker.born) {
+    if (this->ConfirmLife(aAnswer)) {
+      return;
+    }
     // Another life than the one that sent heartbeats; its own heartbeat comes soon.
     this->counters.Add("looks_of_other_life_total", "worker");
     this->LookLater(kWorkerRetryDelay);
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -169,6 +169,38 @@
   CHECK(beside.Await([&] { return beside.reports.back().worker.born > before; }));
 }
 
+// Guards against a worker that is never used again because its clock was set back before it
+// restarted, so that it seems to be born before its earlier life.
+TEST_CASE("WorkerDriver FollowsALifeThatSeemsToBeBornEarlier")
+{
+  Beside beside;
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  const std::int64_t before = beside.reports.back().worker.born;
+  beside.worker->Restart(-5000);
+  REQUIRE(beside.Await([&] { return beside.reports.back().worker.born < before; }));
+  beside.StartTask("j.0.0.0");
+  CHECK(beside.Await([&] { return !beside.started.empty(); }));
+}
+
+// Guards against a late heartbeat of an earlier life that puts the living one out of use.
+TEST_CASE("WorkerDriver KeepsTheLifeThatAnswersWhenAHeartbeatOfAnEarlierOneArrives")
+{
+  Beside beside;
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  const WorkerState living = beside.reports.back().worker;
+  platformwire::WorkerHeartbeat late;
+  late.worker = living;
+  late.worker.born = living.born - 5000;
+  late.sequence = 1;
+  beside.driver->OnHeartbeat(late);
+  beside.RunFor(1500 * kMs);
+  for (const WorkerReport& report : beside.reports) {
+    CHECK(report.worker.born == living.born);
+  }
+}
+
 // Guards against a worker that is taken for alive, and its runs for running, when nothing listens.
 TEST_CASE("WorkerDriver ReportsAllRunsLostWhenNothingListensAtTheWorker")
 {
