Store what was learned of images for the next leader

A new leader learned the weights of all pairs of images anew, which takes some ten seconds in which what fills disturbs what serves. The leader stores them every 3 s with its other rows. InterferenceModelTest and SchedulerLoadingTest guard it.

--- a/packages/daemon/src/LeaderLoading.cpp
+++ b/packages/daemon/src/LeaderLoading.cpp
@@ -8,6 +8,7 @@
 
 using cluster::ReadEnd;
 using jobs::kJobsTable;
+using jobs::kLearnedTable;
 using jobs::kProgressTable;
 using jobs::kStateTable;
 
@@ -27,7 +28,9 @@
   // The scheduler wants jobs last.
   std::vector<cluster::RowRange> ranges = JobRanges(kJobsTable, "", "");
   ranges.insert(ranges.begin(),
-                { { std::string(kStateTable), "", "" }, { std::string(kProgressTable), "", "" } });
+                { { std::string(kStateTable), "", "" },
+                  { std::string(kProgressTable), "", "" },
+                  { std::string(kLearnedTable), "", "" } });
   RangesReader::Read(
     this->context,
     this->store,
@@ -48,6 +51,8 @@
     for (const cluster::StoredRow& row : rows) {
       if (row.row.table == kJobsTable) {
         this->scheduler->LoadJob(row.row.key, row.value, now);
+      } else if (row.row.table == kLearnedTable) {
+        this->scheduler->LoadLearned(row.row.key, row.value);
       } else if (row.row.table == kStateTable) {
         this->scheduler->LoadState(row.row.key, row.value);
       } else {
--- a/packages/jobs/include/oriolespread/jobs/InterferenceModel.h
+++ b/packages/jobs/include/oriolespread/jobs/InterferenceModel.h
@@ -61,6 +61,13 @@
   // Returns the mean over all serving images that were seen.
   double MeanWeight(const std::string& aFilling) const;
 
+  // Encodes the weights, for a process that goes on with them; at most 50 KB.
+  std::string Encode() const;
+  // Takes the weights of another process, which count as roughly known. Returns false, and changes
+  // nothing, for bytes that are no weights.
+  bool Restore(const std::string& aBytes);
+  bool IsEmpty() const { return this->fillingNumbers.empty(); }
+
 private:
   // What is known of the weights of all filling images beside one serving image.
   struct Estimate
--- a/packages/jobs/include/oriolespread/jobs/JobRows.h
+++ b/packages/jobs/include/oriolespread/jobs/JobRows.h
@@ -5,6 +5,7 @@
 //   state    <id>                the state that callers are shown, written by the leader
 //   waiting  <queue>/<id>        present until the job's first task is started
 //   progress <id>.<occ>.<step>   runs, failures and checkpoints of a step, written by the leader
+//   learned  interference        what the leader has learned of images, for the next leader
 //   lead     leader              who leads; every transaction of the leader renews it
 //
 // The rows of `jobs` and `waiting` are spread over parts of the store by job, all others are in the
@@ -23,6 +24,7 @@
 inline constexpr std::string_view kStateTable = "state";
 inline constexpr std::string_view kWaitingTable = "waiting";
 inline constexpr std::string_view kProgressTable = "progress";
+inline constexpr std::string_view kLearnedTable = "learned";
 inline constexpr std::string_view kLeadTable = "lead";
 inline constexpr std::string_view kLeaderKey = "leader";
 inline constexpr std::string_view kCancelSuffix = ".cancel";
@@ -86,6 +88,7 @@
 std::string JobPartOf(const std::string& aJob);
 
 RowKey LeaderRow();
+RowKey LearnedRow();
 RowKey JobRow(const std::string& aJob);
 RowKey CancelRow(const std::string& aJob);
 RowKey WaitingRow(const std::string& aQueue, const std::string& aJob);
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -70,6 +70,7 @@
   // as most jobs of the store have ended and a take-over has to be quick.
   void LoadState(const std::string& aKey, const std::string& aValue);
   void LoadProgress(const std::string& aKey, const std::string& aValue);
+  void LoadLearned(const std::string& aKey, const std::string& aValue);
   void LoadJob(const std::string& aKey, const std::string& aValue, Now aNow);
   // `aClaimed` is when the earlier leader can last have renewed its leadership.
   void FinishLoading(Epoch aEpoch, Instant aClaimed, Now aNow);
@@ -217,6 +218,8 @@
   // Stored states of jobs that have no row, and when they were read.
   std::map<std::string, Instant> orphans;
   Instant nextForget{};
+  // When what was learned is stored next.
+  Instant nextLearned{};
 };
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -19,6 +19,9 @@
   Duration reportTimeout = std::chrono::milliseconds(2200);
   // A run whose progress has stood still for this long, several reports, is stopped.
   Duration stallTimeout = std::chrono::milliseconds(2500);
+  // As stallTimeout, for a run with checkpoints that is paused for others while another worker
+  // would bear it. Shorter than most pauses, and longer than two reports.
+  Duration moveTimeout = std::chrono::milliseconds(1300);
   // As stallTimeout, for a run that is paused for others and would lose all its work.
   Duration pausedTimeout = std::chrono::milliseconds(6000);
   // A job of which nothing runs for this long is placed where it fits, whomever it disturbs.
@@ -33,6 +36,9 @@
   Duration retryDelay = std::chrono::milliseconds(50);
   // How long the state of an ended job can be asked for; twice what callers are promised.
   Duration keepEnded = std::chrono::seconds(240);
+  // How often what was learned of images is stored. Weights settle within some ten seconds, and a
+  // row has some kilobytes.
+  Duration learnedInterval = std::chrono::seconds(3);
   // Added to due times, because clocks of different machines differ.
   Duration dueMargin = std::chrono::milliseconds(20);
 };
--- a/packages/jobs/src/InterferenceModel.cpp
+++ b/packages/jobs/src/InterferenceModel.cpp
@@ -1,5 +1,7 @@
 #include "oriolespread/jobs/InterferenceModel.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -15,6 +17,12 @@
 // Filling images that are told apart; further ones keep the first weight. Bounds an estimate to
 // 128 KiB.
 constexpr std::size_t kMostImages = 128;
+// Images of either kind whose weights are encoded, and the unit and the largest number of a weight.
+constexpr std::size_t kMostEncoded = 100;
+constexpr double kStoredScale = 100;
+constexpr double kMostStored = 30000;
+// Of a weight that another process has learned; it does not tell how well.
+constexpr double kRestoredVariance = 2.0;
 // How fast the headroom of a step by itself may drift, as variance a second: loads that swing from
 // one end to the other within 7 s change by at most 0.5 a second.
 constexpr double kDriftVariance = 0.15;
@@ -144,6 +152,69 @@
   return weights;
 }
 
+std::string InterferenceModel::Encode() const
+{
+  std::vector<std::string> serving(std::min(this->servingNumbers.size(), kMostEncoded));
+  std::vector<std::string> filling(std::min(this->fillingNumbers.size(), kMostEncoded));
+  for (const auto& [names, numbers] :
+       { std::pair(&serving, &this->servingNumbers), std::pair(&filling, &this->fillingNumbers) }) {
+    for (const auto& [image, number] : *numbers) {
+      if (number < names->size()) {
+        (*names)[number] = image;
+      }
+    }
+  }
+  std::vector<std::vector<int>> weights;
+  for (std::size_t index = 0; index < serving.size(); ++index) {
+    const std::vector<double>& known = this->estimates[index].weights;
+    auto& row = weights.emplace_back();
+    for (std::size_t image = 0; image < std::min(known.size(), filling.size()); ++image) {
+      row.push_back(
+        static_cast<int>(std::min(kMostStored, std::round(known[image] * kStoredScale))));
+    }
+  }
+  std::string bytes;
+  nlohmann::json::to_msgpack(
+    { { "serving", serving }, { "filling", filling }, { "weights", weights } }, bytes);
+  return bytes;
+}
+
+bool InterferenceModel::Restore(const std::string& aBytes)
+{
+  const auto parsed = nlohmann::json::from_msgpack(aBytes, true, false);
+  std::vector<std::string> serving;
+  std::vector<std::string> filling;
+  std::vector<std::vector<int>> weights;
+  try {
+    serving = parsed.at("serving").get<std::vector<std::string>>();
+    filling = parsed.at("filling").get<std::vector<std::string>>();
+    weights = parsed.at("weights").get<std::vector<std::vector<int>>>();
+  } catch (const nlohmann::json::exception&) {
+    return false;
+  }
+  if (weights.size() != serving.size() || filling.size() > kMostImages) {
+    return false;
+  }
+  InterferenceModel restored;
+  for (const std::string& image : filling) {
+    restored.fillingNumbers.try_emplace(image, restored.fillingNumbers.size());
+  }
+  for (std::size_t index = 0; index < serving.size(); ++index) {
+    Estimate& estimate = restored.estimates.emplace_back();
+    estimate.Grow(filling.size());
+    if (!restored.servingNumbers.try_emplace(serving[index], index).second ||
+        weights[index].size() > filling.size()) {
+      return false;
+    }
+    for (std::size_t image = 0; image < weights[index].size(); ++image) {
+      estimate.weights[image] = std::max(0, weights[index][image]) / kStoredScale;
+      estimate.covariance[image][image] = kRestoredVariance;
+    }
+  }
+  *this = std::move(restored);
+  return true;
+}
+
 double InterferenceModel::MeanWeight(const std::string& aFilling) const
 {
   const std::vector<double> weights = this->WeightsOf(aFilling);
--- a/packages/jobs/src/JobRows.cpp
+++ b/packages/jobs/src/JobRows.cpp
@@ -90,6 +90,11 @@
   return { std::string(kLeadTable), std::string(kLeaderKey) };
 }
 
+RowKey LearnedRow()
+{
+  return { std::string(kLearnedTable), "interference" };
+}
+
 RowKey JobRow(const std::string& aJob)
 {
   return { std::string(kJobsTable), aJob, JobPartOf(aJob) };
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -168,6 +168,8 @@
     if (const auto job = this->jobs.find(aRow.key); job != this->jobs.end()) {
       change = { aRow, EncodeState(job->second), false };
     }
+  } else if (aRow.table == kLearnedTable) {
+    change = { aRow, this->interference.Encode(), false };
   } else if (aRow.table == kProgressTable) {
     TaskName name;
     TaskName::Parse(aRow.key + ".0", name);
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -37,6 +37,13 @@
   this->loadedProgress[stored.name.job].push_back(std::move(stored));
 }
 
+void JobScheduler::LoadLearned(const std::string& aKey, const std::string& aValue)
+{
+  if (aKey != LearnedRow().key || !this->interference.Restore(aValue)) {
+    this->CountUnreadable(kLearnedTable, aKey);
+  }
+}
+
 void JobScheduler::LoadJob(const std::string& aKey, const std::string& aValue, Now aNow)
 {
   if (aKey.ends_with(kCancelSuffix)) {
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -69,6 +69,10 @@
     this->Place(item, aNow);
   }
   this->Forget(aNow);
+  if (aNow.instant >= this->nextLearned && !this->interference.IsEmpty()) {
+    this->nextLearned = aNow.instant + this->settings.learnedInterval;
+    this->MarkChanged(LearnedRow());
+  }
 }
 
 void JobScheduler::SumTakenHeadroom(Worker& aWorker) const
--- a/packages/jobs/tests/InterferenceModelTest.cpp
+++ b/packages/jobs/tests/InterferenceModelTest.cpp
@@ -145,3 +145,45 @@
   CHECK(model.Weight("i0", serving) != Approx(first));
   CHECK(model.Weight("i399", serving) == Approx(first));
 }
+
+// Guards against a new leader that learns anew whom images disturb, at the cost of what serves.
+TEST_CASE("InterferenceModel GoesOnWithTheWeightsOfAnother")
+{
+  Swinging load;
+  load.Play(400);
+  InterferenceModel next;
+  REQUIRE(next.Restore(load.model.Encode()));
+  CHECK(next.Weight("heavy", next.NumberOf("frail")) ==
+        Approx(load.model.Weight("heavy", load.frail)).margin(0.01));
+  CHECK(next.Weight("heavy", next.NumberOf("firm")) ==
+        Approx(load.model.Weight("heavy", load.firm)).margin(0.01));
+  // It goes on learning.
+  OwnHeadroom own;
+  const double before = next.Weight("light", next.NumberOf("firm"));
+  Instant now = Instant{} + std::chrono::hours(1);
+  for (int round = 0; round < 50; ++round) {
+    now += std::chrono::milliseconds(200);
+    std::vector<InterferenceModel::Company> company;
+    if (round % 2 == 0) {
+      company.push_back({ "light", kCores });
+    }
+    next.Observe(next.NumberOf("firm"), round % 2 == 0 ? 1.0 : 2.0, company, own, now);
+  }
+  CHECK(next.Weight("light", next.NumberOf("firm")) > before + 3.0);
+}
+
+// Guards against a row that someone else wrote, or a later version.
+TEST_CASE("InterferenceModel RefusesBytesThatAreNoWeights")
+{
+  InterferenceModel model;
+  const double first = model.Weight("new", model.NumberOf("serving"));
+  InterferenceModel other;
+  other.NumberOf("a");
+  for (const std::string& bytes : { std::string(),
+                                    std::string("x"),
+                                    std::string("\x81\xa1z\x01"),
+                                    other.Encode().substr(0, 12) }) {
+    CHECK_FALSE(model.Restore(bytes));
+  }
+  CHECK(model.Weight("new", model.NumberOf("serving")) == Approx(first));
+}
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -89,3 +89,31 @@
   CHECK(second.rows.contains(JobRow("j")));
   CHECK(second.rows.at(StateRow("j")).starts_with("cancelled"));
 }
+
+// Guards against a new leader that learns anew whom images disturb, at the cost of what serves.
+TEST_CASE("JobScheduler StoresWhatItHasLearnedForTheNextLeader")
+{
+  SchedulerSite site;
+  site.AddAgent("a");
+  StepSpec serving = MakeStep(1);
+  serving.longRunning = true;
+  serving.image = "frail";
+  serving.latencyTargetMs = 50;
+  StepSpec filling = MakeStep(1);
+  filling.fillsUnused = true;
+  filling.image = "heavy";
+  site.Submit(MakeJob("s", { serving }));
+  site.Submit(MakeJob("f", { filling }));
+  site.Settle();
+  for (RunningRun& run : site.agents["a"].running) {
+    run.figure = run.ref.task.starts_with("s") ? 40 : 1000;
+  }
+  site.Report("a");
+  site.Advance(std::chrono::seconds(3));
+  site.Settle();
+  REQUIRE(site.rows.contains(LearnedRow()));
+  InterferenceModel learned;
+  CHECK(learned.Restore(site.rows.at(LearnedRow())));
+  SchedulerSite next(site.rows);
+  CHECK(next.counters.Get("rows_unreadable_total", "learned") == 0);
+}
--- a/packages/jobs/tests/SchedulerSite.h
+++ b/packages/jobs/tests/SchedulerSite.h
@@ -134,6 +134,8 @@
         this->scheduler.LoadState(row.key, value);
       } else if (row.table == kProgressTable) {
         this->scheduler.LoadProgress(row.key, value);
+      } else if (row.table == kLearnedTable) {
+        this->scheduler.LoadLearned(row.key, value);
       }
     }
     for (const auto& [row, value] : this->rows) {
