--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -19,9 +19,6 @@
   Duration reportTimeout = std::chrono::milliseconds(2200);
   // A run whose progress has stood still for this long, several reports, is stopped.
   Duration stallTimeout = std::chrono::milliseconds(2500);
-  // As stallTimeout, for a run with checkpoints that is paused for others while another worker
-  // would bear it. Shorter than most pauses, and longer than two reports.
-  Duration moveTimeout = std::chrono::milliseconds(1300);
   // As stallTimeout, for a run that is paused for others and would lose all its work.
   Duration pausedTimeout = std::chrono::milliseconds(6000);
   // A job of which nothing runs for this long is placed where it fits, whomever it disturbs.
