Describe runs to an agent that did not start them

An agent that was restarted did not know which runs on its worker serve and which fill, so that it paced nothing for runs that went on for a minute, and what its earlier process had paused stayed paused. Agents now list such runs, and the leader repeats their starts, which are taken as descriptions. Tests: WorkerDriver AsksWhatRunsExecuteThatItDidNotStart, JobScheduler DescribesRunsToAnAgentThatDidNotStartThem, PaceController TellsItsPaceToARunThatAnEarlierProcessMayHavePaced. Found by reading.

--- a/packages/cluster/include/oriolespread/cluster/PaceController.h
+++ b/packages/cluster/include/oriolespread/cluster/PaceController.h
@@ -43,6 +43,8 @@
   // Above 0 for a run that serves users.
   std::int64_t latencyTargetMs = 0;
   bool fillsUnused = false;
+  // An earlier process may have paced the run.
+  bool inherited = false;
   // Tail latency in milliseconds for a run that serves.
   std::int64_t figure = 0;
   // The headroom that the run takes at full pace.
@@ -70,6 +72,7 @@
   struct Pace
   {
     int wanted = 100;
+    // Negative while it is not known what the run was told.
     int told = 100;
     double disturbance = 0;
   };
--- a/packages/cluster/src/PaceController.cpp
+++ b/packages/cluster/src/PaceController.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kFullPace = 100;
+constexpr int kUnknownPace = -1;
 // Stands for runs without a figure, and for workers without a serving run.
 constexpr double kMostHeadroom = 10.0;
 
@@ -30,7 +31,11 @@
     if (run.fillsUnused) {
       const auto known = this->paces.find(run.ref);
       Pace& pace = present[run.ref];
-      pace = known == this->paces.end() ? Pace{} : known->second;
+      if (known != this->paces.end()) {
+        pace = known->second;
+      } else if (run.inherited) {
+        pace.told = kUnknownPace;
+      }
       pace.disturbance = run.disturbance;
     }
   }
@@ -125,8 +130,7 @@
 void PaceController::OnFailed(const RunRef& aRef)
 {
   if (const auto it = this->paces.find(aRef); it != this->paces.end()) {
-    // Not a pace, so that the next update tells the run again.
-    it->second.told = -1;
+    it->second.told = kUnknownPace;
   }
 }
 
--- a/packages/cluster/tests/PaceControllerTest.cpp
+++ b/packages/cluster/tests/PaceControllerTest.cpp
@@ -14,9 +14,9 @@
 
 std::vector<PacedRun> Runs(std::int64_t aFigure)
 {
-  return { { kServing, 100, false, aFigure, 0 },
-           { kHeavy, 0, true, 0, 1.0 },
-           { kLight, 0, true, 0, 0.1 } };
+  return { { kServing, 100, false, false, aFigure, 0 },
+           { kHeavy, 0, true, false, 0, 1.0 },
+           { kLight, 0, true, false, 0, 0.1 } };
 }
 
 } // namespace
@@ -127,3 +127,15 @@
   REQUIRE(orders.size() == 1);
   CHECK(orders[0].ref == kHeavy);
 }
+
+// Guards against a run that stays paused for ever, because the agent that paused it has ended.
+TEST_CASE("PaceController TellsItsPaceToARunThatAnEarlierProcessMayHavePaced")
+{
+  PaceController controller({});
+  std::vector<PacedRun> runs = Runs(50);
+  runs[1].inherited = true;
+  const auto orders = controller.Update(runs, Instant{} + std::chrono::hours(1));
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].ref == kHeavy);
+  CHECK(orders[0].percent == 100);
+}
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -193,6 +193,14 @@
     this->Stop(stop);
   }
   for (const StartRun& start : aOrders.starts) {
+    if (!this->known.contains(start.ref) && this->IsRunning(start.ref)) {
+      // Its description only, also while the worker drains: it must not be reported as rejected.
+      Known& item = this->known[start.ref];
+      item.start = start;
+      item.inherited = true;
+      item.confirmed = BootClock::now();
+      continue;
+    }
     if (this->worker.draining) {
       this->Reject(start.ref, "draining");
       continue;
@@ -212,6 +220,13 @@
   }
 }
 
+bool WorkerDriver::IsRunning(const RunRef& aRef) const
+{
+  return std::any_of(this->running.begin(), this->running.end(), [&](const RunningRun& aRun) {
+    return aRun.ref == aRef;
+  });
+}
+
 void WorkerDriver::Start(const RunRef& aRef)
 {
   const auto it = this->known.find(aRef);
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -53,6 +53,8 @@
     // The start was not answered yet; the run may exist.
     bool starting = false;
     bool stopping = false;
+    // An earlier process of the agent started it.
+    bool inherited = false;
     int tries = 0;
     Instant ordered{};
     // When the worker confirmed the start.
@@ -79,6 +81,8 @@
   void Pace(Instant aNow);
 
   // WorkerDriver.cpp
+  // Returns whether the worker's last answer lists the run.
+  bool IsRunning(const RunRef& aRef) const;
   void Start(const RunRef& aRef);
   void OnStarted(const RunRef& aRef, const platformwire::WorkerAnswer& aAnswer);
   void Stop(const RunRef& aRef);
--- a/packages/daemon/src/WorkerLooks.cpp
+++ b/packages/daemon/src/WorkerLooks.cpp
@@ -100,11 +100,8 @@
     }
   }
   std::erase_if(this->known, [&](const auto& aItem) {
-    const bool listed =
-      std::any_of(this->running.begin(), this->running.end(), [&](const RunningRun& aRun) {
-        return aRun.ref == aItem.first;
-      });
-    return !listed && !aItem.second.starting && aItem.second.confirmed < aSent;
+    return !this->IsRunning(aItem.first) && !aItem.second.starting &&
+           aItem.second.confirmed < aSent;
   });
   this->Pace(now);
   const bool full = now - this->lastFull >= kReportInterval;
@@ -152,6 +149,11 @@
         report.starting.push_back(ref);
       }
     }
+    for (const RunningRun& run : this->running) {
+      if (!this->known.contains(run.ref)) {
+        report.undescribed.push_back(run.ref);
+      }
+    }
   }
   for (const auto& [number, end] : this->ended) {
     if (this->reportedEnds.insert(number).second || aFull) {
@@ -188,6 +190,7 @@
     runs.push_back({ run.ref,
                      start.latencyTargetMs,
                      start.fillsUnused,
+                     item->second.inherited,
                      run.figure,
                      known == this->disturbance.end() ? 0 : known->second });
   }
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -169,6 +169,45 @@
   CHECK(beside.Await([&] { return beside.reports.back().worker.born > before; }));
 }
 
+// Guards against serving runs that nothing is paced for after their agent was restarted, and
+// against a second start of what runs already.
+TEST_CASE("WorkerDriver AsksWhatRunsExecuteThatItDidNotStart")
+{
+  Beside beside(std::chrono::seconds(6), std::chrono::seconds(60));
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await([&] { return !beside.reports.empty(); }));
+  beside.StartTask("j.0.0.0");
+  REQUIRE(beside.Await([&] { return !beside.started.empty(); }));
+  const std::size_t before = beside.reports.size();
+  // Kept, because its calls are still under way; it reports to nobody any more.
+  const std::unique_ptr<WorkerDriver> earlier = std::move(beside.driver);
+  earlier->LoseLeader();
+  beside.driver =
+    *WorkerDriver::Create(beside.context,
+                          "127.0.0.1:" + std::to_string(beside.worker->Port()),
+                          std::chrono::seconds(6),
+                          beside.counters,
+                          [&](const WorkerReport& aReport) {
+                            beside.reports.push_back(aReport);
+                            beside.driver->OnExtension({ aReport.epoch, aReport.sequence, {} });
+                          });
+  beside.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(beside.Await(
+    [&] { return beside.reports.size() > before && !beside.reports.back().undescribed.empty(); }));
+  CHECK(beside.reports.back().undescribed[0].task == "j.0.0.0");
+  // A description is no start, so that a draining worker does not reject it.
+  beside.worker->SetDraining(true);
+  REQUIRE(beside.Await([&] { return beside.reports.back().worker.draining; }));
+  beside.StartTask("j.0.0.0");
+  CHECK(beside.Await(
+    [&] { return beside.reports.back().full && beside.reports.back().undescribed.empty(); }));
+  CHECK(beside.reports.back().running.size() == 1);
+  CHECK(beside.started.size() == 1);
+  for (const WorkerReport& report : beside.reports) {
+    CHECK(report.rejected.empty());
+  }
+}
+
 // Guards against a worker that is never used again because its clock was set back before it
 // restarted, so that it seems to be born before its earlier life.
 TEST_CASE("WorkerDriver FollowsALifeThatSeemsToBeBornEarlier")
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -145,6 +145,13 @@
     }
     this->StopStalled(aWorker, place, aNow);
   }
+  for (const RunRef& ref : aReport.undescribed) {
+    WorkerRun place;
+    const Run* run = ToPlace(ref, place) ? this->FindRun(place) : nullptr;
+    if (run != nullptr && run->worker == aWorker.key && run->state == RunState::Running) {
+      this->OrderStart(place);
+    }
+  }
 }
 
 void JobScheduler::LearnInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow)
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -302,3 +302,33 @@
   CHECK(site.StateOf("j") == JobState::Completed);
   CHECK(site.stops == std::vector<RunRef>{ { "j.0.0.0", 2 } });
 }
+
+// Guards against serving runs that are over their target for long beside what fills: an agent that
+// was restarted does not know which runs serve, and paces nothing for them.
+TEST_CASE("JobScheduler DescribesRunsToAnAgentThatDidNotStartThem")
+{
+  SchedulerSite site;
+  site.AddAgent("a");
+  StepSpec serving = MakeStep(2);
+  serving.longRunning = true;
+  serving.image = "frail";
+  serving.latencyTargetMs = 50;
+  site.Submit(MakeJob("s", { serving }));
+  site.Settle();
+  REQUIRE(site.starts.size() == 2);
+  site.Report("a");
+  site.agents["a"].undescribed = { site.starts[1].second.ref };
+  site.Report("a");
+  for (const auto& [agent, orders] : site.scheduler.TakeOrders()) {
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.starts[0].ref == site.starts[1].second.ref);
+    CHECK(orders.starts[0].latencyTargetMs == 50);
+  }
+  // A run that is being stopped is not described again.
+  site.scheduler.OnJobRow("s.cancel", "", site.now);
+  site.Settle();
+  site.Report("a");
+  for (const auto& [agent, orders] : site.scheduler.TakeOrders()) {
+    CHECK(orders.starts.empty());
+  }
+}
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -91,6 +91,9 @@
   bool allLost = false;
   std::vector<RunningRun> running;
   std::vector<RunRef> starting;
+  // Runs that an earlier process of the agent started, so that it does not know what they execute.
+  // The leader repeats their starts.
+  std::vector<RunRef> undescribed;
   // Ends that are not acknowledged yet.
   std::vector<EndedRun> ended;
   std::vector<RejectedRun> rejected;
@@ -168,6 +171,7 @@
                                    allLost,
                                    running,
                                    starting,
+                                   undescribed,
                                    ended,
                                    rejected)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseExtension, epoch, sequence, disturbance)
