Disturb serving runs only for jobs that have waited for eight seconds

Cause: a job without active runs for 2.5 s was placed wherever its cores fit.

Change: the wait is 8 s. It still bounds the wait of a job that disturbs every worker.

--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -24,7 +24,9 @@
   // checkpoint.
   Duration pausedStallTimeout = std::chrono::milliseconds(6000);
   // A job without active runs for this long is placed wherever it fits, regardless of interference.
-  Duration allowInterferenceAfter = std::chrono::milliseconds(2500);
+  // It bounds the wait of a job that disturbs every worker; a backlog of a few seconds should not
+  // make serving runs miss their targets.
+  Duration allowInterferenceAfter = std::chrono::seconds(8);
   // A worker is avoided once this many jobs failed on it without a successful run in between. On a
   // healthy worker, jobs that fail everywhere are too rare to reach the limit.
   std::size_t failingJobLimit = 3;
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -333,3 +333,35 @@
     CHECK(orders.starts.empty());
   }
 }
+
+// Guards against serving runs that miss their targets because jobs wait for a few seconds in a
+// backlog, and against a job that waits indefinitely because it would disturb every worker.
+TEST_CASE("JobScheduler DisturbsServingRunsOnlyForAJobThatWaitedLong")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  StepSpec serving = MakeStep(1);
+  serving.longRunning = true;
+  serving.latencyTargetMs = 100;
+  serving.image = "serving";
+  fixture.Submit(MakeJob("s", { serving }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  StepSpec bestEffort = MakeStep(1);
+  bestEffort.fillsUnused = true;
+  bestEffort.image = "best-effort";
+  // A headroom of 1.1 is left, less than a best-effort run is expected to cost.
+  fixture.agents.at("a").running[0].figure = 91;
+  fixture.Report("a");
+  fixture.Submit(MakeJob("b", { bestEffort }));
+  Duration waited{};
+  while (fixture.starts.size() == 1 && waited < std::chrono::seconds(20)) {
+    fixture.Advance(100 * kMs);
+    waited += 100 * kMs;
+    fixture.Report("a");
+    fixture.RunUntilIdle();
+  }
+  INFO("waited " << ToMilliseconds(waited) << " ms");
+  CHECK(waited > std::chrono::seconds(5));
+  CHECK(waited < std::chrono::seconds(10));
+}
