--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -23,7 +23,7 @@
 constexpr double kMissingHeadroomCost = 1.0;
 // Headroom at the current load that is enough if the headroom at the recent peak load is not. If
 // the load rises, the target is still met for about the duration of a task.
-constexpr double kMinCurrentHeadroom = 1.6;
+constexpr double kMinCurrentHeadroom = 1.4;
 constexpr double kOnlyCurrentHeadroomCost = 3.0;
 constexpr double kInterferenceCost = 6.0;
 // Costs of a serving task on a worker without serving runs, on one with other images only, and on
--- a/packages/jobs/tests/PlacementChoiceTest.cpp
+++ b/packages/jobs/tests/PlacementChoiceTest.cpp
@@ -132,6 +132,19 @@
 
 // Guards against placing a task where it must be throttled as soon as the load rises, although
 // another worker has enough headroom at its peak load.
+// Guards against best-effort tasks that wait although the load of the serving runs would have to
+// grow by more than it does during a task.
+TEST_CASE("PlacementChoice UsesAWorkerWithHeadroomForTheLoadChangeDuringATask")
+{
+  ServingWorkers cluster;
+  cluster.workers.erase({ "b", 1 });
+  // The task costs 1 of it.
+  cluster.HeadroomOf("a").current = 2.45;
+  CHECK(cluster.ChooseWorkerId() == "a");
+  cluster.HeadroomOf("a").current = 2.35;
+  CHECK(cluster.ChooseWorkerId().empty());
+}
+
 TEST_CASE("PlacementChoice PrefersAWorkerWithEnoughHeadroomAtItsPeakLoad")
 {
   ServingWorkers cluster;
