Lower the paces of best-effort runs only when a latency target is missed

Cause: paces were lowered below a headroom of 1.1 to reach 1.25, while placement fills workers to 1.0 at the recent peak load.

Change: paces are lowered below 1.0, to reach 1.05, and raised as far as 1.15 remains.

--- a/packages/cluster/include/oriolespread/cluster/PaceController.h
+++ b/packages/cluster/include/oriolespread/cluster/PaceController.h
@@ -20,12 +20,14 @@
   // Time until a change shows in the reports: the delay of pacing and the half second that a
   // latency figure covers.
   Duration settleTime = std::chrono::milliseconds(700);
-  // Headroom below which paces are lowered, and the headroom that lowering aims at.
-  double lowerBelowHeadroom = 1.1;
-  double lowerTargetHeadroom = 1.25;
+  // Headroom below which paces are lowered, and the headroom that lowering aims at. A target that
+  // is still met is no reason to lower paces: placement leaves room for the load to rise, and runs
+  // that are paced for it delay the jobs that wait for them.
+  double lowerBelowHeadroom = 1.0;
+  double lowerTargetHeadroom = 1.05;
   // Headroom that must remain when paces are raised, because the load may rise further within
   // seconds.
-  double raiseTargetHeadroom = 1.4;
+  double raiseTargetHeadroom = 1.15;
   // Minimum time between raises.
   Duration raiseInterval = std::chrono::milliseconds(1000);
   // Minimum of a pace above 0 and of a raise. A run at a lower pace makes no more progress than a
