Let interference weights drift, so that they follow images that change

Cause: the covariance of the weights only shrank. After some minutes of one leader, an image that begins to interfere kept its low weight: from 1 to 9 within 20 s, the estimate moved from 1 to 1.17.

Change: the variance of a weight grows by 0.1 a second, up to that of the prior.

--- a/packages/jobs/include/oriolespread/jobs/InterferenceModel.h
+++ b/packages/jobs/include/oriolespread/jobs/InterferenceModel.h
@@ -80,7 +80,12 @@
     // The covariance matrix of the weights, as rows; symmetric.
     std::vector<std::vector<double>> covariance;
 
+    // The time of the last measurement.
+    Instant lastUpdate{};
+
     void Grow(std::size_t aSize);
+    // Adds the uncertainty that has arisen since the last measurement, because weights change.
+    void AddDrift(Instant aNow);
   };
 
   std::map<std::string, std::size_t> servingIndices;
--- a/packages/jobs/src/InterferenceModel.cpp
+++ b/packages/jobs/src/InterferenceModel.cpp
@@ -23,6 +23,9 @@
 // Variance of restored weights, because the encoded form does not include it. Lower than that of
 // the prior.
 constexpr double kRestoredWeightVariance = 2.0;
+// Drift of a weight: what a best-effort image uses changes within seconds. Without it, the
+// estimates of a long epoch no longer change.
+constexpr double kWeightDriftVariancePerSecond = 0.1;
 // Drift of a baseline headroom: user loads that swing across their whole range within 7 s change it
 // by at most 0.5 per second.
 constexpr double kBaselineDriftVariancePerSecond = 0.15;
@@ -64,6 +67,18 @@
   }
 }
 
+void InterferenceModel::Estimate::AddDrift(Instant aNow)
+{
+  if (this->lastUpdate != Instant{}) {
+    const double drift = kWeightDriftVariancePerSecond * Seconds(aNow - this->lastUpdate);
+    for (std::size_t index = 0; index < this->covariance.size(); ++index) {
+      double& variance = this->covariance[index][index];
+      variance = std::max(variance, std::min(variance + drift, kPriorWeightVariance));
+    }
+  }
+  this->lastUpdate = aNow;
+}
+
 std::size_t InterferenceModel::ServingImageIndex(const std::string& aServingImage)
 {
   const std::size_t imageIndex =
@@ -89,6 +104,7 @@
     }
   }
   estimate.Grow(std::min(this->bestEffortIndices.size(), kMaxBestEffortImages));
+  estimate.AddDrift(aNow);
   const std::size_t size = estimate.weights.size();
   // The covariance of each weight with the total headroom cost of the co-runners.
   std::vector<double> crossCovariance(size, 0);
--- a/packages/jobs/tests/InterferenceModelTest.cpp
+++ b/packages/jobs/tests/InterferenceModelTest.cpp
@@ -114,6 +114,36 @@
   CHECK(simulation.firmBaseline.recentMin == Approx(simulation.lowestBaseline).margin(0.6));
 }
 
+// Guards against weights that no longer change after minutes of measurements, so that an image that
+// begins to interfere is placed as if it did not.
+TEST_CASE("InterferenceModel FollowsAnImageThatBeginsToInterfere")
+{
+  RandomSource random(kSeed);
+  InterferenceModel model;
+  const std::size_t serving = model.ServingImageIndex("serving");
+  BaselineHeadroom baseline;
+  Instant now = Instant{} + std::chrono::hours(1);
+  const auto play = [&](int aReports, double aWeight) {
+    for (int report = 0; report < aReports; ++report) {
+      now += std::chrono::milliseconds(300);
+      const bool busy = random.Chance(0.5);
+      const double noiseFactor = random.Chance(0.5) ? 1.05 : 0.95;
+      std::vector<InterferenceModel::CoRunner> coRunners;
+      if (busy) {
+        coRunners.push_back({ "changing", kCoreShare });
+      }
+      const double headroom = 2.5 - (busy ? aWeight * kCoreShare : 0.0);
+      model.Observe(serving, noiseFactor * headroom, coRunners, baseline, now);
+    }
+  };
+  play(1000, 1.0);
+  CHECK(model.Weight("changing", serving) == Approx(1.0).margin(1.0));
+  // 20 s with a weight of 9.
+  play(67, 9.0);
+  INFO("weight " << model.Weight("changing", serving));
+  CHECK(model.Weight("changing", serving) > 4.5);
+}
+
 // Guards against a large change of the estimate after one outlier; some measurements are wrong by
 // 50%.
 TEST_CASE("InterferenceModel ChangesLittleAfterOneOutlier")
