Stop a hanging run after 1.5 s, and keep slow runs and those of silent workers

Cause: a run without progress was stopped after 2.5 s, with two faults: one percent of a task of more than 250 s takes longer than that, so that it was stopped again and again; and the first report after a gap counted the gap as a time without progress, so that a worker that was only silent lost its runs.

Change: 1.5 s, or a fifth of the task's estimated duration if that is longer. The time counts anew after a gap in the full reports.

Tests that failed first: KeepsALongRunWhosePercentChangesRarely (stopped after 2.6 s), KeepsARunWhenItsWorkerWasSilent (with 1.5 s, after gaps of 2 and 4 s), StopsARunWithoutProgress (2.6 s).

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -177,6 +177,7 @@
   // A full report since the agent connected was compared with the expected runs.
   bool reconciled = false;
   Instant lastReport{};
+  Instant lastFullReport{};
   // The latest time at which the leases of the worker's runs expire if no further report arrives.
   Instant latestLeaseExpiry{};
   // No new runs are placed before this time, after a rejected start, a stalled run or repeated
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -163,6 +163,7 @@
   void OnRunFailed(Job& aJob, const TaskKey& aTaskKey, Worker& aWorker, Now aNow);
   void RemoveLostWorker(Worker& aWorker, std::string_view aReason, Now aNow);
   void RemoveLostRuns(Worker& aWorker, std::string_view aReason, Now aNow);
+  void IgnoreReportGap(Worker& aWorker, Now aNow);
   void StopIfStalled(Worker& aWorker, const RunKey& aRunKey, Now aNow);
   void StopResumableRuns(Worker& aWorker);
 
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -19,7 +19,10 @@
   // at most this old.
   Duration reportTimeout = std::chrono::milliseconds(2200);
   // A run without progress for this long, several reports, is stopped.
-  Duration stallTimeout = std::chrono::milliseconds(2500);
+  Duration stallTimeout = std::chrono::milliseconds(1500);
+  // The same as a share of the task's estimated duration; the longer time counts. Progress is
+  // reported in whole percent, and a run may work at a low pace.
+  double stallEstimateShare = 0.2;
   // As stallTimeout, for a run that may be paused for serving runs and cannot resume from a
   // checkpoint.
   Duration pausedStallTimeout = std::chrono::milliseconds(6000);
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -29,6 +29,13 @@
            aRunKey.number };
 }
 
+Duration StallTimeout(const SchedulerSettings& aSettings, const StepSpec& aStep)
+{
+  const auto estimateShareMs = static_cast<std::int64_t>(aSettings.stallEstimateShare *
+                                                         static_cast<double>(aStep.estimateMs));
+  return std::max<Duration>(aSettings.stallTimeout, std::chrono::milliseconds(estimateShareMs));
+}
+
 } // namespace
 
 void JobScheduler::OnAgentUp(const std::string& aAgent, Now aNow)
@@ -78,6 +85,9 @@
     this->RemoveLostRuns(*worker, "worker_silent", aNow);
     return;
   }
+  if (aReport.full) {
+    this->IgnoreReportGap(*worker, aNow);
+  }
   this->ApplyRunning(*worker, aReport, aNow);
   if (aReport.full) {
     this->UpdateInterference(*worker, aReport, aNow);
@@ -217,13 +227,27 @@
   return costs;
 }
 
+// After a gap in the full reports, unchanged progress only shows that the worker was silent, so the
+// runs get the whole time again.
+void JobScheduler::IgnoreReportGap(Worker& aWorker, Now aNow)
+{
+  if (aNow.instant - aWorker.lastFullReport > this->settings.stallTimeout) {
+    for (const RunKey& key : aWorker.runs) {
+      if (Run* run = this->FindRun(key); run != nullptr) {
+        run->percentChangedAt = aNow.instant;
+      }
+    }
+  }
+  aWorker.lastFullReport = aNow.instant;
+}
+
 void JobScheduler::StopIfStalled(Worker& aWorker, const RunKey& aRunKey, Now aNow)
 {
   Run& run = *this->FindRun(aRunKey);
   const StepSpec& step = this->SpecOf(aRunKey.task);
   const Duration stalledFor = aNow.instant - run.percentChangedAt;
   if (run.state != RunState::Running || step.longRunning || step.gang ||
-      stalledFor < this->settings.stallTimeout) {
+      stalledFor < StallTimeout(this->settings, step)) {
     return;
   }
   // A best-effort run on a worker with serving runs has more likely been paused for them than
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -334,6 +334,65 @@
   }
 }
 
+// Reports of a run whose progress changes by one percent every `aPercentInterval`. Returns after
+// how much of `aTotal` the run was stopped.
+Duration PlayProgress(std::int64_t aEstimateMs, Duration aPercentInterval, Duration aTotal)
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  StepSpec step = MakeStep(1);
+  step.estimateMs = aEstimateMs;
+  fixture.Submit(MakeJob("j", { step }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  Duration elapsed{};
+  while (fixture.stops.empty() && elapsed < aTotal) {
+    fixture.Advance(100 * kMs);
+    elapsed += 100 * kMs;
+    fixture.agents.at("a").running[0].percent = static_cast<int>(elapsed / aPercentInterval);
+    fixture.Report("a");
+    fixture.RunUntilIdle();
+  }
+  return elapsed;
+}
+
+// Guards against a step that ends late because one of its runs hangs.
+TEST_CASE("JobScheduler StopsARunWithoutProgress")
+{
+  const Duration stoppedAfter = PlayProgress(3000, std::chrono::hours(1), std::chrono::seconds(10));
+  INFO("stopped after " << ToMilliseconds(stoppedAfter) << " ms");
+  CHECK(stoppedAfter >= 1500 * kMs);
+  CHECK(stoppedAfter <= 2000 * kMs);
+}
+
+// Guards against stopping a healthy run again and again because one percent of it takes longer than
+// a hang may last.
+TEST_CASE("JobScheduler KeepsALongRunWhosePercentChangesRarely")
+{
+  const Duration total = std::chrono::seconds(60);
+  CHECK(PlayProgress(400'000, std::chrono::seconds(4), total) == total);
+}
+
+// Guards against stopping what runs on a worker that was only silent: its first report after the
+// gap may have been made before it.
+TEST_CASE("JobScheduler KeepsARunWhenItsWorkerWasSilent")
+{
+  for (const int silentMs : { 500, 1000, 2000, 4000 }) {
+    SchedulerFixture fixture;
+    fixture.AddAgent("a");
+    fixture.Submit(MakeJob("j", { MakeStep(1) }));
+    fixture.RunUntilIdle();
+    fixture.agents.at("a").running[0].percent = 10;
+    fixture.Report("a");
+    fixture.Advance(silentMs * kMs);
+    fixture.RunUntilIdle();
+    fixture.Report("a");
+    fixture.RunUntilIdle();
+    INFO("silent for " << silentMs << " ms");
+    CHECK(fixture.stops.empty());
+  }
+}
+
 // Guards against serving runs that miss their targets because jobs wait for a few seconds in a
 // backlog, and against a job that waits indefinitely because it would disturb every worker.
 TEST_CASE("JobScheduler DisturbsServingRunsOnlyForAJobThatWaitedLong")
