Refuse new jobs at once while the store is silent

Cause: while the store leaves calls unanswered, each submission was written, held until its caller's timeout and answered 504, because the write may still be applied. Callers cannot tell such a job from one that runs, although the entry knew for seconds that the store does not answer.

Change: after two writes without an answer and 1 s of silence, a submission first reads its row. Without an answer within 400 ms, nothing is written and the caller gets 503 with Retry-After: the refusal is true. The next answer ends the outage. OutageDetector decides this; single lost answers are not an outage. Two unused fields of JobApi are removed.

--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -4,6 +4,7 @@
 
 #include "ConfigWatcher.h"
 
+#include "oriolespread/cluster/OutageDetector.h"
 #include "oriolespread/http/HttpServer.h"
 #include "oriolespread/service/LatencyHistogram.h"
 
@@ -23,9 +24,6 @@
 
   void Handle(const HttpRequest& aRequest, HttpServer::Reply aReply);
 
-  // Returns when the store last answered a call or accepted a transaction.
-  Instant StoreAnsweredAt() const { return this->storeAnsweredAt; }
-
   // The time from the arrival of a request to its response.
   const LatencyHistogram& Latency() const { return this->latency; }
 
@@ -51,6 +49,10 @@
   void Submit(const RequestPtr& aRequest,
               const cluster::QueueConfig& aQueue,
               const std::string& aBody);
+  // Commits the transaction if the store answers a read, and refuses the request otherwise. Used
+  // while the store does not answer, because a commit without an answer cannot be refused.
+  void CommitIfStoreAnswers(const RequestPtr& aRequest,
+                            const cluster::StoreTransaction& aTransaction);
   void Commit(const RequestPtr& aRequest, const cluster::StoreTransaction& aTransaction);
   void OnCommitted(const RequestPtr& aRequest,
                    const cluster::StoreTransaction& aTransaction,
@@ -83,8 +85,7 @@
   const ConfigWatcher& config;
   Counters& counters;
   LatencyHistogram latency;
-  Instant storeAnsweredAt{};
-  Instant storeFailedAt{};
+  cluster::OutageDetector storeOutage;
   // Terminal states by job id, cached because they do not change any more.
   std::unordered_map<std::string, jobs::JobState> endedStates;
 };
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -31,8 +31,8 @@
 
 Duration StallTimeout(const SchedulerSettings& aSettings, const StepSpec& aStep)
 {
-  const auto estimateShareMs = static_cast<std::int64_t>(aSettings.stallEstimateShare *
-                                                         static_cast<double>(aStep.estimateMs));
+  const auto estimateShareMs =
+    static_cast<std::int64_t>(aSettings.stallEstimateShare * static_cast<double>(aStep.estimateMs));
   return std::max<Duration>(aSettings.stallTimeout, std::chrono::milliseconds(estimateShareMs));
 }
 
