Clarify the comments of the message types

Only comments change: which process sends what, in the usual terms (attempt, restart, throttled, best-effort), so that a reader of the scheduler can follow them.

--- a/packages/messages/include/oriolespread/messages/ControlMessages.h
+++ b/packages/messages/include/oriolespread/messages/ControlMessages.h
@@ -1,4 +1,4 @@
-// Messages that keep every process at the newest state: change tickets and the list of entries.
+// Messages that distribute the configuration: change tickets and the list of entries.
 #pragma once
 
 #include "oriolespread/base/Ids.h"
--- a/packages/messages/include/oriolespread/messages/RequestMessages.h
+++ b/packages/messages/include/oriolespread/messages/RequestMessages.h
@@ -23,7 +23,7 @@
                              { { UpstreamState::Leaving, "leaving" },
                                { UpstreamState::Serving, "serving" } })
 
-// One upstream beside an agent. `incarnation` rises each time the upstream announces itself anew.
+// One upstream beside an agent. `incarnation` increases each time the upstream registers again.
 struct UpstreamInfo
 {
   UpstreamId upstream;
@@ -73,7 +73,7 @@
   TicketNumber ticket;
 };
 
-// Agent to entry: the upstream takes no new requests from now on.
+// Agent to entry: the upstream accepts no new requests any more.
 struct Leave
 {
   UpstreamId upstream;
--- a/packages/messages/include/oriolespread/messages/TaskMessages.h
+++ b/packages/messages/include/oriolespread/messages/TaskMessages.h
@@ -43,7 +43,7 @@
   Paused,
   Completed,
   Failed,
-  // Ended by a StopTask, or never started; it will not run again.
+  // Stopped by a StopTask, or never started; it does not run again.
   Stopped,
 };
 
@@ -67,7 +67,7 @@
   Resources grant;
 };
 
-// Agent to owner, every 2 s, and whole after a connect or when the owner opens a session.
+// Agent to owner, every 2 s. Lists all attempts after a connect or when the owner opens a session.
 struct Heartbeat
 {
   AgentId agent;
@@ -137,8 +137,8 @@
                                { TaskCommandKind::Resume, "resume" } })
 
 // Owner to agent: CheckpointTask, StopTask, ThrottleTask and ResumeTask. `grant` counts for
-// Throttle only. A Stop is obeyed also for an attempt that the agent does not know, and bars it
-// from starting later.
+// Throttle only. A Stop also takes effect for an attempt that the agent does not know, and prevents
+// it from starting later.
 struct TaskCommand
 {
   LeaseSession session;
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -1,5 +1,5 @@
-// Messages between the agent of a worker and the entry that leads the cluster: what runs on the
-// worker, and what shall be started, stopped and acknowledged there.
+// Messages between the agent of a worker and the leading entry: reports of what runs on the worker,
+// and orders to start runs, stop them and acknowledge their ends.
 #pragma once
 
 #include "oriolespread/base/Ids.h"
@@ -14,7 +14,8 @@
 
 namespace oriolespread {
 
-// One try to run a task; numbers of one task rise from 1. `task` is ID.OCCURRENCE.STEP.INDEX.
+// One attempt to run a task. The attempts of a task are numbered from 1. `task` is the task's name,
+// ID.OCCURRENCE.STEP.INDEX.
 struct RunRef
 {
   std::string task;
@@ -23,8 +24,8 @@
   friend auto operator<=>(const RunRef&, const RunRef&) = default;
 };
 
-// The worker that an agent serves. `born` is the start of its process in Unix milliseconds, which
-// tells lives of one id apart.
+// The worker that an agent serves. `born` is when its process started, in Unix milliseconds, and
+// distinguishes restarts under the same id.
 struct WorkerState
 {
   std::string id;
@@ -35,7 +36,7 @@
   std::vector<std::string> labels;
   Resources capacity;
   bool draining = false;
-  // Time until a draining worker ends, in milliseconds; 0 when it is not known.
+  // Time until a draining worker shuts down, in milliseconds; 0 if unknown.
   std::int64_t remainingMs = 0;
 
   friend bool operator==(const WorkerState&, const WorkerState&) = default;
@@ -46,11 +47,11 @@
   RunRef ref;
   std::string checkpoint;
   int percent = 0;
-  // Tail latency in milliseconds for a run that serves, milli-cores in use for any other.
+  // Tail latency in milliseconds for a serving run, milli-cores in use for any other run.
   std::int64_t figure = 0;
 };
 
-// How a run ended. All but Done and Failed were caused from outside the run.
+// How a run ended. Only Done and Failed are caused by the run itself.
 enum class RunEnd
 {
   Done,
@@ -63,14 +64,14 @@
 
 struct EndedRun
 {
-  // Number of this end in the worker's life, for the acknowledgement.
+  // The ends on one worker process are numbered; the acknowledgement names this number.
   std::uint64_t number = 0;
   RunRef ref;
   RunEnd how = RunEnd::Stopped;
   std::string checkpoint;
 };
 
-// A run that the worker certainly did not and will not start.
+// A run that the worker has not started and will not start.
 struct RejectedRun
 {
   RunRef ref;
@@ -82,19 +83,20 @@
 {
   Epoch epoch;
   std::uint64_t sequence = 0;
-  // The last WorkerOrders of this link that the agent has acted on.
+  // The sequence number of the last WorkerOrders on this link that the agent has carried out.
   std::uint64_t lastOrders = 0;
   WorkerState worker;
-  // Whether `running` and `starting` hold everything on the worker.
+  // Whether `running` and `starting` list every run on the worker.
   bool full = false;
-  // The worker does not answer and every lease on it has certainly lapsed, or its process is gone.
+  // No run is left: the worker does not respond and all its leases have expired, or its process has
+  // ended.
   bool allLost = false;
   std::vector<RunningRun> running;
   std::vector<RunRef> starting;
   // Runs that an earlier process of the agent started, so that it does not know what they execute.
   // The leader repeats their starts.
   std::vector<RunRef> undescribed;
-  // Ends that are not acknowledged yet.
+  // Ends that the leader has not acknowledged.
   std::vector<EndedRun> ended;
   std::vector<RejectedRun> rejected;
 };
@@ -105,13 +107,13 @@
 {
   Epoch epoch;
   std::uint64_t sequence = 0;
-  // The headroom, target / tail latency, that one run of an image at full pace takes from what
-  // serves beside it, as the leader has learned.
+  // By image, the estimated headroom (latency target / tail latency) that one best-effort run at
+  // full pace costs the serving runs on the worker.
   std::map<std::string, double> disturbance;
 };
 
-// Entry to agent, on link-up and when it changes: this entry leads with this epoch; 0 if it does
-// not lead. An agent follows the highest epoch that it has seen.
+// Entry to agent, when the link comes up and on changes: the epoch with which this entry leads, or
+// 0 if it does not lead. An agent follows the highest epoch that it has seen.
 struct LeaderClaim
 {
   Epoch epoch;
@@ -122,15 +124,15 @@
   RunRef ref;
   std::string payload;
   std::string checkpoint;
-  // What the run executes; runs of one image behave alike.
+  // What the run executes. Runs of the same image behave alike.
   std::string image;
-  // Above 0 for a run that serves users: the tail latency that it has to keep, in milliseconds.
+  // The tail latency target of a serving run, in milliseconds; 0 for other runs.
   std::int64_t latencyTargetMs = 0;
-  // The run uses what others on the worker leave, and may be paced down for them.
+  // The run is best-effort: it uses capacity that others leave, and may be throttled for them.
   bool fillsUnused = false;
 };
 
-// Leading entry to agent. `born` names the life of the worker that the orders are meant for.
+// Leading entry to agent. The orders hold only for the worker process that started at `born`.
 struct WorkerOrders
 {
   Epoch epoch;
