Revert the refusal of new jobs while the store is silent

Cause: a caller repeats a submission after 504, under the same identifier and mostly at another entry. While the store was silent, the repeated submission was answered 503, which says that the job never runs, although the first attempt may be stored: one of the failures that operators told of.

Change: a silent store is answered 504 again.

--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -24,9 +24,6 @@
 constexpr Duration kResponseMargin = std::chrono::milliseconds(250);
 // The least timeout of a call to the store. Most calls are answered within a tenth of it.
 constexpr Duration kMinStoreTimeout = std::chrono::milliseconds(100);
-// The timeout of a read that shows whether an outage of the store is over. A slow store answers
-// within it.
-constexpr Duration kOutageProbeTimeout = std::chrono::milliseconds(400);
 // The Retry-After value of responses with status 503. Outages of the store last seconds.
 constexpr const char* kRetryAfterSeconds = "1";
 // Attempts at a request after which it is refused if the store has refused all of them.
@@ -136,30 +133,9 @@
   transaction.changes.push_back({ row, jobs::EncodeJobRecord(record), false });
   transaction.changes.push_back(
     { jobs::WaitingRow(aQueue.policy.queue, aRequest->jobId), {}, false });
-  if (this->storeOutage.IsUnavailable(BootClock::now())) {
-    this->CommitIfStoreAnswers(aRequest, transaction);
-    return;
-  }
   this->Commit(aRequest, transaction);
 }
 
-void JobApi::CommitIfStoreAnswers(const RequestPtr& aRequest,
-                                  const cluster::StoreTransaction& aTransaction)
-{
-  const cluster::RowKey& row = aTransaction.conditions.front().row;
-  this->store.Read({ row.table, row.key, row.key + "~", 1, row.part },
-                   std::min(kOutageProbeTimeout, RemainingStoreTimeout(*aRequest)),
-                   [this, aRequest, aTransaction](const cluster::ReadResult& aResult) {
-                     if (aResult.end != ReadEnd::Done) {
-                       this->counters.Add("request_retries_total", aResult.reason);
-                       this->Respond(aRequest, kHttpUnavailable, {}, "store_unavailable");
-                       return;
-                     }
-                     this->storeOutage.OnAnswer(BootClock::now());
-                     this->Commit(aRequest, aTransaction);
-                   });
-}
-
 void JobApi::Commit(const RequestPtr& aRequest, const cluster::StoreTransaction& aTransaction)
 {
   ++aRequest->attempts;
@@ -176,17 +152,14 @@
 {
   switch (aResult.end) {
     case CommitEnd::Applied:
-      this->storeOutage.OnAnswer(BootClock::now());
       this->Respond(aRequest, kHttpOk, "{}", "stored");
       return;
     case CommitEnd::Conflict:
       // The row exists: an earlier attempt or an earlier request has written it.
-      this->storeOutage.OnAnswer(BootClock::now());
       this->Respond(aRequest, kHttpOk, "{}", "stored_before");
       return;
     case CommitEnd::Unknown:
       aRequest->maybeApplied = true;
-      this->storeOutage.OnNoAnswer();
       break;
     case CommitEnd::Refused:
       break;
@@ -230,7 +203,6 @@
                        this->Retry(aRequest, aResult.reason, retry);
                        return;
                      }
-                     this->storeOutage.OnAnswer(BootClock::now());
                      onRead(aResult.rows);
                    });
 }
@@ -327,7 +299,6 @@
         });
         return;
       }
-      this->storeOutage.OnAnswer(BootClock::now());
       std::size_t pendingJobs = 0;
       for (const auto& rows : aResult.rows) {
         pendingJobs += rows.size();
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -4,7 +4,6 @@
 
 #include "ConfigWatcher.h"
 
-#include "oriolespread/cluster/OutageDetector.h"
 #include "oriolespread/http/HttpServer.h"
 #include "oriolespread/service/LatencyHistogram.h"
 
@@ -49,10 +48,6 @@
   void Submit(const RequestPtr& aRequest,
               const cluster::QueueConfig& aQueue,
               const std::string& aBody);
-  // Commits the transaction if the store answers a read, and refuses the request otherwise. Used
-  // while the store does not answer, because a commit without an answer cannot be refused.
-  void CommitIfStoreAnswers(const RequestPtr& aRequest,
-                            const cluster::StoreTransaction& aTransaction);
   void Commit(const RequestPtr& aRequest, const cluster::StoreTransaction& aTransaction);
   void OnCommitted(const RequestPtr& aRequest,
                    const cluster::StoreTransaction& aTransaction,
@@ -85,7 +80,6 @@
   const ConfigWatcher& config;
   Counters& counters;
   LatencyHistogram latency;
-  cluster::OutageDetector storeOutage;
   // Terminal states by job id, cached because they do not change any more.
   std::unordered_map<std::string, jobs::JobState> endedStates;
 };
