Compute the objective of a job once, and judge lateness from plain times

The time after which a run counts as stalled converted the caller's estimate, which may be any number, to nanoseconds and could overflow.

Change: a job holds its objective from when it is added; EstimateLateness takes times instead of a record; the stall time is compared in milliseconds. No decision changes. The test of long-running steps is now one of the scheduler's order: it fails without the rule.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -118,6 +118,8 @@
   Instant endedAt{};
   RowRemoval rowRemoval = RowRemoval::None;
   Instant removedAt{};
+  // The time in which an occurrence should complete, counted from when it is due.
+  std::int64_t objectiveMs = 0;
   // The estimated work of all tasks.
   double workCoreSeconds = 0;
   // When a run of the job was last seen active; before its first run, when the job was first
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -30,7 +30,6 @@
 namespace oriolespread::jobs {
 
 struct PlacementRequest;
-enum class Lateness;
 
 // The current time on both clocks that the scheduler uses.
 struct Now
@@ -173,7 +172,7 @@
   double RankStep(const Job& aJob,
                   const Occurrence& aOccurrence,
                   std::uint32_t aStep,
-                  Lateness aLateness) const;
+                  std::int64_t aSinceDueMs) const;
   std::vector<ReadyStep> FindReadySteps(Now aNow);
   void PlaceStep(const ReadyStep& aReady, Now aNow);
   PlacementRequest MakePlacementRequest(const ReadyStep& aReady) const;
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -20,10 +20,10 @@
   Duration reportTimeout = std::chrono::milliseconds(2200);
   // A run without progress for this long, several reports, is stopped.
   Duration stallTimeout = std::chrono::milliseconds(1500);
-  // The same as a share of the task's estimated duration; the longer time counts. Progress is
-  // reported in whole percent, and a run may work at a low pace.
+  // A run of a long task is stopped only after this share of its estimated duration, because
+  // progress is reported in whole percent and a run may work at a low pace.
   double stallEstimateShare = 0.2;
-  // As stallTimeout, for a run that may be paused for serving runs and cannot resume from a
+  // Replaces stallTimeout for a run that may be paused for serving runs and cannot resume from a
   // checkpoint.
   Duration pausedStallTimeout = std::chrono::milliseconds(6000);
   // A job without active runs for this long is placed wherever it fits, regardless of interference.
--- a/packages/jobs/include/oriolespread/jobs/StepOrder.h
+++ b/packages/jobs/include/oriolespread/jobs/StepOrder.h
@@ -35,18 +35,17 @@
   double headroomCost = 0;
 };
 
-// Returns the time in which a run of the job should complete, counted from when it is due.
+// Returns the time in which an occurrence of the job should complete, counted from when it is due.
 std::int64_t ObjectiveMs(const JobRecord& aRecord);
 
 // Returns the Unix time from which the objective of an occurrence counts, in milliseconds.
 std::int64_t DueUnixMs(const JobRecord& aRecord, std::uint32_t aOccurrence);
 
-// Estimates whether the step ends in time if its tasks start at `aNowUnixMs`. A step that runs
-// until it is cancelled is always on time.
-Lateness EstimateLateness(const JobRecord& aRecord,
-                          std::uint32_t aOccurrence,
-                          std::uint32_t aStep,
-                          std::int64_t aNowUnixMs);
+// Estimates whether a job ends in time that has been due for `aSinceDueMs` and still has a path of
+// `aRemainingMs` to run.
+Lateness EstimateLateness(std::int64_t aSinceDueMs,
+                          std::int64_t aRemainingMs,
+                          std::int64_t aObjectiveMs);
 
 // Returns the value of completing the job per core-second that it still needs and per disturbance
 // of serving runs. Always positive; among steps of equal priority, the highest value is placed
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -4,6 +4,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "oriolespread/jobs/PlacementChoice.h"
+#include "oriolespread/jobs/StepOrder.h"
 
 #include <algorithm>
 
@@ -57,6 +58,7 @@
   Job& job = this->jobs[id];
   job.record = std::move(aRecord);
   job.firstSeen = aNow.instant;
+  job.objectiveMs = ObjectiveMs(job.record);
   this->activeJobs.insert(id);
   for (const StepSpec& step : job.record.spec.steps) {
     job.workCoreSeconds += step.count * TaskCoreSeconds(step);
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -78,10 +78,14 @@
 double JobScheduler::RankStep(const Job& aJob,
                               const Occurrence& aOccurrence,
                               std::uint32_t aStep,
-                              Lateness aLateness) const
+                              std::int64_t aSinceDueMs) const
 {
+  const StepSpec& spec = aJob.record.spec.steps[aStep];
   StepCandidate candidate;
-  candidate.lateness = aLateness;
+  if (!spec.longRunning) {
+    candidate.lateness =
+      EstimateLateness(aSinceDueMs, CriticalPathFromMs(aJob.record.spec, aStep), aJob.objectiveMs);
+  }
   for (std::size_t index = 0; index < aOccurrence.steps.size(); ++index) {
     const Step& step = aOccurrence.steps[index];
     candidate.remainingCoreSeconds += static_cast<double>(step.tasks.size() - step.done) *
@@ -89,7 +93,6 @@
   }
   const double meanCoreSeconds = this->meanWorkCoreSeconds.at(aJob.record.policy.queue);
   candidate.relativeWork = aJob.workCoreSeconds / meanCoreSeconds;
-  const StepSpec& spec = aJob.record.spec.steps[aStep];
   if (spec.fillsUnused) {
     candidate.headroomCost = kTypicalCoreShare * this->interference.MeanWeight(spec.image);
   }
@@ -113,12 +116,12 @@
           continue;
         }
         this->waitingTasks += step.tasks.size() - step.done - step.active;
-        const Lateness lateness = EstimateLateness(job.record, number, index, aNow.unixMs);
+        const std::int64_t dueUnixMs = DueUnixMs(job.record, number);
         ready.push_back({ &job,
                           number,
                           index,
-                          DueUnixMs(job.record, number) + ObjectiveMs(job.record),
-                          this->RankStep(job, occurrence, index, lateness) });
+                          dueUnixMs + job.objectiveMs,
+                          this->RankStep(job, occurrence, index, aNow.unixMs - dueUnixMs) });
       }
     }
   }
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -29,11 +29,12 @@
            aRunKey.number };
 }
 
-Duration StallTimeout(const SchedulerSettings& aSettings, const StepSpec& aStep)
+// Computed in milliseconds, because the estimate is the caller's and may be any number.
+std::int64_t StallTimeoutMs(const SchedulerSettings& aSettings, const StepSpec& aStep)
 {
   const auto estimateShareMs =
     static_cast<std::int64_t>(aSettings.stallEstimateShare * static_cast<double>(aStep.estimateMs));
-  return std::max<Duration>(aSettings.stallTimeout, std::chrono::milliseconds(estimateShareMs));
+  return std::max(ToMilliseconds(aSettings.stallTimeout), estimateShareMs);
 }
 
 } // namespace
@@ -247,7 +248,7 @@
   const StepSpec& step = this->SpecOf(aRunKey.task);
   const Duration stalledFor = aNow.instant - run.percentChangedAt;
   if (run.state != RunState::Running || step.longRunning || step.gang ||
-      stalledFor < StallTimeout(this->settings, step)) {
+      ToMilliseconds(stalledFor) < StallTimeoutMs(this->settings, step)) {
     return;
   }
   // A best-effort run on a worker with serving runs has more likely been paused for them than
--- a/packages/jobs/src/StepOrder.cpp
+++ b/packages/jobs/src/StepOrder.cpp
@@ -53,26 +53,17 @@
            : aRecord.spec.initialDelayMs + aRecord.spec.intervalMs * aOccurrence;
 }
 
-Lateness EstimateLateness(const JobRecord& aRecord,
-                          std::uint32_t aOccurrence,
-                          std::uint32_t aStep,
-                          std::int64_t aNowUnixMs)
+Lateness EstimateLateness(std::int64_t aSinceDueMs,
+                          std::int64_t aRemainingMs,
+                          std::int64_t aObjectiveMs)
 {
-  if (aRecord.spec.steps[aStep].longRunning) {
+  const double expectedMs =
+    static_cast<double>(aSinceDueMs) + kDeadlineEstimateFactor * static_cast<double>(aRemainingMs);
+  const auto objectiveMs = static_cast<double>(aObjectiveMs);
+  if (expectedMs < objectiveMs) {
     return Lateness::OnTime;
   }
-  const std::int64_t objectiveMs = ObjectiveMs(aRecord);
-  const auto lateObjectiveMs =
-    static_cast<std::int64_t>(kLateObjectiveFactor * static_cast<double>(objectiveMs));
-  const std::int64_t dueUnixMs = DueUnixMs(aRecord, aOccurrence);
-  const std::int64_t expectedEndUnixMs =
-    aNowUnixMs +
-    static_cast<std::int64_t>(kDeadlineEstimateFactor *
-                              static_cast<double>(CriticalPathFromMs(aRecord.spec, aStep)));
-  if (expectedEndUnixMs < dueUnixMs + objectiveMs) {
-    return Lateness::OnTime;
-  }
-  return expectedEndUnixMs < dueUnixMs + lateObjectiveMs ? Lateness::Late : Lateness::TooLate;
+  return expectedMs < kLateObjectiveFactor * objectiveMs ? Lateness::Late : Lateness::TooLate;
 }
 
 double ValueDensity(const StepCandidate& aCandidate)
--- a/packages/jobs/tests/PlayedLoad.h
+++ b/packages/jobs/tests/PlayedLoad.h
@@ -151,14 +151,13 @@
     for (const auto& [id, job] : this->fixture.scheduler.Jobs()) {
       if (!IsTerminal(job.state)) {
         ++outcome.open;
-        const bool isLate =
-          this->fixture.now.unixMs > job.record.submittedUnixMs + ObjectiveMs(job.record);
+        const bool isLate = this->fixture.now.unixMs > job.record.submittedUnixMs + job.objectiveMs;
         outcome.nearlyDoneAndWaiting +=
           isLate && TasksLeft(job) <= 2 && !job.HasActiveRuns() ? 1 : 0;
         continue;
       }
       const double stretch = static_cast<double>(job.endedUnixMs - job.record.submittedUnixMs) /
-                             static_cast<double>(ObjectiveMs(job.record));
+                             static_cast<double>(job.objectiveMs);
       outcome.worstStretch = std::max(outcome.worstStretch, stretch);
       ++(stretch <= 1 ? outcome.onTime : stretch <= 3 ? outcome.late : outcome.tooLate);
     }
--- a/packages/jobs/tests/StepOrderTest.cpp
+++ b/packages/jobs/tests/StepOrderTest.cpp
@@ -7,16 +7,6 @@
 
 namespace {
 
-constexpr std::int64_t kSubmittedUnixMs = 1'000'000;
-
-// Two steps of 1 s each, with an objective of 2 x 2 s + 1 s.
-JobRecord MakeTwoStepJob()
-{
-  JobRecord record = MakeJob("j", { MakeStep(4), MakeStep(4, { 0 }) });
-  record.submittedUnixMs = kSubmittedUnixMs;
-  return record;
-}
-
 StepCandidate MakeCandidate(Lateness aLateness, double aRemainingCoreSeconds)
 {
   StepCandidate candidate;
@@ -29,18 +19,33 @@
 
 TEST_CASE("StepOrder EstimatesLatenessFromThePathThatIsLeft")
 {
-  const JobRecord record = MakeTwoStepJob();
-  CHECK(EstimateLateness(record, 0, 0, kSubmittedUnixMs) == Lateness::OnTime);
-  CHECK(EstimateLateness(record, 0, 0, kSubmittedUnixMs + 4000) == Lateness::Late);
-  CHECK(EstimateLateness(record, 0, 1, kSubmittedUnixMs + 4000) == Lateness::OnTime);
-  CHECK(EstimateLateness(record, 0, 1, kSubmittedUnixMs + 14'500) == Lateness::TooLate);
+  // Two steps of 1 s each, with an objective of 2 x 2 s + 1 s.
+  constexpr std::int64_t kObjectiveMs = 5000;
+  CHECK(EstimateLateness(0, 2000, kObjectiveMs) == Lateness::OnTime);
+  CHECK(EstimateLateness(4000, 2000, kObjectiveMs) == Lateness::Late);
+  CHECK(EstimateLateness(4000, 1000, kObjectiveMs) == Lateness::OnTime);
+  CHECK(EstimateLateness(14'500, 1000, kObjectiveMs) == Lateness::TooLate);
 }
 
-TEST_CASE("StepOrder TreatsALongRunningStepAsOnTimeWhenItsObjectiveHasPassed")
+// Guards against serving tasks that are restarted after all best-effort work, because the objective
+// of their job has passed long ago.
+TEST_CASE("JobScheduler PlacesALongRunningStepAsOnTimeWhenItsObjectiveHasPassed")
 {
-  JobRecord record = MakeTwoStepJob();
-  record.spec.steps[0].longRunning = true;
-  CHECK(EstimateLateness(record, 0, 0, kSubmittedUnixMs + 100'000) == Lateness::OnTime);
+  SchedulerFixture fixture;
+  StepSpec serving = MakeStep(1);
+  serving.longRunning = true;
+  JobRecord old = MakeJob("old", { serving });
+  old.submittedUnixMs = fixture.now.unixMs - 600'000;
+  JobRecord fresh = MakeJob("fresh", { MakeStep(1) });
+  fresh.submittedUnixMs = fixture.now.unixMs;
+  // Both jobs have the same work, so that lateness alone would decide.
+  fresh.spec.steps[0].estimateMs = 1001;
+  fixture.Submit(old);
+  fixture.Submit(fresh);
+  fixture.AddAgent("a", 1000);
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  CHECK(fixture.starts[0].second.ref.task == "old.0.0.0");
 }
 
 // Guards against late jobs that wait for the whole of an overload with one task left.
