--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -162,8 +162,8 @@
   CHECK(BootClock::now() - requestedAt < 1300 * kMillisecond);
 }
 
-// Guards against telling a caller that a job never runs although an earlier attempt to submit it may
-// have been stored. Callers repeat a submission under its identifier after 504.
+// Guards against telling a caller that a job never runs although an earlier attempt to submit it
+// may have been stored. Callers repeat a submission under its identifier after 504.
 TEST_CASE("JobApi DoesNotRefuseARepeatedJobWhileTheStoreIsSilent")
 {
   JobApiFixture fixture;
