Rank steps without their interference

Cause: the value density divided by the mean weight of an image as well as by the remaining work.

Change: the density is the value per core-second still needed. Placement still weighs interference when it chooses a worker.

--- a/packages/jobs/include/oriolespread/jobs/InterferenceModel.h
+++ b/packages/jobs/include/oriolespread/jobs/InterferenceModel.h
@@ -62,8 +62,6 @@
   double Weight(const std::string& aBestEffortImage, std::size_t aServingIndex) const;
   // Returns the weights of a best-effort image, by index of the serving image.
   std::vector<double> WeightsByServingImage(const std::string& aBestEffortImage) const;
-  // Returns the mean weight over all known serving images.
-  double MeanWeight(const std::string& aBestEffortImage) const;
 
   // Returns the weights in their stored form of at most 50 KB, which the next leader reads.
   std::string Encode() const;
--- a/packages/jobs/include/oriolespread/jobs/StepOrder.h
+++ b/packages/jobs/include/oriolespread/jobs/StepOrder.h
@@ -30,9 +30,6 @@
   double relativeWork = 1;
   // The estimated work of all tasks of the occurrence that are not done.
   double remainingCoreSeconds = 0;
-  // The headroom that one best-effort task of the step costs the serving runs beside it; 0 for
-  // other steps.
-  double headroomCost = 0;
 };
 
 // Returns the time in which an occurrence of the job should complete, counted from when it is due.
@@ -47,9 +44,8 @@
                           std::int64_t aRemainingMs,
                           std::int64_t aObjectiveMs);
 
-// Returns the value of completing the job per core-second that it still needs and per disturbance
-// of serving runs. Always positive; among steps of equal priority, the highest value is placed
-// first.
+// Returns the value of completing the job per core-second that it still needs. Always positive;
+// among steps of equal priority, the highest value is placed first.
 double ValueDensity(const StepCandidate& aCandidate);
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/src/InterferenceModel.cpp
+++ b/packages/jobs/src/InterferenceModel.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace oriolespread::jobs {
 
@@ -243,12 +242,4 @@
   return true;
 }
 
-double InterferenceModel::MeanWeight(const std::string& aBestEffortImage) const
-{
-  const std::vector<double> weights = this->WeightsByServingImage(aBestEffortImage);
-  return weights.empty() ? kPriorWeight
-                         : std::accumulate(weights.begin(), weights.end(), 0.0) /
-                             static_cast<double>(weights.size());
-}
-
 } // namespace oriolespread::jobs
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-// The share of a worker's cores that a best-effort task usually requests.
-constexpr double kTypicalCoreShare = 0.1;
-
 bool ArePrerequisitesDone(const JobSpec& aSpec, const Occurrence& aOccurrence, std::uint32_t aStep)
 {
   const auto& after = aSpec.steps[aStep].after;
@@ -93,9 +90,6 @@
   }
   const double meanCoreSeconds = this->meanWorkCoreSeconds.at(aJob.record.policy.queue);
   candidate.relativeWork = aJob.workCoreSeconds / meanCoreSeconds;
-  if (spec.fillsUnused) {
-    candidate.headroomCost = kTypicalCoreShare * this->interference.MeanWeight(spec.image);
-  }
   return ValueDensity(candidate);
 }
 
--- a/packages/jobs/src/StepOrder.cpp
+++ b/packages/jobs/src/StepOrder.cpp
@@ -21,8 +21,6 @@
 constexpr double kLateValueShare = 0.15;
 constexpr double kTooLateValueShare = 0.03;
 constexpr double kMinCoreSeconds = 0.01;
-// Cost of a task that disturbs no serving run, in units of headroom.
-constexpr double kBaseHeadroomCost = 0.3;
 
 double ValueShare(Lateness aLateness)
 {
@@ -71,8 +69,7 @@
   const double value =
     kCompletionValue + kRelativeWorkValue * std::min(aCandidate.relativeWork, kMaxRelativeWork);
   return ValueShare(aCandidate.lateness) * value /
-         (std::max(aCandidate.remainingCoreSeconds, kMinCoreSeconds) *
-          (kBaseHeadroomCost + aCandidate.headroomCost));
+         std::max(aCandidate.remainingCoreSeconds, kMinCoreSeconds);
 }
 
 } // namespace oriolespread::jobs
