--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -129,6 +129,29 @@
   CHECK(fixture.StateOf("j") == JobState::Failed);
 }
 
+// Guards against a faulty worker that fails all its runs at once and therefore always has the most
+// room.
+TEST_CASE("JobScheduler AvoidsAWorkerForAWhileWhenRunsOfThreeJobsFailedThere")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  for (const char* job : { "first", "second", "third" }) {
+    fixture.Submit(MakeJob(job, { MakeStep(1) }));
+  }
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 3);
+  for (const auto& [agent, start] : std::vector(fixture.starts)) {
+    fixture.End(agent, start.ref, RunEnd::Failed);
+  }
+  fixture.Submit(MakeJob("fourth", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.size() == 3);
+  fixture.Advance(5000 * kMs);
+  fixture.Report("a");
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.size() > 3);
+}
+
 TEST_CASE("JobScheduler StopsAllRunsAndStartsNoneAfterACancellation")
 {
   SchedulerFixture fixture;
