Let a job disturb serving runs sooner while most cores are free

Change: while at most 0.55 of the cores of a service's workers is reserved, the wait is 1.5 s. Backlogs keep the wait of 8 s.

Result: JobScheduler DisturbsServingRunsSoonerWhileMostCoresAreFree failed before (8200 ms) and passes. The test of the wait of 8 s now reserves 6 of 8 cores, because it is about a backlog; its bounds are the same.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -174,7 +174,9 @@
                   std::uint32_t aStep,
                   std::int64_t aSinceDueMs) const;
   std::vector<ReadyStep> FindReadySteps(Now aNow);
-  void PlaceStep(const ReadyStep& aReady, Now aNow);
+  // Returns the services of which at most `lowReservedShare` of the cores is reserved.
+  std::set<std::string> FindServicesWithFreeCores() const;
+  void PlaceStep(const ReadyStep& aReady, Duration aAllowInterferenceAfter, Now aNow);
   PlacementRequest MakePlacementRequest(const ReadyStep& aReady) const;
   bool PlaceTask(const ReadyStep& aReady,
                  std::uint32_t aIndex,
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -30,6 +30,11 @@
   // It bounds the wait of a job that disturbs every worker; a backlog of a few seconds should not
   // make serving runs miss their targets.
   Duration allowInterferenceAfter = std::chrono::seconds(8);
+  // Replaces allowInterferenceAfter while at most this share of the cores of a service's workers is
+  // reserved. With free cores, a job must not be without runs for 3 s, of which ends need 0.6 s to
+  // be reported.
+  double lowReservedShare = 0.55;
+  Duration allowInterferenceAfterWithFreeCores = std::chrono::milliseconds(1500);
   // A worker is avoided once this many jobs failed on it without a successful run in between. On a
   // healthy worker, jobs that fail everywhere are too rare to reach the limit.
   std::size_t failingJobLimit = 3;
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -38,8 +38,13 @@
     }
   }
   std::vector<ReadyStep> ready = this->FindReadySteps(aNow);
+  const std::set<std::string> servicesWithFreeCores = this->FindServicesWithFreeCores();
   for (const ReadyStep& item : ready) {
-    this->PlaceStep(item, aNow);
+    const bool hasFreeCores = servicesWithFreeCores.contains(item.job->record.policy.service);
+    this->PlaceStep(item,
+                    hasFreeCores ? this->settings.allowInterferenceAfterWithFreeCores
+                                 : this->settings.allowInterferenceAfter,
+                    aNow);
   }
   this->RemoveExpiredJobs(aNow);
   if (aNow.instant >= this->nextWeightsStore && !this->interference.IsEmpty()) {
@@ -145,7 +150,28 @@
   return request;
 }
 
-void JobScheduler::PlaceStep(const ReadyStep& aReady, Now aNow)
+std::set<std::string> JobScheduler::FindServicesWithFreeCores() const
+{
+  std::map<std::string, std::pair<std::int64_t, std::int64_t>> reservedAndCapacity;
+  for (const auto& [key, worker] : this->workers) {
+    if (worker.connected && worker.reported) {
+      auto& [reserved, capacity] = reservedAndCapacity[worker.state.service];
+      reserved += worker.reserved.milliCores;
+      capacity += worker.state.capacity.milliCores;
+    }
+  }
+  std::set<std::string> services;
+  for (const auto& [service, sums] : reservedAndCapacity) {
+    const auto& [reserved, capacity] = sums;
+    if (static_cast<double>(reserved) <=
+        this->settings.lowReservedShare * static_cast<double>(capacity)) {
+      services.insert(service);
+    }
+  }
+  return services;
+}
+
+void JobScheduler::PlaceStep(const ReadyStep& aReady, Duration aAllowInterferenceAfter, Now aNow)
 {
   if (aReady.job->record.spec.steps[aReady.step].gang) {
     this->PlaceGang(aReady, aNow);
@@ -153,8 +179,7 @@
   }
   const auto& tasks = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks;
   PlacementRequest request = this->MakePlacementRequest(aReady);
-  request.allowInterference =
-    aNow.instant - aReady.job->lastActive > this->settings.allowInterferenceAfter;
+  request.allowInterference = aNow.instant - aReady.job->lastActive > aAllowInterferenceAfter;
   nlohmann::ordered_json placed = nlohmann::ordered_json::array();
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     const Task& task = tasks[index];
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -416,13 +416,14 @@
   }
 }
 
-// Guards against serving runs that miss their targets because jobs wait for a few seconds in a
-// backlog, and against a job that waits indefinitely because it would disturb every worker.
-TEST_CASE("JobScheduler DisturbsServingRunsOnlyForAJobThatWaitedLong")
+// Returns how long a best-effort job waits on the only worker, of 8 cores, where it would disturb a
+// serving run.
+Duration PlayWaitBesideAServingRun(std::int64_t aServingMilliCores)
 {
   SchedulerFixture fixture;
   fixture.AddAgent("a");
   StepSpec serving = MakeStep(1);
+  serving.demand.milliCores = aServingMilliCores;
   serving.longRunning = true;
   serving.latencyTargetMs = 100;
   serving.image = "serving";
@@ -443,7 +444,25 @@
     fixture.Report("a");
     fixture.RunUntilIdle();
   }
+  return waited;
+}
+
+// Guards against serving runs that miss their targets because jobs wait for a few seconds in a
+// backlog, and against a job that waits indefinitely because it would disturb every worker.
+TEST_CASE("JobScheduler DisturbsServingRunsOnlyForAJobThatWaitedLong")
+{
+  const Duration waited = PlayWaitBesideAServingRun(6000);
   INFO("waited " << ToMilliseconds(waited) << " ms");
   CHECK(waited > std::chrono::seconds(5));
   CHECK(waited < std::chrono::seconds(10));
 }
+
+// Guards against a job that is without runs for 3 s while most cores are free. The rest of the time
+// is for the reports of ends, the store and the start.
+TEST_CASE("JobScheduler DisturbsServingRunsSoonerWhileMostCoresAreFree")
+{
+  const Duration waited = PlayWaitBesideAServingRun(1000);
+  INFO("waited " << ToMilliseconds(waited) << " ms");
+  CHECK(waited > std::chrono::seconds(1));
+  CHECK(waited < std::chrono::seconds(2));
+}
