Let a gang disturb serving runs after it waited

Cause: the wait after which a job may disturb serving runs did not hold for gangs. A best-effort gang that would disturb every worker was never placed.

Change: PlaceGang gets the same permission, for all members.

Result: the two JobScheduler Disturbs... tests play a gang too; they failed before (20 s without a start) and pass.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -182,7 +182,7 @@
                  std::uint32_t aIndex,
                  PlacementRequest& aRequest,
                  Now aNow);
-  void PlaceGang(const ReadyStep& aReady, Now aNow);
+  void PlaceGang(const ReadyStep& aReady, bool aAllowInterference, Now aNow);
   void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker, Now aNow);
 
   // Look up parts of a job; the pointers are null if the part does not exist.
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -173,13 +173,14 @@
 
 void JobScheduler::PlaceStep(const ReadyStep& aReady, Duration aAllowInterferenceAfter, Now aNow)
 {
+  const bool allowInterference = aNow.instant - aReady.job->lastActive > aAllowInterferenceAfter;
   if (aReady.job->record.spec.steps[aReady.step].gang) {
-    this->PlaceGang(aReady, aNow);
+    this->PlaceGang(aReady, allowInterference, aNow);
     return;
   }
   const auto& tasks = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks;
   PlacementRequest request = this->MakePlacementRequest(aReady);
-  request.allowInterference = aNow.instant - aReady.job->lastActive > aAllowInterferenceAfter;
+  request.allowInterference = allowInterference;
   nlohmann::ordered_json placed = nlohmann::ordered_json::array();
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     const Task& task = tasks[index];
@@ -222,7 +223,7 @@
   return true;
 }
 
-void JobScheduler::PlaceGang(const ReadyStep& aReady, Now aNow)
+void JobScheduler::PlaceGang(const ReadyStep& aReady, bool aAllowInterference, Now aNow)
 {
   Step& step = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step];
   const bool isDelayed = std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& aTask) {
@@ -240,6 +241,7 @@
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     step.tasks[index].nextRunNumber = runNumber;
     step.tasks[index].checkpoint = checkpoint;
+    request.allowInterference = aAllowInterference;
     if (!this->PlaceTask(aReady, index, request, aNow)) {
       // A gang is placed as a whole or not at all. No order was sent yet, so the runs so far are
       // just removed.
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -418,7 +418,7 @@
 
 // Returns how long a best-effort job waits on the only worker, of 8 cores, where it would disturb a
 // serving run.
-Duration PlayWaitBesideAServingRun(std::int64_t aServingMilliCores)
+Duration PlayWaitBesideAServingRun(std::int64_t aServingMilliCores, bool aGang)
 {
   SchedulerFixture fixture;
   fixture.AddAgent("a");
@@ -433,6 +433,7 @@
   StepSpec bestEffort = MakeStep(1);
   bestEffort.fillsUnused = true;
   bestEffort.image = "best-effort";
+  bestEffort.gang = aGang;
   // A headroom of 1.1 is left, less than a best-effort run is expected to cost.
   fixture.agents.at("a").running[0].figure = 91;
   fixture.Report("a");
@@ -451,18 +452,22 @@
 // backlog, and against a job that waits indefinitely because it would disturb every worker.
 TEST_CASE("JobScheduler DisturbsServingRunsOnlyForAJobThatWaitedLong")
 {
-  const Duration waited = PlayWaitBesideAServingRun(6000);
-  INFO("waited " << ToMilliseconds(waited) << " ms");
-  CHECK(waited > std::chrono::seconds(5));
-  CHECK(waited < std::chrono::seconds(10));
+  for (const bool gang : { false, true }) {
+    const Duration waited = PlayWaitBesideAServingRun(6000, gang);
+    INFO("gang " << gang << " waited " << ToMilliseconds(waited) << " ms");
+    CHECK(waited > std::chrono::seconds(5));
+    CHECK(waited < std::chrono::seconds(10));
+  }
 }
 
 // Guards against a job that is without runs for 3 s while most cores are free. The rest of the time
 // is for the reports of ends, the store and the start.
 TEST_CASE("JobScheduler DisturbsServingRunsSoonerWhileMostCoresAreFree")
 {
-  const Duration waited = PlayWaitBesideAServingRun(1000);
-  INFO("waited " << ToMilliseconds(waited) << " ms");
-  CHECK(waited > std::chrono::seconds(1));
-  CHECK(waited < std::chrono::seconds(2));
+  for (const bool gang : { false, true }) {
+    const Duration waited = PlayWaitBesideAServingRun(1000, gang);
+    INFO("gang " << gang << " waited " << ToMilliseconds(waited) << " ms");
+    CHECK(waited > std::chrono::seconds(1));
+    CHECK(waited < std::chrono::seconds(2));
+  }
 }
