--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -167,6 +167,7 @@
   void StopResumableRuns(Worker& aWorker);
 
   // Defined in SchedulerPlacement.cpp.
+  void PlaceReadySteps(Now aNow);
   void RecomputeHeadroomCosts(Worker& aWorker) const;
   void AddHeadroomCost(Worker& aWorker, const StepSpec& aStep) const;
   double RankStep(const Job& aJob,
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -37,7 +37,20 @@
       this->StartDueOccurrences(job, aNow);
     }
   }
-  std::vector<ReadyStep> ready = this->FindReadySteps(aNow);
+  this->PlaceReadySteps(aNow);
+  this->RemoveExpiredJobs(aNow);
+  if (aNow.instant >= this->nextWeightsStore && !this->interference.IsEmpty()) {
+    this->nextWeightsStore = aNow.instant + this->settings.weightsStoreInterval;
+    this->MarkChanged(InterferenceWeightsRow());
+  }
+}
+
+void JobScheduler::PlaceReadySteps(Now aNow)
+{
+  const std::vector<ReadyStep> ready = this->FindReadySteps(aNow);
+  if (ready.empty()) {
+    return;
+  }
   const std::set<std::string> servicesWithFreeCores = this->FindServicesWithFreeCores();
   for (const ReadyStep& item : ready) {
     const bool hasFreeCores = servicesWithFreeCores.contains(item.job->record.policy.service);
@@ -46,11 +59,6 @@
                                  : this->settings.allowInterferenceAfter,
                     aNow);
   }
-  this->RemoveExpiredJobs(aNow);
-  if (aNow.instant >= this->nextWeightsStore && !this->interference.IsEmpty()) {
-    this->nextWeightsStore = aNow.instant + this->settings.weightsStoreInterval;
-    this->MarkChanged(InterferenceWeightsRow());
-  }
 }
 
 void JobScheduler::RecomputeHeadroomCosts(Worker& aWorker) const
