Give up starts whose order outlived the lease

The log of the agent shows it paused from 8.0 to 10.1 s and without the leader's link from 11.5 to 15.4 s. It had received three orders, waited with them for an answer of the leader, and carried them out when the link was back, 15.5 s; the leader had given the runs up at 13.5 s (lease_lapsed) and started them elsewhere.

Change: an agent that follows a leader (again) forgets starts that it has not sent to the worker; the leader repeats those that still hold. When an extension arrives after the lease had expired, starts ordered before the expiry are rejected, or stopped at the worker if they were sent.

Ruled out: the stand-in worker and the conversion of clocks; deadlines are absolute, and the clock of the worker is read later than it was written.

Result: WorkerDriver DoesNotStartARunWhenTheLeaseExpiredAfterItsOrder and ForgetsUnsentStartsWhenItFollowsALeaderAgain failed before (4 checks) and pass.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -148,6 +148,10 @@
   this->lastOrders = 0;
   this->reportSentTimes.clear();
   this->reportedEnds.clear();
+  // The leader may have given up these runs meanwhile. It repeats the orders that still hold.
+  std::erase_if(this->trackedRuns, [](const auto& aTracked) {
+    return aTracked.second.starting && aTracked.second.startAttempts == 0;
+  });
   if (aEpoch > this->epoch) {
     this->epoch = aEpoch;
     this->fenceConfirmed = false;
@@ -170,8 +174,12 @@
     return;
   }
   this->disturbanceByImage = aExtension.disturbance;
+  const Instant earlierExpiry = this->leaseExpiry;
   this->leaseExpiry = std::max(this->leaseExpiry, sent->second + this->requestedLease);
   this->reportSentTimes.erase(this->reportSentTimes.begin(), std::next(sent));
+  if (earlierExpiry <= BootClock::now()) {
+    this->GiveUpStartsOrderedBefore(earlierExpiry);
+  }
 }
 
 void WorkerDriver::OnOrders(const WorkerOrders& aOrders)
@@ -257,6 +265,24 @@
                       });
 }
 
+void WorkerDriver::GiveUpStartsOrderedBefore(Instant aTime)
+{
+  std::vector<RunRef> outdated;
+  for (const auto& [ref, tracked] : this->trackedRuns) {
+    if (tracked.starting && !tracked.stopping && tracked.orderedAt < aTime) {
+      outdated.push_back(ref);
+    }
+  }
+  for (const RunRef& ref : outdated) {
+    this->counters.Add("starts_void_total", "lease_expired");
+    if (this->trackedRuns.at(ref).startAttempts == 0) {
+      this->RejectRun(ref, "lease_expired");
+    } else {
+      this->StopRun(ref);
+    }
+  }
+}
+
 void WorkerDriver::OnStartAnswer(const RunRef& aRef, const WorkerAnswer& aAnswer)
 {
   const auto it = this->trackedRuns.find(aRef);
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -98,6 +98,9 @@
   bool IsRunning(const RunRef& aRef) const;
   // Sends the start of the run to the worker, or tries again later if there is no valid lease.
   void TryStart(const RunRef& aRef);
+  // Gives up starts that the worker has not confirmed and that were ordered before the time. Called
+  // when the lease expired meanwhile: the leader may have started the runs elsewhere.
+  void GiveUpStartsOrderedBefore(Instant aTime);
   void OnStartAnswer(const RunRef& aRef, const platformwire::WorkerAnswer& aAnswer);
   void StopRun(const RunRef& aRef);
   void RejectRun(const RunRef& aRef, const std::string& aReason);
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <thread>
 
 using namespace oriolespread;
@@ -320,3 +321,47 @@
   fixture.StartTask("k.0.0.0");
   CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
 }
+
+// Guards against a run that exists twice: the leader gives up the runs of a worker whose lease has
+// expired, and starts them elsewhere.
+TEST_CASE("WorkerDriver DoesNotStartARunWhenTheLeaseExpiredAfterItsOrder")
+{
+  // Leases last 3.6 s. Starts wait once the last answer of the leader is older than 2 s.
+  WorkerDriverFixture fixture(4000 * kMillisecond);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.extendLeases = false;
+  fixture.RunFor(2300 * kMillisecond);
+  fixture.StartTask("j.0.0.0");
+  fixture.RunFor(1700 * kMillisecond);
+  CHECK(fixture.started.empty());
+  fixture.extendLeases = true;
+  fixture.RunFor(1000 * kMillisecond);
+  CHECK(fixture.started.empty());
+  CHECK(
+    std::any_of(fixture.reports.begin(), fixture.reports.end(), [](const WorkerReport& aReport) {
+      return !aReport.rejected.empty() && aReport.rejected.front().ref.task == "j.0.0.0";
+    }));
+  fixture.StartTask("k.0.0.0");
+  CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  CHECK(fixture.started.front() == "k.0.0.0");
+}
+
+// Guards against a run that exists twice: after the loss of the link, only the leader knows which
+// orders still hold.
+TEST_CASE("WorkerDriver ForgetsUnsentStartsWhenItFollowsALeaderAgain")
+{
+  WorkerDriverFixture fixture;
+  fixture.extendLeases = false;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  fixture.RunFor(100 * kMillisecond);
+  fixture.driver->OnLeaderLost();
+  fixture.extendLeases = true;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  fixture.RunFor(800 * kMillisecond);
+  CHECK(fixture.started.empty());
+  fixture.StartTask("j.0.0.0");
+  CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+}
