Take a connect that timed out as proof that nothing ran

Ruled out: the order of the last answer and the end of the link.

Connects of the agent get 1.5 s, at most the deadline. The test records why requests fail, and waits until both upstreams serve, because the stop of the only one that does cannot be hidden.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	@cmake --build $(BUILD) -j $(JOBS)
 
 test: build
-	@./tools/run-tests $(BUILD)
+	@cd $(BUILD) && ctest --output-on-failure
 
 lint: build
 	@./tools/lint $(BUILD)
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -16,11 +16,6 @@
   return client;
 }
 
-bool SurelyNotSent(httplib::Error aError)
-{
-  return aError == httplib::Error::Connection || aError == httplib::Error::BindIPAddress;
-}
-
 absl::Status ToStatus(const httplib::Result& aResult)
 {
   if (!aResult) {
--- a/packages/platform/src/HttpClient.h
+++ b/packages/platform/src/HttpClient.h
@@ -14,9 +14,6 @@
 
 std::unique_ptr<httplib::Client> MakeClient(const SocketAddress& aAddress, Duration aTimeout);
 
-// Returns whether the request surely did not reach the service.
-bool SurelyNotSent(httplib::Error aError);
-
 // Returns the status of an answer: OK for 2xx, the matching code for 4xx, Unavailable otherwise.
 absl::Status ToStatus(const httplib::Result& aResult);
 
--- a/packages/platform/src/HttpTable.cpp
+++ b/packages/platform/src/HttpTable.cpp
@@ -2,6 +2,7 @@
 
 #include "HttpClient.h"
 
+#include "oriolespread/platform/HttpError.h"
 #include "oriolespread/platform/PlatformCodec.h"
 
 #include <string>
@@ -28,7 +29,7 @@
 {
   const auto result = this->client->Post("/v1/transactions", ToJson(aTransaction).dump(), kJson);
   if (!result) {
-    const bool notSent = internal::SurelyNotSent(result.error());
+    const bool notSent = SurelyNotSent(result.error());
     return { notSent ? CommitStatus::Unavailable : CommitStatus::Unknown, {}, {} };
   }
   if (result->status == kUnavailable) {
--- a/packages/service/src/UpstreamCaller.cpp
+++ b/packages/service/src/UpstreamCaller.cpp
@@ -2,6 +2,8 @@
 
 #include "absl/strings/ascii.h"
 
+#include "oriolespread/platform/HttpError.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,7 +11,8 @@
 
 namespace {
 
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+// A connect that meets a full queue of the upstream is repeated by the system after 1 s.
+constexpr std::chrono::microseconds kConnectTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kMinTimeout = std::chrono::milliseconds(1);
 
 bool MayLackBody(const std::string& aMethod, int aStatus)
@@ -49,7 +52,6 @@
   std::unique_ptr<httplib::Client>& client = this->clients[ToString(aAddress)];
   if (client == nullptr) {
     client = std::make_unique<httplib::Client>(aAddress.ip, aAddress.port);
-    client->set_connection_timeout(kConnectTimeout);
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
     client->set_decompress(false);
@@ -83,12 +85,12 @@
   request.body = aRequest.body;
   const auto timeout = std::chrono::duration_cast<std::chrono::microseconds>(
     std::max(aRequest.deadlineLeft, kMinTimeout));
+  aClient.set_connection_timeout(std::min(timeout, kConnectTimeout));
   aClient.set_read_timeout(timeout);
   aClient.set_write_timeout(timeout);
   const httplib::Result result = aClient.send(request);
   if (!result) {
-    const bool connected = result.error() != httplib::Error::Connection;
-    return { connected ? UpstreamEnd::Failed : UpstreamEnd::NotConnected, {} };
+    return { SurelyNotSent(result.error()) ? UpstreamEnd::NotConnected : UpstreamEnd::Failed, {} };
   }
   if (!IsWhole(aRequest, *result)) {
     return { UpstreamEnd::Failed, {} };
--- a/packages/service/tests/SiteRequestsTest.cpp
+++ b/packages/service/tests/SiteRequestsTest.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <mutex>
 #include <thread>
 
 using namespace oriolespread;
@@ -174,7 +175,14 @@
   TestAgent& first = site.AddAgent();
   site.AddAgent();
   site.Configure();
+  // Both upstreams serve before the first agent stops; otherwise nothing can take its requests.
+  REQUIRE(WaitUntil([&] {
+    site.Send(0, "GET", "/v1/services/lookup/", "acme-token");
+    return site.agents[0].upstream->Total() > 0 && site.agents[1].upstream->Total() > 0;
+  }));
   std::atomic<int> failed = 0;
+  std::mutex failuresMutex;
+  std::string failures;
   std::atomic<int> inFlight = 0;
   const auto call = [&] {
     ++inFlight;
@@ -185,7 +193,11 @@
                 "acme-token",
                 "x",
                 { { "Stand-In-Delay-Ms", "300" }, { "Oriolespread-Deadline-Ms", "20000" } });
-    failed += result && result->status == 200 ? 0 : 1;
+    if (!result || result->status != 200) {
+      ++failed;
+      const std::lock_guard lock(failuresMutex);
+      failures += ReasonOf(result) + " ";
+    }
   };
   std::vector<std::thread> callers;
   callers.reserve(8);
@@ -197,6 +209,7 @@
   for (std::thread& caller : callers) {
     caller.join();
   }
+  INFO("failed requests: " << failures);
   CHECK(failed.load() == 0);
 
   TestAgent& second = site.agents[1];
