Replace the waiting retry of a start by that of its new order

Cause: since a re-followed leader makes the agent forget unsent starts, the leader repeats them while the timer of the forgotten order still runs. Each loss of the link added one more retry loop to a start, and its attempts counted several times.

Change: TryStart names the order that it is for, and ends when another has taken its place.

Result: daemon_tests pass, 238 checks; the number of calls is not visible to a test of the driver.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -225,7 +225,7 @@
     tracked.start = start;
     tracked.starting = true;
     tracked.orderedAt = BootClock::now();
-    this->TryStart(start.ref);
+    this->TryStart(start.ref, tracked.orderedAt);
   }
   if (!aOrders.acknowledgedEnds.empty()) {
     this->SchedulePoll(Duration::zero());
@@ -239,10 +239,11 @@
   });
 }
 
-void WorkerDriver::TryStart(const RunRef& aRef)
+void WorkerDriver::TryStart(const RunRef& aRef, Instant aOrderedAt)
 {
   const auto it = this->trackedRuns.find(aRef);
-  if (it == this->trackedRuns.end() || !it->second.starting || it->second.stopping) {
+  if (it == this->trackedRuns.end() || it->second.orderedAt != aOrderedAt || !it->second.starting ||
+      it->second.stopping) {
     return;
   }
   // Without a lease, the deadline of the start would have passed when it reaches the worker.
@@ -250,7 +251,8 @@
   // order to start it.
   if (!this->fenceConfirmed || !this->workerClockMs.has_value() ||
       !this->HasRecentLeaderResponse() || !this->GrantLease()) {
-    this->CallAfter(kLeasePollInterval, [this, aRef] { this->TryStart(aRef); });
+    this->CallAfter(kLeasePollInterval,
+                    [this, aRef, aOrderedAt] { this->TryStart(aRef, aOrderedAt); });
     return;
   }
   ++it->second.startAttempts;
@@ -323,8 +325,9 @@
     return;
   }
   // Starts are idempotent: the worker reports success if the run is already running.
-  this->CallAfter(aAnswer.end == WorkerCallOutcome::Refused ? kWorkerRetryDelay : Duration::zero(),
-                  [this, aRef] { this->TryStart(aRef); });
+  this->CallAfter(
+    aAnswer.end == WorkerCallOutcome::Refused ? kWorkerRetryDelay : Duration::zero(),
+    [this, aRef, orderedAt = it->second.orderedAt] { this->TryStart(aRef, orderedAt); });
 }
 
 void WorkerDriver::RejectRun(const RunRef& aRef, const std::string& aReason)
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -96,8 +96,9 @@
 
   // Returns whether the worker's last answer lists the run as running.
   bool IsRunning(const RunRef& aRef) const;
-  // Sends the start of the run to the worker, or tries again later if there is no valid lease.
-  void TryStart(const RunRef& aRef);
+  // Sends the start of the run to the worker, or tries again later if there is no valid lease. Does
+  // nothing if another order has taken the place of the one that came at `aOrderedAt`.
+  void TryStart(const RunRef& aRef, Instant aOrderedAt);
   // Gives up starts that the worker has not confirmed and that were ordered before the time. Called
   // when the lease expired meanwhile: the leader may have started the runs elsewhere.
   void GiveUpStartsOrderedBefore(Instant aTime);
