Complete the comments on the ends of transactions

Cause: comments on values of CommitEnd and CommitProgress began as fragments. Change: full sentences. Result: comments only; the formatter is clean.

--- a/packages/cluster/include/oriolespread/cluster/StoreTypes.h
+++ b/packages/cluster/include/oriolespread/cluster/StoreTypes.h
@@ -40,9 +40,9 @@
   Applied,
   // A condition did not hold; nothing was applied.
   Conflict,
-  // Not applied, and certain not to be applied later.
+  // The transaction was not applied, and will certainly not be applied later.
   Refused,
-  // May have been applied, or may be applied later while the conditions still hold.
+  // The transaction may have been applied, or may be applied later while the conditions still hold.
   Unknown,
 };
 
--- a/packages/tasks/include/oriolespread/tasks/PendingCommit.h
+++ b/packages/tasks/include/oriolespread/tasks/PendingCommit.h
@@ -24,9 +24,9 @@
   // The response is outstanding, or it was lost and the transaction's fate is not known yet.
   Waiting,
   Committed,
-  // Not applied, and never will be.
+  // The transaction was not applied and never will be.
   NotCommitted,
-  // Not applied because a condition did not hold.
+  // The transaction was not applied because a condition did not hold.
   Conflict,
 };
 
