--- a/packages/service/tests/UpstreamCallerTest.cpp
+++ b/packages/service/tests/UpstreamCallerTest.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 
 using namespace oriolespread;
 
@@ -27,8 +28,8 @@
     this->port = ntohs(address.sin_port);
     for (int& filler : this->fillers) {
       filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      // Only starts to connect.
-      connect(filler, reinterpret_cast<sockaddr*>(&address), size);
+      const int result = connect(filler, reinterpret_cast<sockaddr*>(&address), size);
+      REQUIRE((result == 0 || errno == EINPROGRESS));
     }
   }
   FullServer(const FullServer&) = delete;
