Count the earlier leader's renewal until the answer that shows it

Cause: a new leader bounds the leases of its predecessor from the last renewal of the row, and took the request of the read that first showed that renewal for it. A renewal may arrive between the request and the answer: with a store that takes 0.3 s or more for an answer, which is the whole lease margin, runs could be placed again before their leases had expired.

Change: LeaderElection keeps the time of the answer beside that of the request, and the loader uses it. The claim itself still counts from the request.

Result: LeaderElection CountsARenewalUntilTheAnswerThatShowsIt; cluster_tests and daemon_tests pass.

--- a/packages/cluster/include/oriolespread/cluster/LeaderElection.h
+++ b/packages/cluster/include/oriolespread/cluster/LeaderElection.h
@@ -59,8 +59,8 @@
 public:
   LeaderElection(ElectionSettings aSettings, std::string aEntry, std::string aProcess);
 
-  // Handles the row as read from the store at `aRequestedAt` or later; empty if it does not exist.
-  void OnRow(const std::optional<StoredRow>& aRow, Instant aRequestedAt);
+  // Handles the row as read from the store between the two times; empty if it does not exist.
+  void OnRow(const std::optional<StoredRow>& aRow, Instant aRequestedAt, Instant aAnsweredAt);
 
   // Sets the processor speed of this entry, in the unit of LeaderRecord.
   void SetSpeed(double aSpeed) { this->speed = aSpeed; }
@@ -73,9 +73,11 @@
   StoreTransaction MakeClaim() const;
   LeaderRecord ClaimedRecord() const;
 
-  // Returns when the read that first returned the current version of the row was requested. It is
-  // taken as the latest time at which the leader can have renewed the row.
+  // Returns when the read that first returned the current version of the row was requested.
   Instant UnchangedSince() const { return this->unchangedSince; }
+  // Returns when that read was answered, which is the latest time at which the leader can have
+  // renewed the row: a renewal may arrive at the store between the request and the answer.
+  Instant LatestRenewal() const { return this->latestRenewal; }
   const std::optional<LeaderRecord>& Current() const { return this->record; }
 
 private:
@@ -87,6 +89,7 @@
   std::uint64_t version = 0;
   std::optional<LeaderRecord> record;
   Instant unchangedSince{};
+  Instant latestRenewal{};
   // When the current epoch was first seen.
   Instant epochFirstSeen{};
   double speed = 0;
--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -43,7 +43,9 @@
     this->settings.leaderTimeout + this->settings.claimJitter * static_cast<int>(hash % 8) / 8;
 }
 
-void LeaderElection::OnRow(const std::optional<StoredRow>& aRow, Instant aRequestedAt)
+void LeaderElection::OnRow(const std::optional<StoredRow>& aRow,
+                           Instant aRequestedAt,
+                           Instant aAnsweredAt)
 {
   // Ignores reads that return the known version or an older one. Version 0 stands for a row that
   // does not exist; its disappearance is a change.
@@ -57,6 +59,7 @@
   this->rowRead = true;
   this->version = foundVersion;
   this->unchangedSince = aRequestedAt;
+  this->latestRenewal = aAnsweredAt;
   const std::uint64_t epochBefore = this->record.has_value() ? this->record->epoch : 0;
   this->record = aRow.has_value() ? DecodeLeaderRecord(aRow->value) : std::nullopt;
   if (this->record.has_value() && this->record->epoch != epochBefore) {
--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -26,7 +26,7 @@
 {
   LeaderElection election({}, "a", "p-a");
   CHECK_FALSE(election.ShouldClaim(kStart));
-  election.OnRow(std::nullopt, kStart);
+  election.OnRow(std::nullopt, kStart, kStart);
   CHECK(election.ShouldClaim(kStart));
   CHECK(election.MakeClaim().conditions.at(0).version == 0);
   CHECK(election.ClaimedRecord().epoch == 1);
@@ -37,7 +37,7 @@
   LeaderElection election({}, "a", "p-a");
   Instant now = kStart;
   for (std::uint64_t version = 10; version < 30; ++version) {
-    election.OnRow(RowOf(MakeRecord("b"), version), now);
+    election.OnRow(RowOf(MakeRecord("b"), version), now, now);
     CHECK_FALSE(election.ShouldClaim(now));
     now += 450 * kMs;
   }
@@ -48,10 +48,10 @@
 TEST_CASE("LeaderElection ClaimsTheNextEpochOnTheLastSeenVersionWhenTheLeaderIsSilent")
 {
   LeaderElection election({}, "a", "p-a");
-  election.OnRow(RowOf(MakeRecord("b"), 10), kStart);
-  election.OnRow(RowOf(MakeRecord("b"), 10), kStart + 1000 * kMs);
+  election.OnRow(RowOf(MakeRecord("b"), 10), kStart, kStart);
+  election.OnRow(RowOf(MakeRecord("b"), 10), kStart + 1000 * kMs, kStart + 1000 * kMs);
   CHECK_FALSE(election.ShouldClaim(kStart + 1000 * kMs));
-  election.OnRow(RowOf(MakeRecord("b"), 10), kStart + 1900 * kMs);
+  election.OnRow(RowOf(MakeRecord("b"), 10), kStart + 1900 * kMs, kStart + 1900 * kMs);
   REQUIRE(election.ShouldClaim(kStart + 1900 * kMs));
   CHECK(election.MakeClaim().conditions.at(0).version == 10);
   CHECK(election.ClaimedRecord().epoch == 5);
@@ -62,23 +62,34 @@
   LeaderElection election({}, "a", "p-a");
   LeaderRecord released = MakeRecord("b");
   released.released = true;
-  election.OnRow(RowOf(released, 10), kStart);
+  election.OnRow(RowOf(released, 10), kStart, kStart);
   CHECK(election.ShouldClaim(kStart));
 }
 
 TEST_CASE("LeaderElection ClaimsImmediatelyWhenItsOwnEarlierProcessLed")
 {
   LeaderElection election({}, "a", "p-new");
-  election.OnRow(RowOf(MakeRecord("a"), 10), kStart);
+  election.OnRow(RowOf(MakeRecord("a"), 10), kStart, kStart);
   CHECK(election.ShouldClaim(kStart));
 }
 
+// Guards against leases of the earlier leader that outlive the time at which a new leader takes them
+// for expired: with a slow store, the row may be renewed while it is being read.
+TEST_CASE("LeaderElection CountsARenewalUntilTheAnswerThatShowsIt")
+{
+  LeaderElection election({}, "a", "p-a");
+  election.OnRow(RowOf(MakeRecord("b"), 10), kStart, kStart + 800 * kMs);
+  election.OnRow(RowOf(MakeRecord("b"), 10), kStart + 900 * kMs, kStart + 1700 * kMs);
+  CHECK(election.UnchangedSince() == kStart);
+  CHECK(election.LatestRenewal() == kStart + 800 * kMs);
+}
+
 // Guards against replacing the row by an older one from a read that is answered late.
 TEST_CASE("LeaderElection IgnoresARowOlderThanTheLastOne")
 {
   LeaderElection election({}, "a", "p-a");
-  election.OnRow(RowOf(MakeRecord("b"), 12), kStart);
-  election.OnRow(RowOf(MakeRecord("c"), 10), kStart + 10 * kMs);
+  election.OnRow(RowOf(MakeRecord("b"), 12), kStart, kStart);
+  election.OnRow(RowOf(MakeRecord("c"), 10), kStart + 10 * kMs, kStart + 10 * kMs);
   CHECK(election.Current()->entry == "b");
 }
 
@@ -89,9 +100,9 @@
   fast.SetSpeed(4.0);
   LeaderRecord slow = MakeRecord("b");
   slow.speed = 1.0;
-  fast.OnRow(RowOf(slow, 10), kStart);
+  fast.OnRow(RowOf(slow, 10), kStart, kStart);
   CHECK_FALSE(fast.ShouldClaim(kStart));
-  fast.OnRow(RowOf(slow, 11), kStart + 1600 * kMs);
+  fast.OnRow(RowOf(slow, 11), kStart + 1600 * kMs, kStart + 1600 * kMs);
   CHECK(fast.ShouldClaim(kStart + 1600 * kMs));
   CHECK(fast.ClaimedRecord().speed == 4.0);
 }
@@ -105,7 +116,7 @@
   held.speed = 1.0;
   for (std::uint64_t version = 10; version < 40; ++version) {
     const Instant now = kStart + static_cast<int>(version) * 450 * kMs;
-    election.OnRow(RowOf(held, version), now);
+    election.OnRow(RowOf(held, version), now, now);
     CHECK_FALSE(election.ShouldClaim(now));
   }
 }
@@ -117,7 +128,7 @@
   LeaderRecord released = MakeRecord("b");
   released.speed = 4.0;
   released.released = true;
-  election.OnRow(RowOf(released, 10), kStart);
+  election.OnRow(RowOf(released, 10), kStart, kStart);
   CHECK_FALSE(election.ShouldClaim(kStart));
   // No faster entry has claimed.
   CHECK(election.ShouldClaim(kStart + 450 * kMs));
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -91,7 +91,7 @@
         if (!aResult.rows.empty()) {
           storedRow = aResult.rows.front();
         }
-        this->election.OnRow(storedRow, requestedAt);
+        this->election.OnRow(storedRow, requestedAt, now);
         if (this->election.IsLeaderMuchSlower()) {
           // This machine may have become slow as well, so measure again before claiming.
           this->MeasureSpeed();
--- a/packages/daemon/src/LeaderLoading.cpp
+++ b/packages/daemon/src/LeaderLoading.cpp
@@ -63,7 +63,7 @@
   this->jobsVersion = aResult.version;
   this->phase = Phase::Leading;
   this->scheduler->FinishLoading(
-    Epoch{ this->leaderRow.epoch }, this->election.UnchangedSince(), now);
+    Epoch{ this->leaderRow.epoch }, this->election.LatestRenewal(), now);
   Log(LogLevel::Info,
       "leadership_ready",
       { { "epoch", this->leaderRow.epoch },
