Take over from a silent leader after 0.9 s

Change: the leader renews each 200 ms, standbys read each 300 ms and claim after 0.9 s of silence plus four times the recent latency of their reads, so that a slow store does not look like a silent leader.

Test LeaderElection ClaimsWithinOneAndAHalfSecondsWhenTheLeaderEnds fails with the time-out of 1.6 s, DoesNotClaimFromALeaderThatRenewsWhileTheStoreIsSlow without the latency.

--- a/packages/cluster/include/oriolespread/cluster/LeaderElection.h
+++ b/packages/cluster/include/oriolespread/cluster/LeaderElection.h
@@ -39,10 +39,13 @@
 struct ElectionSettings
 {
   // A leader that has not renewed its row for this long, the time of several renewals, is
-  // considered failed.
-  Duration leaderTimeout = std::chrono::milliseconds(1600);
+  // considered failed. No task is placed meanwhile, and short jobs miss their objectives.
+  Duration leaderTimeout = std::chrono::milliseconds(900);
+  // Multiple of the recent latency of the store that is added to leaderTimeout: with a slow store,
+  // a renewal takes as long as its transaction, and shows only when a read of the row is answered.
+  double latencyFactor = 4.0;
   // Maximum delay that spreads the claims of several entries.
-  Duration claimJitter = std::chrono::milliseconds(200);
+  Duration claimJitter = std::chrono::milliseconds(100);
   // An entry whose processor is this many times faster than the leader's takes over the leadership:
   // a slow leader places tasks late and takes seconds to load at a take-over. The ratio is well
   // above the difference between two measurements on one machine.
@@ -90,6 +93,8 @@
   std::optional<LeaderRecord> record;
   Instant unchangedSince{};
   Instant latestRenewal{};
+  // A decaying maximum of the latency of the reads of the row.
+  Duration readLatency{};
   // When the current epoch was first seen.
   Instant epochFirstSeen{};
   double speed = 0;
--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -2,10 +2,18 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <functional>
 
 namespace oriolespread::cluster {
 
+namespace {
+
+// Share of the read latency that is kept from one read to the next, if that one is faster.
+constexpr double kLatencyDecay = 0.7;
+
+} // namespace
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LeaderRecord,
                                                 entry,
                                                 process,
@@ -47,6 +55,9 @@
                            Instant aRequestedAt,
                            Instant aAnsweredAt)
 {
+  this->readLatency =
+    std::max(aAnsweredAt - aRequestedAt,
+             std::chrono::duration_cast<Duration>(kLatencyDecay * this->readLatency));
   // Ignores reads that return the known version or an older one. Version 0 stands for a row that
   // does not exist; its disappearance is a change.
   const std::uint64_t foundVersion = aRow.has_value() ? aRow->version : 0;
@@ -97,7 +108,9 @@
       aNow - this->epochFirstSeen >= this->settings.minTakeoverInterval) {
     return true;
   }
-  return unchangedFor >= this->claimDelay + slowEntryDelay;
+  const auto latencyDelay =
+    std::chrono::duration_cast<Duration>(this->settings.latencyFactor * this->readLatency);
+  return unchangedFor >= this->claimDelay + latencyDelay + slowEntryDelay;
 }
 
 LeaderRecord LeaderElection::ClaimedRecord() const
--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -23,10 +23,9 @@
 inline constexpr Duration kDirectoryLongPollTime = std::chrono::milliseconds(5000);
 inline constexpr Duration kDirectoryWatchTimeout = std::chrono::milliseconds(6500);
 
-// How often a standby entry reads the leadership row, and how often an idle leader renews it. A
-// standby may claim the leadership after three missed renewals.
-inline constexpr Duration kElectionPollInterval = std::chrono::milliseconds(450);
-inline constexpr Duration kLeadershipRenewInterval = std::chrono::milliseconds(450);
+// How often a standby entry reads the leadership row, and how often an idle leader renews it.
+inline constexpr Duration kElectionPollInterval = std::chrono::milliseconds(300);
+inline constexpr Duration kLeadershipRenewInterval = std::chrono::milliseconds(200);
 // How often a leader measures its processor speed, so that a faster entry can take over from a
 // machine that has become slow.
 inline constexpr Duration kSpeedMeasurementInterval = std::chrono::milliseconds(2000);
