Leave the load balancer after 1.2 s without the store, and refuse truly when time is over

Hypothesis: while the store turns one entry away, its callers use up their retries there.

Change: Readiness decides from the time since the store last answered any call (1.2 s) beside the age of the configuration. A request whose time is over after refused attempts only is refused with 503.

--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -7,6 +7,7 @@
 #include "MetricsServer.h"
 #include "absl/strings/str_cat.h"
 
+#include "oriolespread/cluster/Readiness.h"
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/daemon/EntryDirectory.h"
 #include "oriolespread/link/LinkListener.h"
@@ -23,9 +24,6 @@
 
 namespace {
 
-// An entry whose configuration has not been confirmed for this long is not ready: the store does
-// not answer it, so it may have missed a change and cannot store jobs.
-constexpr Duration kMaxConfigAge = std::chrono::milliseconds(4000);
 // How often a draining entry checks whether the last request has been answered.
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(20);
 // The event loop stops this long before the grace period ends, so that the last responses are sent
@@ -234,8 +232,13 @@
 
 bool ClusterEntry::IsReady() const
 {
-  return !this->draining && this->configWatcher->Config().has_value() &&
-         BootClock::now() - this->configWatcher->ConfirmedAt() < kMaxConfigAge;
+  const Instant now = BootClock::now();
+  cluster::EntryCondition condition;
+  condition.draining = this->draining;
+  condition.hasConfig = this->configWatcher->Config().has_value();
+  condition.configAge = now - this->configWatcher->ConfirmedAt();
+  condition.storeSilence = now - this->store->LastAnswerAt();
+  return cluster::IsReady(condition, cluster::ReadinessSettings{});
 }
 
 void ClusterEntry::SendToAgent(const std::string& aAgent, const LinkMessage& aMessage)
--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -174,11 +174,12 @@
                    std::function<void()> aCall)
 {
   this->counters.Add("request_retries_total", aReason);
-  if (!aRequest->maybeApplied && aRequest->attempts >= kMaxRefusedAttempts) {
+  const bool isTimeOver = BootClock::now() + kStoreRetryDelay >= aRequest->deadline;
+  if (!aRequest->maybeApplied && (aRequest->attempts >= kMaxRefusedAttempts || isTimeOver)) {
     this->Respond(aRequest, kHttpUnavailable, {}, "store_refuses");
     return;
   }
-  if (BootClock::now() + kStoreRetryDelay >= aRequest->deadline) {
+  if (isTimeOver) {
     this->Respond(aRequest, kHttpGatewayTimeout, {}, "store_silent");
     return;
   }
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -135,6 +135,15 @@
   CHECK(fixture.counters.Get("requests_refused_total", "store_refuses") == 1);
 }
 
+// Guards against telling a caller that the outcome is unknown although the store has refused the
+// only attempt, after which there was no time for another.
+TEST_CASE("JobApi RefusesWhenTheTimeIsOverAndTheStoreHasRefused")
+{
+  JobApiFixture fixture;
+  fixture.store.SetFault(fixture.server, { .busy = true });
+  CHECK(fixture.Call("POST", JobPath(), JobBody(), "300").status == kHttpUnavailable);
+}
+
 // Guards against answering 404 for an existing queue before the process has read the
 // configuration.
 TEST_CASE("JobApi AnswersUnavailableWithoutAConfiguration")
