Repeat a transaction of the leader as soon as its answer is overdue

Hypothesis: the leader stores one transaction at a time and waited 0.9 s for each answer, so a store that loses a third of its answers holds up all decisions.

Change: TimeoutEstimator derives the wait from earlier answers (RFC 6298), 0.25 to 0.9 s, doubled by each timeout. The retry delay counts from the attempt. The repeated transaction is unchanged, as before.

--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -37,8 +37,8 @@
 // row.
 inline constexpr std::size_t kMaxBatchRows = 95;
 
-// How often an agent sends a full report on its worker. Interference changes within seconds, and the
-// leader knows of it from these reports only.
+// How often an agent sends a full report on its worker. Interference changes within seconds, and
+// the leader knows of it from these reports only.
 inline constexpr Duration kFullReportInterval = std::chrono::milliseconds(300);
 // Starts are delayed unless the leader has answered a report that was sent within this time, in
 // which several reports may be missed.
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -5,6 +5,7 @@
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/service/Log.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace oriolespread::daemon {
@@ -316,7 +317,7 @@
                                    const cluster::StoreTransaction& aTransaction)
 {
   this->store.Commit(aTransaction,
-                     kStoreTimeout,
+                     this->commitTimeout.Timeout(),
                      [this, aBatch, aTransaction, term = this->term, sentAt = BootClock::now()](
                        const cluster::CommitResult& aResult) {
                        if (term == this->term) {
@@ -330,6 +331,12 @@
                                const cluster::CommitResult& aResult,
                                Instant aSentAt)
 {
+  const Duration latency = BootClock::now() - aSentAt;
+  if (aResult.end == CommitEnd::Unknown) {
+    this->commitTimeout.OnTimeout();
+  } else if (aResult.end != CommitEnd::Refused) {
+    this->commitTimeout.OnAnswer(latency);
+  }
   std::uint64_t version = aResult.version;
   bool applied = aResult.end == CommitEnd::Applied;
   if (aResult.end == CommitEnd::Conflict) {
@@ -349,7 +356,7 @@
   }
   if (!applied) {
     this->counters.Add("commit_retries_total", aResult.reason);
-    this->CallAfter(kStoreRetryDelay,
+    this->CallAfter(std::max(Duration::zero(), kStoreRetryDelay - latency),
                     [this, aBatch, aTransaction] { this->SendTransaction(aBatch, aTransaction); });
     return;
   }
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -5,6 +5,7 @@
 #include "MultiRangeReader.h"
 
 #include "oriolespread/cluster/LeaderElection.h"
+#include "oriolespread/cluster/TimeoutEstimator.h"
 #include "oriolespread/jobs/JobScheduler.h"
 #include "oriolespread/messages/MessageCodec.h"
 #include "oriolespread/platformwire/StoreClient.h"
@@ -130,6 +131,7 @@
   Instant renewedAt{};
   bool commitInFlight = false;
   Instant commitStartedAt{};
+  cluster::TimeoutEstimator commitTimeout{ cluster::TimeoutLimits{} };
   // Whether a transaction is in flight that removes rows outside the leader's part of the store.
   bool removalInFlight = false;
   bool schedulingPassPending = false;
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -96,6 +96,28 @@
   CHECK(entry.driver->CommitLatency().Buckets().count > 0);
 }
 
+// Guards against a lost answer of the store that stops all decisions for 0.9 s, the time that a
+// slow store may take.
+TEST_CASE("LeaderDriver RepeatsATransactionSoonWhenItsAnswerIsLost")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  SubmitJob(fixture, "j");
+  REQUIRE(fixture.RunUntil([&] { return entry.JobCount() == 1; }));
+  // Some renewals show how long the store takes.
+  fixture.RunFor(800 * kMillisecond);
+  fixture.store.SetFault(fixture.server, { .lost = 1.0 });
+  entry.SendReport();
+  const Instant reportedAt = BootClock::now();
+  fixture.RunFor(200 * kMillisecond);
+  fixture.store.SetFault(fixture.server, {});
+  REQUIRE(fixture.RunUntil([&] { return !entry.orders.empty(); }));
+  CHECK(BootClock::now() - reportedAt < 800 * kMillisecond);
+  CHECK(fixture.store.CountRows("progress") == 1);
+}
+
 // Guards against a pause during a rolling restart in which no entry leads and no tasks are placed.
 TEST_CASE("LeaderDriver HandsOverAtOnceWhenItIsReleased")
 {
