--- a/packages/cluster/include/oriolespread/cluster/TimeoutEstimator.h
+++ b/packages/cluster/include/oriolespread/cluster/TimeoutEstimator.h
@@ -10,6 +10,7 @@
 
 namespace oriolespread::cluster {
 
+// The range of the timeouts.
 struct TimeoutLimits
 {
   Duration min = std::chrono::milliseconds(250);
--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -54,7 +54,8 @@
   absl::Status StartServers();
   absl::Status StartLinks(const std::string& aLinkKey);
   void OnConfigChanged(const cluster::ClusterConfig& aConfig);
-  bool IsReady() const;
+  // Decides whether the load balancer may send callers here, and logs each change.
+  bool UpdateReadiness();
   void SendToAgent(const std::string& aAgent, const LinkMessage& aMessage);
   void WaitForSignal();
   void Drain();
@@ -77,6 +78,8 @@
   std::map<std::string, LinkId> linkByAgent;
   std::map<LinkId, std::string> agentByLink;
   bool draining = false;
+  // The last result of UpdateReadiness.
+  bool ready = false;
 };
 
 absl::Status ClusterEntry::Start()
@@ -154,7 +157,11 @@
     {},
     [this](const HttpRequest& aRequest, const HttpServer::Reply& aReply) {
       const bool knownPath = aRequest.target == platformwire::kReadyPath;
-      aReply({ !knownPath ? kHttpNotFound : this->IsReady() ? kHttpOk : kHttpUnavailable, {}, {} });
+      aReply({ !knownPath                ? kHttpNotFound
+               : this->UpdateReadiness() ? kHttpOk
+                                         : kHttpUnavailable,
+               {},
+               {} });
     },
     this->counters);
   if (!readinessServer.ok()) {
@@ -230,7 +237,7 @@
   this->apiServer->SetLimits(limits);
 }
 
-bool ClusterEntry::IsReady() const
+bool ClusterEntry::UpdateReadiness()
 {
   const Instant now = BootClock::now();
   cluster::EntryCondition condition;
@@ -238,7 +245,18 @@
   condition.hasConfig = this->configWatcher->Config().has_value();
   condition.configAge = now - this->configWatcher->ConfirmedAt();
   condition.storeSilence = now - this->store->LastAnswerAt();
-  return cluster::IsReady(condition, cluster::ReadinessSettings{});
+  const bool isReady = cluster::IsReady(condition, cluster::ReadinessSettings{});
+  if (isReady != this->ready) {
+    Log(
+      isReady ? LogLevel::Info : LogLevel::Warning,
+      isReady ? "entry_ready" : "entry_not_ready",
+      { { "draining", condition.draining },
+        { "configured", condition.hasConfig },
+        { "config_age_ms", condition.hasConfig ? ToMilliseconds(condition.configAge) : 0 },
+        { "store_silent_ms", condition.hasConfig ? ToMilliseconds(condition.storeSilence) : 0 } });
+  }
+  this->ready = isReady;
+  return isReady;
 }
 
 void ClusterEntry::SendToAgent(const std::string& aAgent, const LinkMessage& aMessage)
