Store new checkpoints of a step each second

Cause: checkpoints that workers report were stored only when a run of their step began or ended. A loss of power of all machines ends workers and leader together, so that interrupted runs began from an old checkpoint or none. Change: the progress of a step is stored again, at most once a second, when its checkpoints changed. Tests: JobScheduler ResumesFromACheckpointThatWasReportedBeforeAllMachinesFailed and StoresTheCheckpointsOfAStepTogether failed before.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -77,6 +77,8 @@
   std::uint32_t active = 0;
   // Used for serving steps only.
   BaselineHeadroom baseline;
+  // When the progress was last stored only because of new checkpoints.
+  Instant checkpointsStoredAt{};
 
   bool IsDone() const { return this->done == this->tasks.size(); }
 };
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -154,6 +154,7 @@
   // Defined in SchedulerReports.cpp.
   Worker* RegisterWorker(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
   void ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow);
+  void UpdateCheckpoint(const TaskKey& aTaskKey, const std::string& aCheckpoint, Now aNow);
   void UpdateInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   void ApplyRunEnd(Worker& aWorker, const EndedRun& aEnd, Now aNow);
   void ApplyRejection(Worker& aWorker, const RejectedRun& aRejected, Now aNow);
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -45,6 +45,9 @@
   Duration retryDelay = std::chrono::milliseconds(50);
   // How long the state of an ended job is kept, twice the time guaranteed to callers.
   Duration keepEnded = std::chrono::seconds(240);
+  // How often the progress of a step is stored when only checkpoints of its runs have changed. A
+  // loss of power costs at most this much work of a run beside what the worker had not saved.
+  Duration checkpointStoreInterval = std::chrono::milliseconds(1000);
   // How often the interference weights are stored. They converge within about ten seconds, and
   // their row has a few kilobytes.
   Duration weightsStoreInterval = std::chrono::seconds(3);
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -153,7 +153,7 @@
       run->percentChangedAt = aNow.instant;
     }
     if (!running.checkpoint.empty()) {
-      this->FindTask(runKey.task)->checkpoint = running.checkpoint;
+      this->UpdateCheckpoint(runKey.task, running.checkpoint, aNow);
     }
     this->StopIfStalled(aWorker, runKey, aNow);
   }
@@ -166,6 +166,24 @@
   }
 }
 
+// The stored checkpoints are used when the leader fails together with the workers, for example in a
+// loss of power.
+void JobScheduler::UpdateCheckpoint(const TaskKey& aTaskKey,
+                                    const std::string& aCheckpoint,
+                                    Now aNow)
+{
+  Task& task = *this->FindTask(aTaskKey);
+  if (task.checkpoint == aCheckpoint) {
+    return;
+  }
+  task.checkpoint = aCheckpoint;
+  Step& step = *this->FindStep(aTaskKey);
+  if (aNow.instant - step.checkpointsStoredAt >= this->settings.checkpointStoreInterval) {
+    step.checkpointsStoredAt = aNow.instant;
+    this->MarkChanged(ProgressRow(aTaskKey.job, aTaskKey.occurrence, aTaskKey.step));
+  }
+}
+
 void JobScheduler::UpdateInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow)
 {
   std::vector<InterferenceModel::CoRunner> coRunners;
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -120,3 +120,55 @@
   SchedulerFixture next(fixture.rows);
   CHECK(next.counters.Get("rows_unreadable_total", "learned") == 0);
 }
+
+// Guards against work that is repeated because a loss of power ends all workers and the leader at
+// once, and the checkpoints were known to that leader only.
+TEST_CASE("JobScheduler ResumesFromACheckpointThatWasReportedBeforeAllMachinesFailed")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  StepSpec step = MakeStep(1);
+  step.checkpointing = true;
+  first.Submit(MakeJob("j", { step }));
+  first.RunUntilIdle();
+  first.Advance(std::chrono::seconds(1));
+  first.agents["a"].running[0].checkpoint = "saved";
+  first.Report("a");
+  first.RunUntilIdle();
+
+  SchedulerFixture second(first.rows);
+  WorkerReport& restarted = second.agents["a"];
+  restarted = first.agents["a"];
+  restarted.worker.born = 2;
+  restarted.running.clear();
+  second.scheduler.OnAgentUp("a", second.now);
+  second.Report("a");
+  second.RunUntilIdle();
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].second.ref.run == 2);
+  CHECK(second.starts[0].second.checkpoint == "saved");
+}
+
+// Guards against a leader that writes a step for each of its tasks' checkpoints, of which a large
+// cluster reports thousands a second.
+TEST_CASE("JobScheduler StoresTheCheckpointsOfAStepTogether")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  StepSpec step = MakeStep(4);
+  step.checkpointing = true;
+  fixture.Submit(MakeJob("j", { step }));
+  fixture.RunUntilIdle();
+  int writes = 0;
+  for (int round = 0; round < 40; ++round) {
+    fixture.Advance(100 * kMs);
+    RunningRun& running = fixture.agents["a"].running[round % 4];
+    running.checkpoint = std::to_string(round);
+    ++running.percent;
+    fixture.Report("a");
+    writes += fixture.scheduler.HasChanges() ? 1 : 0;
+    fixture.RunUntilIdle();
+  }
+  CHECK(writes >= 3);
+  CHECK(writes <= 5);
+}
