Move tasks away from workers that have become slow

Hypothesis: a job waits for each of its tasks on a worker that has become several times slower.

Change: the speed of a run is measured against its estimate (RunSpeed). A run that is much slower than those of its step elsewhere is stopped and placed again, once a task; a worker with slow runs of two jobs gets no new runs for 2 s. The search for stalled and slow runs has a file of its own.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -5,6 +5,7 @@
 #include "oriolespread/jobs/InterferenceModel.h"
 #include "oriolespread/jobs/JobRows.h"
 #include "oriolespread/jobs/JobSpec.h"
+#include "oriolespread/jobs/RunSpeed.h"
 #include "oriolespread/messages/WorkerMessages.h"
 
 #include <map>
@@ -47,6 +48,7 @@
   // Reported progress.
   int percent = 0;
   Instant percentChangedAt{};
+  RunSpeed speed;
 };
 
 enum class TaskState
@@ -63,8 +65,10 @@
   std::uint32_t failedRuns = 0;
   std::string checkpoint;
   std::vector<Run> runs;
-  // The worker on which a run last failed or stalled.
+  // The worker on which a run last failed, stalled or was slow.
   std::string lastFailedWorker;
+  // A run of the task was stopped because it was slow.
+  bool moved = false;
   // No run of the task is started before this time.
   Instant notBefore{};
 };
@@ -157,6 +161,13 @@
   friend auto operator<=>(const RunKey&, const RunKey&) = default;
 };
 
+// Returns the run's reference in messages to agents.
+inline RunRef ToRunRef(const RunKey& aRunKey)
+{
+  const TaskKey& task = aRunKey.task;
+  return { ToString(TaskName{ task.job, task.occurrence, task.step, task.index }), aRunKey.number };
+}
+
 // The headroom of a serving step with runs on one worker, as of the worker's last report.
 struct ServingHeadroom
 {
@@ -189,6 +200,8 @@
   Instant avoidUntil{};
   // Jobs with a failed run on this worker since its last successful run.
   std::set<std::string> failedJobs;
+  // Jobs with a slow run on this worker since a run was last measured to be fast enough.
+  std::set<std::string> slowJobs;
   std::uint32_t stalledRuns = 0;
   Resources reserved;
   // `reserved` plus the cores that best-effort runs request, which are not reserved.
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -120,6 +120,16 @@
     double rank = 0;
   };
 
+  // The speed of the runs of the same step on other workers, compared with that of one run.
+  enum class PeerSpeed
+  {
+    // No such run is at work.
+    Unknown,
+    // One is about as slow, or is not measured yet.
+    Alike,
+    Faster,
+  };
+
   // The stored state of a job, without its record.
   struct StoredState
   {
@@ -163,9 +173,14 @@
   void OnRunFailed(Job& aJob, const TaskKey& aTaskKey, Worker& aWorker, Now aNow);
   void RemoveLostWorker(Worker& aWorker, std::string_view aReason, Now aNow);
   void RemoveLostRuns(Worker& aWorker, std::string_view aReason, Now aNow);
+  void StopResumableRuns(Worker& aWorker);
+
+  // Defined in SchedulerStragglers.cpp.
   void IgnoreReportGap(Worker& aWorker, Now aNow);
   void StopIfStalled(Worker& aWorker, const RunKey& aRunKey, Now aNow);
-  void StopResumableRuns(Worker& aWorker);
+  void StopIfSlow(Worker& aWorker, const RunKey& aRunKey, Now aNow);
+  PeerSpeed ComparePeers(const RunKey& aRunKey, double aSpeed);
+  void AvoidIfSlow(Worker& aWorker, const std::string& aJob, Now aNow);
 
   // Defined in SchedulerPlacement.cpp.
   void PlaceReadySteps(Now aNow);
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -26,6 +26,20 @@
   // Replaces stallTimeout for a run that may be paused for serving runs and cannot resume from a
   // checkpoint.
   Duration pausedStallTimeout = std::chrono::milliseconds(6000);
+  // The time over which the speed of a run is measured, two reports, and at least this share of its
+  // estimated duration, because progress is reported in whole percent.
+  Duration speedWindow = std::chrono::milliseconds(600);
+  double speedEstimateShare = 0.1;
+  // A run is slow below this share of the speed that its estimated duration implies. Estimates are
+  // wrong by up to a factor of two.
+  double slowRunSpeed = 0.35;
+  // A slow run is stopped only if its task would end this much earlier on another worker, which
+  // covers the time of the stop and the start.
+  Duration minMoveGain = std::chrono::milliseconds(500);
+  // A worker is avoided for a while once runs of this many jobs were slow on it. The estimates of
+  // one job may be wrong altogether.
+  std::size_t slowJobLimit = 2;
+  Duration slowWorkerBackoff = std::chrono::milliseconds(2000);
   // A job without active runs for this long is placed wherever it fits, regardless of interference.
   // It bounds the wait of a job that disturbs every worker; a backlog of a few seconds should not
   // make serving runs miss their targets.
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -153,9 +153,7 @@
   aRun.state = RunState::Stopping;
   if (ordered) {
     WorkerOrders& orders = this->OrdersFor(aRun.agent, aRun.worker);
-    orders.stops.push_back(
-      { ToString(TaskName{ aTaskKey.job, aTaskKey.occurrence, aTaskKey.step, aTaskKey.index }),
-        aRun.number });
+    orders.stops.push_back(ToRunRef({ aTaskKey, aRun.number }));
     aRun.ordersSequence = orders.sequence;
   }
 }
@@ -457,11 +455,7 @@
   const StepSpec& step = this->SpecOf(aRunKey.task);
   WorkerOrders& orders = this->OrdersFor(run.agent, run.worker);
   StartRun start;
-  start.ref = {
-    ToString(
-      TaskName{ aRunKey.task.job, aRunKey.task.occurrence, aRunKey.task.step, aRunKey.task.index }),
-    run.number
-  };
+  start.ref = ToRunRef(aRunKey);
   start.payload = this->jobs.at(aRunKey.task.job).record.spec.payload;
   start.checkpoint = this->FindTask(aRunKey.task)->checkpoint;
   start.image = step.image;
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -22,21 +22,6 @@
   return true;
 }
 
-RunRef ToRunRef(const RunKey& aRunKey)
-{
-  return { ToString(TaskName{
-             aRunKey.task.job, aRunKey.task.occurrence, aRunKey.task.step, aRunKey.task.index }),
-           aRunKey.number };
-}
-
-// Computed in milliseconds, because the estimate is the caller's and may be any number.
-std::int64_t StallTimeoutMs(const SchedulerSettings& aSettings, const StepSpec& aStep)
-{
-  const auto estimateShareMs =
-    static_cast<std::int64_t>(aSettings.stallEstimateShare * static_cast<double>(aStep.estimateMs));
-  return std::max(ToMilliseconds(aSettings.stallTimeout), estimateShareMs);
-}
-
 } // namespace
 
 void JobScheduler::OnAgentUp(const std::string& aAgent, Now aNow)
@@ -147,6 +132,7 @@
       run->state = RunState::Running;
       run->stateSince = aNow.instant;
       run->percentChangedAt = aNow.instant;
+      run->speed.Restart(running.percent, aNow.instant);
     }
     if (run->percent != running.percent) {
       run->percent = running.percent;
@@ -156,6 +142,7 @@
       this->UpdateCheckpoint(runKey.task, running.checkpoint, aNow);
     }
     this->StopIfStalled(aWorker, runKey, aNow);
+    this->StopIfSlow(aWorker, runKey, aNow);
   }
   for (const RunRef& ref : aReport.undescribed) {
     RunKey runKey;
@@ -246,50 +233,6 @@
   return costs;
 }
 
-// After a gap in the full reports, unchanged progress only shows that the worker was silent, so the
-// runs get the whole time again.
-void JobScheduler::IgnoreReportGap(Worker& aWorker, Now aNow)
-{
-  if (aNow.instant - aWorker.lastFullReport > this->settings.stallTimeout) {
-    for (const RunKey& key : aWorker.runs) {
-      if (Run* run = this->FindRun(key); run != nullptr) {
-        run->percentChangedAt = aNow.instant;
-      }
-    }
-  }
-  aWorker.lastFullReport = aNow.instant;
-}
-
-void JobScheduler::StopIfStalled(Worker& aWorker, const RunKey& aRunKey, Now aNow)
-{
-  Run& run = *this->FindRun(aRunKey);
-  const StepSpec& step = this->SpecOf(aRunKey.task);
-  const Duration stalledFor = aNow.instant - run.percentChangedAt;
-  if (run.state != RunState::Running || step.longRunning || step.gang ||
-      ToMilliseconds(stalledFor) < StallTimeoutMs(this->settings, step)) {
-    return;
-  }
-  // A best-effort run on a worker with serving runs has more likely been paused for them than
-  // stalled by a fault of the worker.
-  const bool maybePaused = step.fillsUnused && aWorker.servingRuns > 0;
-  if (maybePaused && !step.checkpointing && stalledFor < this->settings.pausedStallTimeout) {
-    return;
-  }
-  this->counters.Add("runs_stopped_total", "stalled");
-  this->log("run_stalled",
-            { { "task", ToRunRef(aRunKey).task },
-              { "run", aRunKey.number },
-              { "worker", aWorker.key.id },
-              { "percent", run.percent },
-              { "still_ms", ToMilliseconds(aNow.instant - run.percentChangedAt) } });
-  this->FindTask(aRunKey.task)->lastFailedWorker = aWorker.key.id;
-  if (!maybePaused) {
-    aWorker.avoidUntil =
-      std::max(aWorker.avoidUntil, aNow.instant + this->settings.failingWorkerBackoff);
-  }
-  this->StopRun(aRunKey.task, run);
-}
-
 void JobScheduler::ApplyRunEnd(Worker& aWorker, const EndedRun& aEnd, Now aNow)
 {
   if (aWorker.pendingEnds.contains(aEnd.number)) {
