Pass requests on to another entry while the store does not serve this one

Hypothesis: callers of an entry that the store turns away lose a second or more for each refusal, because their retries reach the same entry until the load balancer leaves it out.

Change: an entry whose store has not answered for 0.7 s, or whose first attempt failed, passes the request on to at most two other entries (RequestForwarder, at the second port between daemons), and answers as before if none serves it. A request that another entry may have stored is not refused.

--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -24,6 +24,8 @@
 
 namespace {
 
+// Requests that another entry passes on arrive at this many ports above the one for links.
+constexpr std::uint16_t kForwardPortOffset = 1;
 // How often a draining entry checks whether the last request has been answered.
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(20);
 // The event loop stops this long before the grace period ends, so that the last responses are sent
@@ -54,6 +56,7 @@
   absl::Status StartServers();
   absl::Status StartLinks(const std::string& aLinkKey);
   void OnConfigChanged(const cluster::ClusterConfig& aConfig);
+  void OnEntriesChanged(const EntryDirectory::Entries& aEntries);
   // Decides whether the load balancer may send callers here, and logs each change.
   bool UpdateReadiness();
   void SendToAgent(const std::string& aAgent, const LinkMessage& aMessage);
@@ -68,8 +71,11 @@
   asio::steady_timer drainTimer;
   std::unique_ptr<platformwire::StoreClient> store;
   std::unique_ptr<ConfigWatcher> configWatcher;
+  RequestForwarder forwarder{ this->context, this->counters };
   std::unique_ptr<JobApi> jobApi;
   std::unique_ptr<HttpServer> apiServer;
+  // For requests that other entries pass on.
+  std::unique_ptr<HttpServer> forwardServer;
   std::unique_ptr<HttpServer> readinessServer;
   std::unique_ptr<MetricsServer> metrics;
   std::unique_ptr<EntryDirectory> directory;
@@ -94,8 +100,8 @@
     this->context, *this->store, this->counters, [this](const cluster::ClusterConfig& aConfig) {
       this->OnConfigChanged(aConfig);
     });
-  this->jobApi =
-    std::make_unique<JobApi>(this->context, *this->store, *this->configWatcher, this->counters);
+  this->jobApi = std::make_unique<JobApi>(
+    this->context, *this->store, *this->configWatcher, this->forwarder, this->counters);
   LeaderDriverOptions options;
   options.entry = this->settings.machine;
   options.process = GenerateProcessId();
@@ -117,7 +123,8 @@
     this->settings.machine,
     ToString(SocketAddress{ this->settings.ip, this->settings.internalPort }));
   this->directory->Subscribe(
-    [this](const std::string& aLinkKey, const EntryDirectory::Entries& /*aEntries*/) {
+    [this](const std::string& aLinkKey, const EntryDirectory::Entries& aEntries) {
+      this->OnEntriesChanged(aEntries);
       if (this->listener != nullptr) {
         return;
       }
@@ -143,13 +150,26 @@
     this->settings.front.port,
     {},
     [this](const HttpRequest& aRequest, HttpServer::Reply aReply) {
-      this->jobApi->Handle(aRequest, std::move(aReply));
+      this->jobApi->Handle(aRequest, JobApi::Sender::Caller, std::move(aReply));
     },
     this->counters);
   if (!apiServer.ok()) {
     return apiServer.status();
   }
   this->apiServer = *std::move(apiServer);
+  auto forwardServer = HttpServer::Create(
+    this->context,
+    this->settings.ip,
+    this->settings.internalPort + kForwardPortOffset,
+    {},
+    [this](const HttpRequest& aRequest, HttpServer::Reply aReply) {
+      this->jobApi->Handle(aRequest, JobApi::Sender::Entry, std::move(aReply));
+    },
+    this->counters);
+  if (!forwardServer.ok()) {
+    return forwardServer.status();
+  }
+  this->forwardServer = *std::move(forwardServer);
   auto readinessServer = HttpServer::Create(
     this->context,
     this->settings.ready.ip,
@@ -237,6 +257,27 @@
   this->apiServer->SetLimits(limits);
 }
 
+void ClusterEntry::OnEntriesChanged(const EntryDirectory::Entries& aEntries)
+{
+  std::set<std::string> peers;
+  for (const auto& [entry, linkAddress] : aEntries) {
+    if (entry == this->settings.machine) {
+      continue;
+    }
+    auto address = SocketAddress::Parse(linkAddress);
+    if (!address.has_value()) {
+      this->counters.Add("directory_rows_invalid_total", "address");
+      Log(LogLevel::Warning,
+          "entry_address_invalid",
+          { { "entry", entry }, { "address", linkAddress } });
+      continue;
+    }
+    address->port += kForwardPortOffset;
+    peers.insert(ToString(*address));
+  }
+  this->forwarder.SetPeers(peers);
+}
+
 bool ClusterEntry::UpdateReadiness()
 {
   const Instant now = BootClock::now();
@@ -288,6 +329,7 @@
 {
   this->draining = true;
   this->apiServer->Drain();
+  this->forwardServer->Drain();
   const Instant now = BootClock::now();
   const Instant latest = now + std::max(this->settings.stopGrace - kStopMargin, Duration::zero());
   this->leader->Release([this, now, latest] {
@@ -302,7 +344,8 @@
 void ClusterEntry::StopWhenIdle(Instant aEarliest, Instant aLatest)
 {
   const Instant now = BootClock::now();
-  if (now >= aLatest || (now >= aEarliest && this->apiServer->InFlight() == 0)) {
+  const std::size_t inFlight = this->apiServer->InFlight() + this->forwardServer->InFlight();
+  if (now >= aLatest || (now >= aEarliest && inFlight == 0)) {
     this->context.stop();
     return;
   }
--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -26,8 +26,12 @@
 constexpr Duration kMinStoreTimeout = std::chrono::milliseconds(100);
 // The Retry-After value of responses with status 503. Outages of the store last seconds.
 constexpr const char* kRetryAfterSeconds = "1";
-// Attempts at a request after which it is refused if the store has refused all of them.
+// Attempts at a request after which it is refused if the store has refused all of them. Another
+// entry asks the next one instead.
 constexpr int kMaxRefusedAttempts = 2;
+constexpr int kMaxRefusedAttemptsForEntry = 1;
+// Each entry reads the leadership row every 0.3 s or writes it, so that one answer may be lost.
+constexpr Duration kMaxStoreSilence = std::chrono::milliseconds(700);
 constexpr std::size_t kMaxCachedEndedJobs = 20000;
 
 std::int64_t CurrentUnixMs()
@@ -53,18 +57,22 @@
 JobApi::JobApi(asio::io_context& aContext,
                platformwire::StoreClient& aStore,
                const ConfigWatcher& aConfig,
+               RequestForwarder& aForwarder,
                Counters& aCounters)
   : context(aContext)
   , store(aStore)
   , config(aConfig)
+  , forwarder(aForwarder)
   , counters(aCounters)
 {
 }
 
-void JobApi::Handle(const HttpRequest& aRequest, HttpServer::Reply aReply)
+void JobApi::Handle(const HttpRequest& aRequest, Sender aSender, HttpServer::Reply aReply)
 {
   auto request = std::make_shared<Request>();
-  request->method = aRequest.method;
+  request->http = aRequest;
+  request->fromEntry = aSender == Sender::Entry;
+  request->forwardable = aSender == Sender::Caller;
   request->reply = std::move(aReply);
   request->arrivedAt = BootClock::now();
   const std::string path = aRequest.target.substr(0, aRequest.target.find('?'));
@@ -82,29 +90,64 @@
                       std::chrono::milliseconds(CallerTimeoutMs(aRequest, *queue)) -
                       kResponseMargin;
   request->jobId = path.substr(queue->pathPrefix.size());
-  if (request->jobId.empty() && aRequest.method == "GET") {
-    request->kind = "pending";
-    this->CountPending(request, queue->policy.queue);
+  if (this->IsStoreReachable()) {
+    this->Execute(request, *queue);
     return;
   }
-  if (!platformwire::IsJobId(request->jobId)) {
-    this->Respond(request, kHttpNotFound, {}, "no_such_path");
+  if (request->fromEntry) {
+    this->Respond(request, kHttpUnavailable, {}, "store_unreachable");
     return;
   }
-  if (aRequest.method == "POST") {
-    request->kind = "submit";
-    this->Submit(request, *queue, aRequest.body);
-  } else if (aRequest.method == "GET") {
-    request->kind = "state";
-    this->GetState(request);
-  } else if (aRequest.method == "DELETE") {
-    request->kind = "cancel";
-    this->Cancel(request);
+  this->Forward(request, [this, request, queue = *queue] { this->Execute(request, queue); });
+}
+
+void JobApi::Execute(const RequestPtr& aRequest, const cluster::QueueConfig& aQueue)
+{
+  const std::string& method = aRequest->http.method;
+  if (aRequest->jobId.empty() && method == "GET") {
+    aRequest->kind = "pending";
+    this->CountPending(aRequest, aQueue.policy.queue);
+    return;
+  }
+  if (!platformwire::IsJobId(aRequest->jobId)) {
+    this->Respond(aRequest, kHttpNotFound, {}, "no_such_path");
+    return;
+  }
+  if (method == "POST") {
+    aRequest->kind = "submit";
+    this->Submit(aRequest, aQueue, aRequest->http.body);
+  } else if (method == "GET") {
+    aRequest->kind = "state";
+    this->GetState(aRequest);
+  } else if (method == "DELETE") {
+    aRequest->kind = "cancel";
+    this->Cancel(aRequest);
   } else {
-    this->Respond(request, kHttpNotFound, {}, "no_such_method");
+    this->Respond(aRequest, kHttpNotFound, {}, "no_such_method");
   }
 }
 
+bool JobApi::IsStoreReachable() const
+{
+  return BootClock::now() - this->store.LastAnswerAt() < kMaxStoreSilence;
+}
+
+void JobApi::Forward(const RequestPtr& aRequest, std::function<void()> aOtherwise)
+{
+  aRequest->forwardable = false;
+  this->forwarder.Forward(
+    aRequest->http,
+    aRequest->deadline,
+    [this, aRequest, otherwise = std::move(aOtherwise)](const ForwardResult& aResult) {
+      if (aResult.response.has_value()) {
+        this->Respond(aRequest, aResult.response->status, aResult.response->body, "forwarded");
+        return;
+      }
+      aRequest->maybeApplied |= aResult.maybeApplied;
+      otherwise();
+    });
+}
+
 Duration JobApi::RemainingStoreTimeout(const Request& aRequest)
 {
   return std::clamp(aRequest.deadline - BootClock::now(), kMinStoreTimeout, kStoreTimeout);
@@ -174,8 +217,19 @@
                    std::function<void()> aCall)
 {
   this->counters.Add("request_retries_total", aReason);
+  if (!aRequest->forwardable) {
+    this->RetryHere(aRequest, std::move(aCall));
+    return;
+  }
+  this->Forward(aRequest,
+                [this, aRequest, call = std::move(aCall)] { this->RetryHere(aRequest, call); });
+}
+
+void JobApi::RetryHere(const RequestPtr& aRequest, std::function<void()> aCall)
+{
   const bool isTimeOver = BootClock::now() + kStoreRetryDelay >= aRequest->deadline;
-  if (!aRequest->maybeApplied && (aRequest->attempts >= kMaxRefusedAttempts || isTimeOver)) {
+  const int maxAttempts = aRequest->fromEntry ? kMaxRefusedAttemptsForEntry : kMaxRefusedAttempts;
+  if (!aRequest->maybeApplied && (aRequest->attempts >= maxAttempts || isTimeOver)) {
     this->Respond(aRequest, kHttpUnavailable, {}, "store_refuses");
     return;
   }
@@ -321,11 +375,11 @@
   this->counters.Add(aStatus == kHttpOk ? "requests_answered_total" : "requests_refused_total",
                      aReason);
   const LogLevel level =
-    aStatus == kHttpOk && aRequest->method == "GET" ? LogLevel::Debug : LogLevel::Info;
+    aStatus == kHttpOk && aRequest->http.method == "GET" ? LogLevel::Debug : LogLevel::Info;
   Log(level,
       "request_answered",
       { { "job", aRequest->jobId },
-        { "method", aRequest->method },
+        { "method", aRequest->http.method },
         { "kind", aRequest->kind },
         { "status", aStatus },
         { "reason", std::string(aReason) },
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -1,8 +1,10 @@
 // Handles the requests of callers: writes jobs and cancellations to the store, and reads job states
-// from it. Needs no leader, so that every entry that can reach the store can answer.
+// from it. Needs no leader, so that every entry that can reach the store can answer. An entry that
+// cannot passes requests on to another one.
 #pragma once
 
 #include "ConfigWatcher.h"
+#include "RequestForwarder.h"
 
 #include "oriolespread/http/HttpServer.h"
 #include "oriolespread/service/LatencyHistogram.h"
@@ -16,12 +18,22 @@
 class JobApi
 {
 public:
+  // Who sends a request.
+  enum class Sender
+  {
+    Caller,
+    // Another entry, which passes on a caller's request. It is not passed on again, and is refused
+    // at once if the store does not serve this entry either.
+    Entry,
+  };
+
   JobApi(asio::io_context& aContext,
          platformwire::StoreClient& aStore,
          const ConfigWatcher& aConfig,
+         RequestForwarder& aForwarder,
          Counters& aCounters);
 
-  void Handle(const HttpRequest& aRequest, HttpServer::Reply aReply);
+  void Handle(const HttpRequest& aRequest, Sender aSender, HttpServer::Reply aReply);
 
   // The time from the arrival of a request to its response.
   const LatencyHistogram& Latency() const { return this->latency; }
@@ -30,8 +42,11 @@
   // A request in progress. Each request gets exactly one response.
   struct Request
   {
+    HttpRequest http;
+    // The request may be passed on to another entry; at most once.
+    bool forwardable = false;
+    bool fromEntry = false;
     std::string jobId;
-    std::string method;
     const char* kind = "";
     HttpServer::Reply reply;
     Instant arrivedAt{};
@@ -43,6 +58,13 @@
   };
   using RequestPtr = std::shared_ptr<Request>;
 
+  // Handles a request with a valid target.
+  void Execute(const RequestPtr& aRequest, const cluster::QueueConfig& aQueue);
+  // Returns whether the store has answered a recent call of this entry.
+  bool IsStoreReachable() const;
+  // Passes the request on to another entry. Calls `aOtherwise` if none serves it.
+  void Forward(const RequestPtr& aRequest, std::function<void()> aOtherwise);
+
   // Returns the timeout of a call to the store, so that it ends before the caller stops waiting.
   static Duration RemainingStoreTimeout(const Request& aRequest);
   void Submit(const RequestPtr& aRequest,
@@ -66,9 +88,12 @@
   void GetUnstartedState(const RequestPtr& aRequest);
   void Cancel(const RequestPtr& aRequest);
   void CountPending(const RequestPtr& aRequest, const std::string& aQueue);
+  // Passes the request on after its first failed attempt. If no other entry serves it, continues
+  // with RetryHere.
+  void Retry(const RequestPtr& aRequest, const std::string& aReason, std::function<void()> aCall);
   // Calls `aCall` after kStoreRetryDelay. Responds with an error instead if the store has refused
   // the request too often or the deadline is too close.
-  void Retry(const RequestPtr& aRequest, const std::string& aReason, std::function<void()> aCall);
+  void RetryHere(const RequestPtr& aRequest, std::function<void()> aCall);
   void Respond(const RequestPtr& aRequest,
                int aStatus,
                std::string aBody,
@@ -78,6 +103,7 @@
   asio::io_context& context;
   platformwire::StoreClient& store;
   const ConfigWatcher& config;
+  RequestForwarder& forwarder;
   Counters& counters;
   LatencyHistogram latency;
   // Terminal states by job id, cached because they do not change any more.
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -24,7 +24,8 @@
 
 struct JobApiFixture : StoreFixture
 {
-  JobApi api{ this->context, *this->client, this->config, this->counters };
+  RequestForwarder forwarder{ this->context, this->counters };
+  JobApi api{ this->context, *this->client, this->config, this->forwarder, this->counters };
 
   explicit JobApiFixture(bool aConfigured = true)
   {
@@ -44,6 +45,7 @@
     int answers = 0;
     this->api.Handle(
       { aMethod, aPath, { { "Host", "h" }, { platformwire::kTimeoutHeader, aTimeoutMs } }, aBody },
+      JobApi::Sender::Caller,
       [&](HttpResponse aResponse) {
         answer = std::move(aResponse);
         ++answers;
@@ -57,6 +59,40 @@
   std::string GetPending() { return this->Call("GET", "/q/").body; }
 };
 
+// A second entry, which has a connection of its own to the store of the first.
+struct OtherEntry
+{
+  JobApiFixture& first;
+  std::size_t storeServer = first.store.Serve("127.0.0.1", 0);
+  Counters counters;
+  std::unique_ptr<platformwire::StoreClient> client = *platformwire::StoreClient::Create(
+    first.context,
+    "127.0.0.1:" + std::to_string(first.store.PortOf(storeServer)),
+    counters);
+  ConfigWatcher config{ first.context, *client, counters, [](const cluster::ClusterConfig&) {} };
+  RequestForwarder forwarder{ first.context, counters };
+  JobApi api{ first.context, *client, config, forwarder, counters };
+  std::unique_ptr<HttpServer> server = *HttpServer::Create(
+    first.context,
+    "127.0.0.1",
+    0,
+    {},
+    [this](const HttpRequest& aRequest, HttpServer::Reply aReply) {
+      this->api.Handle(aRequest, JobApi::Sender::Entry, std::move(aReply));
+    },
+    counters);
+
+  explicit OtherEntry(JobApiFixture& aFirst)
+    : first(aFirst)
+  {
+    this->config.Start();
+    this->first.RunUntil([&] { return this->config.Config().has_value(); });
+    const std::string address = "127.0.0.1:" + std::to_string(this->server->Port());
+    this->first.forwarder.SetPeers({ address });
+    this->forwarder.SetPeers({ address });
+  }
+};
+
 std::string JobPath(const std::string& aId = kJobId)
 {
   return "/q/" + aId;
@@ -203,3 +239,44 @@
   CHECK(fixture.Call("GET", "/q/", "", "1000").status != kHttpOk);
   CHECK(BootClock::now() - requestedAt < 1100 * kMillisecond);
 }
+
+// Guards against callers that lose a second or more, or all their retries, because the store turns
+// their entry away while it serves others.
+TEST_CASE("JobApi PassesRequestsOnWhenTheStoreTurnsThisEntryAway")
+{
+  JobApiFixture fixture;
+  OtherEntry other(fixture);
+  fixture.store.SetFault(fixture.server, { .busy = true });
+  const Instant requestedAt = BootClock::now();
+  CHECK(fixture.Call("POST", JobPath(), JobBody()).status == kHttpOk);
+  CHECK(fixture.store.CountRows("jobs") == 1);
+  CHECK(fixture.Call("GET", JobPath()).body == platformwire::EncodeState(jobs::JobState::Queued));
+  CHECK(fixture.GetPending() == platformwire::EncodePending(1));
+  CHECK(fixture.Call("DELETE", JobPath()).status == kHttpOk);
+  CHECK(fixture.Call("GET", JobPath("00000000000000b2")).status == kHttpGone);
+  CHECK(BootClock::now() - requestedAt < 700 * kMillisecond);
+}
+
+// Guards against refusing a job that was stored by the entry to which it was passed on.
+TEST_CASE("JobApi DoesNotRefuseAJobThatAnotherEntryMayHaveStored")
+{
+  JobApiFixture fixture;
+  OtherEntry other(fixture);
+  fixture.store.SetFault(fixture.server, { .busy = true });
+  fixture.store.SetFault(other.storeServer, { .lost = 1.0 });
+  CHECK(fixture.Call("POST", JobPath(), JobBody()).status == kHttpGatewayTimeout);
+  CHECK(fixture.store.CountRows("jobs") == 1);
+}
+
+// Guards against a refusal that comes late, and against requests that go around between entries.
+TEST_CASE("JobApi RefusesAtOnceWhenTheStoreServesNoEntry")
+{
+  JobApiFixture fixture;
+  OtherEntry other(fixture);
+  fixture.store.SetFault(fixture.server, { .busy = true });
+  fixture.store.SetFault(other.storeServer, { .busy = true });
+  const Instant requestedAt = BootClock::now();
+  CHECK(fixture.Call("POST", JobPath(), JobBody()).status == kHttpUnavailable);
+  CHECK(BootClock::now() - requestedAt < 700 * kMillisecond);
+  CHECK(other.counters.Get("requests_forwarded_total", "not_served") == 0);
+}
