Measure the speed of a resumed run from its first progress; start an entry without its forward port

Cause, from reading the change: a run that resumes makes no progress while it loads its checkpoint, and would count as slow; an entry would not start if the port for requests of other entries is in use. Change: RunSpeed::RestartAfter; a missing forward listener is logged (forwarding_unavailable) and counted. The forward listener follows the configured limits.

--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -54,6 +54,7 @@
 
 private:
   absl::Status StartServers();
+  void StartForwardServer();
   absl::Status StartLinks(const std::string& aLinkKey);
   void OnConfigChanged(const cluster::ClusterConfig& aConfig);
   void OnEntriesChanged(const EntryDirectory::Entries& aEntries);
@@ -74,7 +75,7 @@
   RequestForwarder forwarder{ this->context, this->counters };
   std::unique_ptr<JobApi> jobApi;
   std::unique_ptr<HttpServer> apiServer;
-  // For requests that other entries pass on.
+  // For requests that other entries pass on; null if it could not be started.
   std::unique_ptr<HttpServer> forwardServer;
   std::unique_ptr<HttpServer> readinessServer;
   std::unique_ptr<MetricsServer> metrics;
@@ -157,19 +158,7 @@
     return apiServer.status();
   }
   this->apiServer = *std::move(apiServer);
-  auto forwardServer = HttpServer::Create(
-    this->context,
-    this->settings.ip,
-    this->settings.internalPort + kForwardPortOffset,
-    {},
-    [this](const HttpRequest& aRequest, HttpServer::Reply aReply) {
-      this->jobApi->Handle(aRequest, JobApi::Sender::Entry, std::move(aReply));
-    },
-    this->counters);
-  if (!forwardServer.ok()) {
-    return forwardServer.status();
-  }
-  this->forwardServer = *std::move(forwardServer);
+  this->StartForwardServer();
   auto readinessServer = HttpServer::Create(
     this->context,
     this->settings.ready.ip,
@@ -198,6 +187,29 @@
   return absl::OkStatus();
 }
 
+// An entry without this server still serves its own callers, so that a port in use is no reason to
+// end.
+void ClusterEntry::StartForwardServer()
+{
+  auto created = HttpServer::Create(
+    this->context,
+    this->settings.ip,
+    this->settings.internalPort + kForwardPortOffset,
+    {},
+    [this](const HttpRequest& aRequest, HttpServer::Reply aReply) {
+      this->jobApi->Handle(aRequest, JobApi::Sender::Entry, std::move(aReply));
+    },
+    this->counters);
+  if (!created.ok()) {
+    this->counters.Add("listeners_unavailable_total", "forward");
+    Log(LogLevel::Error,
+        "forwarding_unavailable",
+        { { "reason", std::string(created.status().message()) } });
+    return;
+  }
+  this->forwardServer = *std::move(created);
+}
+
 absl::Status ClusterEntry::StartLinks(const std::string& aLinkKey)
 {
   LinkListenerOptions options;
@@ -255,6 +267,9 @@
   limits.readTimeout = std::chrono::milliseconds(aConfig.limits.headerTimeoutMs);
   limits.idleTimeout = std::chrono::milliseconds(aConfig.limits.idleTimeoutMs);
   this->apiServer->SetLimits(limits);
+  if (this->forwardServer != nullptr) {
+    this->forwardServer->SetLimits(limits);
+  }
 }
 
 void ClusterEntry::OnEntriesChanged(const EntryDirectory::Entries& aEntries)
@@ -329,7 +344,9 @@
 {
   this->draining = true;
   this->apiServer->Drain();
-  this->forwardServer->Drain();
+  if (this->forwardServer != nullptr) {
+    this->forwardServer->Drain();
+  }
   const Instant now = BootClock::now();
   const Instant latest = now + std::max(this->settings.stopGrace - kStopMargin, Duration::zero());
   this->leader->Release([this, now, latest] {
@@ -344,7 +361,9 @@
 void ClusterEntry::StopWhenIdle(Instant aEarliest, Instant aLatest)
 {
   const Instant now = BootClock::now();
-  const std::size_t inFlight = this->apiServer->InFlight() + this->forwardServer->InFlight();
+  const std::size_t inFlight =
+    this->apiServer->InFlight() +
+    (this->forwardServer == nullptr ? 0 : this->forwardServer->InFlight());
   if (now >= aLatest || (now >= aEarliest && inFlight == 0)) {
     this->context.stop();
     return;
--- a/packages/jobs/include/oriolespread/jobs/RunSpeed.h
+++ b/packages/jobs/include/oriolespread/jobs/RunSpeed.h
@@ -17,6 +17,9 @@
 public:
   // Begins a measurement at this progress.
   void Restart(int aPercent, Instant aNow);
+  // Begins a measurement once there is more progress than this: a run that resumes from a
+  // checkpoint makes none at first.
+  void RestartAfter(int aPercent);
 
   // Takes the reported progress. Returns whether a measurement of at least `aWindow` was completed;
   // the next one then begins.
@@ -28,7 +31,8 @@
 
 private:
   std::optional<double> last;
-  Instant since{};
+  // The begin of the measurement; empty until it begins.
+  std::optional<Instant> since;
   int percentAtSince = 0;
 };
 
--- a/packages/jobs/src/RunSpeed.cpp
+++ b/packages/jobs/src/RunSpeed.cpp
@@ -18,9 +18,21 @@
   this->percentAtSince = aPercent;
 }
 
+void RunSpeed::RestartAfter(int aPercent)
+{
+  this->since.reset();
+  this->percentAtSince = aPercent;
+}
+
 bool RunSpeed::Update(int aPercent, std::int64_t aEstimateMs, Duration aWindow, Instant aNow)
 {
-  const Duration elapsed = aNow - this->since;
+  if (!this->since.has_value()) {
+    if (aPercent > this->percentAtSince) {
+      this->Restart(aPercent, aNow);
+    }
+    return false;
+  }
+  const Duration elapsed = aNow - *this->since;
   if (elapsed < aWindow) {
     return false;
   }
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -132,7 +132,11 @@
       run->state = RunState::Running;
       run->stateSince = aNow.instant;
       run->percentChangedAt = aNow.instant;
-      run->speed.Restart(running.percent, aNow.instant);
+      if (this->FindTask(runKey.task)->checkpoint.empty()) {
+        run->speed.Restart(running.percent, aNow.instant);
+      } else {
+        run->speed.RestartAfter(running.percent);
+      }
     }
     if (run->percent != running.percent) {
       run->percent = running.percent;
--- a/packages/jobs/tests/RunSpeedTest.cpp
+++ b/packages/jobs/tests/RunSpeedTest.cpp
@@ -26,6 +26,18 @@
   CHECK(*speed.Last() == Approx(0.2));
 }
 
+// Guards against a resumed run that counts as slow because it makes no progress while it loads its
+// checkpoint.
+TEST_CASE("RunSpeed LeavesOutTheTimeBeforeTheFirstProgress")
+{
+  RunSpeed speed;
+  speed.RestartAfter(50);
+  CHECK_FALSE(speed.Update(50, 2000, kWindow, kStart + 900 * kMs));
+  CHECK_FALSE(speed.Update(60, 2000, kWindow, kStart + 1200 * kMs));
+  REQUIRE(speed.Update(90, 2000, kWindow, kStart + 1800 * kMs));
+  CHECK(*speed.Last() == Approx(1.0));
+}
+
 // Guards against a run that is stopped shortly before its end, or whose work would be repeated for
 // longer than it still takes.
 TEST_CASE("MoveGain IsHighOnlyForASlowRunWithMuchWorkLeft")
