Log the answers to starts and stops, and why the leader regards a run as gone

Change: the agent logs each answer to a stop, and to a start that was not confirmed at once, with the attempt, the epoch and the outcome. The leader logs when a worker lists a run that it does not know and when it regards a stopped run as gone.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -17,6 +17,26 @@
 constexpr double kMaxWorkerClockRatio = 1.03;
 constexpr Duration kLeaseExpiryMargin = std::chrono::milliseconds(200);
 
+// Logs the answer to an order about a run. Of starts, only those that were not confirmed at once
+// are logged, since most starts are.
+void LogOrderAnswer(std::string_view aEvent,
+                    const RunRef& aRef,
+                    Epoch aEpoch,
+                    int aAttempt,
+                    Instant aSentAt,
+                    const WorkerAnswer& aAnswer)
+{
+  Log(LogLevel::Info,
+      aEvent,
+      { { "task", aRef.task },
+        { "run", aRef.run },
+        { "epoch", aEpoch.Value() },
+        { "attempt", aAttempt },
+        { "outcome", std::string(WorkerCallOutcomeName(aAnswer.end)) },
+        { "reason", aAnswer.reason },
+        { "took_ms", ToMilliseconds(BootClock::now() - aSentAt) } });
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<WorkerDriver>> WorkerDriver::Create(asio::io_context& aContext,
@@ -255,16 +275,21 @@
                     [this, aRef, aOrderedAt] { this->TryStart(aRef, aOrderedAt); });
     return;
   }
-  ++it->second.startAttempts;
-  this->client->Start(it->second.start,
-                      this->epoch,
-                      this->ToWorkerClockMs(this->grantedLeaseExpiry),
-                      kWorkerCallTimeout,
-                      [this, aRef, id = this->incarnation](const WorkerAnswer& aAnswer) {
-                        if (id == this->incarnation) {
-                          this->OnStartAnswer(aRef, aAnswer);
-                        }
-                      });
+  const int attempt = ++it->second.startAttempts;
+  this->client->Start(
+    it->second.start,
+    this->epoch,
+    this->ToWorkerClockMs(this->grantedLeaseExpiry),
+    kWorkerCallTimeout,
+    [this, aRef, attempt, epoch = this->epoch, id = this->incarnation, sentAt = BootClock::now()](
+      const WorkerAnswer& aAnswer) {
+      if (attempt > 1 || aAnswer.end != WorkerCallOutcome::Done) {
+        LogOrderAnswer("start_answered", aRef, epoch, attempt, sentAt, aAnswer);
+      }
+      if (id == this->incarnation) {
+        this->OnStartAnswer(aRef, aAnswer);
+      }
+    });
 }
 
 void WorkerDriver::GiveUpStartsOrderedBefore(Instant aTime)
@@ -339,12 +364,16 @@
 
 void WorkerDriver::StopRun(const RunRef& aRef)
 {
-  this->trackedRuns[aRef].stopping = true;
+  TrackedRun& stopped = this->trackedRuns[aRef];
+  stopped.stopping = true;
+  const int attempt = ++stopped.stopAttempts;
   this->client->Stop(
     aRef,
     this->epoch,
     kWorkerCallTimeout,
-    [this, aRef, id = this->incarnation, epoch = this->epoch](const WorkerAnswer& aAnswer) {
+    [this, aRef, attempt, id = this->incarnation, epoch = this->epoch, sentAt = BootClock::now()](
+      const WorkerAnswer& aAnswer) {
+      LogOrderAnswer("stop_answered", aRef, epoch, attempt, sentAt, aAnswer);
       if (id != this->incarnation || epoch != this->epoch) {
         return;
       }
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -59,6 +59,7 @@
     // The run was started by an earlier process of this agent.
     bool startedByEarlierAgent = false;
     int startAttempts = 0;
+    int stopAttempts = 0;
     Instant orderedAt{};
     // When the worker last confirmed the start or the stop.
     Instant confirmedAt{};
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -126,6 +126,9 @@
       // Unknown: its job has ended, or the run was considered lost and started elsewhere.
       this->OrdersFor(aWorker.agent, aWorker.key).stops.push_back(running.ref);
       this->counters.Add("runs_stopped_total", "unknown");
+      this->log(
+        "run_unknown",
+        { { "task", running.ref.task }, { "run", running.ref.run }, { "worker", aWorker.key.id } });
       continue;
     }
     if (run->state == RunState::Ordered) {
@@ -379,6 +382,11 @@
     }
     if (run->state == RunState::Stopping) {
       if (!listed && (isFirstFullReport || aReport.lastOrders >= run->ordersSequence)) {
+        this->log("run_stopped",
+                  { { "task", ToRunRef(item).task },
+                    { "run", item.number },
+                    { "worker", aWorker.key.id },
+                    { "first_report", isFirstFullReport } });
         this->RemoveRun(item);
       } else if (isFirstFullReport) {
         WorkerOrders& orders = this->OrdersFor(aWorker.agent, aWorker.key);
