Regard an order to a worker as carried out only when the worker says so

Cause, class: the answer to one call was taken for the fate of another call. When the worker refused the repetition of a start (503, 429, room), the agent reported the run as rejected, though an earlier start without an answer was carried out seconds later. When the worker refused a stop, the stop counted as done. A stop of a run that the agent did not track was forgotten at the next poll, and one without an answer was not repeated after a change of the leader.

Change: the agent counts the starts that the worker may still carry out. If there are any, a refusal is followed by a stop, and the run counts as rejected once a poll that was sent after the confirmed stop does not show it. A stop is repeated until the worker has carried it out or another incarnation serves the address, across changes of the leader; until then the agent lists the run. The leader marks starts that it orders again, since an earlier process of the agent may have sent them.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -170,11 +170,18 @@
   this->reportedEnds.clear();
   // The leader may have given up these runs meanwhile. It repeats the orders that still hold.
   std::erase_if(this->trackedRuns, [](const auto& aTracked) {
-    return aTracked.second.starting && aTracked.second.startAttempts == 0;
+    const TrackedRun& tracked = aTracked.second;
+    return tracked.starting && tracked.startAttempts == 0 && !tracked.stopping;
   });
   if (aEpoch > this->epoch) {
     this->epoch = aEpoch;
     this->fenceConfirmed = false;
+    // The worker refuses orders with the earlier token as soon as it has seen the new one.
+    for (const auto& [ref, tracked] : this->trackedRuns) {
+      if (tracked.stopping && !tracked.stopConfirmed) {
+        this->SendStop(ref);
+      }
+    }
   }
   this->lastPeriodicReportAt = {};
   // Poll again without waiting for the answer to a long poll that may be in flight.
@@ -233,18 +240,19 @@
       tracked.confirmedAt = BootClock::now();
       continue;
     }
-    if (this->worker.draining) {
-      this->RejectRun(start.ref, "draining");
-      continue;
-    }
     TrackedRun& tracked = this->trackedRuns[start.ref];
     if (tracked.starting || tracked.stopping) {
       continue;
     }
     tracked = {};
+    tracked.openStarts = start.repeated ? 1 : 0;
     tracked.start = start;
     tracked.starting = true;
     tracked.orderedAt = BootClock::now();
+    if (this->worker.draining) {
+      this->RejectRun(start.ref, "draining");
+      continue;
+    }
     this->TryStart(start.ref, tracked.orderedAt);
   }
   if (!aOrders.acknowledgedEnds.empty()) {
@@ -276,6 +284,7 @@
     return;
   }
   const int attempt = ++it->second.startAttempts;
+  ++it->second.openStarts;
   this->client->Start(
     it->second.start,
     this->epoch,
@@ -287,7 +296,7 @@
         LogOrderAnswer("start_answered", aRef, epoch, attempt, sentAt, aAnswer);
       }
       if (id == this->incarnation) {
-        this->OnStartAnswer(aRef, aAnswer);
+        this->OnStartAnswer(aRef, attempt, aAnswer);
       }
     });
 }
@@ -302,47 +311,50 @@
   }
   for (const RunRef& ref : outdated) {
     this->counters.Add("starts_void_total", "lease_expired");
-    if (this->trackedRuns.at(ref).startAttempts == 0) {
-      this->RejectRun(ref, "lease_expired");
-    } else {
-      this->StopRun(ref);
-    }
+    this->RejectRun(ref, "lease_expired");
   }
 }
 
-void WorkerDriver::OnStartAnswer(const RunRef& aRef, const WorkerAnswer& aAnswer)
+void WorkerDriver::OnStartAnswer(const RunRef& aRef, int aAttempt, const WorkerAnswer& aAnswer)
 {
   const auto it = this->trackedRuns.find(aRef);
   if (it == this->trackedRuns.end() || !it->second.starting) {
     return;
   }
+  TrackedRun& tracked = it->second;
+  tracked.openStarts -= aAnswer.end == WorkerCallOutcome::Unknown ? 0 : 1;
   switch (aAnswer.end) {
     case WorkerCallOutcome::Done:
     case WorkerCallOutcome::AlreadyEnded:
       // The worker may have carried out an earlier start that it did not answer, and the run may
       // have ended since. The next poll then lists its end.
-      it->second.starting = false;
-      it->second.confirmedAt = BootClock::now();
-      this->startLatency.Add(it->second.confirmedAt - it->second.orderedAt);
+      tracked.starting = false;
+      tracked.confirmedAt = BootClock::now();
+      this->startLatency.Add(tracked.confirmedAt - tracked.orderedAt);
       return;
     case WorkerCallOutcome::Rejected:
-      this->RejectRun(aRef, aAnswer.reason);
+      if (!tracked.stopping) {
+        this->RejectRun(aRef, aAnswer.reason);
+      }
       return;
     case WorkerCallOutcome::Fenced:
     case WorkerCallOutcome::OtherInstance:
-      // A later leader or a later incarnation of the worker makes the order void.
+      // A later leader or a later incarnation of the worker makes the order void, and with it all
+      // earlier attempts.
       this->counters.Add("starts_void_total", aAnswer.reason);
-      this->trackedRuns.erase(it);
+      if (!tracked.stopping && aAttempt == tracked.startAttempts) {
+        this->trackedRuns.erase(it);
+      }
       return;
     case WorkerCallOutcome::Refused:
     case WorkerCallOutcome::Unknown:
       break;
   }
   this->counters.Add("starts_retried_total", aAnswer.reason);
-  if (it->second.stopping) {
+  if (tracked.stopping || aAttempt != tracked.startAttempts) {
     return;
   }
-  if (it->second.startAttempts >= kMaxStartAttempts) {
+  if (tracked.startAttempts >= kMaxStartAttempts) {
     Log(LogLevel::Warning,
         "start_unanswered",
         { { "task", aRef.task }, { "run", aRef.run }, { "reason", aAnswer.reason } });
@@ -350,50 +362,96 @@
     return;
   }
   // Starts are idempotent: the worker reports success if the run is already running.
-  this->CallAfter(
-    aAnswer.end == WorkerCallOutcome::Refused ? kWorkerRetryDelay : Duration::zero(),
-    [this, aRef, orderedAt = it->second.orderedAt] { this->TryStart(aRef, orderedAt); });
+  this->CallAfter(aAnswer.end == WorkerCallOutcome::Refused ? kWorkerRetryDelay : Duration::zero(),
+                  [this, aRef, orderedAt = tracked.orderedAt] { this->TryStart(aRef, orderedAt); });
 }
 
 void WorkerDriver::RejectRun(const RunRef& aRef, const std::string& aReason)
 {
-  this->trackedRuns.erase(aRef);
+  if (const auto it = this->trackedRuns.find(aRef); it != this->trackedRuns.end()) {
+    if (it->second.openStarts > 0 && !it->second.stopConfirmed) {
+      it->second.rejection = aReason;
+      this->StopRun(aRef);
+      return;
+    }
+    this->trackedRuns.erase(it);
+  }
   this->rejected.push_back({ aRef, aReason });
   this->ReportState(false, {});
 }
 
 void WorkerDriver::StopRun(const RunRef& aRef)
 {
-  TrackedRun& stopped = this->trackedRuns[aRef];
-  stopped.stopping = true;
-  const int attempt = ++stopped.stopAttempts;
+  TrackedRun& tracked = this->trackedRuns[aRef];
+  if (!tracked.stopping) {
+    tracked.stopping = true;
+    this->SendStop(aRef);
+  }
+}
+
+void WorkerDriver::SendStop(const RunRef& aRef)
+{
+  const int attempt = ++this->trackedRuns.at(aRef).stopAttempts;
   this->client->Stop(
     aRef,
     this->epoch,
     kWorkerCallTimeout,
-    [this, aRef, attempt, id = this->incarnation, epoch = this->epoch, sentAt = BootClock::now()](
+    [this, aRef, attempt, epoch = this->epoch, id = this->incarnation, sentAt = BootClock::now()](
       const WorkerAnswer& aAnswer) {
       LogOrderAnswer("stop_answered", aRef, epoch, attempt, sentAt, aAnswer);
-      if (id != this->incarnation || epoch != this->epoch) {
-        return;
+      if (id == this->incarnation) {
+        this->OnStopAnswer(aRef, attempt, epoch, aAnswer);
       }
-      if (aAnswer.end == WorkerCallOutcome::Unknown || aAnswer.end == WorkerCallOutcome::Refused) {
-        this->counters.Add("stops_retried_total", aAnswer.reason);
-        this->CallAfter(kWorkerRetryDelay, [this, aRef, id] {
-          if (id == this->incarnation) {
-            this->StopRun(aRef);
-          }
-        });
+    });
+}
+
+void WorkerDriver::OnStopAnswer(const RunRef& aRef,
+                                int aAttempt,
+                                Epoch aEpoch,
+                                const WorkerAnswer& aAnswer)
+{
+  const auto it = this->trackedRuns.find(aRef);
+  if (it == this->trackedRuns.end() || !it->second.stopping || it->second.stopConfirmed) {
+    return;
+  }
+  TrackedRun& tracked = it->second;
+  switch (aAnswer.end) {
+    case WorkerCallOutcome::Done:
+    case WorkerCallOutcome::AlreadyEnded:
+    case WorkerCallOutcome::OtherInstance:
+      // The worker stops the run, or will never start it. Whether the run has begun meanwhile is
+      // known from the next poll.
+      tracked.starting = false;
+      tracked.stopConfirmed = true;
+      tracked.confirmedAt = BootClock::now();
+      this->lastPeriodicReportAt = {};
+      return;
+    case WorkerCallOutcome::Fenced:
+      this->counters.Add("stops_void_total", aAnswer.reason);
+      // A later leader is in charge of the worker. Once the agent follows it, the stop is sent with
+      // its token.
+      if (aEpoch == this->epoch) {
         return;
       }
-      // The worker has been told to stop the run, or will never start it. The run has ended once a
-      // poll does not list it.
-      if (const auto it = this->trackedRuns.find(aRef); it != this->trackedRuns.end()) {
-        it->second.starting = false;
-        it->second.confirmedAt = BootClock::now();
-      }
-      this->lastPeriodicReportAt = {};
-    });
+      break;
+    case WorkerCallOutcome::Rejected:
+    case WorkerCallOutcome::Refused:
+    case WorkerCallOutcome::Unknown:
+      break;
+  }
+  if (aAttempt != tracked.stopAttempts) {
+    return;
+  }
+  this->counters.Add("stops_retried_total", aAnswer.reason);
+  this->CallAfter(aAnswer.end == WorkerCallOutcome::Unknown ? Duration::zero() : kWorkerRetryDelay,
+                  [this, aRef, aAttempt, id = this->incarnation] {
+                    const auto pending = this->trackedRuns.find(aRef);
+                    if (id == this->incarnation && pending != this->trackedRuns.end() &&
+                        pending->second.stopping && !pending->second.stopConfirmed &&
+                        pending->second.stopAttempts == aAttempt) {
+                      this->SendStop(aRef);
+                    }
+                  });
 }
 
 bool WorkerDriver::HasRecentLeaderResponse() const
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -50,12 +50,19 @@
   const LatencyHistogram& StartLatency() const { return this->startLatency; }
 
 private:
+  // What the agent knows about a run that the leader has ordered to start or to stop.
   struct TrackedRun
   {
     StartRun start;
-    // The worker has not answered the start yet; the run may exist.
+    // The worker has not confirmed the start yet; the run may exist.
     bool starting = false;
+    // Starts that were sent and that the worker may still carry out, answered or not.
+    int openStarts = 0;
     bool stopping = false;
+    // The worker has carried out the stop: the run has ended, or can not start any more.
+    bool stopConfirmed = false;
+    // Set if the run counts as rejected, for this reason, once its stop is confirmed.
+    std::optional<std::string> rejection;
     // The run was started by an earlier process of this agent.
     bool startedByEarlierAgent = false;
     int startAttempts = 0;
@@ -83,6 +90,9 @@
   void OnPollAnswer(const platformwire::WorkerAnswer& aAnswer,
                     Epoch aFencingEpoch,
                     Instant aSentAt);
+  // Reports the rejection of runs that the worker has been stopped from starting, and that the poll
+  // sent at `aPollSentAt` does not show.
+  void ReportRejectedRuns(Instant aPollSentAt);
   // Reports all runs as lost once the worker's process is gone or every lease on it has expired.
   void OnPollFailed(const platformwire::WorkerAnswer& aAnswer);
   // Reports new ends and rejections to the leader. A full report also lists all runs; those that
@@ -103,8 +113,16 @@
   // Gives up starts that the worker has not confirmed and that were ordered before the time. Called
   // when the lease expired meanwhile: the leader may have started the runs elsewhere.
   void GiveUpStartsOrderedBefore(Instant aTime);
-  void OnStartAnswer(const RunRef& aRef, const platformwire::WorkerAnswer& aAnswer);
+  void OnStartAnswer(const RunRef& aRef, int aAttempt, const platformwire::WorkerAnswer& aAnswer);
+  // Orders the worker to stop the run, and repeats the order until the worker has carried it out.
+  // The run is reported as present until then. Does nothing if the run is being stopped already.
   void StopRun(const RunRef& aRef);
+  void SendStop(const RunRef& aRef);
+  void OnStopAnswer(const RunRef& aRef,
+                    int aAttempt,
+                    Epoch aEpoch,
+                    const platformwire::WorkerAnswer& aAnswer);
+  // Reports the run as rejected. If the worker may still carry out a start of it, stops it first.
   void RejectRun(const RunRef& aRef, const std::string& aReason);
   // Updates `grantedLeaseExpiry` and `allLeasesExpiredAt` before a deadline is sent to the worker.
   // Returns false if there is no valid lease to grant.
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -106,9 +106,11 @@
       hasNewEnds = true;
     }
   }
+  this->ReportRejectedRuns(aSentAt);
   std::erase_if(this->trackedRuns, [&](const auto& aTracked) {
-    return !this->IsRunning(aTracked.first) && !aTracked.second.starting &&
-           aTracked.second.confirmedAt < aSentAt;
+    const TrackedRun& tracked = aTracked.second;
+    const bool isPending = tracked.starting || (tracked.stopping && !tracked.stopConfirmed);
+    return !this->IsRunning(aTracked.first) && !isPending && tracked.confirmedAt < aSentAt;
   });
   this->PaceRuns(now);
   const bool fullReportDue = now - this->lastPeriodicReportAt >= kFullReportInterval;
@@ -118,6 +120,21 @@
   this->SchedulePoll(this->unacknowledgedEnds.empty() ? Duration::zero() : kMinWorkerPollInterval);
 }
 
+// A run that began before its stop arrived is running or has ended, and its end is reported.
+void WorkerDriver::ReportRejectedRuns(Instant aPollSentAt)
+{
+  std::vector<std::pair<RunRef, std::string>> rejections;
+  for (const auto& [ref, tracked] : this->trackedRuns) {
+    if (tracked.rejection.has_value() && tracked.stopConfirmed &&
+        tracked.confirmedAt < aPollSentAt && !this->IsRunning(ref)) {
+      rejections.emplace_back(ref, *tracked.rejection);
+    }
+  }
+  for (const auto& [ref, reason] : rejections) {
+    this->RejectRun(ref, reason);
+  }
+}
+
 void WorkerDriver::OnPollFailed(const WorkerAnswer& aAnswer)
 {
   const Instant now = BootClock::now();
@@ -154,7 +171,8 @@
     this->lastPeriodicReportAt = BootClock::now();
     report.running = this->running;
     for (const auto& [ref, tracked] : this->trackedRuns) {
-      if (tracked.starting || tracked.confirmedAt >= aPollSentAt) {
+      if (tracked.starting || (tracked.stopping && !tracked.stopConfirmed) ||
+          tracked.confirmedAt >= aPollSentAt) {
         report.starting.push_back(ref);
       }
     }
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -103,9 +103,43 @@
     return orders;
   }
 
-  void StartTask(const std::string& aTask)
+  void StopTask(const std::string& aTask)
   {
     WorkerOrders orders = this->MakeOrders(Epoch{ 1 });
+    orders.stops.push_back({ aTask, 1 });
+    this->driver->OnOrders(orders);
+  }
+
+  // Returns whether the last full report names the run in any way.
+  bool IsListed(const std::string& aTask) const
+  {
+    const auto last = std::find_if(this->reports.rbegin(),
+                                   this->reports.rend(),
+                                   [](const WorkerReport& aReport) { return aReport.full; });
+    if (last == this->reports.rend()) {
+      return false;
+    }
+    const auto names = [&](const auto& aItem) { return aItem.ref.task == aTask; };
+    return std::any_of(last->running.begin(), last->running.end(), names) ||
+           std::any_of(last->ended.begin(), last->ended.end(), names) ||
+           std::any_of(last->starting.begin(), last->starting.end(), [&](const RunRef& aRef) {
+             return aRef.task == aTask;
+           });
+  }
+
+  bool IsRejected(const std::string& aTask) const
+  {
+    return std::any_of(
+      this->reports.begin(), this->reports.end(), [&](const WorkerReport& aReport) {
+        return std::any_of(aReport.rejected.begin(),
+                           aReport.rejected.end(),
+                           [&](const RejectedRun& aRun) { return aRun.ref.task == aTask; });
+      });
+  }
+
+  void StartTask(const std::string& aTask, Epoch aEpoch = Epoch{ 1 })
+  {
+    WorkerOrders orders = this->MakeOrders(aEpoch);
     StartRun start;
     start.ref = { aTask, 1 };
     orders.starts.push_back(start);
@@ -383,3 +417,97 @@
   fixture.StartTask("j.0.0.0");
   CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
 }
+
+// Guards against a run that starts after the leader has given it up: a refusal of the repeated
+// start says nothing about the first one, which the worker has not answered and executes later.
+TEST_CASE("WorkerDriver PreventsAnUnansweredStartWhenItsRepetitionIsRefused")
+{
+  WorkerDriverFixture fixture;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker->SetDelayedCallShare(1.0);
+  fixture.StartTask("j.0.0.0");
+  fixture.RunFor(200 * kMillisecond);
+  fixture.worker->SetDelayedCallShare(0);
+  fixture.worker->SetOverloaded(true);
+  fixture.RunFor(600 * kMillisecond);
+  CHECK_FALSE(fixture.IsRejected("j.0.0.0"));
+  CHECK(fixture.IsListed("j.0.0.0"));
+  fixture.worker->SetOverloaded(false);
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsRejected("j.0.0.0"); }));
+  fixture.RunFor(1500 * kMillisecond);
+  CHECK(fixture.started.empty());
+}
+
+// Guards against a second run of a task: an unanswered start took effect, and the run is reported
+// as rejected because its repetition was refused.
+TEST_CASE("WorkerDriver ReportsTheEndOfARunThatBeganBeforeItsStopArrived")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), 300 * kMillisecond);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker->SetUnansweredCallShare(1.0);
+  fixture.worker->SetPollsUnanswered(true);
+  // Wait until the poll in flight is answered, so that it does not show the run.
+  fixture.RunFor(600 * kMillisecond);
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.worker->SetOverloaded(true);
+  fixture.RunFor(700 * kMillisecond);
+  fixture.worker->SetUnansweredCallShare(0);
+  fixture.worker->SetOverloaded(false);
+  fixture.RunFor(300 * kMillisecond);
+  fixture.worker->SetPollsUnanswered(false);
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.back().ended.empty(); }));
+  CHECK(fixture.reports.back().ended[0].how == RunEnd::Done);
+  fixture.RunFor(500 * kMillisecond);
+  CHECK_FALSE(fixture.IsRejected("j.0.0.0"));
+}
+
+// Guards against a run that goes on after its job was cancelled, because a worker that was
+// overloaded for a moment refused the order to stop it.
+TEST_CASE("WorkerDriver StopsARunWhenTheWorkerFirstRefusedTheOrder")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.worker->SetOverloaded(true);
+  fixture.StopTask("j.0.0.0");
+  fixture.RunFor(300 * kMillisecond);
+  fixture.worker->SetOverloaded(false);
+  CHECK(fixture.RunUntil([&] { return !fixture.ended.empty(); }));
+}
+
+// Guards against a leader that takes a run for gone, and starts its task elsewhere, while the order
+// that prevents a start of an earlier agent process has not been answered.
+TEST_CASE("WorkerDriver ListsARunUntilItsStopIsAnswered")
+{
+  WorkerDriverFixture fixture;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker->SetDelayedCallShare(1.0);
+  fixture.StopTask("j.0.0.0");
+  fixture.RunFor(1200 * kMillisecond);
+  CHECK(fixture.IsListed("j.0.0.0"));
+  fixture.worker->SetDelayedCallShare(0);
+  CHECK(fixture.RunUntil([&] { return !fixture.IsListed("j.0.0.0"); }));
+}
+
+// Guards against a run that goes on after its job was cancelled: an order to stop it was not
+// answered when a new leader took over, and the new leader does not know the run.
+TEST_CASE("WorkerDriver RepeatsAnUnansweredStopWhenItFollowsANewLeader")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.worker->SetOverloaded(true);
+  fixture.StopTask("j.0.0.0");
+  fixture.driver->FollowLeader(Epoch{ 2 });
+  fixture.RunFor(300 * kMillisecond);
+  fixture.worker->SetOverloaded(false);
+  CHECK(fixture.RunUntil([&] { return !fixture.ended.empty(); }));
+}
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -212,7 +212,8 @@
   // Adds the demand of a run of the step if `aSign` is 1, and removes it if `aSign` is -1.
   void AdjustReservation(Worker& aWorker, const StepSpec& aStep, int aSign);
   WorkerOrders& OrdersFor(const std::string& aAgent, const WorkerKey& aWorker);
-  void OrderStart(const RunKey& aRunKey);
+  // `aRepeated` tells that an earlier order for the run may have reached the worker.
+  void OrderStart(const RunKey& aRunKey, bool aRepeated);
 
   SchedulerSettings settings;
   Counters& counters;
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -224,7 +224,7 @@
         run->state = RunState::Ordered;
         run->stateSince = aNow.instant;
         run->percentChangedAt = aNow.instant;
-        this->OrderStart(*order.start);
+        this->OrderStart(*order.start, false);
       }
       continue;
     }
@@ -449,7 +449,7 @@
   return it->second;
 }
 
-void JobScheduler::OrderStart(const RunKey& aRunKey)
+void JobScheduler::OrderStart(const RunKey& aRunKey, bool aRepeated)
 {
   Run& run = *this->FindRun(aRunKey);
   const StepSpec& step = this->SpecOf(aRunKey.task);
@@ -461,6 +461,7 @@
   start.image = step.image;
   start.latencyTargetMs = step.longRunning ? step.latencyTargetMs : 0;
   start.fillsUnused = step.fillsUnused;
+  start.repeated = aRepeated;
   orders.starts.push_back(std::move(start));
   run.ordersSequence = orders.sequence;
 }
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -155,7 +155,7 @@
     RunKey runKey;
     const Run* run = ParseRunRef(ref, runKey) ? this->FindRun(runKey) : nullptr;
     if (run != nullptr && run->worker == aWorker.key && run->state == RunState::Running) {
-      this->OrderStart(runKey);
+      this->OrderStart(runKey, true);
     }
   }
 }
@@ -395,7 +395,7 @@
       }
     } else if (!listed && isFirstFullReport && run->state == RunState::Ordered) {
       // The order may have been lost with the connection. Repeating a start order is safe.
-      this->OrderStart(item);
+      this->OrderStart(item, true);
     } else if (!listed && (isFirstFullReport || aReport.lastOrders >= run->ordersSequence)) {
       this->counters.Add("runs_lost_total", "vanished");
       this->log("run_lost",
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -130,6 +130,8 @@
   std::int64_t latencyTargetMs = 0;
   // The run is best-effort: it uses capacity that others leave, and may be throttled for them.
   bool fillsUnused = false;
+  // An earlier order to start this run may have reached the worker, which may still carry it out.
+  bool repeated = false;
 };
 
 // Leading entry to agent. The orders hold only for the worker process that started at `born`.
@@ -184,7 +186,8 @@
                                    checkpoint,
                                    image,
                                    latencyTargetMs,
-                                   fillsUnused)
+                                   fillsUnused,
+                                   repeated)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerOrders,
                                    epoch,
                                    sequence,
