Repeat a start of an earlier leader only when the new leader orders it

Cause, class: a permission of the present was used for an order of the past. A start without an answer was repeated as soon as the agent had a lease from a new leader, or from the same one over a new link. The extension is the answer to the agent's first report, while the leader repeats its order to stop only after it has read that report: the start was sent some milliseconds before the stop arrived. It is seen when the worker leaves polls unanswered too, so that seconds pass before the first report.

Change: on a new leadership or link, the agent keeps the starts that it has sent but does not repeat them until the leader orders them again. The leader does so at the first full report for runs that are not running yet, and orders to stop runs that it does not know, also if they have not started yet.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -173,6 +173,9 @@
     const TrackedRun& tracked = aTracked.second;
     return tracked.starting && tracked.startAttempts == 0 && !tracked.stopping;
   });
+  for (auto& [ref, tracked] : this->trackedRuns) {
+    tracked.suspended = tracked.starting;
+  }
   if (aEpoch > this->epoch) {
     this->epoch = aEpoch;
     this->fenceConfirmed = false;
@@ -241,13 +244,16 @@
       continue;
     }
     TrackedRun& tracked = this->trackedRuns[start.ref];
-    if (tracked.starting || tracked.stopping) {
+    if (tracked.stopping || (tracked.starting && !tracked.suspended)) {
       continue;
     }
-    tracked = {};
-    tracked.openStarts = start.repeated ? 1 : 0;
+    if (!tracked.suspended) {
+      tracked = {};
+      tracked.openStarts = start.repeated ? 1 : 0;
+    }
     tracked.start = start;
     tracked.starting = true;
+    tracked.suspended = false;
     tracked.orderedAt = BootClock::now();
     if (this->worker.draining) {
       this->RejectRun(start.ref, "draining");
@@ -271,7 +277,7 @@
 {
   const auto it = this->trackedRuns.find(aRef);
   if (it == this->trackedRuns.end() || it->second.orderedAt != aOrderedAt || !it->second.starting ||
-      it->second.stopping) {
+      it->second.suspended || it->second.stopping) {
     return;
   }
   // Without a lease, the deadline of the start would have passed when it reaches the worker.
@@ -329,6 +335,7 @@
       // The worker may have carried out an earlier start that it did not answer, and the run may
       // have ended since. The next poll then lists its end.
       tracked.starting = false;
+      tracked.suspended = false;
       tracked.confirmedAt = BootClock::now();
       this->startLatency.Add(tracked.confirmedAt - tracked.orderedAt);
       return;
@@ -351,7 +358,7 @@
       break;
   }
   this->counters.Add("starts_retried_total", aAnswer.reason);
-  if (tracked.stopping || aAttempt != tracked.startAttempts) {
+  if (tracked.stopping || tracked.suspended || aAttempt != tracked.startAttempts) {
     return;
   }
   if (tracked.startAttempts >= kMaxStartAttempts) {
@@ -422,6 +429,7 @@
       // The worker stops the run, or will never start it. Whether the run has begun meanwhile is
       // known from the next poll.
       tracked.starting = false;
+      tracked.suspended = false;
       tracked.stopConfirmed = true;
       tracked.confirmedAt = BootClock::now();
       this->lastPeriodicReportAt = {};
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -56,6 +56,9 @@
     StartRun start;
     // The worker has not confirmed the start yet; the run may exist.
     bool starting = false;
+    // The start was sent for an earlier leader or an earlier link. It is not repeated before the
+    // leader orders it again, since the leader may have given the run up meanwhile.
+    bool suspended = false;
     // Starts that were sent and that the worker may still carry out, answered or not.
     int openStarts = 0;
     bool stopping = false;
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -106,6 +106,15 @@
       hasNewEnds = true;
     }
   }
+  for (const RunningRun& run : this->running) {
+    // An earlier start without an answer was carried out.
+    if (const auto it = this->trackedRuns.find(run.ref);
+        it != this->trackedRuns.end() && it->second.suspended) {
+      it->second.starting = false;
+      it->second.suspended = false;
+      it->second.confirmedAt = now;
+    }
+  }
   this->ReportRejectedRuns(aSentAt);
   std::erase_if(this->trackedRuns, [&](const auto& aTracked) {
     const TrackedRun& tracked = aTracked.second;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -511,3 +511,41 @@
   fixture.worker->SetOverloaded(false);
   CHECK(fixture.RunUntil([&] { return !fixture.ended.empty(); }));
 }
+
+// Guards against a task that starts seconds after its job was cancelled: a start that was not
+// answered is repeated with the token of a new leader, before that leader's order to stop arrives.
+TEST_CASE("WorkerDriver RepeatsAStartOfAnEarlierLeaderOnlyWhenTheNewLeaderOrdersIt")
+{
+  WorkerDriverFixture fixture;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker->SetDelayedCallShare(1.0);
+  fixture.StartTask("j.0.0.0");
+  fixture.RunFor(100 * kMillisecond);
+  fixture.worker->SetDelayedCallShare(0);
+  fixture.driver->FollowLeader(Epoch{ 2 });
+  fixture.RunFor(2000 * kMillisecond);
+  CHECK(fixture.started.empty());
+  CHECK(fixture.IsListed("j.0.0.0"));
+  fixture.StartTask("j.0.0.0", Epoch{ 2 });
+  CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+}
+
+// Guards against a run that is never reported as running because its start was not answered before
+// the link to the leader was lost.
+TEST_CASE("WorkerDriver ReportsARunThatAnUnansweredStartOfAnEarlierLinkBegan")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker->SetUnansweredCallShare(1.0);
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.driver->OnLeaderLost();
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().running.size() == 1; }));
+  fixture.RunFor(700 * kMillisecond);
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().full; }));
+  CHECK(fixture.reports.back().starting.empty());
+  CHECK(fixture.started.size() == 1);
+}
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -163,6 +163,8 @@
 
   // Defined in SchedulerReports.cpp.
   Worker* RegisterWorker(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
+  // Orders the worker to stop the run unless it is known to run there. Returns whether it did.
+  bool StopIfUnknown(Worker& aWorker, const RunRef& aRef);
   void ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   void UpdateCheckpoint(const TaskKey& aTaskKey, const std::string& aCheckpoint, Now aNow);
   void UpdateInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow);
@@ -214,6 +216,7 @@
   WorkerOrders& OrdersFor(const std::string& aAgent, const WorkerKey& aWorker);
   // `aRepeated` tells that an earlier order for the run may have reached the worker.
   void OrderStart(const RunKey& aRunKey, bool aRepeated);
+  void OrderStop(const RunKey& aRunKey);
 
   SchedulerSettings settings;
   Counters& counters;
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -152,9 +152,7 @@
   const bool ordered = aRun.state != RunState::Committing;
   aRun.state = RunState::Stopping;
   if (ordered) {
-    WorkerOrders& orders = this->OrdersFor(aRun.agent, aRun.worker);
-    orders.stops.push_back(ToRunRef({ aTaskKey, aRun.number }));
-    aRun.ordersSequence = orders.sequence;
+    this->OrderStop({ aTaskKey, aRun.number });
   }
 }
 
@@ -449,6 +447,14 @@
   return it->second;
 }
 
+void JobScheduler::OrderStop(const RunKey& aRunKey)
+{
+  Run& run = *this->FindRun(aRunKey);
+  WorkerOrders& orders = this->OrdersFor(run.agent, run.worker);
+  orders.stops.push_back(ToRunRef(aRunKey));
+  run.ordersSequence = orders.sequence;
+}
+
 void JobScheduler::OrderStart(const RunKey& aRunKey, bool aRepeated)
 {
   Run& run = *this->FindRun(aRunKey);
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -114,23 +114,29 @@
   return &worker;
 }
 
+// A run is unknown if its job has ended, or if it was considered lost and started elsewhere.
+bool JobScheduler::StopIfUnknown(Worker& aWorker, const RunRef& aRef)
+{
+  RunKey runKey;
+  const Run* run = ParseRunRef(aRef, runKey) ? this->FindRun(runKey) : nullptr;
+  if (run != nullptr && run->worker == aWorker.key) {
+    return false;
+  }
+  this->OrdersFor(aWorker.agent, aWorker.key).stops.push_back(aRef);
+  this->counters.Add("runs_stopped_total", "unknown");
+  this->log("run_unknown",
+            { { "task", aRef.task }, { "run", aRef.run }, { "worker", aWorker.key.id } });
+  return true;
+}
+
 void JobScheduler::ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow)
 {
   for (const RunningRun& running : aReport.running) {
     RunKey runKey;
-    if (!ParseRunRef(running.ref, runKey)) {
+    if (!ParseRunRef(running.ref, runKey) || this->StopIfUnknown(aWorker, running.ref)) {
       continue;
     }
     Run* run = this->FindRun(runKey);
-    if (run == nullptr || run->worker != aWorker.key) {
-      // Unknown: its job has ended, or the run was considered lost and started elsewhere.
-      this->OrdersFor(aWorker.agent, aWorker.key).stops.push_back(running.ref);
-      this->counters.Add("runs_stopped_total", "unknown");
-      this->log(
-        "run_unknown",
-        { { "task", running.ref.task }, { "run", running.ref.run }, { "worker", aWorker.key.id } });
-      continue;
-    }
     if (run->state == RunState::Ordered) {
       run->state = RunState::Running;
       run->stateSince = aNow.instant;
@@ -363,11 +369,15 @@
 
 void JobScheduler::Reconcile(Worker& aWorker, const WorkerReport& aReport, Now aNow)
 {
-  std::set<RunRef> present;
-  for (const RunningRun& running : aReport.running) {
-    present.insert(running.ref);
+  std::set<RunRef> running;
+  for (const RunningRun& item : aReport.running) {
+    running.insert(item.ref);
+  }
+  std::set<RunRef> present = running;
+  for (const RunRef& ref : aReport.starting) {
+    present.insert(ref);
+    this->StopIfUnknown(aWorker, ref);
   }
-  present.insert(aReport.starting.begin(), aReport.starting.end());
   for (const EndedRun& end : aReport.ended) {
     present.insert(end.ref);
   }
@@ -389,12 +399,12 @@
                     { "first_report", isFirstFullReport } });
         this->RemoveRun(item);
       } else if (isFirstFullReport) {
-        WorkerOrders& orders = this->OrdersFor(aWorker.agent, aWorker.key);
-        orders.stops.push_back(ToRunRef(item));
-        run->ordersSequence = orders.sequence;
+        this->OrderStop(item);
       }
-    } else if (!listed && isFirstFullReport && run->state == RunState::Ordered) {
-      // The order may have been lost with the connection. Repeating a start order is safe.
+    } else if (isFirstFullReport && run->state == RunState::Ordered &&
+               !running.contains(ToRunRef(item))) {
+      // The order may have been lost with the connection, and an agent does not repeat the starts
+      // of an earlier connection by itself. Repeating a start order is safe.
       this->OrderStart(item, true);
     } else if (!listed && (isFirstFullReport || aReport.lastOrders >= run->ordersSequence)) {
       this->counters.Add("runs_lost_total", "vanished");
