Stop runs that the first report of an agent does not list, as soon as it is connected

Cause, class: absence from a list was taken for the end. A new leader, or the leader of an agent that was restarted, regarded a stopped run as gone if the agent's first report did not list it, although the agent's earlier process may have sent its start. Orders to stop that were lost with the link were repeated only after the first full report, which takes seconds if the worker leaves polls unanswered. Orders that could not be queued on a link were lost without a trace.

Change: a stopped run counts as gone only when a report that follows the order to stop does not list it; the order is repeated as soon as the agent is connected. When orders could not be sent (orders_lost_total), the agent's next full report is compared with all runs on its worker.

Result: JobScheduler StopsARunThatTheFirstReportOfAnAgentDoesNotList, RepeatsStopsAsSoonAsTheAgentIsConnected and RepeatsOrdersThatCouldNotBeSent fail without the change and pass.

--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -60,7 +60,7 @@
   void OnEntriesChanged(const EntryDirectory::Entries& aEntries);
   // Decides whether the load balancer may send callers here, and logs each change.
   bool UpdateReadiness();
-  void SendToAgent(const std::string& aAgent, const LinkMessage& aMessage);
+  bool SendToAgent(const std::string& aAgent, const LinkMessage& aMessage);
   void WaitForSignal();
   void Drain();
   void StopWhenIdle(Instant aEarliest, Instant aLatest);
@@ -114,7 +114,7 @@
                                    options,
                                    this->counters,
                                    [this](const std::string& aAgent, const LinkMessage& aMessage) {
-                                     this->SendToAgent(aAgent, aMessage);
+                                     return this->SendToAgent(aAgent, aMessage);
                                    });
   if (const absl::Status status = this->StartServers(); !status.ok()) {
     return status;
@@ -315,12 +315,10 @@
   return isReady;
 }
 
-void ClusterEntry::SendToAgent(const std::string& aAgent, const LinkMessage& aMessage)
+bool ClusterEntry::SendToAgent(const std::string& aAgent, const LinkMessage& aMessage)
 {
   const auto link = this->linkByAgent.find(aAgent);
-  if (link != this->linkByAgent.end()) {
-    this->listener->Send(link->second, aMessage);
-  }
+  return link != this->linkByAgent.end() && this->listener->Send(link->second, aMessage);
 }
 
 void ClusterEntry::WaitForSignal()
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -206,6 +206,7 @@
   }
   if (this->phase == Phase::Leading) {
     this->scheduler->OnAgentUp(aAgent, this->CurrentTime());
+    this->RequestSchedulingPass();
   }
 }
 
@@ -411,8 +412,9 @@
 void LeaderDriver::SendOrders()
 {
   for (const auto& [agent, orders] : this->scheduler->TakeOrders()) {
-    if (this->agents.contains(agent)) {
-      this->sendToAgent(agent, orders);
+    if (!this->agents.contains(agent) || !this->sendToAgent(agent, orders)) {
+      this->counters.Add("orders_lost_total", "not_sent");
+      this->scheduler->OnOrdersLost(agent);
     }
   }
 }
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -35,7 +35,8 @@
 class LeaderDriver
 {
 public:
-  using SendToAgent = std::function<void(const std::string& aAgent, const LinkMessage& aMessage)>;
+  // Returns false if the message was not sent.
+  using SendToAgent = std::function<bool(const std::string& aAgent, const LinkMessage& aMessage)>;
 
   LeaderDriver(asio::io_context& aContext,
                platformwire::StoreClient& aStore,
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -36,6 +36,7 @@
         } else if (const auto* sent = std::get_if<WorkerOrders>(&aMessage)) {
           this->orders.push_back(*sent);
         }
+        return true;
       });
     this->driver->OnAgentUp("agent");
   }
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -81,6 +81,9 @@
 
   void OnAgentUp(const std::string& aAgent, Now aNow);
   void OnAgentDown(const std::string& aAgent, Now aNow);
+  // Handles that orders taken by TakeOrders could not be sent to the agent: its next full report is
+  // compared with all runs on its worker, and orders that still hold are repeated.
+  void OnOrdersLost(const std::string& aAgent);
   void OnReport(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
 
   // Handles expired leases, due occurrences and expired jobs, and places tasks.
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -32,6 +32,20 @@
     worker.connected = true;
     worker.reconciled = false;
     worker.lastReport = std::max(worker.lastReport, aNow.instant - this->settings.reportTimeout);
+    // The first report may take seconds if the worker does not answer; a stop does not wait for it.
+    for (const RunKey& item : worker.runs) {
+      if (const Run* run = this->FindRun(item); run->state == RunState::Stopping) {
+        this->OrderStop(item);
+      }
+    }
+  }
+}
+
+void JobScheduler::OnOrdersLost(const std::string& aAgent)
+{
+  const auto it = this->workerOfAgent.find(aAgent);
+  if (it != this->workerOfAgent.end()) {
+    this->workers[it->second].reconciled = false;
   }
 }
 
@@ -390,15 +404,17 @@
     if (run == nullptr || run->state == RunState::Committing) {
       continue;
     }
+    const bool ordersArrived = !isFirstFullReport && aReport.lastOrders >= run->ordersSequence;
     if (run->state == RunState::Stopping) {
-      if (!listed && (isFirstFullReport || aReport.lastOrders >= run->ordersSequence)) {
+      if (!listed && ordersArrived) {
         this->log("run_stopped",
                   { { "task", ToRunRef(item).task },
                     { "run", item.number },
-                    { "worker", aWorker.key.id },
-                    { "first_report", isFirstFullReport } });
+                    { "worker", aWorker.key.id } });
         this->RemoveRun(item);
       } else if (isFirstFullReport) {
+        // A run that is not listed may still be started by an order that an earlier process of the
+        // agent sent, unless it is stopped.
         this->OrderStop(item);
       }
     } else if (isFirstFullReport && run->state == RunState::Ordered &&
@@ -406,7 +422,7 @@
       // The order may have been lost with the connection, and an agent does not repeat the starts
       // of an earlier connection by itself. Repeating a start order is safe.
       this->OrderStart(item, true);
-    } else if (!listed && (isFirstFullReport || aReport.lastOrders >= run->ordersSequence)) {
+    } else if (!listed && (isFirstFullReport || ordersArrived)) {
       this->counters.Add("runs_lost_total", "vanished");
       this->log("run_lost",
                 { { "task", ToRunRef(item).task },
--- a/packages/jobs/tests/UnconfirmedOrdersTest.cpp
+++ b/packages/jobs/tests/UnconfirmedOrdersTest.cpp
@@ -50,3 +50,58 @@
   fixture.TakeOrders();
   CHECK(fixture.stops == std::vector<RunRef>{ { "x.0.0.0", 3 } });
 }
+
+// Guards against a second run of a task: a new process of the agent does not list a start that its
+// earlier process has sent, and the worker may carry it out later.
+TEST_CASE("JobScheduler StopsARunThatTheFirstReportOfAnAgentDoesNotList")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  fixture.scheduler.OnJobRow("j.cancel", "", fixture.now);
+  fixture.agents["a"].running.clear();
+  ReconnectAgent(fixture, "a");
+  fixture.Report("a");
+  CHECK(fixture.scheduler.Jobs().at("j").HasActiveRuns());
+  fixture.TakeOrders();
+  CHECK_FALSE(fixture.stops.empty());
+  // The agent lists the run until the worker has answered the stop.
+  fixture.agents["a"].starting = { { "j.0.0.0", 1 } };
+  fixture.Report("a");
+  CHECK(fixture.scheduler.Jobs().at("j").HasActiveRuns());
+  fixture.agents["a"].starting.clear();
+  fixture.Report("a");
+  CHECK_FALSE(fixture.scheduler.Jobs().at("j").HasActiveRuns());
+}
+
+// Guards against a cancelled task that goes on for seconds: the order to stop it was lost with the
+// link, and the agent sends no report while its worker does not answer.
+TEST_CASE("JobScheduler RepeatsStopsAsSoonAsTheAgentIsConnected")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  fixture.scheduler.OnJobRow("j.cancel", "", fixture.now);
+  ReconnectAgent(fixture, "a");
+  fixture.TakeOrders();
+  CHECK(fixture.stops == std::vector<RunRef>{ { "j.0.0.0", 1 } });
+}
+
+// Guards against a cancelled task that goes on because the order to stop it was never sent, while
+// later orders arrived.
+TEST_CASE("JobScheduler RepeatsOrdersThatCouldNotBeSent")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  fixture.scheduler.OnJobRow("j.cancel", "", fixture.now);
+  CHECK(fixture.scheduler.TakeOrders().size() == 1);
+  fixture.scheduler.OnOrdersLost("a");
+  fixture.agents["a"].lastOrders = 1000;
+  fixture.Report("a");
+  fixture.TakeOrders();
+  CHECK(fixture.stops == std::vector<RunRef>{ { "j.0.0.0", 1 } });
+}
