Stop runs whose start is unanswered when a worker restarts under its id

Cause, class: a call outlives the process to which it was sent. A worker that restarts under its id has no fencing token and remembers no ended run, so that a start that its earlier process had not answered could begin a run that the leader had given up, or a task that was done.

Change: the agent remembers starts without an answer for 20 s, and orders a new incarnation of the same id to stop these runs, which makes their start impossible.

Result: WorkerDriver PreventsUnansweredStartsWhenTheWorkerRestarts fails without the change and passes. An agent that is restarted together with its worker does not know these starts (open).

--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -57,6 +57,8 @@
 inline constexpr Duration kLeasePollInterval = std::chrono::milliseconds(30);
 // Attempts at an unanswered start before the agent orders the run stopped.
 inline constexpr int kMaxStartAttempts = 6;
+// How long a worker may delay a call that it does not answer. Delays of up to 12 s were seen.
+inline constexpr Duration kMaxCallDelay = std::chrono::seconds(20);
 // Consecutive refused connections after which the worker's process counts as gone.
 inline constexpr int kRefusalsUntilWorkerLost = 2;
 inline constexpr Duration kWorkerRetryDelay = std::chrono::milliseconds(150);
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -107,6 +107,20 @@
         { "born", aHeartbeat.worker.born },
         { "earlier_worker", this->worker.id },
         { "earlier_born", this->worker.born } });
+  // A worker that restarts under its id accepts late calls to its earlier process, but has
+  // forgotten which runs have ended or were stopped.
+  std::set<RunRef> mayStart;
+  this->ForgetOldUnansweredStarts();
+  if (aHeartbeat.worker.id == this->worker.id) {
+    for (const auto& [answerDueAt, ref] : this->unansweredStarts) {
+      mayStart.insert(ref);
+    }
+    for (const auto& [ref, tracked] : this->trackedRuns) {
+      if (tracked.openStarts > 0) {
+        mayStart.insert(ref);
+      }
+    }
+  }
   ++this->incarnation;
   this->worker = aHeartbeat.worker;
   this->heartbeatSequence = aHeartbeat.sequence;
@@ -133,9 +147,21 @@
   this->rejected.clear();
   ++this->lastPollId;
   this->pollPending = false;
+  for (const RunRef& ref : mayStart) {
+    this->counters.Add("runs_barred_total", "worker_restarted");
+    this->StopRun(ref);
+  }
   this->PollWorker();
 }
 
+void WorkerDriver::ForgetOldUnansweredStarts()
+{
+  const Instant oldest = BootClock::now() - kMaxCallDelay;
+  while (!this->unansweredStarts.empty() && this->unansweredStarts.front().first < oldest) {
+    this->unansweredStarts.pop_front();
+  }
+}
+
 bool WorkerDriver::ConfirmIncarnation(const WorkerAnswer& aAnswer)
 {
   if (!this->unconfirmedHeartbeat.has_value()) {
@@ -301,6 +327,10 @@
       if (attempt > 1 || aAnswer.end != WorkerCallOutcome::Done) {
         LogOrderAnswer("start_answered", aRef, epoch, attempt, sentAt, aAnswer);
       }
+      if (aAnswer.end == WorkerCallOutcome::Unknown) {
+        this->ForgetOldUnansweredStarts();
+        this->unansweredStarts.emplace_back(BootClock::now(), aRef);
+      }
       if (id == this->incarnation) {
         this->OnStartAnswer(aRef, attempt, aAnswer);
       }
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -10,6 +10,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -82,6 +83,7 @@
                std::unique_ptr<platformwire::WorkerClient> aClient);
 
   void BeginIncarnation(const platformwire::WorkerHeartbeat& aHeartbeat);
+  void ForgetOldUnansweredStarts();
   // Switches to the incarnation of `unconfirmedHeartbeat` if the worker's answer shows that it is
   // the current one. Returns whether it does.
   bool ConfirmIncarnation(const platformwire::WorkerAnswer& aAnswer);
@@ -178,6 +180,9 @@
   bool workerLost = false;
 
   std::map<RunRef, TrackedRun> trackedRuns;
+  // Starts without an answer and when their answers were due, in order of that time. The worker may
+  // carry them out although their runs have ended meanwhile, if it has restarted under its id.
+  std::deque<std::pair<Instant, RunRef>> unansweredStarts;
   std::vector<RunningRun> running;
   // Ended runs by number, until the leader has acknowledged them without a gap.
   std::map<std::uint64_t, EndedRun> unacknowledgedEnds;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -549,3 +549,19 @@
   CHECK(fixture.reports.back().starting.empty());
   CHECK(fixture.started.size() == 1);
 }
+
+// Guards against a second run of a task: the worker restarts under its id and carries out a start
+// that its earlier process had not answered, after the leader has given the run up.
+TEST_CASE("WorkerDriver PreventsUnansweredStartsWhenTheWorkerRestarts")
+{
+  WorkerDriverFixture fixture;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker->SetDelayedCallShare(1.0);
+  fixture.StartTask("j.0.0.0");
+  fixture.RunFor(700 * kMillisecond);
+  fixture.worker->SetDelayedCallShare(0);
+  fixture.worker->Restart();
+  fixture.RunFor(2000 * kMillisecond);
+  CHECK(fixture.started.empty());
+}
