Change to another incarnation of a worker only when the worker answers as it

Cause, class: one odd entry of another writer replaces what is in use. A heartbeat with a later birth time or another id was taken for a new incarnation at once; the agent forgot its runs, orders and unanswered stops, until the next heartbeat of the real worker.

Change: every change of the incarnation waits for the worker's own answer, which was done only for earlier birth times so far. The agent asks at once.

Result: WorkerDriver KeepsTheWorkerWhenAHeartbeatNamesOneThatDoesNotExist fails without the change and passes; the tests on restarts and on clocks that were set back pass as before.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -73,9 +73,18 @@
 {
   const bool sameIncarnation =
     aHeartbeat.worker.id == this->worker.id && aHeartbeat.worker.born == this->worker.born;
-  if (!sameIncarnation && aHeartbeat.worker.born < this->worker.born) {
-    this->counters.Add("heartbeats_ignored_total", "earlier_life");
+  if (!sameIncarnation && !this->worker.id.empty()) {
+    // A delayed heartbeat of an earlier incarnation, one that another writer has sent, or a new
+    // incarnation. The worker's own answer tells.
+    this->counters.Add("heartbeats_ignored_total", "unconfirmed");
+    const bool isAsked = this->unconfirmedHeartbeat.has_value() &&
+                         this->unconfirmedHeartbeat->worker.id == aHeartbeat.worker.id &&
+                         this->unconfirmedHeartbeat->worker.born == aHeartbeat.worker.born;
     this->unconfirmedHeartbeat = aHeartbeat;
+    if (!isAsked) {
+      this->pollPending = false;
+      this->PollWorker();
+    }
     return;
   }
   if (sameIncarnation && aHeartbeat.sequence <= this->heartbeatSequence) {
@@ -174,7 +183,9 @@
   if (!confirmed) {
     return false;
   }
-  this->counters.Add("lives_confirmed_total", "clock_set_back");
+  this->counters.Add("lives_confirmed_total",
+                     this->unconfirmedHeartbeat->worker.born < this->worker.born ? "clock_set_back"
+                                                                                 : "restarted");
   const platformwire::WorkerHeartbeat heartbeat = *std::move(this->unconfirmedHeartbeat);
   this->BeginIncarnation(heartbeat);
   return true;
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -148,9 +148,8 @@
 
   WorkerState worker;
   std::uint64_t heartbeatSequence = 0;
-  // The last heartbeat of another incarnation that seems to have started earlier: either a delayed
-  // one, or that of a new incarnation on a machine whose clock was set back. The worker's answers
-  // tell which it is.
+  // The last heartbeat of another incarnation than the current one: a new one, or a delayed or
+  // foreign heartbeat. The worker's answers tell which it is.
   std::optional<platformwire::WorkerHeartbeat> unconfirmedHeartbeat;
   // Incremented with each incarnation of the worker; answers of an earlier one are dropped.
   std::uint64_t incarnation = 0;
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -46,8 +46,10 @@
     request.deadlineMs = this->ToWorkerClockMs(this->grantedLeaseExpiry);
   }
   // While ends are unacknowledged, the worker answers at once, so a long poll has no effect.
-  // Until the fence is confirmed, nothing is reported, so the poll asks for an immediate answer.
-  const bool waitForEnd = this->unacknowledgedEnds.empty() && this->fenceConfirmed;
+  // Until the fence is confirmed, nothing is reported, so the poll asks for an immediate answer, as
+  // it does if the answer tells whether a heartbeat is of a new incarnation.
+  const bool waitForEnd = this->unacknowledgedEnds.empty() && this->fenceConfirmed &&
+                          !this->unconfirmedHeartbeat.has_value();
   request.wait = waitForEnd ? kWorkerLongPollTime : Duration::zero();
   this->client->Poll(request,
                      request.wait + kWorkerCallTimeout,
@@ -84,6 +86,10 @@
     this->SchedulePoll(kWorkerRetryDelay);
     return;
   }
+  if (aAnswer.born != 0) {
+    // The incarnation of the last accepted heartbeat has answered a poll that was sent later.
+    this->unconfirmedHeartbeat.reset();
+  }
   this->lastAnswerAt = now;
   this->consecutiveRefusals = 0;
   this->workerLost = false;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -298,6 +298,27 @@
   }
 }
 
+// Guards against losing sight of the worker's runs because of a heartbeat of another writer.
+TEST_CASE("WorkerDriver KeepsTheWorkerWhenAHeartbeatNamesOneThatDoesNotExist")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker->SetDelayedCallShare(1.0);
+  fixture.StartTask("j.0.0.0");
+  fixture.RunFor(100 * kMillisecond);
+  platformwire::WorkerHeartbeat foreign;
+  foreign.worker = fixture.reports.back().worker;
+  foreign.worker.born += 1000000;
+  foreign.sequence = 1;
+  fixture.driver->OnHeartbeat(foreign);
+  fixture.RunFor(600 * kMillisecond);
+  CHECK(fixture.IsListed("j.0.0.0"));
+  for (const WorkerReport& report : fixture.reports) {
+    CHECK(report.worker.born < foreign.worker.born);
+  }
+}
+
 // Guards against treating a worker as alive, and its runs as running, when nothing listens on its
 // address.
 TEST_CASE("WorkerDriver ReportsAllRunsLostWhenTheWorkerRefusesConnections")
