--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -447,8 +447,12 @@
                 [this, aIndex] { this->workers[aIndex]->SetUnansweredCallShare(0); });
     return;
   }
-  this->Note("worker " + std::to_string(aIndex) + " carries out orders late");
+  this->Note("worker " + std::to_string(aIndex) + " carries out orders late and refuses others");
   this->workers[aIndex]->SetDelayedCallShare(0.3);
+  this->After(std::chrono::milliseconds(700),
+              [this, aIndex] { this->workers[aIndex]->SetOverloaded(true); });
+  this->After(std::chrono::milliseconds(1400),
+              [this, aIndex] { this->workers[aIndex]->SetOverloaded(false); });
   this->After(std::chrono::milliseconds(2000),
               [this, aIndex] { this->workers[aIndex]->SetDelayedCallShare(0); });
 }
