Test that an owner stops before its lease ends by the drift margin

Change: a test that measures for how long an owner without the store goes on.

Result: with SubtractMargin returning its argument it is 2,999 ms after the last renewal and the test fails; with the margin it passes.

--- a/packages/tasks/tests/ShardOwnerTest.cpp
+++ b/packages/tasks/tests/ShardOwnerTest.cpp
@@ -167,6 +167,33 @@
   CHECK(world.entries[first].counters->Get("shard_losses_total", "conflict") == 1);
 }
 
+// Guards against two owners at a time: an owner whose clock is slow by the drift margin holds its
+// shard until another entry claims it, unless it stops that much earlier than its lease ends.
+TEST_CASE("ShardOwner StopsBeforeItsLeaseEndsByTheDriftMargin")
+{
+  WorldOptions options;
+  options.entries = 1;
+  options.drift = false;
+  SimWorld world(options);
+  Duration lastRenewal{};
+  world.store.onApplied = [&, earlier = world.store.onApplied](const Transaction& aTransaction) {
+    earlier(aTransaction);
+    lastRenewal = world.queue.Now();
+  };
+  world.RunFor(seconds(10));
+  REQUIRE(world.FindOwner() != nullptr);
+  world.entries[0].storeUnreachable = true;
+  const Duration latest = world.queue.Now() + seconds(10);
+  while (world.entries[0].owner->Role() == OwnerRole::Owning && world.queue.Now() < latest) {
+    world.RunFor(milliseconds(1));
+  }
+  const OwnerOptions owner;
+  const Duration held = world.queue.Now() - lastRenewal;
+  INFO("held for " << ToMilliseconds(held) << " ms after the last renewal");
+  CHECK(held < owner.ownershipLease * (1.0 - owner.driftMargin) + milliseconds(30));
+  CHECK(held > owner.ownershipLease / 2);
+}
+
 // Guards against journal rows that are never deleted, or deleted before the snapshot has committed.
 TEST_CASE("ShardOwner RecoversFromASnapshotAndDeletesReplacedRows")
 {
