Ignore the rejection of a start that has been ordered again

Cause: the leader regarded a run as rejected although its repeated order was under way. A start of an earlier link, in flight when the agent follows a leader, is refused (room, late, 503) after the agent has listed the run in its first full report. The leader has answered that report with the order to start the run, receives the rejection, and starts the task elsewhere. The agent, which has forgotten the run, carries the order out, and the task runs twice.

Change: a rejection counts only if the agent had received the last order for the run when it reported.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -172,7 +172,11 @@
   void UpdateCheckpoint(const TaskKey& aTaskKey, const std::string& aCheckpoint, Now aNow);
   void UpdateInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   void ApplyRunEnd(Worker& aWorker, const EndedRun& aEnd, Now aNow);
-  void ApplyRejection(Worker& aWorker, const RejectedRun& aRejected, Now aNow);
+  // `aLastOrders` is the last of the orders that the agent had received when it rejected the run.
+  void ApplyRejection(Worker& aWorker,
+                      const RejectedRun& aRejected,
+                      std::uint64_t aLastOrders,
+                      Now aNow);
   void Reconcile(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   void OnRunDone(Job& aJob, const TaskKey& aTaskKey, Now aNow);
   void OnRunFailed(Job& aJob, const TaskKey& aTaskKey, Worker& aWorker, Now aNow);
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -78,7 +78,7 @@
     this->ApplyRunEnd(*worker, end, aNow);
   }
   for (const RejectedRun& rejected : aReport.rejected) {
-    this->ApplyRejection(*worker, rejected, aNow);
+    this->ApplyRejection(*worker, rejected, aReport.lastOrders, aNow);
   }
   if (aReport.allLost) {
     worker->reconciled = false;
@@ -363,13 +363,21 @@
   }
 }
 
-void JobScheduler::ApplyRejection(Worker& aWorker, const RejectedRun& aRejected, Now aNow)
+void JobScheduler::ApplyRejection(Worker& aWorker,
+                                  const RejectedRun& aRejected,
+                                  std::uint64_t aLastOrders,
+                                  Now aNow)
 {
   RunKey runKey;
   Run* run = ParseRunRef(aRejected.ref, runKey) ? this->FindRun(runKey) : nullptr;
   if (run == nullptr || run->worker != aWorker.key) {
     return;
   }
+  if (aLastOrders < run->ordersSequence) {
+    // The agent rejected an earlier order for the run. It will carry out the one that is under way.
+    this->counters.Add("rejections_ignored_total", "ordered_again");
+    return;
+  }
   this->counters.Add("starts_rejected_total", aRejected.reason);
   this->log("start_rejected",
             { { "task", aRejected.ref.task },
--- a/packages/jobs/tests/UnconfirmedOrdersTest.cpp
+++ b/packages/jobs/tests/UnconfirmedOrdersTest.cpp
@@ -105,3 +105,58 @@
   fixture.TakeOrders();
   CHECK(fixture.stops == std::vector<RunRef>{ { "j.0.0.0", 1 } });
 }
+
+// Guards against a second run of a task: the agent rejects a start of an earlier link and then
+// receives the repeated order, which it carries out.
+TEST_CASE("JobScheduler KeepsARunThatWasRejectedBeforeItsRepeatedOrderArrived")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.AddAgent("b");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  const std::string agent = fixture.starts[0].first;
+  fixture.agents[agent].running.clear();
+  fixture.agents[agent].starting = { { "j.0.0.0", 1 } };
+  ReconnectAgent(fixture, agent);
+  fixture.Report(agent);
+  // Sent before the order that answers the full report arrives.
+  fixture.agents[agent].starting.clear();
+  fixture.agents[agent].full = false;
+  fixture.agents[agent].rejected = { { { "j.0.0.0", 1 }, "room" } };
+  fixture.Report(agent);
+  fixture.agents[agent].rejected.clear();
+  fixture.agents[agent].full = true;
+  fixture.TakeOrders();
+  REQUIRE(fixture.starts.size() == 1);
+  fixture.Advance(std::chrono::milliseconds(1000));
+  fixture.Report("a");
+  fixture.Report("b");
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.size() == 1);
+  CHECK(fixture.stops.empty());
+}
+
+// Guards against a task that never starts again: the agent rejects the repeated start.
+TEST_CASE("JobScheduler ReplacesARunWhoseRepeatedStartWasRejected")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  fixture.agents["a"].running.clear();
+  ReconnectAgent(fixture, "a");
+  fixture.Report("a");
+  fixture.TakeOrders();
+  REQUIRE(fixture.starts.size() == 1);
+  fixture.agents["a"].running.clear();
+  fixture.agents["a"].rejected = { { { "j.0.0.0", 1 }, "room" } };
+  fixture.Report("a");
+  fixture.agents["a"].rejected.clear();
+  fixture.Advance(std::chrono::seconds(10));
+  fixture.AddAgent("b");
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 2);
+  CHECK(fixture.starts[1].second.ref.run == 2);
+}
