Prevent late starts of a worker that was lost and answers again

Cause: when the agent reports all runs of a silent worker as lost, it forgets its unanswered starts and stops. The leader starts the tasks elsewhere. A worker that answers again gets a new lease, under which it carries out a start that it received before the loss: the task runs twice.

Change: at the loss, the agent orders the worker to stop the runs whose start or stop has not been answered, and repeats that until the worker has carried it out, as after a restart of the worker.

--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -99,6 +99,7 @@
   // sent at `aPollSentAt` does not show.
   void ReportRejectedRuns(Instant aPollSentAt);
   // Reports all runs as lost once the worker's process is gone or every lease on it has expired.
+  // Starts that it may still carry out are stopped, as it may answer again and get a new lease.
   void OnPollFailed(const platformwire::WorkerAnswer& aAnswer);
   // Reports new ends and rejections to the leader. A full report also lists all runs; those that
   // were confirmed since `aPollSentAt` count as starting, as the poll may not show them yet.
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -158,6 +158,13 @@
   const bool processGone = this->consecutiveRefusals >= kRefusalsUntilWorkerLost;
   if ((processGone || now > this->allLeasesExpiredAt) && !this->workerLost) {
     this->workerLost = true;
+    std::vector<RunRef> mayStart;
+    for (const auto& [ref, tracked] : this->trackedRuns) {
+      if ((tracked.starting && tracked.openStarts > 0) ||
+          (tracked.stopping && !tracked.stopConfirmed)) {
+        mayStart.push_back(ref);
+      }
+    }
     this->trackedRuns.clear();
     this->running.clear();
     Log(LogLevel::Warning,
@@ -166,6 +173,10 @@
           { "born", this->worker.born },
           { "reason", processGone ? "refused" : "lease_lapsed" },
           { "silent_ms", ToMilliseconds(now - this->lastAnswerAt) } });
+    for (const RunRef& ref : mayStart) {
+      this->counters.Add("runs_barred_total", "worker_lost");
+      this->StopRun(ref);
+    }
     this->ReportState(false, {});
   } else if (now - this->lastPeriodicReportAt >= kFullReportInterval) {
     // Reports regularly while the worker is silent; not a full report, as its runs are not known.
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -586,3 +586,25 @@
   fixture.RunFor(2000 * kMillisecond);
   CHECK(fixture.started.empty());
 }
+
+// Guards against a second run of a task: the worker was silent until all its leases had expired, so
+// that the leader has started the task elsewhere, and then carries out a start with a new lease.
+TEST_CASE("WorkerDriver PreventsUnansweredStartsWhenTheWorkerWasLost")
+{
+  WorkerDriverFixture fixture(1500 * kMillisecond);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker->SetPollsUnanswered(true);
+  fixture.worker->SetDelayedCallShare(1.0);
+  // Sent while the last lease is valid, and executed 1.5 s later, after the loss.
+  fixture.RunFor(1500 * kMillisecond);
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().allLost; }));
+  REQUIRE(fixture.started.empty());
+  fixture.worker->SetDelayedCallShare(0);
+  fixture.worker->SetPollsUnanswered(false);
+  fixture.RunFor(2000 * kMillisecond);
+  CHECK_FALSE(fixture.reports.back().allLost);
+  CHECK(fixture.started.empty());
+  CHECK_FALSE(fixture.IsListed("j.0.0.0"));
+}
