Reject starts that were ordered before the leader learned of a lost worker

Cause: an order to start a run that was under way while the agent reported all runs of its worker as lost was kept until the worker answered again, and then carried out. The leader had removed the run on that report and started the task elsewhere, so that it ran twice until the next full report.

Change: the agent rejects starts while the worker is lost, and until the leader has answered the last report of the loss. Orders and answers come in order, so a later order was given in knowledge of the loss.

Result: WorkerDriver RejectsStartsThatWereOrderedBeforeTheLeaderLearnedOfTheLoss failed before (the run started after the recovery) and passes; all 25 WorkerDriver tests pass.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -204,6 +204,7 @@
   this->leaderLinked = true;
   this->lastOrders = 0;
   this->reportSentTimes.clear();
+  this->unansweredLossReport = 0;
   this->reportedEnds.clear();
   // The leader may have given up these runs meanwhile. It repeats the orders that still hold.
   std::erase_if(this->trackedRuns, [](const auto& aTracked) {
@@ -240,6 +241,9 @@
   if (aExtension.epoch != this->epoch || sent == this->reportSentTimes.end()) {
     return;
   }
+  if (aExtension.sequence >= this->unansweredLossReport) {
+    this->unansweredLossReport = 0;
+  }
   this->disturbanceByImage = aExtension.disturbance;
   const Instant earlierExpiry = this->leaseExpiry;
   this->leaseExpiry = std::max(this->leaseExpiry, sent->second + this->requestedLease);
@@ -296,6 +300,10 @@
       this->RejectRun(start.ref, "draining");
       continue;
     }
+    if (this->MayPrecedeLoss()) {
+      this->RejectRun(start.ref, "worker_lost");
+      continue;
+    }
     this->TryStart(start.ref, tracked.orderedAt);
   }
   if (!aOrders.acknowledgedEnds.empty()) {
@@ -509,6 +517,11 @@
   return BootClock::now() - (this->leaseExpiry - this->requestedLease) < kMaxLeaderResponseAge;
 }
 
+bool WorkerDriver::MayPrecedeLoss() const
+{
+  return this->workerLost || this->unansweredLossReport > 0;
+}
+
 bool WorkerDriver::GrantLease()
 {
   const Instant now = BootClock::now();
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -136,6 +136,9 @@
   // Returns whether the leader has answered a recent report. All orders that it sent before that
   // answer have then arrived.
   bool HasRecentLeaderResponse() const;
+  // Returns whether the leader may have sent an order before it learned that all runs of the worker
+  // were lost. It has then given up the run that it ordered to start.
+  bool MayPrecedeLoss() const;
   std::int64_t ToWorkerClockMs(Instant aLocalTime) const;
   void CallAfter(Duration aDelay, std::function<void()> aCall);
 
@@ -178,6 +181,9 @@
   Instant lastAnswerAt{};
   int consecutiveRefusals = 0;
   bool workerLost = false;
+  // The sequence number of the last report on this link that all runs are lost; 0 if there is none,
+  // or if the leader has answered it or a later report.
+  std::uint64_t unansweredLossReport = 0;
 
   std::map<RunRef, TrackedRun> trackedRuns;
   // Starts without an answer and when their answers were due, in order of that time. The worker may
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -224,6 +224,9 @@
   aReport.lastOrders = this->lastOrders;
   aReport.worker = this->worker;
   this->reportSentTimes[aReport.sequence] = BootClock::now();
+  if (aReport.allLost) {
+    this->unansweredLossReport = aReport.sequence;
+  }
   if (this->reportSentTimes.size() > kMaxUnansweredReports) {
     this->reportSentTimes.erase(this->reportSentTimes.begin());
   }
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -608,3 +608,26 @@
   CHECK(fixture.started.empty());
   CHECK_FALSE(fixture.IsListed("j.0.0.0"));
 }
+
+// Guards against a second run of a task: an order to start it was under way when the agent reported
+// all runs of the worker as lost, so that the leader starts the task elsewhere.
+TEST_CASE("WorkerDriver RejectsStartsThatWereOrderedBeforeTheLeaderLearnedOfTheLoss")
+{
+  WorkerDriverFixture fixture(500 * kMillisecond);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker->SetPollsUnanswered(true);
+  fixture.extendLeases = false;
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().allLost; }));
+  fixture.StartTask("j.0.0.0");
+  fixture.worker->SetPollsUnanswered(false);
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.back().allLost; }));
+  fixture.StartTask("j.0.0.1");
+  fixture.extendLeases = true;
+  fixture.RunFor(1000 * kMillisecond);
+  CHECK(fixture.started.empty());
+  CHECK(fixture.IsRejected("j.0.0.0"));
+  CHECK(fixture.IsRejected("j.0.0.1"));
+  fixture.StartTask("j.0.0.2");
+  CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+}
