Repeat a pace while an unanswered order may still replace it

Cause: an order to pace a run that the worker does not answer may be carried out up to 12 s later, after newer orders that were answered. The controller then takes a run for paused that works on, and has nothing left to lower while a target is missed; or a run for working that stays paused.

--- a/packages/cluster/include/oriolespread/cluster/PaceController.h
+++ b/packages/cluster/include/oriolespread/cluster/PaceController.h
@@ -40,6 +40,10 @@
   double minHeadroomCost = 0.1;
   // All best-effort runs are paused once a target has been missed for this long.
   Duration pauseAllAfter = std::chrono::milliseconds(1800);
+  // How long the worker may delay an order that it does not answer (12 s were seen), and how often
+  // the pace is repeated for that time.
+  Duration maxOrderDelay = std::chrono::seconds(20);
+  Duration repeatInterval = std::chrono::milliseconds(500);
 };
 
 // A run on the worker, as input of the controller.
@@ -74,6 +78,9 @@
 
   // Reports that an order did not reach the worker; it is repeated at the next update.
   void OnFailed(const RunRef& aRef);
+  // Reports that an order was not answered. The worker may carry it out after later ones, so the
+  // pace is repeated until that can not happen any more.
+  void OnUnanswered(const RunRef& aRef, Instant aNow);
 
 private:
   struct Pace
@@ -82,6 +89,9 @@
     // The last pace that was sent; negative if unknown.
     int sentPercent = 100;
     double headroomCost = 0;
+    Instant sentAt{};
+    // Until when an unanswered order may replace the pace.
+    Instant repeatUntil{};
   };
 
   // Lower and raise paces by the given amount of headroom. RaisePaces returns whether a pace
--- a/packages/cluster/src/PaceController.cpp
+++ b/packages/cluster/src/PaceController.cpp
@@ -63,8 +63,12 @@
   }
   std::vector<PaceOrder> orders;
   for (auto& [ref, pace] : this->paces) {
-    if (pace.sentPercent != pace.targetPercent) {
+    // The last repetition is sent after the time has passed.
+    const bool repeatDue =
+      pace.sentAt < pace.repeatUntil && aNow - pace.sentAt >= this->settings.repeatInterval;
+    if (pace.sentPercent != pace.targetPercent || repeatDue) {
       pace.sentPercent = pace.targetPercent;
+      pace.sentAt = aNow;
       orders.push_back({ ref, pace.targetPercent });
     }
   }
@@ -149,4 +153,12 @@
   }
 }
 
+void PaceController::OnUnanswered(const RunRef& aRef, Instant aNow)
+{
+  if (const auto it = this->paces.find(aRef); it != this->paces.end()) {
+    it->second.sentPercent = kUnknownPacePercent;
+    it->second.repeatUntil = aNow + this->settings.maxOrderDelay;
+  }
+}
+
 } // namespace oriolespread::cluster
--- a/packages/cluster/tests/PaceControllerTest.cpp
+++ b/packages/cluster/tests/PaceControllerTest.cpp
@@ -190,3 +190,27 @@
   CHECK(work > 0.8 * idealWork);
   CHECK(missedReports < 0.2 * reports);
 }
+
+// Guards against a run that works on while a target is missed: the worker carries out an unanswered
+// order to raise its pace after it was paused, and the controller takes it for paused.
+TEST_CASE("PaceController RepeatsThePaceAsLongAsAnUnansweredOrderMayReplaceIt")
+{
+  PaceController controller({});
+  Instant now = Instant{} + std::chrono::hours(1);
+  REQUIRE_FALSE(controller.Update(Runs(128), now).empty());
+  controller.OnUnanswered(kHeavy, now);
+  const Instant sentAt = now;
+  Instant lastRepeatedAt = now;
+  while (now < sentAt + 30 * 1000 * kMs) {
+    now += 100 * kMs;
+    // The headroom is 1.0, so that no pace changes.
+    for (const PaceOrder& order : controller.Update(Runs(100), now)) {
+      CHECK(order.ref == kHeavy);
+      CHECK(order.percent == 73);
+      CHECK(now - lastRepeatedAt <= 600 * kMs);
+      lastRepeatedAt = now;
+    }
+  }
+  CHECK(lastRepeatedAt >= sentAt + 12 * 1000 * kMs);
+  CHECK(lastRepeatedAt <= sentAt + 25 * 1000 * kMs);
+}
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -260,9 +260,12 @@
                        this->epoch,
                        kWorkerCallTimeout,
                        [this, order, id = this->incarnation](const WorkerAnswer& aAnswer) {
-                         if (id == this->incarnation &&
-                             (aAnswer.end == WorkerCallOutcome::Unknown ||
-                              aAnswer.end == WorkerCallOutcome::Refused)) {
+                         if (id != this->incarnation) {
+                           return;
+                         }
+                         if (aAnswer.end == WorkerCallOutcome::Unknown) {
+                           this->paceController.OnUnanswered(order.ref, BootClock::now());
+                         } else if (aAnswer.end == WorkerCallOutcome::Refused) {
                            this->paceController.OnFailed(order.ref);
                          }
                        });
