Read one request at a time on a kept connection

Cause: when a handler replied at once, the server began to read the next request both when the handler returned and when the reply was written. Two reads at once wrote to the same buffer, so that a request of more than one read (16,384 bytes) on a used connection lost bytes: it was refused with 431 or 400.

Change: the server reads on only while the current request is not complete.

--- a/packages/http/src/ServerConnection.cpp
+++ b/packages/http/src/ServerConnection.cpp
@@ -52,7 +52,14 @@
   if (!this->input.empty() && !this->Parse()) {
     return;
   }
-  if (!this->handling) {
+  this->ReadUnlessComplete();
+}
+
+void ServerConnection::ReadUnlessComplete()
+{
+  // A handler may have replied already. The next read then begins when the reply is written, as two
+  // reads at once would overwrite each other's bytes.
+  if (!this->parser->is_done()) {
     this->Read();
   }
 }
@@ -76,8 +83,8 @@
     return;
   }
   this->input.append(this->chunk.data(), aSize);
-  if (this->Parse() && !this->handling) {
-    this->Read();
+  if (this->Parse()) {
+    this->ReadUnlessComplete();
   }
 }
 
--- a/packages/http/src/ServerConnection.h
+++ b/packages/http/src/ServerConnection.h
@@ -24,6 +24,8 @@
 
   void BeginRequest();
   void Read();
+  // Reads on if the request is not complete yet.
+  void ReadUnlessComplete();
   void OnRead(asio::error_code aError, std::size_t aSize);
   // Feeds buffered bytes to the parser; returns false when the connection was closed or refused.
   bool Parse();
--- a/packages/http/tests/HttpClientServerTest.cpp
+++ b/packages/http/tests/HttpClientServerTest.cpp
@@ -137,3 +137,17 @@
   }
   CHECK(result->end == HttpEnd::Unknown);
 }
+
+// Guards against requests whose bytes are overwritten by two reads at once: after a handler that
+// replied at once, the server began a second read on the connection, and a request of more than one
+// read (16,384 bytes) was refused or mixed up.
+TEST_CASE("HttpClientServer ReadsLargeRequestsOnAUsedConnection")
+{
+  Pair pair;
+  for (const std::size_t size : { 100, 16'000, 16'384, 20'000, 40'000, 87'000, 200'000 }) {
+    INFO(size << " bytes");
+    const HttpResult result = pair.Call({ "POST", "/big", {}, std::string(size, 'x') });
+    CHECK(result.response.status == kHttpOk);
+    CHECK(result.response.body == "POST /big " + std::string(size, 'x'));
+  }
+}
