Reject stored jobs that a leader cannot keep

Cause: the limits of a job were checked when a caller submitted it, but not when a leader read its row, which another program may have written. A row without steps, or with a step that waits for one that does not exist, made the leader read past the end of a list; billions of tasks exhausted its memory. A queue name that is not UTF-8, or that is too long for a row's key, made each later transaction throw or be refused, so that the leader stored nothing any more, and so did its successors.

Change: CheckJobSpec in jobs has the limits, and DecodeJobRecord applies them, with a limit on names.

--- a/packages/jobs/include/oriolespread/jobs/JobSpec.h
+++ b/packages/jobs/include/oriolespread/jobs/JobSpec.h
@@ -1,6 +1,8 @@
 // The job description that callers submit, and the policy of its queue.
 #pragma once
 
+#include "absl/status/status.h"
+
 #include "oriolespread/base/Resources.h"
 
 #include <nlohmann/json.hpp>
@@ -83,7 +85,17 @@
   std::int64_t submittedUnixMs = 0;
 };
 
-// Returns the estimated length of the critical path, in milliseconds.
+// Limits of the numbers in a job. Sums and multiples of numbers up to them do not overflow.
+inline constexpr std::int64_t kMaxDurationMs = 10LL * 365 * 24 * 3600 * 1000;
+inline constexpr std::int64_t kMaxUnixMs = 253'402'300'799'999; // the end of the year 9999
+inline constexpr std::int64_t kMaxAmount = 1'000'000'000'000;   // of one resource
+
+// Returns InvalidArgument if a field is out of its range, if a step waits for one that does not
+// precede it, or if the job is so large that it would exhaust the memory of a leader.
+absl::Status CheckJobSpec(const JobSpec& aSpec);
+
+// Returns the estimated length of the critical path, in milliseconds. The specification must be one
+// that CheckJobSpec accepts; likewise below.
 std::int64_t CriticalPathMs(const JobSpec& aSpec);
 
 // Returns the estimated length of the longest path that begins with this step, in milliseconds.
@@ -92,7 +104,8 @@
 // Returns the estimated work of one task in core-seconds; always positive.
 double TaskCoreSeconds(const StepSpec& aStep);
 
-// Encode and decode a stored record. DecodeJobRecord returns false if the bytes are not a record.
+// Encode and decode a stored record. DecodeJobRecord returns false if the bytes are not a record,
+// if CheckJobSpec rejects its specification, or if its names are too long for keys of rows.
 std::string EncodeJobRecord(const JobRecord& aRecord);
 bool DecodeJobRecord(const std::string& aBytes, JobRecord& aRecord);
 
--- a/packages/jobs/src/JobSpec.cpp
+++ b/packages/jobs/src/JobSpec.cpp
@@ -1,11 +1,76 @@
 #include "oriolespread/jobs/JobSpec.h"
 
+#include "absl/strings/str_cat.h"
+
 #include "oriolespread/base/ExternalJson.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace oriolespread::jobs {
 
+namespace {
+
+// Limits that keep one job from exhausting an entry's memory. They are above the sizes of all
+// described deployments.
+constexpr std::size_t kMaxStepsPerJob = 100;
+constexpr std::uint32_t kMaxTasksPerStep = 10000;
+// Tasks of all occurrences, which the leader keeps in memory until the job ends.
+constexpr std::uint64_t kMaxTasksPerJob = 100'000;
+// The length of a job's identifier and its queue's name together. The store takes keys of at most
+// 200 bytes, and the rest is for the numbers that the leader adds to form the keys of its rows.
+constexpr std::size_t kMaxNameBytes = 175;
+
+bool IsBetween(std::int64_t aValue, std::int64_t aMin, std::int64_t aMax)
+{
+  return aMin <= aValue && aValue <= aMax;
+}
+
+bool IsValidStep(const StepSpec& aStep, std::size_t aIndex)
+{
+  const bool ordered = std::all_of(aStep.after.begin(),
+                                   aStep.after.end(),
+                                   [&](std::uint32_t aEarlier) { return aEarlier < aIndex; });
+  return ordered && IsBetween(aStep.count, 1, kMaxTasksPerStep) && aStep.demand.IsNonNegative() &&
+         aStep.demand.FitsIn({ kMaxAmount, kMaxAmount, kMaxAmount }) &&
+         IsBetween(aStep.estimateMs, 0, kMaxDurationMs);
+}
+
+// Returns the number of tasks of all occurrences.
+std::uint64_t CountTasks(const JobSpec& aSpec)
+{
+  const std::uint64_t tasksPerOccurrence =
+    std::accumulate(aSpec.steps.begin(),
+                    aSpec.steps.end(),
+                    std::uint64_t{ 0 },
+                    [](std::uint64_t aSum, const StepSpec& aStep) { return aSum + aStep.count; });
+  return tasksPerOccurrence * std::max(aSpec.repeats, 1U);
+}
+
+} // namespace
+
+absl::Status CheckJobSpec(const JobSpec& aSpec)
+{
+  if (!IsBetween(static_cast<std::int64_t>(aSpec.steps.size()), 1, kMaxStepsPerJob)) {
+    return absl::InvalidArgumentError("steps: expected 1 to 100");
+  }
+  for (std::size_t index = 0; index < aSpec.steps.size(); ++index) {
+    if (!IsValidStep(aSpec.steps[index], index)) {
+      return absl::InvalidArgumentError(absl::StrCat("step ", index, " is not valid"));
+    }
+  }
+  if (CountTasks(aSpec) > kMaxTasksPerJob) {
+    return absl::InvalidArgumentError(
+      "steps, repeats: expected at most 100000 tasks over all occurrences");
+  }
+  if (!IsBetween(aSpec.initialDelayMs, 0, kMaxUnixMs) ||
+      !IsBetween(aSpec.intervalMs, 0, kMaxDurationMs)) {
+    return absl::InvalidArgumentError(
+      "initial_delay_ms: expected 0 to the year 9999; interval_ms: expected 0 to 10 years");
+  }
+  return absl::OkStatus();
+}
+
 std::int64_t CriticalPathMs(const JobSpec& aSpec)
 {
   std::vector<std::int64_t> pathEndsMs(aSpec.steps.size(), 0);
@@ -62,11 +127,15 @@
     return false;
   }
   try {
+    // Throws if a text is not UTF-8. The leader puts texts of the record into row keys and orders,
+    // which are sent as JSON.
+    static_cast<void>(parsed->dump());
     aRecord = parsed->get<JobRecord>();
   } catch (const nlohmann::json::exception&) {
     return false;
   }
-  return true;
+  return aRecord.id.size() + aRecord.policy.queue.size() <= kMaxNameBytes &&
+         CheckJobSpec(aRecord.spec).ok();
 }
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/tests/JobRowsTest.cpp
+++ b/packages/jobs/tests/JobRowsTest.cpp
@@ -64,6 +64,42 @@
   CHECK_FALSE(DecodeJobRecord(maps + "\xc0", read));
 }
 
+// Guards against a row in the table of jobs that ends each leader or stops it for good. Without
+// steps, or with a step that waits for one that does not exist, the leader read past the end of a
+// list. Texts that are not UTF-8, and names that are too long for a row's key, made every later
+// transaction fail.
+TEST_CASE("JobRecord RejectsAJobThatALeaderCannotKeep")
+{
+  JobRecord valid;
+  valid.id = "j";
+  valid.policy.queue = "q";
+  valid.spec.steps = { MakeStep(10, {}), MakeStep(10, { 0 }) };
+  const auto isRejected = [&](const std::function<void(JobRecord&)>& aChange) {
+    JobRecord record = valid;
+    aChange(record);
+    JobRecord read;
+    return !DecodeJobRecord(EncodeJobRecord(record), read);
+  };
+  CHECK_FALSE(isRejected([](JobRecord&) {}));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.spec.steps.clear(); }));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.spec.steps[1].after = { 1 }; }));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.spec.steps[1].after = { 4'000'000'000 }; }));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.spec.steps[0].count = 0; }));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.spec.steps[0].count = 4'000'000'000; }));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.spec.repeats = 4'000'000'000; }));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.spec.steps[0].demand.milliCores = -1; }));
+  CHECK(isRejected([](JobRecord& aJob) {
+    aJob.spec.steps[0].demand.memoryMiB = std::numeric_limits<std::int64_t>::max();
+  }));
+  CHECK(isRejected([](JobRecord& aJob) {
+    aJob.spec.steps[0].estimateMs = std::numeric_limits<std::int64_t>::max();
+  }));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.spec.intervalMs = -1; }));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.policy.queue = "\xff"; }));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.spec.payload = "\xff"; }));
+  CHECK(isRejected([](JobRecord& aJob) { aJob.policy.queue = std::string(300, 'q'); }));
+}
+
 TEST_CASE("JobSpec FindsTheCriticalPathOverSeveralBranches")
 {
   JobSpec spec;
