Reject progress rows with numbers out of range

Cause: run numbers of other types or at the end of their range were converted without an error, so that the next run got a number that workers refuse. A row of an occurrence that the job does not have made the leader run that occurrence. An end time out of range was kept.

Change: the three are counted and logged as unreadable rows.

--- a/packages/jobs/src/ProgressCodec.cpp
+++ b/packages/jobs/src/ProgressCodec.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::uint64_t kMaxRunNumber = std::uint64_t{ 1 } << 53U;
+
 nlohmann::json EncodeRuns(const Task& aTask)
 {
   auto runs = nlohmann::json::array();
@@ -15,15 +17,24 @@
   return runs;
 }
 
+// Throws a JSON exception if the value is not a number to which one can be added.
+std::uint64_t DecodeRunNumber(const nlohmann::json& aJson)
+{
+  if (!aJson.is_number_unsigned() || aJson.get<std::uint64_t>() > kMaxRunNumber) {
+    throw nlohmann::json::other_error::create(501, "not the number of a run", nullptr);
+  }
+  return aJson.get<std::uint64_t>();
+}
+
 void DecodeTask(const nlohmann::json& aJson, Task& aTask)
 {
   aTask.state = aJson.at(0).get<bool>() ? TaskState::Done : TaskState::Waiting;
-  aTask.nextRunNumber = aJson.at(1).get<std::uint64_t>();
+  aTask.nextRunNumber = DecodeRunNumber(aJson.at(1));
   aTask.failedRuns = aJson.at(2).get<std::uint32_t>();
   aTask.checkpoint = aJson.at(3).get<std::string>();
   for (const auto& runJson : aJson.at(4)) {
     Run run;
-    run.number = runJson.at(0).get<std::uint64_t>();
+    run.number = DecodeRunNumber(runJson.at(0));
     run.worker = { runJson.at(1).get<std::string>(), runJson.at(2).get<std::int64_t>() };
     run.agent = runJson.at(3).get<std::string>();
     run.state = RunState::Ordered;
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -3,6 +3,7 @@
 
 #include "oriolespread/jobs/JobScheduler.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace oriolespread::jobs {
@@ -19,7 +20,8 @@
   std::istringstream stream(aValue);
   std::string state;
   stream >> state >> stored.endedUnixMs >> stored.queue;
-  if (!ParseJobState(state, stored.state)) {
+  if (!ParseJobState(state, stored.state) || stored.endedUnixMs < 0 ||
+      stored.endedUnixMs > kMaxUnixMs) {
     this->ReportUnreadableRow(kStateTable, aKey);
     return;
   }
@@ -92,7 +94,8 @@
 void JobScheduler::ApplyProgress(Job& aJob, const StoredProgress& aStored)
 {
   const std::string key = ProgressKey(aStored.name.job, aStored.name.occurrence, aStored.name.step);
-  if (aStored.name.step >= aJob.record.spec.steps.size()) {
+  if (aStored.name.step >= aJob.record.spec.steps.size() ||
+      aStored.name.occurrence >= std::max(aJob.record.spec.repeats, 1U)) {
     this->ReportUnreadableRow(kProgressTable, key);
     return;
   }
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -172,3 +172,35 @@
   CHECK(writes >= 3);
   CHECK(writes <= 5);
 }
+
+// Guards against a progress row of another writer that ends each leader, or that the leader takes
+// for occurrences that the job does not have.
+TEST_CASE("JobScheduler KeepsAJobWhoseProgressRowIsMalformed")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(1) }));
+  const auto progress = [](const nlohmann::json& aValue) {
+    std::string bytes;
+    nlohmann::json::to_msgpack(aValue, bytes);
+    return bytes;
+  };
+  for (const std::string& value :
+       { std::string(1'000'000, '\x91'),
+         std::string("x"),
+         progress({ { false, -1, 0, "", nlohmann::json::array() } }),
+         progress({ { false, 1e300, 0, "", nlohmann::json::array() } }),
+         progress({ { false, std::uint64_t{ 0 } - 1, 0, "", nlohmann::json::array() } }) }) {
+    auto rows = first.rows;
+    rows[ProgressRow("j", 0, 0)] = value;
+    rows[ProgressRow("j", 4'000'000'000, 0)] = value;
+    rows[ProgressRow("j", 0, 4'000'000'000)] = value;
+    SchedulerFixture second(rows);
+    INFO("value of " << value.size() << " bytes");
+    CHECK(second.counters.Get("rows_unreadable_total", "progress") == 3);
+    second.AddAgent("a");
+    second.RunUntilIdle();
+    CHECK(second.scheduler.Jobs().size() == 1);
+    CHECK(second.starts.size() == 1);
+  }
+}
