Keep the epoch rising when the leader's row is malformed

Cause: a claim counted its epoch from the row it had last read. After another program had overwritten the row, the claim had epoch 1, which agents and workers refuse because they have seen a higher one. An epoch at the end of its range made the next one 0.

Change: a claim exceeds the highest epoch that the entry has read; rows with an epoch out of range count as malformed.

An entry that has only read the malformed row still begins with epoch 1.

--- a/packages/cluster/include/oriolespread/cluster/LeaderElection.h
+++ b/packages/cluster/include/oriolespread/cluster/LeaderElection.h
@@ -91,6 +91,9 @@
   bool rowRead = false;
   std::uint64_t version = 0;
   std::optional<LeaderRecord> record;
+  // The highest epoch that any read row had. Agents and workers refuse lower ones, so a claim must
+  // exceed it even if the row is no longer readable.
+  std::uint64_t highestEpoch = 0;
   Instant unchangedSince{};
   Instant latestRenewal{};
   // A decaying maximum of the latency of the reads of the row.
--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -1,6 +1,6 @@
 #include "oriolespread/cluster/LeaderElection.h"
 
-#include <nlohmann/json.hpp>
+#include "oriolespread/base/ExternalJson.h"
 
 #include <algorithm>
 #include <functional>
@@ -11,6 +11,7 @@
 
 // Share of the read latency that is kept from one read to the next, if that one is faster.
 constexpr double kLatencyDecay = 0.7;
+constexpr std::uint64_t kMaxEpoch = std::uint64_t{ 1 } << 53U;
 
 } // namespace
 
@@ -29,12 +30,15 @@
 
 std::optional<LeaderRecord> DecodeLeaderRecord(const std::string& aBytes)
 {
-  const auto parsed = nlohmann::json::parse(aBytes, nullptr, false);
-  if (!parsed.is_object()) {
+  const auto parsed = ParseJson(aBytes);
+  if (!parsed.ok() || !parsed->is_object()) {
     return std::nullopt;
   }
   try {
-    return parsed.get<LeaderRecord>();
+    auto record = parsed->get<LeaderRecord>();
+    // The next leader needs a higher epoch.
+    const bool isValid = parsed->at("epoch").is_number_unsigned() && record.epoch <= kMaxEpoch;
+    return isValid ? std::optional(std::move(record)) : std::nullopt;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
@@ -76,6 +80,8 @@
   if (this->record.has_value() && this->record->epoch != epochBefore) {
     this->epochFirstSeen = aRequestedAt;
   }
+  this->highestEpoch =
+    std::max(this->highestEpoch, this->record.has_value() ? this->record->epoch : 0);
 }
 
 bool LeaderElection::IsLeaderMuchSlower() const
@@ -118,7 +124,7 @@
   LeaderRecord claimed;
   claimed.entry = this->entry;
   claimed.process = this->process;
-  claimed.epoch = (this->record.has_value() ? this->record->epoch : 0) + 1;
+  claimed.epoch = this->highestEpoch + 1;
   claimed.renewal = 1;
   claimed.speed = this->speed;
   return claimed;
--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -200,3 +200,28 @@
   CHECK(record->epoch == 3);
   CHECK(record->speed == 0);
 }
+
+// Guards against a cluster without a leader: after another program has overwritten the row, a claim
+// with a low epoch is refused by agents and workers, which have seen a higher one. An epoch at the
+// end of the range made the next claim start again at 0.
+TEST_CASE("LeaderElection ClaimsWithAHigherEpochWhenTheRowIsMalformed")
+{
+  for (const char* value : { "",
+                             "x",
+                             "[]",
+                             "{}",
+                             R"({"epoch":-1})",
+                             R"({"epoch":18446744073709551615})",
+                             R"({"epoch":1e300})",
+                             R"({"epoch":1e999})",
+                             R"({"epoch":"5"})" }) {
+    INFO(value);
+    LeaderElection election({}, "a", "p-a");
+    election.OnRow(RowOf(MakeRecord("b"), 10), kStart, kStart);
+    REQUIRE(election.ClaimedRecord().epoch == 5);
+    election.OnRow(
+      StoredRow{ { "lead", "leader" }, value, 11, false }, kStart + kMs, kStart + 2 * kMs);
+    CHECK(election.ClaimedRecord().epoch == 5);
+    CHECK(election.MakeClaim().conditions.at(0).version == 11);
+  }
+}
