Skip malformed rows and use the others

Cause: one row that could not be decoded (a value that is not Base64, a field of another type, a number too large, deep nesting, bytes that are not UTF-8) made the whole answer of the store unreadable. A reader of its table repeated the call for ever and never saw the other rows: agents did not find the entries, and no entry could lead.

Pages continue after the last key of an answer, also if its row was omitted. A caller is not told that a job does not exist because its row is malformed (503 as before), and no entry claims the leadership because the leader's row is.

--- a/packages/cluster/include/oriolespread/cluster/StoreTypes.h
+++ b/packages/cluster/include/oriolespread/cluster/StoreTypes.h
@@ -3,6 +3,7 @@
 
 #include "oriolespread/jobs/JobRows.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -69,8 +70,12 @@
 {
   ReadEnd end = ReadEnd::Failed;
   std::vector<StoredRow> rows;
-  // The result was limited; more rows follow the last one.
+  // The number of rows that were omitted because they could not be decoded.
+  std::size_t unreadableRows = 0;
+  // The result was limited; more rows follow the one with the key `lastKey`, which may have been
+  // omitted.
   bool more = false;
+  std::string lastKey;
   // The store version at which the rows were read.
   std::uint64_t version = 0;
   std::string reason;
--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -258,6 +258,11 @@
                        this->Retry(aRequest, aResult.reason, retry);
                        return;
                      }
+                     if (aResult.unreadableRows > 0) {
+                       // The job exists, so the caller must not be told that it does not.
+                       this->Retry(aRequest, "row_unreadable", retry);
+                       return;
+                     }
                      onRead(aResult.rows);
                    });
 }
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -87,7 +87,8 @@
         return;
       }
       const Instant now = BootClock::now();
-      if (aResult.end == ReadEnd::Done) {
+      // A row that is not readable exists, so it must not be taken for an absent one.
+      if (aResult.end == ReadEnd::Done && aResult.unreadableRows == 0) {
         std::optional<cluster::StoredRow> storedRow;
         if (!aResult.rows.empty()) {
           storedRow = aResult.rows.front();
--- a/packages/daemon/src/MultiRangeReader.cpp
+++ b/packages/daemon/src/MultiRangeReader.cpp
@@ -55,9 +55,12 @@
   if (this->callback == nullptr) {
     return;
   }
-  if (aResult.end != cluster::ReadEnd::Done) {
-    if (!this->shouldRetry(aResult.reason)) {
-      this->result.reason = aResult.reason;
+  // Without the last key, the next page cannot be requested.
+  const bool lacksNextPage = aResult.more && aResult.lastKey.empty();
+  if (aResult.end != cluster::ReadEnd::Done || lacksNextPage) {
+    const std::string reason = lacksNextPage ? "last_key_unreadable" : aResult.reason;
+    if (!this->shouldRetry(reason)) {
+      this->result.reason = reason;
       this->Finish();
       return;
     }
@@ -75,10 +78,10 @@
     this->result.version == 0 ? version : std::min(this->result.version, version);
   auto& rows = this->result.rows[aIndex];
   rows.insert(rows.end(), aResult.rows.begin(), aResult.rows.end());
-  if (aResult.more && !aResult.rows.empty()) {
+  if (aResult.more) {
     cluster::RowRange nextPage = aRange;
     // '!' sorts before every character of a key, so no key lies between the last one and this one.
-    nextPage.from = aResult.rows.back().row.key + "!";
+    nextPage.from = aResult.lastKey + "!";
     this->ReadPage(aIndex, nextPage);
     return;
   }
--- /dev/null
+++ b/packages/daemon/tests/EntryDirectoryTest.cpp
@@ -0,0 +1,85 @@
+#include "oriolespread/daemon/EntryDirectory.h"
+
+#include "EventLoop.h"
+#include "StoreFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <stdexcept>
+
+using namespace oriolespread;
+using namespace oriolespread::daemon;
+
+namespace {
+
+constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+
+struct DirectoryFixture : StoreFixture
+{
+  EntryDirectory directory{ this->context, *this->client, this->counters };
+  EntryDirectory::Entries entries;
+
+  DirectoryFixture()
+  {
+    this->PutMember("!link-key", "secret");
+    this->PutMember("a", "10.0.0.1:7000");
+  }
+
+  void PutMember(const std::string& aName, const std::string& aAddress)
+  {
+    cluster::StoreTransaction transaction;
+    transaction.changes.push_back({ { "members", aName }, aAddress, false });
+    bool stored = false;
+    this->client->Commit(
+      transaction, 1000 * kMillisecond, [&](const cluster::CommitResult& aResult) {
+        stored = aResult.end == cluster::CommitEnd::Applied;
+      });
+    REQUIRE(this->RunUntil([&] { return stored; }));
+  }
+
+  void Subscribe()
+  {
+    this->directory.Subscribe([this](const std::string&, const EntryDirectory::Entries& aEntries) {
+      this->entries = aEntries;
+    });
+  }
+
+  // Replaces the Base64 text "b2Rk" of the value "odd" in all responses.
+  void ReplaceOddValues(const std::string& aJson)
+  {
+    this->store.onAnswer = [aJson](std::string aBody) {
+      const std::string odd = R"("b2Rk")";
+      for (std::size_t at = aBody.find(odd); at != std::string::npos; at = aBody.find(odd)) {
+        aBody.replace(at, odd.size(), aJson);
+      }
+      return aBody;
+    };
+  }
+};
+
+} // namespace
+
+// Guards against an agent that stops following the table of entries because of one malformed row.
+TEST_CASE("EntryDirectory FollowsTheOtherEntriesWhenARowIsMalformed")
+{
+  const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string& odd : { std::string("\"*\""),
+                                  std::string("7"),
+                                  std::string("1e999"),
+                                  nested,
+                                  std::string("null") }) {
+    INFO(odd.substr(0, 20));
+    DirectoryFixture fixture;
+    fixture.ReplaceOddValues(odd);
+    fixture.PutMember("odd1", "odd");
+    fixture.Subscribe();
+    REQUIRE(fixture.RunUntil([&] { return fixture.entries.contains("a"); }, 2000 * kMillisecond));
+    fixture.PutMember("odd2", "odd");
+    fixture.PutMember("b", "10.0.0.2:7000");
+    CHECK(fixture.RunUntil([&] { return fixture.entries.contains("b"); }, 2000 * kMillisecond));
+    fixture.store.ForgetHistory();
+    fixture.PutMember("c", "10.0.0.3:7000");
+    CHECK(fixture.RunUntil([&] { return fixture.entries.contains("c"); }, 2000 * kMillisecond));
+    CHECK(fixture.entries.size() == 3);
+  }
+}
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -280,3 +280,17 @@
   CHECK(BootClock::now() - requestedAt < 700 * kMillisecond);
   CHECK(other.counters.Get("requests_forwarded_total", "not_served") == 0);
 }
+
+// Guards against an answer that says that a job does not exist, although only its row is malformed.
+TEST_CASE("JobApi DoesNotDenyAJobWhoseRowIsMalformed")
+{
+  JobApiFixture fixture;
+  REQUIRE(fixture.Call("POST", std::string("/q/") + kJobId, JobBody()).status == kHttpOk);
+  fixture.store.onAnswer = [](std::string aBody) {
+    const std::size_t value = aBody.find(R"("value":")");
+    return value == std::string::npos ? aBody : aBody.insert(value + 9, "*");
+  };
+  const HttpResponse read = fixture.Call("GET", std::string("/q/") + kJobId);
+  CHECK(read.status != kHttpGone);
+  CHECK(read.status != kHttpOk);
+}
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
+
 using namespace oriolespread;
 using namespace oriolespread::daemon;
 
@@ -174,3 +176,112 @@
   REQUIRE(fixture.RunUntil([&] { return entry.IsLeading(); }));
   CHECK(entry.claims.front() == Epoch{ 8 });
 }
+
+namespace {
+
+// Writes rows with malformed values into the table of jobs, in the parts of these keys.
+void PutMalformedJobs(StoreFixture& aFixture, const std::string& aPrefix)
+{
+  jobs::JobRecord record;
+  record.policy.queue = "q";
+  record.policy.service = "s";
+  const auto put = [&](const std::string& aKey, const std::string& aValue) {
+    cluster::StoreTransaction transaction;
+    transaction.changes.push_back({ jobs::JobRow(aKey), aValue, false });
+    std::optional<cluster::CommitResult> result;
+    aFixture.client->Commit(transaction,
+                            1000 * kMillisecond,
+                            [&](const cluster::CommitResult& aResult) { result = aResult; });
+    REQUIRE(aFixture.RunUntil([&] { return result.has_value(); }));
+    INFO(aKey << ": " << result->reason);
+    REQUIRE(result->end == cluster::CommitEnd::Applied);
+  };
+  put(aPrefix + "1", "odd");
+  put(aPrefix + "2", std::string(65'536, '\x91'));
+  record.id = aPrefix + "3";
+  put(record.id, jobs::EncodeJobRecord(record));
+  record.id = aPrefix + "4";
+  record.spec.steps.emplace_back().count = 1;
+  record.spec.steps.back().after = { 4'000'000'000 };
+  put(record.id, jobs::EncodeJobRecord(record));
+  record.id = aPrefix + "5";
+  record.spec.steps.back().after = {};
+  record.policy.queue = "\xff";
+  put(record.id, jobs::EncodeJobRecord(record));
+  record.id = aPrefix + "6";
+  record.policy.queue = std::string(500, 'q');
+  put(record.id, jobs::EncodeJobRecord(record));
+}
+
+} // namespace
+
+// Guards against rows in the table of jobs that end each leader in turn, stop its transactions or
+// keep it from following the table.
+TEST_CASE("LeaderDriver StartsTheOtherJobsWhenRowsAreMalformed")
+{
+  StoreFixture fixture;
+  fixture.store.onAnswer = [](std::string aBody) {
+    const std::string odd = R"("b2Rk")";
+    for (std::size_t at = aBody.find(odd); at != std::string::npos; at = aBody.find(odd)) {
+      aBody.replace(at, odd.size(), "1e999");
+    }
+    return aBody;
+  };
+  PutMalformedJobs(fixture, "before");
+  SubmitJob(fixture, "job1");
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.IsLeading() && entry.JobCount() == 1; }));
+  entry.SendReport();
+  REQUIRE(fixture.RunUntil([&] { return !entry.orders.empty(); }));
+  PutMalformedJobs(fixture, "watched");
+  SubmitJob(fixture, "job2");
+  CHECK(fixture.RunUntil([&] { return entry.JobCount() == 2; }));
+  const std::size_t ordersBefore = entry.orders.size();
+  CHECK(fixture.RunUntil([&] { return entry.orders.size() > ordersBefore; }));
+  CHECK(entry.IsLeading());
+  CHECK(fixture.counters.Get("leadership_total", "lost") == 0);
+}
+
+// Guards against a leader that reads only a part of a table because a page ends with a malformed
+// row, or consists of malformed rows only.
+TEST_CASE("LeaderDriver ReadsAllPagesWhenRowsAreMalformed")
+{
+  StoreFixture fixture;
+  const std::string part = jobs::JobPart(0);
+  cluster::StoreTransaction transaction;
+  const auto commit = [&] {
+    bool stored = false;
+    fixture.client->Commit(
+      transaction, 1000 * kMillisecond, [&](const cluster::CommitResult& aResult) {
+        stored = aResult.end == cluster::CommitEnd::Applied;
+      });
+    REQUIRE(fixture.RunUntil([&] { return stored; }));
+    transaction.changes.clear();
+  };
+  // More rows than the store returns at once, which is 500, before a job in the same part.
+  for (int index = 0; index < 600; ++index) {
+    transaction.changes.push_back(
+      { { std::string(jobs::kJobsTable), "a" + std::to_string(1000 + index), part },
+        "odd",
+        false });
+    if (transaction.changes.size() == 100) {
+      commit();
+    }
+  }
+  int number = 0;
+  while (jobs::JobPartOf("job" + std::to_string(number)) != part) {
+    ++number;
+  }
+  SubmitJob(fixture, "job" + std::to_string(number));
+  fixture.store.onAnswer = [](std::string aBody) {
+    const std::string odd = R"("b2Rk")";
+    for (std::size_t at = aBody.find(odd); at != std::string::npos; at = aBody.find(odd, at)) {
+      aBody.replace(at, odd.size(), R"("*")");
+    }
+    return aBody;
+  };
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  CHECK(fixture.RunUntil([&] { return entry.IsLeading() && entry.JobCount() == 1; }));
+}
