Read the lists of a worker entry by entry

Cause: one malformed entry in `running` or `ended` made the whole answer to a poll fail, so that the worker counted as silent and its runs were placed anew after its lease.

If one is in `running`, the agent sends no full report, from which the leader would conclude that a run is gone. In `ended`, its number counts as acknowledged, so that later ends are not held back.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -264,13 +264,7 @@
   for (const std::uint64_t number : aOrders.acknowledgedEnds) {
     this->acknowledgedEnds.insert(number);
   }
-  // The worker forgets all ends up to a number, so an end counts as acknowledged only if all ends
-  // before it are.
-  while (this->acknowledgedEnds.erase(this->lastAcknowledgedEnd + 1) > 0) {
-    ++this->lastAcknowledgedEnd;
-    this->unacknowledgedEnds.erase(this->lastAcknowledgedEnd);
-    this->reportedEnds.erase(this->lastAcknowledgedEnd);
-  }
+  this->AdvanceAcknowledgedEnds();
   for (const RunRef& stop : aOrders.stops) {
     this->StopRun(stop);
   }
@@ -311,6 +305,15 @@
   }
 }
 
+void WorkerDriver::AdvanceAcknowledgedEnds()
+{
+  while (this->acknowledgedEnds.erase(this->lastAcknowledgedEnd + 1) > 0) {
+    ++this->lastAcknowledgedEnd;
+    this->unacknowledgedEnds.erase(this->lastAcknowledgedEnd);
+    this->reportedEnds.erase(this->lastAcknowledgedEnd);
+  }
+}
+
 bool WorkerDriver::IsRunning(const RunRef& aRef) const
 {
   return std::any_of(this->running.begin(), this->running.end(), [&](const RunningRun& aRun) {
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -111,6 +111,9 @@
 
   // The following functions are in WorkerDriver.cpp.
 
+  // Moves `lastAcknowledgedEnd` over the acknowledged numbers that follow it. The worker forgets
+  // all ends up to a number, so an end counts as acknowledged only if all ends before it are.
+  void AdvanceAcknowledgedEnds();
   // Returns whether the worker's last answer lists the run as running.
   bool IsRunning(const RunRef& aRef) const;
   // Sends the start of the run to the worker, or tries again later if there is no valid lease. Does
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -112,6 +112,14 @@
       hasNewEnds = true;
     }
   }
+  // Nothing can be told to the leader about an end that is not readable, so it counts as
+  // acknowledged. Otherwise it would keep all later ends on the worker.
+  for (const std::uint64_t number : aAnswer.unreadableEnds) {
+    if (number > this->lastAcknowledgedEnd) {
+      this->acknowledgedEnds.insert(number);
+    }
+  }
+  this->AdvanceAcknowledgedEnds();
   for (const RunningRun& run : this->running) {
     // An earlier start without an answer was carried out.
     if (const auto it = this->trackedRuns.find(run.ref);
@@ -121,18 +129,28 @@
       it->second.confirmedAt = now;
     }
   }
-  this->ReportRejectedRuns(aSentAt);
-  std::erase_if(this->trackedRuns, [&](const auto& aTracked) {
-    const TrackedRun& tracked = aTracked.second;
-    const bool isPending = tracked.starting || (tracked.stopping && !tracked.stopConfirmed);
-    return !this->IsRunning(aTracked.first) && !isPending && tracked.confirmedAt < aSentAt;
-  });
+  // A run that is not listed may be one of the entries that are not readable.
+  const bool listsAllRuns = aAnswer.unreadableRunning == 0;
+  if (listsAllRuns) {
+    this->ReportRejectedRuns(aSentAt);
+    std::erase_if(this->trackedRuns, [&](const auto& aTracked) {
+      const TrackedRun& tracked = aTracked.second;
+      const bool isPending = tracked.starting || (tracked.stopping && !tracked.stopConfirmed);
+      return !this->IsRunning(aTracked.first) && !isPending && tracked.confirmedAt < aSentAt;
+    });
+  }
   this->PaceRuns(now);
-  const bool fullReportDue = now - this->lastPeriodicReportAt >= kFullReportInterval;
-  if (hasNewEnds || fullReportDue) {
-    this->ReportState(fullReportDue, aSentAt);
+  const bool reportDue = now - this->lastPeriodicReportAt >= kFullReportInterval;
+  if (reportDue && !listsAllRuns) {
+    this->lastPeriodicReportAt = now;
+  }
+  if (hasNewEnds || reportDue) {
+    this->ReportState(reportDue && listsAllRuns, aSentAt);
   }
-  this->SchedulePoll(this->unacknowledgedEnds.empty() ? Duration::zero() : kMinWorkerPollInterval);
+  // The worker answers at once while it lists ends, so the next poll has to be delayed.
+  const bool hasEnds = !this->unacknowledgedEnds.empty() || !aAnswer.unreadableEnds.empty() ||
+                       aAnswer.unnumberedEnds > 0;
+  this->SchedulePoll(hasEnds ? kMinWorkerPollInterval : Duration::zero());
 }
 
 // A run that began before its stop arrived is running or has ended, and its end is reported.
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -631,3 +631,73 @@
   fixture.StartTask("j.0.0.2");
   CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
 }
+
+// Guards against a worker that counts as silent, or whose acknowledged ends stop, because of one
+// malformed entry in its lists.
+TEST_CASE("WorkerDriver ReportsEndsWhenAnEntryIsMalformed")
+{
+  WorkerDriverFixture fixture;
+  fixture.worker->AddListedEntries(
+    nlohmann::json::array(),
+    { "odd", { -1, "j.0.0.7", 1, "done", "" }, { 1e300, "j.0.0.8", 1, "done", "" } });
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  for (const char* task : { "j.0.0.0", "j.0.0.1" }) {
+    fixture.StartTask(task);
+    REQUIRE(fixture.RunUntil(
+      [&] { return !fixture.reports.back().ended.empty() && fixture.reports.back().full; }));
+    CHECK(fixture.reports.back().ended[0].ref.task == task);
+    WorkerOrders orders = fixture.MakeOrders(Epoch{ 1 });
+    orders.acknowledgedEnds.push_back(fixture.reports.back().ended[0].number);
+    fixture.driver->OnOrders(orders);
+    REQUIRE(fixture.RunUntil(
+      [&] { return fixture.reports.back().full && fixture.reports.back().ended.empty(); }));
+  }
+}
+
+// Guards against a run that is started a second time because the entry that lists it is malformed:
+// the leader takes a run that a full report does not list for gone.
+TEST_CASE("WorkerDriver SendsNoFullReportWhenARunningEntryIsMalformed")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(30));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.back().running.empty(); }));
+  fixture.worker->AddListedEntries(nlohmann::json::array({ nlohmann::json::array({ 7, 7 }) }),
+                                   nlohmann::json::array());
+  fixture.RunFor(400 * kMillisecond);
+  const std::size_t before = fixture.reports.size();
+  fixture.RunFor(1500 * kMillisecond);
+  // Reports continue, so that the lease is extended.
+  CHECK(fixture.reports.size() >= before + 3);
+  for (std::size_t index = before; index < fixture.reports.size(); ++index) {
+    CHECK_FALSE(fixture.reports[index].full);
+    CHECK_FALSE(fixture.reports[index].allLost);
+  }
+  fixture.worker->AddListedEntries(nlohmann::json::array(), nlohmann::json::array());
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().full; }));
+  CHECK(fixture.reports.back().running.size() == 1);
+}
+
+// Guards against an end that keeps all later ends on the worker because its entry is malformed.
+TEST_CASE("WorkerDriver AcknowledgesEndsAfterOneThatIsMalformed")
+{
+  WorkerDriverFixture fixture;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.back().ended.empty(); }));
+  // The stand-in numbers ends from 1, so the malformed one takes the place of the second.
+  fixture.worker->SkipEndNumber();
+  fixture.worker->AddListedEntries(nlohmann::json::array(), { { 2, 7, 7, 7, 7 } });
+  fixture.StartTask("j.0.0.1");
+  REQUIRE(fixture.RunUntil(
+    [&] { return fixture.reports.back().full && fixture.reports.back().ended.size() == 2; }));
+  WorkerOrders orders = fixture.MakeOrders(Epoch{ 1 });
+  orders.acknowledgedEnds = { 1, 3 };
+  fixture.driver->OnOrders(orders);
+  REQUIRE(fixture.RunUntil(
+    [&] { return fixture.reports.back().full && fixture.reports.back().ended.empty(); }));
+  CHECK(fixture.worker->AcknowledgedUpTo() == 3);
+}
