Ignore addresses of entries that are not valid

Cause: agents and entries took any text in `members` as an address, port 0 included, and an entry that lists port 65535 would have been asked for forwarded requests at port 0. A row that another program had overwritten replaced the address of a living entry.

Change: EntryDirectory drops addresses that cannot be dialed and keeps an earlier one; an entry asks no peer whose forwarding port does not exist. Both are counted in `directory_rows_invalid_total`.

The check of the forwarding port has no test of its own.

--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -26,6 +26,7 @@
 
 // Requests that another entry passes on arrive at this many ports above the one for links.
 constexpr std::uint16_t kForwardPortOffset = 1;
+constexpr int kMaxPort = 65535;
 // How often a draining entry checks whether the last request has been answered.
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(20);
 // The event loop stops this long before the grace period ends, so that the last responses are sent
@@ -280,8 +281,8 @@
       continue;
     }
     auto address = SocketAddress::Parse(linkAddress);
-    if (!address.has_value()) {
-      this->counters.Add("directory_rows_invalid_total", "address");
+    if (!address.has_value() || address->port > kMaxPort - kForwardPortOffset) {
+      this->counters.Add("directory_rows_invalid_total", "forward_port");
       Log(LogLevel::Warning,
           "entry_address_invalid",
           { { "entry", entry }, { "address", linkAddress } });
--- a/packages/daemon/src/EntryDirectory.cpp
+++ b/packages/daemon/src/EntryDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/escaping.h"
 
+#include "oriolespread/base/SocketAddress.h"
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/service/Log.h"
 
@@ -138,8 +139,15 @@
     this->linkKey = aRow.value;
   } else if (aRow.removed) {
     this->entries.erase(aRow.row.key);
-  } else {
+  } else if (const auto address = SocketAddress::Parse(aRow.value);
+             address.has_value() && address->port != 0) {
     this->entries[aRow.row.key] = aRow.value;
+  } else {
+    // An earlier address of the entry remains in use.
+    this->counters.Add("directory_rows_invalid_total", "address");
+    Log(LogLevel::Warning,
+        "entry_address_invalid",
+        { { "entry", aRow.row.key }, { "address", aRow.value } });
   }
 }
 
--- a/packages/daemon/tests/EntryDirectoryTest.cpp
+++ b/packages/daemon/tests/EntryDirectoryTest.cpp
@@ -83,3 +83,30 @@
     CHECK(fixture.entries.size() == 3);
   }
 }
+
+// Guards against links to addresses that cannot exist, and against the loss of an entry whose row
+// is overwritten by another program.
+TEST_CASE("EntryDirectory IgnoresAddressesThatAreNotValid")
+{
+  DirectoryFixture fixture;
+  fixture.Subscribe();
+  REQUIRE(fixture.RunUntil([&] { return fixture.entries.contains("a"); }));
+  for (const char* address : { "",
+                               "x",
+                               "10.0.0.9",
+                               "10.0.0.9:",
+                               "10.0.0.9:0",
+                               "10.0.0.9:65536",
+                               "10.0.0.9:99999999999999999999",
+                               "10.0.0.9:-1",
+                               "[::1:7000",
+                               "\xff\xfe:1" }) {
+    fixture.PutMember("odd", address);
+    fixture.PutMember("a", address);
+  }
+  fixture.PutMember("b", "10.0.0.2:65535");
+  REQUIRE(fixture.RunUntil([&] { return fixture.entries.contains("b"); }));
+  CHECK(fixture.entries ==
+        EntryDirectory::Entries{ { "a", "10.0.0.1:7000" }, { "b", "10.0.0.2:65535" } });
+  CHECK(fixture.counters.Get("directory_rows_invalid_total", "address") == 20);
+}
