Go on watching when a handler of changes throws

Cause: the directory of entries, the configuration and the table of jobs were watched again only after the handler of the last changes had returned. An exception in it ended the watch for good, while the process went on; a leader renewed its leadership without seeing new jobs.

Change: the next watch begins before the changes are applied. A leader applies each row on its own, so that one that throws is counted (`handler_errors_total`, `row`), logged (`row_failed`) and passed over.

Result: EntryDirectory FollowsTheTableWhenItsSubscriberThrows and ConfigWatcher FollowsTheConfigurationWhenItsHandlerThrows failed before, and pass now. No row is known that makes the scheduler throw, so the guard of the rows has no test of its own.

--- a/packages/daemon/src/ConfigWatcher.cpp
+++ b/packages/daemon/src/ConfigWatcher.cpp
@@ -39,12 +39,13 @@
                        this->ScheduleRetry();
                        return;
                      }
-                     for (const cluster::StoredRow& row : aResult.rows) {
-                       this->ApplyRow(row);
-                     }
                      this->version = std::max(this->version, aResult.version);
                      this->confirmedAt = requestedAt;
+                     // Watches first, so that later changes are still seen if a handler throws.
                      this->Watch();
+                     for (const cluster::StoredRow& row : aResult.rows) {
+                       this->ApplyRow(row);
+                     }
                    });
 }
 
@@ -65,12 +66,12 @@
                         this->ScheduleRetry();
                         return;
                       }
-                      for (const cluster::StoredRow& row : aResult.rows) {
-                        this->ApplyRow(row);
-                      }
                       this->version = std::max(this->version, aResult.version);
                       this->confirmedAt = BootClock::now();
                       this->Watch();
+                      for (const cluster::StoredRow& row : aResult.rows) {
+                        this->ApplyRow(row);
+                      }
                     });
 }
 
--- a/packages/daemon/src/EntryDirectory.cpp
+++ b/packages/daemon/src/EntryDirectory.cpp
@@ -99,8 +99,9 @@
         this->ApplyRow(row);
       }
       this->version = std::max(this->version, aResult.version);
-      this->NotifySubscriber();
+      // Watches first, so that changes are still followed if the subscriber throws.
       this->Watch();
+      this->NotifySubscriber();
     });
 }
 
@@ -126,10 +127,10 @@
                         this->ApplyRow(row);
                       }
                       this->version = std::max(this->version, aResult.version);
+                      this->Watch();
                       if (!aResult.rows.empty()) {
                         this->NotifySubscriber();
                       }
-                      this->Watch();
                     });
 }
 
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -82,6 +82,9 @@
 
   void Load();
   void OnLoaded(const MultiRangeResult& aResult);
+  void LoadRow(const cluster::StoredRow& aRow, jobs::Now aNow);
+  // Applies the row. An exception is counted and logged, so that the other rows are still applied.
+  void GuardRow(const cluster::StoredRow& aRow, const std::function<void()>& aApply);
   void WatchJobs();
   void ReloadJobs();
   void ApplyJobRows(const std::vector<cluster::StoredRow>& aRows);
--- a/packages/daemon/src/LeaderLoading.cpp
+++ b/packages/daemon/src/LeaderLoading.cpp
@@ -4,6 +4,8 @@
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/service/Log.h"
 
+#include <exception>
+
 namespace oriolespread::daemon {
 
 using cluster::ReadEnd;
@@ -49,19 +51,13 @@
   const jobs::Now now = this->CurrentTime();
   for (const auto& rows : aResult.rows) {
     for (const cluster::StoredRow& row : rows) {
-      if (row.row.table == kJobsTable) {
-        this->scheduler->LoadJob(row.row.key, row.value, now);
-      } else if (row.row.table == kLearnedTable) {
-        this->scheduler->LoadInterferenceWeights(row.row.key, row.value);
-      } else if (row.row.table == kStateTable) {
-        this->scheduler->LoadState(row.row.key, row.value);
-      } else {
-        this->scheduler->LoadProgress(row.row.key, row.value);
-      }
+      this->GuardRow(row, [&] { this->LoadRow(row, now); });
     }
   }
   this->jobsVersion = aResult.version;
   this->phase = Phase::Leading;
+  // Watches first, so that new jobs are still seen if a handler below throws.
+  this->WatchJobs();
   this->scheduler->FinishLoading(
     Epoch{ this->leaderRow.epoch }, this->election.LatestRenewal(), now);
   Log(LogLevel::Info,
@@ -74,10 +70,36 @@
     // Reports that arrived during loading were not processed; the claim requests a full one.
     this->sendToAgent(agent, LeaderClaim{ Epoch{ this->leaderRow.epoch } });
   }
-  this->WatchJobs();
   this->RequestSchedulingPass();
 }
 
+void LeaderDriver::LoadRow(const cluster::StoredRow& aRow, jobs::Now aNow)
+{
+  if (aRow.row.table == kJobsTable) {
+    this->scheduler->LoadJob(aRow.row.key, aRow.value, aNow);
+  } else if (aRow.row.table == kLearnedTable) {
+    this->scheduler->LoadInterferenceWeights(aRow.row.key, aRow.value);
+  } else if (aRow.row.table == kStateTable) {
+    this->scheduler->LoadState(aRow.row.key, aRow.value);
+  } else {
+    this->scheduler->LoadProgress(aRow.row.key, aRow.value);
+  }
+}
+
+void LeaderDriver::GuardRow(const cluster::StoredRow& aRow, const std::function<void()>& aApply)
+{
+  try {
+    aApply();
+  } catch (const std::exception& error) {
+    this->counters.Add("handler_errors_total", "row");
+    Log(LogLevel::Error,
+        "row_failed",
+        { { "table", aRow.row.table },
+          { "key", aRow.row.key },
+          { "reason", std::string(error.what()) } });
+  }
+}
+
 void LeaderDriver::WatchJobs()
 {
   this->store.Watch(std::string(kJobsTable),
@@ -98,9 +120,10 @@
                         this->CallAfter(kStoreRetryDelay, [this] { this->WatchJobs(); });
                         return;
                       }
-                      this->ApplyJobRows(aResult.rows);
                       this->jobsVersion = std::max(this->jobsVersion, aResult.version);
+                      // Watches first, so that later rows are still seen if a handler throws.
                       this->WatchJobs();
+                      this->ApplyJobRows(aResult.rows);
                     });
 }
 
@@ -116,11 +139,11 @@
       if (term != this->term || !aResult.complete) {
         return;
       }
+      this->jobsVersion = std::max(this->jobsVersion, aResult.version);
+      this->WatchJobs();
       for (const auto& rows : aResult.rows) {
         this->ApplyJobRows(rows);
       }
-      this->jobsVersion = std::max(this->jobsVersion, aResult.version);
-      this->WatchJobs();
     });
 }
 
@@ -128,7 +151,8 @@
 {
   for (const cluster::StoredRow& row : aRows) {
     if (!row.removed) {
-      this->scheduler->OnJobRow(row.row.key, row.value, this->CurrentTime());
+      this->GuardRow(
+        row, [&] { this->scheduler->OnJobRow(row.row.key, row.value, this->CurrentTime()); });
     }
   }
   if (!aRows.empty()) {
--- a/packages/daemon/tests/ConfigWatcherTest.cpp
+++ b/packages/daemon/tests/ConfigWatcherTest.cpp
@@ -1,7 +1,10 @@
+#include "EventLoop.h"
 #include "StoreFixture.h"
 
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 using namespace oriolespread;
 using namespace oriolespread::daemon;
 
@@ -78,3 +81,30 @@
   fixture.store.SetFault(fixture.server, {});
   CHECK(fixture.RunUntil([&] { return fixture.config.Config().has_value(); }));
 }
+
+// Guards against an entry that keeps its configuration for good because its handler failed once.
+TEST_CASE("ConfigWatcher FollowsTheConfigurationWhenItsHandlerThrows")
+{
+  StoreFixture fixture;
+  std::vector<std::uint64_t> applied;
+  ConfigWatcher watcher{ fixture.context,
+                         *fixture.client,
+                         fixture.counters,
+                         [&](const cluster::ClusterConfig& aConfig) {
+                           applied.push_back(aConfig.version);
+                           if (aConfig.version < 5) {
+                             throw std::runtime_error("cannot apply the configuration");
+                           }
+                           fixture.context.stop();
+                         } };
+  fixture.PutConfig(3);
+  watcher.Start();
+  asio::steady_timer second(fixture.context, 200 * kMillisecond);
+  second.async_wait([&](asio::error_code) { fixture.PutConfig(4); });
+  asio::steady_timer third(fixture.context, 400 * kMillisecond);
+  third.async_wait([&](asio::error_code) { fixture.PutConfig(5); });
+  asio::steady_timer limit(fixture.context, std::chrono::seconds(5));
+  limit.async_wait([&](asio::error_code) { fixture.context.stop(); });
+  RunEventLoop(fixture.context, fixture.counters);
+  CHECK(applied == std::vector<std::uint64_t>{ 3, 4, 5 });
+}
--- a/packages/daemon/tests/EntryDirectoryTest.cpp
+++ b/packages/daemon/tests/EntryDirectoryTest.cpp
@@ -110,3 +110,32 @@
         EntryDirectory::Entries{ { "a", "10.0.0.1:7000" }, { "b", "10.0.0.2:65535" } });
   CHECK(fixture.counters.Get("directory_rows_invalid_total", "address") == 20);
 }
+
+// Guards against a process that never learns of later entries because its handler failed once.
+TEST_CASE("EntryDirectory FollowsTheTableWhenItsSubscriberThrows")
+{
+  DirectoryFixture fixture;
+  int calls = 0;
+  fixture.directory.Subscribe([&](const std::string&, const EntryDirectory::Entries& aEntries) {
+    ++calls;
+    if (!aEntries.contains("c")) {
+      throw std::runtime_error("cannot use the entries");
+    }
+    fixture.context.stop();
+  });
+  const auto write = [&](const std::string& aName, Duration aDelay) {
+    auto timer = std::make_shared<asio::steady_timer>(fixture.context, aDelay);
+    timer->async_wait([&fixture, timer, aName](asio::error_code) {
+      cluster::StoreTransaction transaction;
+      transaction.changes.push_back({ { "members", aName }, "10.0.0.4:7000", false });
+      fixture.client->Commit(transaction, 1000 * kMillisecond, [](const cluster::CommitResult&) {});
+    });
+  };
+  write("b", 200 * kMillisecond);
+  write("c", 400 * kMillisecond);
+  asio::steady_timer limit(fixture.context, std::chrono::seconds(5));
+  limit.async_wait([&](asio::error_code) { fixture.context.stop(); });
+  RunEventLoop(fixture.context, fixture.counters);
+  CHECK(calls >= 3);
+  CHECK(fixture.counters.Get("handler_errors_total", "exception") >= 2);
+}
