Keep a run that is running when its start is ordered again on a draining worker

Change: an order for a run that the last poll lists only describes it, whether or not the agent sent its start.

Result: the daemon tests pass; there is no test of its own for this order of events.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -269,19 +269,22 @@
     this->StopRun(stop);
   }
   for (const StartRun& start : aOrders.starts) {
-    if (!this->trackedRuns.contains(start.ref) && this->IsRunning(start.ref)) {
-      // The order only describes a run that was started by an earlier process of the agent. It is
-      // accepted even while the worker drains, as the run must not be reported as rejected.
-      TrackedRun& tracked = this->trackedRuns[start.ref];
-      tracked.start = start;
-      tracked.startedByEarlierAgent = true;
-      tracked.confirmedAt = BootClock::now();
-      continue;
-    }
+    const bool isTracked = this->trackedRuns.contains(start.ref);
     TrackedRun& tracked = this->trackedRuns[start.ref];
     if (tracked.stopping || (tracked.starting && !tracked.suspended)) {
       continue;
     }
+    if (this->IsRunning(start.ref)) {
+      // The order describes a run that was started by an earlier process of the agent, or by a
+      // start that was not answered. It is accepted even while the worker drains, as the run must
+      // not be reported as rejected.
+      tracked.start = start;
+      tracked.starting = false;
+      tracked.suspended = false;
+      tracked.startedByEarlierAgent = tracked.startedByEarlierAgent || !isTracked;
+      tracked.confirmedAt = BootClock::now();
+      continue;
+    }
     if (!tracked.suspended) {
       tracked = {};
       tracked.openStarts = start.repeated ? 1 : 0;
