Acknowledge no ends and grant no lease while the worker's incarnation is in doubt

Cause: the poll that finds out whether a heartbeat is of a new incarnation carried the last acknowledged end and the deadline of the earlier one.

Change: such a poll acknowledges nothing and has no deadline.

Result: the daemon tests pass; the stand-in does not delay polls, so this has no test of its own.

--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -40,16 +40,18 @@
   const Instant now = BootClock::now();
   platformwire::WorkerPoll request;
   request.fence = this->epoch;
-  request.acknowledgedEnds = this->lastAcknowledgedEnd;
-  if (this->workerClockMs.has_value() && now - this->lastAnswerAt < kMaxWorkerSilence &&
-      this->GrantLease()) {
+  // Numbers of ends and times on the worker's clock hold for one incarnation only.
+  const bool mayBeOtherIncarnation = this->unconfirmedHeartbeat.has_value();
+  request.acknowledgedEnds = mayBeOtherIncarnation ? 0 : this->lastAcknowledgedEnd;
+  if (!mayBeOtherIncarnation && this->workerClockMs.has_value() &&
+      now - this->lastAnswerAt < kMaxWorkerSilence && this->GrantLease()) {
     request.deadlineMs = this->ToWorkerClockMs(this->grantedLeaseExpiry);
   }
   // While ends are unacknowledged, the worker answers at once, so a long poll has no effect.
   // Until the fence is confirmed, nothing is reported, so the poll asks for an immediate answer, as
   // it does if the answer tells whether a heartbeat is of a new incarnation.
-  const bool waitForEnd = this->unacknowledgedEnds.empty() && this->fenceConfirmed &&
-                          !this->unconfirmedHeartbeat.has_value();
+  const bool waitForEnd =
+    this->unacknowledgedEnds.empty() && this->fenceConfirmed && !mayBeOtherIncarnation;
   request.wait = waitForEnd ? kWorkerLongPollTime : Duration::zero();
   this->client->Poll(request,
                      request.wait + kWorkerCallTimeout,
