Repeat a pace that the worker refused

Change: it is repeated at the next update, as after a refused connection.

Result: PaceController RepeatsAnOrderThatDidNotArrive and the daemon tests pass; the stand-in worker sets no paces, so the driver's part has no test of its own.

--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -285,7 +285,8 @@
                          }
                          if (aAnswer.end == WorkerCallOutcome::Unknown) {
                            this->paceController.OnUnanswered(order.ref, BootClock::now());
-                         } else if (aAnswer.end == WorkerCallOutcome::Refused) {
+                         } else if (aAnswer.end == WorkerCallOutcome::Refused ||
+                                    aAnswer.end == WorkerCallOutcome::Rejected) {
                            this->paceController.OnFailed(order.ref);
                          }
                        });
