Report a new incarnation of a worker when it starts no run of the earlier one

The log of agent side-5 shows it paused while its worker restarted under its id; when it resumed it sent starts to the new incarnation before it knew of it. The leader started the runs elsewhere at the first report of that incarnation, 46 ms before the agent's stops were carried out.

Change: the new incarnation is reported once it has confirmed the stops of runs whose start is open, or after 2 s, so that a worker that refuses all orders is not lost for long.

Result: WorkerDriver ReportsANewIncarnationOnlyWhenItStartsNoEarlierRun fails without the change and passes.

--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -59,6 +59,10 @@
 inline constexpr int kMaxStartAttempts = 6;
 // How long a worker may delay a call that it does not answer. Delays of up to 12 s were seen.
 inline constexpr Duration kMaxCallDelay = std::chrono::seconds(20);
+// How long a new incarnation of a worker is not reported while it has not confirmed that it starts
+// no run of the earlier one. Bounds the time without the worker's capacity if it refuses all
+// orders.
+inline constexpr Duration kMaxBarDelay = std::chrono::milliseconds(2000);
 // Consecutive refused connections after which the worker's process counts as gone.
 inline constexpr int kRefusalsUntilWorkerLost = 2;
 inline constexpr Duration kWorkerRetryDelay = std::chrono::milliseconds(150);
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -160,9 +160,22 @@
     this->counters.Add("runs_barred_total", "worker_restarted");
     this->StopRun(ref);
   }
+  this->barredRuns = std::move(mayStart);
+  this->barredSince = BootClock::now();
   this->PollWorker();
 }
 
+bool WorkerDriver::MayRunBarredRuns() const
+{
+  if (BootClock::now() - this->barredSince > kMaxBarDelay) {
+    return false;
+  }
+  return std::any_of(this->barredRuns.begin(), this->barredRuns.end(), [&](const RunRef& aRef) {
+    const auto it = this->trackedRuns.find(aRef);
+    return it != this->trackedRuns.end() && it->second.stopping && !it->second.stopConfirmed;
+  });
+}
+
 void WorkerDriver::ForgetOldUnansweredStarts()
 {
   const Instant oldest = BootClock::now() - kMaxCallDelay;
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -84,6 +84,9 @@
 
   void BeginIncarnation(const platformwire::WorkerHeartbeat& aHeartbeat);
   void ForgetOldUnansweredStarts();
+  // Returns whether a stop that the new incarnation was sent in BeginIncarnation is not confirmed
+  // yet, for at most `kMaxBarDelay`.
+  bool MayRunBarredRuns() const;
   // Switches to the incarnation of `unconfirmedHeartbeat` if the worker's answer shows that it is
   // the current one. Returns whether it does.
   bool ConfirmIncarnation(const platformwire::WorkerAnswer& aAnswer);
@@ -192,6 +195,9 @@
   // Starts without an answer and when their answers were due, in order of that time. The worker may
   // carry them out although their runs have ended meanwhile, if it has restarted under its id.
   std::deque<std::pair<Instant, RunRef>> unansweredStarts;
+  // Runs of the earlier incarnation that the current one may start, and when it began.
+  std::set<RunRef> barredRuns;
+  Instant barredSince{};
   std::vector<RunningRun> running;
   // Ended runs by number, until the leader has acknowledged them without a gap.
   std::map<std::uint64_t, EndedRun> unacknowledgedEnds;
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -210,6 +210,11 @@
   if (!this->leaderLinked || !this->fenceConfirmed || this->worker.id.empty()) {
     return;
   }
+  // The first report of an incarnation makes the leader start the runs of the earlier one
+  // elsewhere.
+  if (this->MayRunBarredRuns()) {
+    return;
+  }
   WorkerReport report;
   report.allLost = this->workerLost;
   report.full = aFull;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -701,3 +701,25 @@
     [&] { return fixture.reports.back().full && fixture.reports.back().ended.empty(); }));
   CHECK(fixture.worker->AcknowledgedUpTo() == 3);
 }
+
+// Guards against a second run of a task (soak seed 6050): an agent that resumes after a pause sends
+// starts to a new incarnation of the worker, and the leader starts the runs elsewhere as soon as it
+// knows of that incarnation.
+TEST_CASE("WorkerDriver ReportsANewIncarnationOnlyWhenItStartsNoEarlierRun")
+{
+  WorkerDriverFixture fixture;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  const std::int64_t before = fixture.reports.back().worker.born;
+  fixture.worker->SetDelayedCallShare(1.0);
+  fixture.StartTask("j.0.0.0");
+  fixture.RunFor(100 * kMillisecond);
+  fixture.worker->Restart();
+  fixture.RunFor(900 * kMillisecond);
+  CHECK(fixture.reports.back().worker.born == before);
+  fixture.worker->SetDelayedCallShare(0);
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().worker.born > before; }));
+  const std::size_t startedBefore = fixture.started.size();
+  fixture.RunFor(2000 * kMillisecond);
+  CHECK(fixture.started.size() == startedBefore);
+}
