Log why steps wait and which workers a new leader has not heard of

Change: `workers_awaited` names, 1.5 s after a take-over, the workers with runs that have not reported, and when their leases end; the gauge of the same name counts them. `step_waiting` tells for a step that has waited for 2 s how many workers cannot take it, by reason. ChooseWorker and this line share one assessment of a worker. `runs_lost` tells whether the worker had reported to this leader.

No decision is changed.

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -449,6 +449,7 @@
     gauges["jobs_known"] = static_cast<double>(this->scheduler->Jobs().size());
     gauges["workers_known"] = static_cast<double>(this->scheduler->Workers().size());
     gauges["tasks_waiting"] = static_cast<double>(this->scheduler->WaitingTasks());
+    gauges["workers_awaited"] = static_cast<double>(this->scheduler->AwaitedWorkers());
   }
   return gauges;
 }
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -83,6 +83,8 @@
   BaselineHeadroom baseline;
   // When the progress was last stored only because of new checkpoints.
   Instant checkpointsStoredAt{};
+  // Since when a task of the step could not be placed; zero if all could be.
+  Instant waitingSince{};
 
   bool IsDone() const { return this->done == this->tasks.size(); }
 };
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -111,6 +111,8 @@
   // counts from when this leader first read the job's row.
   std::vector<Duration> TakeStartDelays() { return std::exchange(this->startDelays, {}); }
   std::size_t WaitingTasks() const { return this->waitingTasks; }
+  // Returns the number of workers with runs that have not reported to this leader yet.
+  std::size_t AwaitedWorkers() const;
 
 private:
   struct ReadyStep
@@ -204,6 +206,10 @@
   std::set<std::string> FindServicesWithFreeCores() const;
   void PlaceStep(const ReadyStep& aReady, Duration aAllowInterferenceAfter, Now aNow);
   PlacementRequest MakePlacementRequest(const ReadyStep& aReady) const;
+  // Logs why no worker can take a task of the step, if it has waited for a while.
+  void LogWaitingStep(const ReadyStep& aReady, const PlacementRequest& aRequest, Now aNow);
+  // Logs once, some time after loading, which workers have not reported yet.
+  void LogAwaitedWorkers(Now aNow);
   bool PlaceTask(const ReadyStep& aReady,
                  std::uint32_t aIndex,
                  PlacementRequest& aRequest,
@@ -243,6 +249,10 @@
   std::map<std::string, WorkerOrders> outgoingOrders;
   std::uint64_t lastOrders = 0;
   std::size_t waitingTasks = 0;
+  // When the next line about a step that waits may be logged.
+  Instant nextWaitingLog{};
+  // When the workers that have not reported are logged; zero once they were.
+  Instant awaitedLogAt{};
   std::vector<Duration> startDelays;
   bool loading = true;
   std::map<std::string, StoredState> loadedStates;
--- a/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
+++ b/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
@@ -7,9 +7,32 @@
 #include "oriolespread/jobs/JobModel.h"
 
 #include <map>
+#include <string_view>
 
 namespace oriolespread::jobs {
 
+// Why a worker cannot take a task now.
+enum class PlacementObstacle
+{
+  None,
+  OtherService,
+  // The agent is not connected, or its last report does not list all runs.
+  NotReporting,
+  Draining,
+  // Runs failed, were slow or were rejected there a short while ago.
+  Avoided,
+  // The worker lacks the label that the step requires.
+  Label,
+  Capacity,
+  // The worker has as many tasks of the step as it may have.
+  SameStep,
+  // The task would make serving runs miss their latency targets.
+  Interference,
+};
+
+// Returns the name of the obstacle in logs.
+std::string_view PlacementObstacleName(PlacementObstacle aObstacle);
+
 struct PlacementRequest
 {
   const StepSpec* step = nullptr;
@@ -26,9 +49,6 @@
   std::set<std::string> excludedWorkers;
 };
 
-// Returns whether new runs may be placed on the worker.
-bool AcceptsRuns(const Worker& aWorker, Instant aNow);
-
 // Returns the share of the worker's cores that a best-effort task of the step is expected to use.
 double BestEffortCoreShare(const Worker& aWorker, const StepSpec& aStep);
 
@@ -40,4 +60,9 @@
                      const PlacementRequest& aRequest,
                      Instant aNow);
 
+// Returns how many workers cannot take the task now, by obstacle.
+std::map<PlacementObstacle, std::size_t> CountObstacles(const std::map<WorkerKey, Worker>& aWorkers,
+                                                        const PlacementRequest& aRequest,
+                                                        Instant aNow);
+
 } // namespace oriolespread::jobs
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -121,12 +121,101 @@
            aWorker.state.labels.end();
 }
 
+// Whether a worker can take a task now, and at which cost.
+struct Suitability
+{
+  PlacementObstacle obstacle = PlacementObstacle::None;
+  double cost = 0;
+};
+
+PlacementObstacle FindWorkerObstacle(const Worker& aWorker,
+                                     const PlacementRequest& aRequest,
+                                     Instant aNow)
+{
+  if (aWorker.state.service != aRequest.service) {
+    return PlacementObstacle::OtherService;
+  }
+  if (!aWorker.connected || !aWorker.reported || !aWorker.reconciled) {
+    return PlacementObstacle::NotReporting;
+  }
+  if (aWorker.state.draining) {
+    return PlacementObstacle::Draining;
+  }
+  if (aNow < aWorker.avoidUntil || aRequest.excludedWorkers.contains(aWorker.key.id)) {
+    return PlacementObstacle::Avoided;
+  }
+  if (!HasLabel(aWorker, aRequest.step->requiredLabel)) {
+    return PlacementObstacle::Label;
+  }
+  if (!HasCapacityFor(aWorker, *aRequest.step)) {
+    return PlacementObstacle::Capacity;
+  }
+  return PlacementObstacle::None;
+}
+
+Suitability AssessWorker(const Worker& aWorker, const PlacementRequest& aRequest, Instant aNow)
+{
+  const StepSpec& step = *aRequest.step;
+  Suitability result;
+  result.obstacle = FindWorkerObstacle(aWorker, aRequest, aNow);
+  if (result.obstacle != PlacementObstacle::None) {
+    return result;
+  }
+  const auto sameStep = aRequest.sameStepTasks.find(aWorker.key.id);
+  const std::uint32_t sameStepCount =
+    sameStep == aRequest.sameStepTasks.end() ? 0 : sameStep->second;
+  if (step.maxPerWorker > 0 && sameStepCount >= step.maxPerWorker) {
+    result.obstacle = PlacementObstacle::SameStep;
+    return result;
+  }
+  result.cost = LoadWithTask(aWorker, step);
+  if (!step.preferredRack.empty() && !HasLabel(aWorker, step.preferredRack)) {
+    result.cost += kOtherRackCost;
+  }
+  if (aWorker.key.id == aRequest.lastFailedWorker) {
+    result.cost += kFailedWorkerCost;
+  }
+  if (step.longRunning) {
+    result.cost += ServingMixCost(aWorker, step);
+    result.cost += kBestEffortRunCost * std::min(aWorker.bestEffortRuns, 4U);
+  }
+  if (step.fillsUnused) {
+    const std::optional<double> interferenceCost = InterferenceCost(aWorker, aRequest);
+    if (!interferenceCost.has_value()) {
+      result.obstacle = PlacementObstacle::Interference;
+      return result;
+    }
+    result.cost += *interferenceCost;
+  }
+  result.cost += kSameStepCost * sameStepCount;
+  return result;
+}
+
 } // namespace
 
-bool AcceptsRuns(const Worker& aWorker, Instant aNow)
+std::string_view PlacementObstacleName(PlacementObstacle aObstacle)
 {
-  return aWorker.connected && aWorker.reported && aWorker.reconciled && !aWorker.state.draining &&
-         aNow >= aWorker.avoidUntil;
+  switch (aObstacle) {
+    case PlacementObstacle::None:
+      return "none";
+    case PlacementObstacle::OtherService:
+      return "other_service";
+    case PlacementObstacle::NotReporting:
+      return "not_reporting";
+    case PlacementObstacle::Draining:
+      return "draining";
+    case PlacementObstacle::Avoided:
+      return "avoided";
+    case PlacementObstacle::Label:
+      return "label";
+    case PlacementObstacle::Capacity:
+      return "capacity";
+    case PlacementObstacle::SameStep:
+      return "same_step";
+    case PlacementObstacle::Interference:
+      return "interference";
+  }
+  return "invalid";
 }
 
 double BestEffortCoreShare(const Worker& aWorker, const StepSpec& aStep)
@@ -152,43 +241,28 @@
   Worker* best = nullptr;
   double bestCost = 0;
   for (auto& [key, worker] : aWorkers) {
-    if (!AcceptsRuns(worker, aNow) || worker.state.service != aRequest.service ||
-        aRequest.excludedWorkers.contains(key.id) ||
-        !HasLabel(worker, aRequest.step->requiredLabel) ||
-        !HasCapacityFor(worker, *aRequest.step)) {
-      continue;
-    }
-    const auto sameStep = aRequest.sameStepTasks.find(key.id);
-    const std::uint32_t sameStepCount =
-      sameStep == aRequest.sameStepTasks.end() ? 0 : sameStep->second;
-    if (aRequest.step->maxPerWorker > 0 && sameStepCount >= aRequest.step->maxPerWorker) {
-      continue;
-    }
-    double cost = LoadWithTask(worker, *aRequest.step);
-    if (!aRequest.step->preferredRack.empty() && !HasLabel(worker, aRequest.step->preferredRack)) {
-      cost += kOtherRackCost;
-    }
-    if (key.id == aRequest.lastFailedWorker) {
-      cost += kFailedWorkerCost;
-    }
-    if (aRequest.step->longRunning) {
-      cost += ServingMixCost(worker, *aRequest.step);
-      cost += kBestEffortRunCost * std::min(worker.bestEffortRuns, 4U);
-    }
-    if (aRequest.step->fillsUnused) {
-      const std::optional<double> interferenceCost = InterferenceCost(worker, aRequest);
-      if (!interferenceCost.has_value()) {
-        continue;
-      }
-      cost += *interferenceCost;
-    }
-    cost += kSameStepCost * sameStepCount;
-    if (best == nullptr || cost < bestCost) {
+    const Suitability suitability = AssessWorker(worker, aRequest, aNow);
+    if (suitability.obstacle == PlacementObstacle::None &&
+        (best == nullptr || suitability.cost < bestCost)) {
       best = &worker;
-      bestCost = cost;
+      bestCost = suitability.cost;
     }
   }
   return best;
 }
 
+std::map<PlacementObstacle, std::size_t> CountObstacles(const std::map<WorkerKey, Worker>& aWorkers,
+                                                        const PlacementRequest& aRequest,
+                                                        Instant aNow)
+{
+  std::map<PlacementObstacle, std::size_t> counts;
+  for (const auto& [key, worker] : aWorkers) {
+    const PlacementObstacle obstacle = AssessWorker(worker, aRequest, aNow).obstacle;
+    if (obstacle != PlacementObstacle::None && obstacle != PlacementObstacle::OtherService) {
+      ++counts[obstacle];
+    }
+  }
+  return counts;
+}
+
 } // namespace oriolespread::jobs
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -8,6 +8,13 @@
 
 namespace oriolespread::jobs {
 
+namespace {
+
+// Time in which agents follow a new leader and send their first reports.
+constexpr Duration kAwaitedLogDelay = std::chrono::milliseconds(1500);
+
+} // namespace
+
 void JobScheduler::ReportUnreadableRow(std::string_view aTable, const std::string& aKey)
 {
   this->counters.Add("rows_unreadable_total", aTable);
@@ -112,6 +119,7 @@
 {
   this->epoch = aEpoch;
   this->loading = false;
+  this->awaitedLogAt = aNow.instant + kAwaitedLogDelay;
   for (const auto& [id, stored] : std::exchange(this->loadedStates, {})) {
     // An earlier leader removed the job's row, but ended before it removed the state row.
     this->orphanedStates.emplace(id, aNow.instant);
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -455,7 +455,8 @@
               { { "worker", aWorker.key.id },
                 { "born", aWorker.key.born },
                 { "runs", runs.size() },
-                { "reason", std::string(aReason) } });
+                { "reason", std::string(aReason) },
+                { "reported", aWorker.reported } });
   }
 }
 
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -471,3 +471,30 @@
     CHECK(waited < std::chrono::seconds(2));
   }
 }
+
+// Guards against tasks that wait without a line that says why no worker takes them.
+TEST_CASE("JobScheduler LogsWhyAStepWaits")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("full", 1000);
+  fixture.AddAgent("draining");
+  fixture.agents["draining"].worker.draining = true;
+  fixture.Report("draining");
+  fixture.AddAgent("silent");
+  fixture.scheduler.OnAgentDown("silent", fixture.now);
+  StepSpec step = MakeStep(2);
+  step.longRunning = true;
+  fixture.Submit(MakeJob("j", { step }));
+  for (int round = 0; round < 5; ++round) {
+    fixture.Report("full");
+    fixture.Report("draining");
+    fixture.RunUntilIdle();
+    fixture.Advance(600 * kMs);
+  }
+  const nlohmann::ordered_json line = fixture.LastLogged("step_waiting");
+  REQUIRE(line.is_object());
+  CHECK(line.at("tasks") == 1);
+  CHECK(line.at("waited_ms") >= 2000);
+  const nlohmann::json expected{ { "capacity", 1 }, { "draining", 1 }, { "not_reporting", 1 } };
+  CHECK(nlohmann::json(line.at("workers")) == expected);
+}
--- a/packages/jobs/tests/SchedulerFixture.h
+++ b/packages/jobs/tests/SchedulerFixture.h
@@ -31,7 +31,12 @@
 struct SchedulerFixture
 {
   Counters counters;
-  JobScheduler scheduler{ {}, counters, [](std::string_view, const nlohmann::ordered_json&) {} };
+  std::vector<std::pair<std::string, nlohmann::ordered_json>> logged;
+  JobScheduler scheduler{ {},
+                          counters,
+                          [this](std::string_view aEvent, const nlohmann::ordered_json& aFields) {
+                            this->logged.emplace_back(aEvent, aFields);
+                          } };
   Now now{ Instant{} + std::chrono::hours(1), 1'000'000 };
   std::map<RowKey, std::string> rows;
   std::map<std::string, WorkerReport> agents;
@@ -160,6 +165,15 @@
     this->Report(aAgent);
   }
 
+  // Returns the fields of the last line of the event; null if there is none.
+  nlohmann::ordered_json LastLogged(std::string_view aEvent) const
+  {
+    const auto last = std::find_if(this->logged.rbegin(),
+                                   this->logged.rend(),
+                                   [&](const auto& aLine) { return aLine.first == aEvent; });
+    return last == this->logged.rend() ? nlohmann::ordered_json() : last->second;
+  }
+
   JobState StateOf(const std::string& aId) { return this->scheduler.Jobs().at(aId).state; }
 
   std::uint64_t lastEndNumber = 0;
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -204,3 +204,26 @@
     CHECK(second.starts.size() == 1);
   }
 }
+
+// Guards against a leader that waits for the leases of a worker without a line that says so.
+TEST_CASE("JobScheduler LogsTheWorkersThatHaveNotReportedAfterATakeOver")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.AddAgent("b");
+  first.Submit(MakeJob("j", { MakeStep(8) }));
+  first.RunUntilIdle();
+  SchedulerFixture second(first.rows);
+  second.agents = first.agents;
+  second.scheduler.OnAgentUp("a", second.now);
+  second.Report("a");
+  CHECK(second.scheduler.AwaitedWorkers() == 1);
+  second.Advance(1600 * kMs);
+  second.RunUntilIdle();
+  const nlohmann::ordered_json line = second.LastLogged("workers_awaited");
+  REQUIRE(line.is_object());
+  CHECK(line.at("workers") == 1);
+  CHECK(line.at("runs") == 4);
+  CHECK(line.at("first") == std::vector<std::string>{ "w-b" });
+  CHECK(line.at("lease_ends_in_ms") > 0);
+}
