Report a lost worker to a new leader that the worker has never seen

Cause: an agent reports to a new leader only once its worker has received the leader's fencing token. A worker that is gone, or silent, never receives it, so the agent, which knew of the loss after 0.3 s, said nothing, and the leader waited for the leases that the earlier leader might have extended.

Change: a loss is reported without the fence. No run is left that orders of the earlier leader could affect: the process has ended or every lease on it has expired, and starts without an answer are stopped with the token of the new leader.

--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -40,7 +40,7 @@
   void OnWorkerLeaving(const std::string& aId);
 
   // Follows the linked leader that has this epoch. Reports are sent to it once the worker has
-  // received its fencing token.
+  // received its fencing token, or is lost.
   void FollowLeader(Epoch aEpoch);
   void OnLeaderLost();
 
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -207,7 +207,10 @@
 
 void WorkerDriver::ReportState(bool aFull, Instant aPollSentAt)
 {
-  if (!this->leaderLinked || !this->fenceConfirmed || this->worker.id.empty()) {
+  // A loss needs no fence: no run is left that an order of the earlier leader could affect, and
+  // starts that may still be carried out are stopped with the current token.
+  const bool isFenced = this->fenceConfirmed || this->workerLost;
+  if (!this->leaderLinked || !isFenced || this->worker.id.empty()) {
     return;
   }
   // The first report of an incarnation makes the leader start the runs of the earlier one
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -330,6 +330,37 @@
   CHECK(fixture.RunUntil([&] { return fixture.reports.back().allLost; }));
 }
 
+// Guards against a new leader that waits for the leases of a worker that no longer exists.
+TEST_CASE("WorkerDriver ReportsAWorkerThatIsGoneToANewLeader")
+{
+  WorkerDriverFixture fixture;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker.reset();
+  fixture.driver->OnLeaderLost();
+  fixture.driver->FollowLeader(Epoch{ 2 });
+  fixture.RunUntil([&] { return fixture.reports.back().allLost; });
+  CHECK(fixture.reports.back().allLost);
+  CHECK(fixture.reports.back().epoch == Epoch{ 2 });
+}
+
+// Guards against a new leader that waits for leases although all of them have expired.
+TEST_CASE("WorkerDriver ReportsASilentWorkerAsLostToANewLeaderWhenAllItsLeasesHaveExpired")
+{
+  WorkerDriverFixture fixture(1500 * kMillisecond, std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.worker->SetPollsUnanswered(true);
+  fixture.driver->OnLeaderLost();
+  fixture.driver->FollowLeader(Epoch{ 2 });
+  fixture.RunUntil([&] { return fixture.reports.back().allLost; });
+  REQUIRE(fixture.reports.back().allLost);
+  CHECK(fixture.reports.back().epoch == Epoch{ 2 });
+  CHECK(fixture.ended.size() == 1);
+}
+
 // Guards against a second run of a task that is done. The worker executes the run without answering
 // the start, and then refuses the repeated start because the run has ended.
 TEST_CASE("WorkerDriver ReportsTheEndOfARunWhenItsStartWasNotAnswered")
