Give up the runs of all earlier incarnations when a worker reports

What callers saw: nothing yet; found by a search for the same cause elsewhere.

Cause: a leader stores the loss of an incarnation's runs and the starts on the next one in several transactions. If it ends in between, its successor loads runs on two incarnations of one worker, but remembers one worker for each agent, so that the runs of the other waited for the worst case of the leases, 13.5 s, although the worker had reported as another incarnation.

Change: all workers that stored runs name for an agent are kept until the agent reports, and then all but the one that it reports are given up.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -168,6 +168,12 @@
 
   // Defined in SchedulerReports.cpp.
   Worker* RegisterWorker(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
+  // Removes the workers of the agent other than `aCurrent`. An agent serves one worker, so the
+  // others have ended.
+  void RemoveOtherWorkers(const std::string& aAgent,
+                          const std::optional<WorkerKey>& aCurrent,
+                          std::string_view aReason,
+                          Now aNow);
   // Orders the worker to stop the run unless it is known to run there. Returns whether it did.
   bool StopIfUnknown(Worker& aWorker, const RunRef& aRef);
   void ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow);
@@ -241,6 +247,9 @@
   std::map<std::string, double> meanWorkCoreSeconds;
   std::map<WorkerKey, Worker> workers;
   std::map<std::string, WorkerKey> workerOfAgent;
+  // Further workers of an agent that stored runs name: an earlier leader may end before it has
+  // stored that the runs of an earlier incarnation are lost.
+  std::map<std::string, std::set<WorkerKey>> loadedWorkersOfAgent;
   // Jobs that have not ended.
   std::set<std::string> activeJobs;
   std::deque<RowKey> changedRows;
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -143,7 +143,10 @@
             worker.agent = run.agent;
             worker.latestLeaseExpiry = latestLeaseExpiry;
             worker.runs.insert({ { id, number, step, index }, run.number });
-            this->workerOfAgent[run.agent] = run.worker;
+            const auto known = this->workerOfAgent.try_emplace(run.agent, run.worker).first;
+            if (known->second != run.worker) {
+              this->loadedWorkersOfAgent[run.agent].insert(run.worker);
+            }
             this->AdjustReservation(worker, job.record.spec.steps[step], 1);
           }
         }
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -107,13 +107,7 @@
                                      Now aNow)
 {
   const WorkerKey key{ aReport.worker.id, aReport.worker.born };
-  const auto known = this->workerOfAgent.find(aAgent);
-  if (known != this->workerOfAgent.end() && known->second != key) {
-    // An agent serves one worker, so a new process shows that the earlier one has ended.
-    if (const auto old = this->workers.find(known->second); old != this->workers.end()) {
-      this->RemoveLostWorker(old->second, "worker_restarted", aNow);
-    }
-  }
+  this->RemoveOtherWorkers(aAgent, key, "worker_restarted", aNow);
   this->workerOfAgent[aAgent] = key;
   Worker& worker = this->workers[key];
   if (!worker.reported) {
@@ -128,6 +122,26 @@
   return &worker;
 }
 
+void JobScheduler::RemoveOtherWorkers(const std::string& aAgent,
+                                      const std::optional<WorkerKey>& aCurrent,
+                                      std::string_view aReason,
+                                      Now aNow)
+{
+  std::set<WorkerKey> others;
+  if (const auto loaded = this->loadedWorkersOfAgent.extract(aAgent); !loaded.empty()) {
+    others = loaded.mapped();
+  }
+  if (const auto known = this->workerOfAgent.find(aAgent); known != this->workerOfAgent.end()) {
+    others.insert(known->second);
+  }
+  for (const WorkerKey& key : others) {
+    const auto worker = this->workers.find(key);
+    if (worker != this->workers.end() && aCurrent != key) {
+      this->RemoveLostWorker(worker->second, aReason, aNow);
+    }
+  }
+}
+
 // A run is unknown if its job has ended, or if it was considered lost and started elsewhere.
 bool JobScheduler::StopIfUnknown(Worker& aWorker, const RunRef& aRef)
 {
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -32,6 +32,32 @@
   CHECK(second.starts[0].second.ref.task == "j.0.1.0");
 }
 
+// Guards against waiting for the leases of an incarnation that ended before the leader changed.
+TEST_CASE("JobScheduler ReplacesTheRunsOfAllEarlierIncarnationsWhenAWorkerReports")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(1) }));
+  first.RunUntilIdle();
+  const std::string storedBefore = first.rows.at(ProgressRow("j", 0, 0));
+  first.agents["a"].worker.born = 2;
+  first.agents["a"].running.clear();
+  first.Report("a");
+  first.Submit(MakeJob("k", { MakeStep(1) }));
+  first.RunUntilIdle();
+  // The leader has stored the run on the new incarnation, but not the loss on the earlier one.
+  first.rows[ProgressRow("j", 0, 0)] = storedBefore;
+  SchedulerFixture second(first.rows);
+  second.agents = first.agents;
+  std::erase_if(second.agents["a"].running,
+                [](const RunningRun& aRun) { return aRun.ref.task == "j.0.0.0"; });
+  second.scheduler.OnAgentUp("a", second.now);
+  second.Report("a");
+  second.RunUntilIdle();
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].second.ref.task == "j.0.0.0");
+}
+
 // Guards against a slow take-over, during which no tasks are placed. Most stored jobs have ended,
 // so their records are not decoded.
 TEST_CASE("JobScheduler LoadsAnEndedJobWithoutDecodingItsRecord")
