Report from a restarted agent that its worker is gone

Cause: an agent that was restarted learns its worker from the worker's heartbeats. If the worker has ended as well, the agent never reports, and a new leader waits for the worst case of the leases.

Change: an agent that follows a leader and has heard no heartbeat polls the worker's address. If nothing listens there, it reports a loss without naming a worker, and the leader gives up the runs of the workers that the agent served. A worker that answers, or is silent, is not reported.

--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -95,6 +95,8 @@
 
   void SchedulePoll(Duration aDelay);
   void PollWorker();
+  // Polls a worker that has sent no heartbeat to this process, to learn whether it exists.
+  void ProbeWorker();
   void OnPollAnswer(const platformwire::WorkerAnswer& aAnswer,
                     Epoch aFencingEpoch,
                     Instant aSentAt);
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -33,7 +33,11 @@
 
 void WorkerDriver::PollWorker()
 {
-  if (this->worker.id.empty() || this->pollPending) {
+  if (this->pollPending) {
+    return;
+  }
+  if (this->worker.id.empty()) {
+    this->ProbeWorker();
     return;
   }
   this->pollPending = true;
@@ -63,6 +67,35 @@
                      });
 }
 
+void WorkerDriver::ProbeWorker()
+{
+  if (!this->leaderLinked) {
+    return;
+  }
+  this->pollPending = true;
+  platformwire::WorkerPoll request;
+  request.fence = this->epoch;
+  this->client->Poll(
+    request, kWorkerCallTimeout, [this, pollId = ++this->lastPollId](const WorkerAnswer& aAnswer) {
+      if (pollId != this->lastPollId) {
+        return;
+      }
+      this->pollPending = false;
+      this->consecutiveRefusals =
+        aAnswer.end == WorkerCallOutcome::Refused ? this->consecutiveRefusals + 1 : 0;
+      const bool isGone = this->consecutiveRefusals >= kRefusalsUntilWorkerLost;
+      if (isGone && !this->workerLost) {
+        Log(LogLevel::Warning, "worker_absent");
+      }
+      this->workerLost = isGone;
+      if (isGone && BootClock::now() - this->lastPeriodicReportAt >= kFullReportInterval) {
+        this->lastPeriodicReportAt = BootClock::now();
+        this->ReportState(false, {});
+      }
+      this->SchedulePoll(kWorkerRetryDelay);
+    });
+}
+
 void WorkerDriver::OnPollAnswer(const WorkerAnswer& aAnswer, Epoch aFencingEpoch, Instant aSentAt)
 {
   this->pollPending = false;
@@ -210,7 +243,7 @@
   // A loss needs no fence: no run is left that an order of the earlier leader could affect, and
   // starts that may still be carried out are stopped with the current token.
   const bool isFenced = this->fenceConfirmed || this->workerLost;
-  if (!this->leaderLinked || !isFenced || this->worker.id.empty()) {
+  if (!this->leaderLinked || !isFenced) {
     return;
   }
   // The first report of an incarnation makes the leader start the runs of the earlier one
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -361,6 +361,31 @@
   CHECK(fixture.ended.size() == 1);
 }
 
+// Guards against a leader that waits for the leases of a worker that ended with its agent's
+// process.
+TEST_CASE("WorkerDriver ReportsThatNoWorkerIsLeftWhenNothingListensAfterARestart")
+{
+  WorkerDriverFixture fixture;
+  fixture.worker.reset();
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  CHECK(fixture.reports.back().allLost);
+  CHECK(fixture.reports.back().worker.id.empty());
+}
+
+// Guards against a second run of a task whose worker executes it before its first heartbeat
+// arrives.
+TEST_CASE("WorkerDriver ReportsNothingWhileAWorkerThatItDoesNotKnowAnswers")
+{
+  WorkerDriverFixture fixture;
+  fixture.control.reset();
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  fixture.RunFor(1000 * kMillisecond);
+  fixture.worker->SetPollsUnanswered(true);
+  fixture.RunFor(1000 * kMillisecond);
+  CHECK(fixture.reports.empty());
+}
+
 // Guards against a second run of a task that is done. The worker executes the run without answering
 // the start, and then refuses the repeated start because the run has ended.
 TEST_CASE("WorkerDriver ReportsTheEndOfARunWhenItsStartWasNotAnswered")
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -32,6 +32,25 @@
   CHECK(second.starts[0].second.ref.task == "j.0.1.0");
 }
 
+// Guards against waiting for the leases of a worker of which its agent knows that it has ended.
+TEST_CASE("JobScheduler ReplacesRunsAtOnceWhenTheAgentFindsNoWorker")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(2) }));
+  first.RunUntilIdle();
+  SchedulerFixture second(first.rows);
+  second.AddAgent("b");
+  second.RunUntilIdle();
+  REQUIRE(second.starts.empty());
+  second.scheduler.OnAgentUp("a", second.now);
+  second.agents["a"].allLost = true;
+  second.Report("a");
+  second.Advance(100 * kMs);
+  second.RunUntilIdle();
+  CHECK(second.starts.size() == 2);
+}
+
 // Guards against waiting for the leases of an incarnation that ended before the leader changed.
 TEST_CASE("JobScheduler ReplacesTheRunsOfAllEarlierIncarnationsWhenAWorkerReports")
 {
