Wait for no leases that nobody extends any more after a hand-over

Cause: a new leader waited, for each worker that it had not heard of, for the 8 s in which a leader without the store goes on extending leases, and one lease more. After a planned stop, or when the earlier leader was a process of the same entry, nobody extends leases.

Change: LeaderElection tells when the earlier leases have expired. It counts the 8 s only if the earlier leader may still live. Since a leader before that one may live and not know that it was superseded, each row of the leader tells how long such leases may last; a row without this field counts as before.

Result: LeaderDriver ReplacesRunsOfASilentWorkerAfterOneLeaseWhenTheLeaderWasReleased and three tests of LeaderElection fail without the distinction (13.55 s instead of 5.55 s) and pass with it; all tests of jobs, cluster and LeaderDriver pass.

--- a/packages/cluster/include/oriolespread/cluster/LeaderElection.h
+++ b/packages/cluster/include/oriolespread/cluster/LeaderElection.h
@@ -29,6 +29,9 @@
   bool released = false;
   // Processor speed of the leader, in a unit that all entries share; 0 if unknown.
   double speed = 0;
+  // Time after this renewal in which leases that earlier leaders extended may still last, in
+  // milliseconds; negative if unknown, as in rows that earlier versions wrote.
+  std::int64_t earlierLeasesMs = -1;
 
   friend bool operator==(const LeaderRecord&, const LeaderRecord&) = default;
 };
@@ -55,6 +58,10 @@
   // How long an entry that is much slower than the last leader lets others claim first; time for
   // one more read of the row.
   Duration slowEntryDelay = std::chrono::milliseconds(400);
+  // How long a leader that cannot renew its row keeps extending leases, and the longest time from
+  // the extension of a lease until it has certainly expired.
+  Duration outageTolerance{};
+  Duration leaseBound{};
 };
 
 class LeaderElection
@@ -81,9 +88,15 @@
   // Returns when that read was answered, which is the latest time at which the leader can have
   // renewed the row: a renewal may arrive at the store between the request and the answer.
   Instant LatestRenewal() const { return this->latestRenewal; }
+  // Returns the time at which all leases have certainly expired that the leader of the row and
+  // those before it have extended, if the leader does not renew the row any more.
+  Instant EarlierLeasesExpiry() const;
   const std::optional<LeaderRecord>& Current() const { return this->record; }
 
 private:
+  // Returns whether the row names an earlier process of this entry, which has ended.
+  bool IsOwnEarlierProcess() const;
+
   ElectionSettings settings;
   std::string entry;
   std::string process;
--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -12,6 +12,8 @@
 // Share of the read latency that is kept from one read to the next, if that one is faster.
 constexpr double kLatencyDecay = 0.7;
 constexpr std::uint64_t kMaxEpoch = std::uint64_t{ 1 } << 53U;
+// Longer than any sum of a lease and an outage that is tolerated.
+constexpr std::int64_t kMaxEarlierLeasesMs = 3'600'000;
 
 } // namespace
 
@@ -21,7 +23,8 @@
                                                 epoch,
                                                 renewal,
                                                 released,
-                                                speed)
+                                                speed,
+                                                earlierLeasesMs)
 
 std::string EncodeLeaderRecord(const LeaderRecord& aRecord)
 {
@@ -37,6 +40,11 @@
   try {
     auto record = parsed->get<LeaderRecord>();
     // The next leader needs a higher epoch.
+    const auto leases = parsed->find("earlierLeasesMs");
+    if (leases != parsed->end() &&
+        (!leases->is_number_integer() || record.earlierLeasesMs > kMaxEarlierLeasesMs)) {
+      record.earlierLeasesMs = -1;
+    }
     const bool isValid = parsed->at("epoch").is_number_unsigned() && record.epoch <= kMaxEpoch;
     return isValid ? std::optional(std::move(record)) : std::nullopt;
   } catch (const nlohmann::json::exception&) {
@@ -98,8 +106,7 @@
   if (!this->record.has_value()) {
     return true;
   }
-  // The row names an earlier process of this entry, which has ended.
-  if (this->record->entry == this->entry && this->record->process != this->process) {
+  if (this->IsOwnEarlierProcess()) {
     return true;
   }
   const bool isThisEntryMuchSlower =
@@ -119,6 +126,28 @@
   return unchangedFor >= this->claimDelay + latencyDelay + slowEntryDelay;
 }
 
+bool LeaderElection::IsOwnEarlierProcess() const
+{
+  return this->record.has_value() && this->record->entry == this->entry &&
+         this->record->process != this->process;
+}
+
+Instant LeaderElection::EarlierLeasesExpiry() const
+{
+  // A leader that has released its row or ended extends no leases after its last renewal.
+  const bool hasEnded =
+    this->record.has_value() && (this->record->released || this->IsOwnEarlierProcess());
+  const bool areEarlierLeasesKnown = this->record.has_value() && this->record->earlierLeasesMs >= 0;
+  const Instant lastLeases = this->latestRenewal + this->settings.leaseBound;
+  if (!hasEnded || !areEarlierLeasesKnown) {
+    return lastLeases + this->settings.outageTolerance;
+  }
+  // The leader before that one may have been superseded without noticing, and extended leases for
+  // longer.
+  return std::max(lastLeases,
+                  this->latestRenewal + std::chrono::milliseconds(this->record->earlierLeasesMs));
+}
+
 LeaderRecord LeaderElection::ClaimedRecord() const
 {
   LeaderRecord claimed;
@@ -127,6 +156,8 @@
   claimed.epoch = this->highestEpoch + 1;
   claimed.renewal = 1;
   claimed.speed = this->speed;
+  claimed.earlierLeasesMs =
+    std::max<std::int64_t>(ToMilliseconds(this->EarlierLeasesExpiry() - this->latestRenewal), 0);
   return claimed;
 }
 
--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -19,7 +19,7 @@
 
 LeaderRecord MakeRecord(const std::string& aEntry)
 {
-  return { aEntry, "p-" + aEntry, 4, 9, false, 0 };
+  return { aEntry, "p-" + aEntry, 4, 9, false, 0, 0 };
 }
 
 // A standby that reads the row while a leader renews it until `leaderEnd`, with a store that takes
@@ -141,6 +141,79 @@
   CHECK(election.LatestRenewal() == kStart + 800 * kMs);
 }
 
+namespace {
+
+ElectionSettings SettingsWithLeases()
+{
+  ElectionSettings settings;
+  settings.outageTolerance = 8000 * kMs;
+  settings.leaseBound = 5550 * kMs;
+  return settings;
+}
+
+LeaderRecord RecordWithLeases(const std::string& aEntry, std::int64_t aEarlierLeasesMs)
+{
+  LeaderRecord record = MakeRecord(aEntry);
+  record.earlierLeasesMs = aEarlierLeasesMs;
+  return record;
+}
+
+// Returns the time until the earlier leases have expired, from the answer that showed the row.
+Duration EarlierLeasesAfter(const LeaderRecord& aRecord)
+{
+  LeaderElection election(SettingsWithLeases(), "a", "p-new");
+  election.OnRow(RowOf(aRecord, 10), kStart, kStart + 100 * kMs);
+  const Duration expiry = election.EarlierLeasesExpiry() - kStart - 100 * kMs;
+  CHECK(election.ClaimedRecord().earlierLeasesMs == ToMilliseconds(expiry));
+  return expiry;
+}
+
+} // namespace
+
+// Guards against a second run of a task whose lease the earlier leader extended without the store.
+TEST_CASE("LeaderElection CountsLeasesThatALeaderWithoutTheStoreMayExtend")
+{
+  CHECK(EarlierLeasesAfter(RecordWithLeases("b", 0)) == 13'550 * kMs);
+  CHECK(EarlierLeasesAfter(RecordWithLeases("b", 13'000)) == 13'550 * kMs);
+}
+
+// Guards against tasks that wait for leases which nobody extends any more.
+TEST_CASE("LeaderElection CountsOnlyTheLastLeaseWhenTheLeaderHasEnded")
+{
+  LeaderRecord released = RecordWithLeases("b", 0);
+  released.released = true;
+  CHECK(EarlierLeasesAfter(released) == 5550 * kMs);
+  // The row names an earlier process of the entry "a".
+  CHECK(EarlierLeasesAfter(RecordWithLeases("a", 0)) == 5550 * kMs);
+}
+
+// Guards against forgetting a leader that does not know that it was superseded, two leaders later.
+TEST_CASE("LeaderElection CountsTheLeasesOfLeadersBeforeOneThatHasEnded")
+{
+  LeaderRecord released = RecordWithLeases("b", 12'000);
+  released.released = true;
+  CHECK(EarlierLeasesAfter(released) == 12'000 * kMs);
+}
+
+// Guards against rows of earlier versions and malformed ones, which do not tell of earlier leases.
+TEST_CASE("LeaderElection CountsTheLongestLeasesWhenTheRowDoesNotTellOfThem")
+{
+  for (const char* field : { "",
+                             R"(,"earlierLeasesMs":-1)",
+                             R"(,"earlierLeasesMs":1e300)",
+                             R"(,"earlierLeasesMs":0.5)",
+                             R"(,"earlierLeasesMs":18446744073709551615)",
+                             R"(,"earlierLeasesMs":9223372036854775807)" }) {
+    INFO(field);
+    const std::string row =
+      std::string(R"({"entry":"b","process":"p","epoch":3,"renewal":1,"released":true)") + field +
+      "}";
+    const auto record = DecodeLeaderRecord(row);
+    REQUIRE(record.has_value());
+    CHECK(EarlierLeasesAfter(*record) == 13'550 * kMs);
+  }
+}
+
 // Guards against replacing the row by an older one from a read that is answered late.
 TEST_CASE("LeaderElection IgnoresARowOlderThanTheLastOne")
 {
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -13,6 +13,27 @@
 using cluster::CommitEnd;
 using cluster::ReadEnd;
 
+namespace {
+
+jobs::SchedulerSettings MakeSchedulerSettings(const LeaderDriverOptions& aOptions)
+{
+  jobs::SchedulerSettings settings;
+  settings.workerLease = aOptions.workerLease;
+  // Ended jobs are kept for twice the time that callers are promised.
+  settings.keepEnded = 2 * aOptions.endedJobRetention;
+  return settings;
+}
+
+cluster::ElectionSettings MakeElectionSettings(const jobs::SchedulerSettings& aSettings)
+{
+  cluster::ElectionSettings settings;
+  settings.outageTolerance = aSettings.storeOutageTolerance;
+  settings.leaseBound = aSettings.LeaseBound();
+  return settings;
+}
+
+} // namespace
+
 LeaderDriver::LeaderDriver(asio::io_context& aContext,
                            platformwire::StoreClient& aStore,
                            LeaderDriverOptions aOptions,
@@ -23,13 +44,13 @@
   , options(std::move(aOptions))
   , counters(aCounters)
   , sendToAgent(std::move(aSend))
-  , election(cluster::ElectionSettings{}, this->options.entry, this->options.process)
+  , schedulerSettings(MakeSchedulerSettings(this->options))
+  , election(MakeElectionSettings(this->schedulerSettings),
+             this->options.entry,
+             this->options.process)
   , pollTimer(aContext)
   , tickTimer(aContext)
 {
-  this->schedulerSettings.workerLease = this->options.workerLease;
-  // Ended jobs are kept for twice the time that callers are promised.
-  this->schedulerSettings.keepEnded = 2 * this->options.endedJobRetention;
 }
 
 void LeaderDriver::Start()
@@ -159,6 +180,7 @@
 {
   ++this->term;
   this->phase = Phase::Loading;
+  this->earlierLeasesExpiry = this->election.EarlierLeasesExpiry();
   this->leaderRow = aRow;
   this->leaderRowVersion = aVersion;
   this->renewedAt = aSentAt;
@@ -306,6 +328,8 @@
     this->leaderRow.speed = this->MeasureSpeed();
   }
   ++this->leaderRow.renewal;
+  this->leaderRow.earlierLeasesMs =
+    std::max<std::int64_t>(ToMilliseconds(this->earlierLeasesExpiry - this->commitStartedAt), 0);
   cluster::StoreTransaction transaction;
   transaction.conditions.push_back({ jobs::LeaderRow(), this->leaderRowVersion });
   transaction.changes.push_back(
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -120,6 +120,7 @@
   LeaderDriverOptions options;
   Counters& counters;
   SendToAgent sendToAgent;
+  jobs::SchedulerSettings schedulerSettings;
   cluster::LeaderElection election;
   asio::steady_timer pollTimer;
   asio::steady_timer tickTimer;
@@ -130,6 +131,8 @@
 
   cluster::LeaderRecord leaderRow;
   std::uint64_t leaderRowVersion = 0;
+  // When all leases that earlier leaders have extended have certainly expired.
+  Instant earlierLeasesExpiry{};
   Instant speedMeasuredAt{};
   // When the last applied renewal was sent.
   Instant renewedAt{};
@@ -141,7 +144,6 @@
   bool schedulingPassPending = false;
   std::uint64_t jobsVersion = 0;
   std::unique_ptr<jobs::JobScheduler> scheduler;
-  jobs::SchedulerSettings schedulerSettings;
   std::set<std::string> agents;
   std::function<void()> onReleased;
   LatencyHistogram commitLatency;
--- a/packages/daemon/src/LeaderLoading.cpp
+++ b/packages/daemon/src/LeaderLoading.cpp
@@ -58,8 +58,7 @@
   this->phase = Phase::Leading;
   // Watches first, so that new jobs are still seen if a handler below throws.
   this->WatchJobs();
-  this->scheduler->FinishLoading(
-    Epoch{ this->leaderRow.epoch }, this->election.LatestRenewal(), now);
+  this->scheduler->FinishLoading(Epoch{ this->leaderRow.epoch }, this->earlierLeasesExpiry, now);
   Log(LogLevel::Info,
       "leadership_ready",
       { { "epoch", this->leaderRow.epoch },
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -20,12 +20,14 @@
   std::vector<WorkerOrders> orders;
   std::unique_ptr<LeaderDriver> driver;
 
-  TestEntry(StoreFixture& aFixture, const std::string& aName)
+  TestEntry(StoreFixture& aFixture,
+            const std::string& aName,
+            Duration aWorkerLease = std::chrono::seconds(5))
   {
     LeaderDriverOptions options;
     options.entry = aName;
     options.process = "process of " + aName;
-    options.workerLease = std::chrono::seconds(5);
+    options.workerLease = aWorkerLease;
     options.endedJobRetention = std::chrono::seconds(120);
     this->driver = std::make_unique<LeaderDriver>(
       aFixture.context,
@@ -51,17 +53,17 @@
     return gauges.contains("jobs_known") ? gauges.at("jobs_known") : -1;
   }
 
-  void SendReport()
+  void SendReport(const std::string& aWorker = "w", const std::string& aAgent = "agent")
   {
     WorkerReport report;
     report.epoch = this->claims.back();
     report.sequence = 1;
     report.full = true;
-    report.worker.id = "w";
+    report.worker.id = aWorker;
     report.worker.born = 1;
     report.worker.service = "s";
     report.worker.capacity = { 8000, 64000, 0 };
-    this->driver->OnReport("agent", report);
+    this->driver->OnReport(aAgent, report);
   }
 };
 
@@ -82,6 +84,18 @@
   REQUIRE(aFixture.RunUntil([&] { return stored; }));
 }
 
+void PutLeaderRow(StoreFixture& aFixture, const cluster::LeaderRecord& aRecord)
+{
+  cluster::StoreTransaction transaction;
+  transaction.changes.push_back({ jobs::LeaderRow(), cluster::EncodeLeaderRecord(aRecord), false });
+  bool stored = false;
+  aFixture.client->Commit(
+    transaction, 1000 * kMillisecond, [&](const cluster::CommitResult& aResult) {
+      stored = aResult.end == cluster::CommitEnd::Applied;
+    });
+  REQUIRE(aFixture.RunUntil([&] { return stored; }));
+}
+
 } // namespace
 
 TEST_CASE("LeaderDriver OrdersATaskOfANewJobWhenItsRunIsStored")
@@ -142,6 +156,43 @@
   CHECK(BootClock::now() - releasedAt < 1500 * kMillisecond);
 }
 
+// Guards against tasks that wait for leases which no leader extends any more (issue 33).
+TEST_CASE("LeaderDriver ReplacesRunsOfASilentWorkerAfterOneLeaseWhenTheLeaderWasReleased")
+{
+  StoreFixture fixture;
+  cluster::LeaderRecord released;
+  released.entry = "z";
+  released.epoch = 3;
+  released.released = true;
+  released.earlierLeasesMs = 0;
+  PutLeaderRow(fixture, released);
+  constexpr Duration kLease = 200 * kMillisecond;
+  TestEntry first(fixture, "a", kLease);
+  first.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return first.claims.size() >= 2; }));
+  first.SendReport();
+  SubmitJob(fixture, "j");
+  REQUIRE(fixture.RunUntil([&] { return !first.orders.empty(); }));
+  // The leases that the leader before the first may have extended expire meanwhile.
+  for (int round = 0; round < 8; ++round) {
+    first.SendReport();
+    fixture.RunFor(100 * kMillisecond);
+  }
+  TestEntry second(fixture, "b", kLease);
+  second.driver->Start();
+  first.driver->Release([] {});
+  REQUIRE(fixture.RunUntil([&] { return second.claims.size() >= 2; }));
+  second.driver->OnAgentUp("other");
+  REQUIRE(fixture.RunUntil([&] { return second.JobCount() == 1; }));
+  const Instant reportedAt = BootClock::now();
+  while (second.orders.empty() && BootClock::now() - reportedAt < 3000 * kMillisecond) {
+    second.SendReport("v", "other");
+    fixture.RunFor(100 * kMillisecond);
+  }
+  REQUIRE(second.orders.size() == 1);
+  CHECK(second.orders.front().starts.size() == 1);
+}
+
 // Guards against two leaders: a leader must stop once another entry has claimed the leadership.
 TEST_CASE("LeaderDriver StepsDownWhenAnotherEntryHasClaimedTheLeadership")
 {
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -72,9 +72,9 @@
   void LoadProgress(const std::string& aKey, const std::string& aValue);
   void LoadInterferenceWeights(const std::string& aKey, const std::string& aValue);
   void LoadJob(const std::string& aKey, const std::string& aValue, Now aNow);
-  // `aLastRenewedAt` is the time from which the leases of the previous leader are counted: the
-  // latest time at which it can have renewed its leadership.
-  void FinishLoading(Epoch aEpoch, Instant aLastRenewedAt, Now aNow);
+  // `aEarlierLeasesExpiry` is the time at which all leases that earlier leaders have extended have
+  // certainly expired.
+  void FinishLoading(Epoch aEpoch, Instant aEarlierLeasesExpiry, Now aNow);
 
   // Handles a row of the `jobs` table that was written after loading.
   void OnJobRow(const std::string& aKey, const std::string& aValue, Now aNow);
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -67,6 +67,13 @@
   Duration weightsStoreInterval = std::chrono::seconds(3);
   // Added to due times, because the clocks of different machines differ.
   Duration dueMargin = std::chrono::milliseconds(20);
+
+  // Returns the longest time from the extension of a worker's lease until it has certainly expired.
+  Duration LeaseBound() const
+  {
+    return std::chrono::duration_cast<Duration>(this->workerLease * this->clockDriftFactor) +
+           this->leaseMargin;
+  }
 };
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -115,7 +115,7 @@
   }
 }
 
-void JobScheduler::FinishLoading(Epoch aEpoch, Instant aLastRenewedAt, Now aNow)
+void JobScheduler::FinishLoading(Epoch aEpoch, Instant aEarlierLeasesExpiry, Now aNow)
 {
   this->epoch = aEpoch;
   this->loading = false;
@@ -127,10 +127,6 @@
   for (const auto& [id, stored] : std::exchange(this->loadedProgress, {})) {
     this->ReportUnreadableRow(kProgressTable, id);
   }
-  const Instant latestLeaseExpiry =
-    aLastRenewedAt + this->settings.storeOutageTolerance + this->settings.leaseMargin +
-    std::chrono::duration_cast<Duration>(this->settings.workerLease *
-                                         this->settings.clockDriftFactor);
   for (auto& [id, job] : this->jobs) {
     for (auto& [number, occurrence] : job.occurrences) {
       std::uint32_t doneSteps = 0;
@@ -141,7 +137,7 @@
             Worker& worker = this->workers[run.worker];
             worker.key = run.worker;
             worker.agent = run.agent;
-            worker.latestLeaseExpiry = latestLeaseExpiry;
+            worker.latestLeaseExpiry = aEarlierLeasesExpiry;
             worker.runs.insert({ { id, number, step, index }, run.number });
             const auto known = this->workerOfAgent.try_emplace(run.agent, run.worker).first;
             if (known->second != run.worker) {
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -74,9 +74,7 @@
   worker->connected = true;
   worker->reported = true;
   worker->lastReport = aNow.instant;
-  worker->latestLeaseExpiry = aNow.instant + this->settings.leaseMargin +
-                              std::chrono::duration_cast<Duration>(this->settings.workerLease *
-                                                                   this->settings.clockDriftFactor);
+  worker->latestLeaseExpiry = aNow.instant + this->settings.LeaseBound();
   const bool startsDraining = aReport.worker.draining && !worker->state.draining;
   worker->state = aReport.worker;
   for (const EndedRun& end : aReport.ended) {
--- a/packages/jobs/tests/SchedulerFixture.h
+++ b/packages/jobs/tests/SchedulerFixture.h
@@ -39,6 +39,7 @@
                           } };
   Now now{ Instant{} + std::chrono::hours(1), 1'000'000 };
   std::map<RowKey, std::string> rows;
+  Duration earlierLeases{};
   std::map<std::string, WorkerReport> agents;
   std::vector<std::pair<std::string, StartRun>> starts;
   std::vector<RunRef> stops;
@@ -46,9 +47,13 @@
 
   // Creates the first leader of a cluster.
   SchedulerFixture() { this->scheduler.FinishLoading(Epoch{ 1 }, this->now.instant, this->now); }
-  // Creates a leader that loads the rows stored by an earlier leader.
-  explicit SchedulerFixture(const std::map<RowKey, std::string>& aStored)
+  // Creates a leader that loads the rows stored by an earlier leader, whose leases may last for the
+  // given time.
+  explicit SchedulerFixture(const std::map<RowKey, std::string>& aStored,
+                            Duration aEarlierLeases = SchedulerSettings{}.storeOutageTolerance +
+                                                      SchedulerSettings{}.LeaseBound())
     : rows(aStored)
+    , earlierLeases(aEarlierLeases)
   {
     this->Load();
   }
@@ -150,7 +155,7 @@
         this->scheduler.LoadJob(row.key, value, this->now);
       }
     }
-    this->scheduler.FinishLoading(Epoch{ 2 }, this->now.instant, this->now);
+    this->scheduler.FinishLoading(Epoch{ 2 }, this->now.instant + this->earlierLeases, this->now);
   }
 
   // Ends a run on the agent and sends a report with the end to the scheduler.
