--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -51,6 +51,22 @@
   CHECK(second.starts.size() == 2);
 }
 
+// Guards against tasks that are down for longer than callers accept: 10 s without a disruption.
+TEST_CASE("JobScheduler ReplacesRunsWithinElevenSecondsWhenTheirAgentIsLostWithTheLeader")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(2) }));
+  first.RunUntilIdle();
+  SchedulerFixture second(first.rows);
+  for (int elapsedMs = 0; elapsedMs <= 11'000; elapsedMs += 500) {
+    second.AddAgent("b");
+    second.RunUntilIdle();
+    second.Advance(500 * kMs);
+  }
+  CHECK(second.starts.size() == 2);
+}
+
 // Guards against waiting for the leases of an incarnation that ended before the leader changed.
 TEST_CASE("JobScheduler ReplacesTheRunsOfAllEarlierIncarnationsWhenAWorkerReports")
 {
