--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -10,8 +10,9 @@
   // How long a worker keeps its runs after the report that last extended its lease.
   Duration workerLease = std::chrono::seconds(5);
   // How long a leader that cannot reach the store keeps extending leases. Runs survive an outage of
-  // this time and a lease. If a worker's machine and the leader's are lost together, the tasks there
-  // start again after the same time: no one can tell that the leader does not extend their leases.
+  // this time and a lease. If a worker's machine and the leader's are lost together, the tasks
+  // there start again after the same time: no one can tell that the leader does not extend their
+  // leases.
   Duration storeOutageTolerance = std::chrono::milliseconds(5000);
   // Factor on lease durations. A worker's clock may run 2% slow; the rest covers the agent's clock.
   double clockDriftFactor = 1.05;
