Acknowledge the end of a run that is not current only once it is stored

Cause: a leader that waited for the store's answer took a worker for gone after 5.6 s of silence and forgot which of its ends it was about to store. When the agent reported such an end again, the run was no longer current, so the end was acknowledged at once, though it was not stored. If another leader took over, it started the task again after its end had been acknowledged.

Change: an end of a run that is not current is acknowledged with the next write of the step's progress, unless the end of its job is stored.

--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -292,7 +292,12 @@
                          task->state != TaskState::Done && aEnd.ref.run < task->nextRunNumber &&
                          !IsTerminal(this->jobs.at(runKey.task.job).state);
   if (!isCurrentRun && !isLateEnd) {
-    this->OrdersFor(aWorker.agent, aWorker.key).acknowledgedEnds.push_back(aEnd.number);
+    if (task == nullptr || this->jobs.at(runKey.task.job).endStored) {
+      this->OrdersFor(aWorker.agent, aWorker.key).acknowledgedEnds.push_back(aEnd.number);
+    } else {
+      // The end that made this one needless, maybe the same one, may not be stored yet.
+      this->AcknowledgeOnceStored(aWorker, runKey.task, aEnd.number);
+    }
     return;
   }
   Job& job = this->jobs.at(runKey.task.job);
@@ -303,10 +308,7 @@
   if (isCurrentRun) {
     this->RemoveRun(runKey);
   }
-  const RowKey row = ProgressRow(runKey.task.job, runKey.task.occurrence, runKey.task.step);
-  this->MarkChanged(row);
-  aWorker.pendingEnds.insert(aEnd.number);
-  this->deferredOrders.push_back({ row, aWorker.agent, aWorker.key, std::nullopt, aEnd.number });
+  this->AcknowledgeOnceStored(aWorker, runKey.task, aEnd.number);
   this->counters.Add("runs_ended_total", nlohmann::json(aEnd.how).get_ref<const std::string&>());
   this->log("run_ended",
             { { "task", aEnd.ref.task },
@@ -326,6 +328,16 @@
   }
 }
 
+void JobScheduler::AcknowledgeOnceStored(Worker& aWorker,
+                                         const TaskKey& aTaskKey,
+                                         std::uint64_t aEndNumber)
+{
+  const RowKey row = ProgressRow(aTaskKey.job, aTaskKey.occurrence, aTaskKey.step);
+  this->MarkChanged(row);
+  aWorker.pendingEnds.insert(aEndNumber);
+  this->deferredOrders.push_back({ row, aWorker.agent, aWorker.key, std::nullopt, aEndNumber });
+}
+
 void JobScheduler::OnRunDone(Job& aJob, const TaskKey& aTaskKey, Now aNow)
 {
   const StepSpec& spec = this->SpecOf(aTaskKey);
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -42,6 +42,29 @@
   CHECK_FALSE(fixture.rows.contains(ProgressRow("j", 0, 0)));
 }
 
+// Guards against losing the end of a run: the store does not answer, the agent is silent until its
+// lease has expired, and then reports an end again that is not stored yet. The next leader would
+// run the task again.
+TEST_CASE("JobScheduler AcknowledgesAnEndOnlyAfterItIsStoredWhenTheWorkerWasSilent")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  fixture.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  StoreBatch batch = fixture.scheduler.TakeBatch(50);
+  fixture.Advance(std::chrono::seconds(6));
+  fixture.scheduler.Decide(fixture.now);
+  fixture.Report("a");
+  fixture.TakeOrders();
+  CHECK(fixture.acknowledgedEnds.empty());
+  fixture.Apply(batch);
+  fixture.scheduler.OnStored(std::move(batch), fixture.now);
+  fixture.RunUntilIdle();
+  CHECK_FALSE(fixture.acknowledgedEnds.empty());
+  CHECK(fixture.agents["a"].ended.empty());
+}
+
 TEST_CASE("JobScheduler StartsAStepOnlyWhenAllEarlierTasksAreDone")
 {
   SchedulerFixture fixture;
