Wait for leases that a leader extended while it loaded the rows

Cause: agents follow a leader as soon as its claim is applied, and it extends their leases while it loads. The wait for the leases of a silent worker counted only from the last renewal of the earlier leader. When the loading took longer than 8 s, for example because the store did not answer, and an agent fell silent then, its runs were placed anew while their lease still held.

Change: the wait lasts at least a lease from the end of the loading.

--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -127,6 +127,9 @@
   for (const auto& [id, stored] : std::exchange(this->loadedProgress, {})) {
     this->ReportUnreadableRow(kProgressTable, id);
   }
+  // This leader has extended leases as well, of agents that followed it while it loaded the rows.
+  const Instant latestLeaseExpiry =
+    std::max(aEarlierLeasesExpiry, aNow.instant + this->settings.LeaseBound());
   for (auto& [id, job] : this->jobs) {
     for (auto& [number, occurrence] : job.occurrences) {
       std::uint32_t doneSteps = 0;
@@ -137,7 +140,7 @@
             Worker& worker = this->workers[run.worker];
             worker.key = run.worker;
             worker.agent = run.agent;
-            worker.latestLeaseExpiry = aEarlierLeasesExpiry;
+            worker.latestLeaseExpiry = latestLeaseExpiry;
             worker.runs.insert({ { id, number, step, index }, run.number });
             const auto known = this->workerOfAgent.try_emplace(run.agent, run.worker).first;
             if (known->second != run.worker) {
--- a/packages/jobs/tests/SchedulerFixture.h
+++ b/packages/jobs/tests/SchedulerFixture.h
@@ -39,7 +39,6 @@
                           } };
   Now now{ Instant{} + std::chrono::hours(1), 1'000'000 };
   std::map<RowKey, std::string> rows;
-  Duration earlierLeases{};
   std::map<std::string, WorkerReport> agents;
   std::vector<std::pair<std::string, StartRun>> starts;
   std::vector<RunRef> stops;
@@ -47,15 +46,11 @@
 
   // Creates the first leader of a cluster.
   SchedulerFixture() { this->scheduler.FinishLoading(Epoch{ 1 }, this->now.instant, this->now); }
-  // Creates a leader that loads the rows stored by an earlier leader, whose leases may last for the
-  // given time.
-  explicit SchedulerFixture(const std::map<RowKey, std::string>& aStored,
-                            Duration aEarlierLeases = SchedulerSettings{}.storeOutageTolerance +
-                                                      SchedulerSettings{}.LeaseBound())
+  // Creates a leader that loads the rows stored by an earlier leader, which takes `aLoadTime`.
+  explicit SchedulerFixture(const std::map<RowKey, std::string>& aStored, Duration aLoadTime = {})
     : rows(aStored)
-    , earlierLeases(aEarlierLeases)
   {
-    this->Load();
+    this->Load(aLoadTime);
   }
 
   void AddAgent(const std::string& aName, std::int64_t aMilliCores = 8000)
@@ -138,9 +133,12 @@
     }
   }
 
-  // Loads the stored rows as a new leader does.
-  void Load()
+  // Loads the stored rows as a new leader does. The earlier leader renewed its leadership last when
+  // the loading began.
+  void Load(Duration aLoadTime)
   {
+    const Instant lastRenewedAt = this->now.instant;
+    this->Advance(aLoadTime);
     for (const auto& [row, value] : this->rows) {
       if (row.table == kStateTable) {
         this->scheduler.LoadState(row.key, value);
@@ -155,7 +153,9 @@
         this->scheduler.LoadJob(row.key, value, this->now);
       }
     }
-    this->scheduler.FinishLoading(Epoch{ 2 }, this->now.instant + this->earlierLeases, this->now);
+    const SchedulerSettings settings;
+    this->scheduler.FinishLoading(
+      Epoch{ 2 }, lastRenewedAt + settings.storeOutageTolerance + settings.LeaseBound(), this->now);
   }
 
   // Ends a run on the agent and sends a report with the end to the scheduler.
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -93,6 +93,26 @@
   CHECK(second.starts[0].second.ref.task == "j.0.0.0");
 }
 
+// Guards against a second run of a task: a leader extends leases while it loads the rows, which may
+// take longer than an earlier leader without the store would have extended them.
+TEST_CASE("JobScheduler WaitsForLeasesThatItExtendedWhileItLoaded")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(1) }));
+  first.RunUntilIdle();
+  SchedulerFixture second(first.rows, std::chrono::seconds(20));
+  second.AddAgent("b");
+  second.Advance(std::chrono::milliseconds(5000));
+  second.Report("b");
+  second.RunUntilIdle();
+  CHECK(second.starts.empty());
+  second.Advance(std::chrono::milliseconds(1000));
+  second.Report("b");
+  second.RunUntilIdle();
+  CHECK(second.starts.size() == 1);
+}
+
 // Guards against a slow take-over, during which no tasks are placed. Most stored jobs have ended,
 // so their records are not decoded.
 TEST_CASE("JobScheduler LoadsAnEndedJobWithoutDecodingItsRecord")
