Stop the remaining runs of done tasks when the leadership changes

Cause: the end of a member of a gang, or of a run that was considered lost, ends tasks of which other runs are still being stopped. A new leader loaded such a run as ordered: it repeated its start, or let it run on.

Change: a new leader stops the runs of tasks that are done, as it does with runs of ended jobs.

--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -136,7 +136,8 @@
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
         doneSteps += occurrence.steps[step].IsDone() ? 1 : 0;
         for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
-          for (const Run& run : occurrence.steps[step].tasks[index].runs) {
+          Task& task = occurrence.steps[step].tasks[index];
+          for (Run& run : task.runs) {
             Worker& worker = this->workers[run.worker];
             worker.key = run.worker;
             worker.agent = run.agent;
@@ -147,6 +148,10 @@
               this->loadedWorkersOfAgent[run.agent].insert(run.worker);
             }
             this->AdjustReservation(worker, job.record.spec.steps[step], 1);
+            if (task.state == TaskState::Done) {
+              // The earlier leader has not stored that the run is stopped.
+              this->StopRun({ id, number, step, index }, run);
+            }
           }
         }
       }
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -113,6 +113,32 @@
   CHECK(second.starts.size() == 1);
 }
 
+// Guards against a start of a task that is done: the end of a member of a gang ends the others, and
+// the leadership changes before the last of them is stopped.
+TEST_CASE("JobScheduler StopsRunsOfDoneTasksWhenItTakesOver")
+{
+  SchedulerFixture first;
+  first.AddAgent("a", 1000);
+  first.AddAgent("b", 1000);
+  StepSpec gang = MakeStep(2);
+  gang.gang = true;
+  first.Submit(MakeJob("j", { gang, MakeStep(1, { 0 }) }));
+  first.RunUntilIdle();
+  REQUIRE(first.starts.size() == 2);
+  const auto [agent, ended] = first.starts[0];
+  const auto [otherAgent, other] = first.starts[1];
+  first.End(agent, ended.ref, RunEnd::Done);
+  first.RunUntilIdle();
+  SchedulerFixture second(first.rows);
+  second.AddAgent(otherAgent, 1000);
+  second.agents[otherAgent].starting = { other.ref };
+  second.Report(otherAgent);
+  second.TakeOrders();
+  CHECK(second.starts.empty());
+  // The order is repeated, as it may be lost.
+  CHECK(std::set<RunRef>(second.stops.begin(), second.stops.end()) == std::set{ other.ref });
+}
+
 // Guards against a slow take-over, during which no tasks are placed. Most stored jobs have ended,
 // so their records are not decoded.
 TEST_CASE("JobScheduler LoadsAnEndedJobWithoutDecodingItsRecord")
