Play 1,000 seeded changes of the leader around JobScheduler

Cause: two leaders that act at a hand-over send orders out twice.

Change: HandoverTest plays leaders, the store, links, agents and workers in simulated time. The earlier leader is released, killed, frozen, cut in one direction or overtaken; its writes and orders are under way, agents connect late, workers drain, restart and carry starts out late, and jobs are submitted and cancelled meanwhile. Rules are checked whenever a run begins. ORIOLESPREAD_SEED and ORIOLESPREAD_HANDOVERS set the first seed and the count.

--- /dev/null
+++ b/packages/jobs/tests/HandoverTest.cpp
@@ -0,0 +1,366 @@
+// Seeded changes of the leader: the earlier leader is stopped, killed, frozen or cut off, its
+// writes and orders are still under way, agents follow the new leader late, and workers restart.
+#include "PlayedCluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+
+using namespace oriolespread;
+using namespace oriolespread::jobs;
+
+namespace {
+
+constexpr std::uint64_t kHandovers = 1000;
+constexpr std::uint64_t kHandoversPerSeed = 25;
+constexpr std::size_t kWorkers = 5;
+constexpr std::size_t kMaxLongRunningJobs = 3;
+// How long jobs may take once nothing is disturbed any more. A leader waits for at most 14 s for
+// the leases of a silent worker, and the longest job takes 8 s if no run fails.
+constexpr Duration kSettleTime = std::chrono::seconds(60);
+// An entry claims after this time even if the leader has become well again.
+constexpr Duration kTakeOverAfter = 2500 * kMs;
+constexpr Duration kMaxElectionTime = std::chrono::seconds(30);
+
+enum class HandoverKind
+{
+  Release,
+  Kill,
+  Freeze,
+  CutOrders,
+  CutReports,
+  // Another entry claims the leadership although the leader is well.
+  TakeOver,
+};
+constexpr std::array<const char*, 6> kKindNames{ "release",    "kill",        "freeze",
+                                                 "cut orders", "cut reports", "take over" };
+
+std::uint64_t ReadNumber(const char* aVariable, std::uint64_t aDefault)
+{
+  const char* text = std::getenv(aVariable);
+  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
+}
+
+class HandoverPlay
+{
+public:
+  explicit HandoverPlay(std::uint64_t aSeed)
+    : seed(aSeed)
+    , random(aSeed)
+    , cluster(aSeed + 1'000'000, kWorkers)
+  {
+    this->cluster.Elect({}, this->ConnectDelays(0), {});
+    this->AwaitLeader(1);
+  }
+
+  void HandOver(std::uint64_t aNumber)
+  {
+    this->number = aNumber;
+    PlayedLeader* earlier = this->cluster.Newest();
+    const std::size_t leaders = this->cluster.LeaderCount();
+    this->SubmitAndCancelJobs();
+    this->DisturbWorkers();
+    const Duration maxLatency = this->random.Chance(0.5) ? 1400 * kMs : 4 * kMs;
+    this->cluster.DisturbLinks(earlier, maxLatency, {}, {});
+    if (this->random.Chance(0.3)) {
+      this->cluster.world.storeSlowUntil =
+        this->cluster.world.time.Present() + this->random.Between(1000 * kMs, 4000 * kMs);
+    }
+    this->Run(this->random.Between({}, 1000 * kMs));
+    const auto kind = static_cast<HandoverKind>(this->random.Below(kKindNames.size()));
+    this->cluster.world.Note("hand-over " + std::to_string(aNumber) + ": " +
+                             kKindNames[static_cast<std::size_t>(kind)]);
+    const Duration loadTime = this->LoadTime();
+    const bool claimAtOnce = this->Disturb(*earlier, kind, maxLatency);
+    this->cluster.Elect(
+      claimAtOnce ? Duration::zero() : kTakeOverAfter, this->ConnectDelays(0.35), loadTime);
+    this->AwaitLeader(leaders + 1);
+    if (loadTime > SchedulerSettings{}.storeOutageTolerance) {
+      this->SilenceAgentsAfterLoading(loadTime);
+    }
+    this->Run(this->random.Between(100 * kMs, 5000 * kMs));
+  }
+
+  const PlayedWorld& World() const { return this->cluster.world; }
+
+  // Lets a leader without disturbance work until all jobs have the state that they should have.
+  void Settle()
+  {
+    const std::size_t leaders = this->cluster.LeaderCount();
+    this->cluster.world.storeSlowUntil = {};
+    this->cluster.Elect({}, this->ConnectDelays(0), {});
+    this->AwaitLeader(leaders + 1);
+    std::string unsettled;
+    for (Duration waited{}; waited < kSettleTime; waited += 500 * kMs) {
+      this->Run(500 * kMs);
+      unsettled = this->FindUnsettled();
+      if (unsettled.empty()) {
+        return;
+      }
+    }
+    this->Fail({ "all jobs reach their state without disturbances", unsettled });
+  }
+
+private:
+  void Run(Duration aTime)
+  {
+    this->cluster.Run(aTime);
+    if (this->cluster.world.finding.has_value()) {
+      this->Fail(*this->cluster.world.finding);
+    }
+  }
+
+  void Fail(const PlayedFinding& aFinding)
+  {
+    std::string text;
+    for (const std::string& event : this->cluster.world.history) {
+      text += "\n  " + event;
+    }
+    FAIL("seed " << this->seed << ", hand-over " << this->number
+                 << "\nexpected: " << aFinding.expected << "\nactual: " << aFinding.actual
+                 << "\nlast events:" << text);
+  }
+
+  void AwaitLeader(std::size_t aLeaders)
+  {
+    for (Duration waited{}; this->cluster.LeaderCount() < aLeaders; waited += 50 * kMs) {
+      this->Run(50 * kMs);
+      if (waited > kMaxElectionTime) {
+        this->Fail({ "another entry leads", "no claim was applied" });
+      }
+    }
+  }
+
+  // Returns whether another entry claims the leadership without waiting for the leader's silence.
+  bool Disturb(PlayedLeader& aEarlier, HandoverKind aKind, Duration aMaxLatency)
+  {
+    const Duration time = this->random.Between(1000 * kMs, 10'000 * kMs);
+    switch (aKind) {
+      case HandoverKind::Release:
+        aEarlier.Release();
+        return false;
+      case HandoverKind::Kill:
+        aEarlier.Kill();
+        this->cluster.CloseLinks(&aEarlier, 2500 * kMs, {});
+        return false;
+      case HandoverKind::Freeze:
+        aEarlier.Freeze(time);
+        this->CloseSilentLinks(aEarlier, time);
+        return false;
+      case HandoverKind::CutOrders:
+        this->cluster.DisturbLinks(&aEarlier, aMaxLatency, time, {});
+        this->CloseSilentLinks(aEarlier, time);
+        return !this->CutStore(aEarlier);
+      case HandoverKind::CutReports:
+        this->cluster.DisturbLinks(&aEarlier, aMaxLatency, {}, time);
+        this->CloseSilentLinks(aEarlier, time);
+        return !this->CutStore(aEarlier);
+      case HandoverKind::TakeOver:
+        break;
+    }
+    return true;
+  }
+
+  // Holds reports back after the new leader has extended leases without having loaded the runs.
+  void SilenceAgentsAfterLoading(Duration aLoadTime)
+  {
+    this->Run(aLoadTime - this->random.Between({}, 1000 * kMs));
+    this->cluster.DisturbLinks(this->cluster.Newest(), 4 * kMs, {}, std::chrono::seconds(10));
+    this->Run(std::chrono::seconds(8));
+  }
+
+  // Both ends close a link when a ping was not answered for 1.5 s.
+  void CloseSilentLinks(PlayedLeader& aLeader, Duration aSilence)
+  {
+    constexpr Duration kPingTimeout = 1500 * kMs;
+    if (aSilence > kPingTimeout) {
+      this->cluster.world.time.After(kPingTimeout, [this, &aLeader] {
+        this->cluster.CloseLinks(&aLeader, 1000 * kMs, 1000 * kMs);
+      });
+    }
+  }
+
+  bool CutStore(PlayedLeader& aLeader)
+  {
+    const bool cut = this->random.Chance(0.7);
+    if (cut) {
+      aLeader.CutStore(this->random.Between(1000 * kMs, 10'000 * kMs), this->random.Chance(0.5));
+    }
+    return cut;
+  }
+
+  std::vector<Duration> ConnectDelays(double aLateShare)
+  {
+    std::vector<Duration> delays;
+    for (std::size_t agent = 0; agent < kWorkers; ++agent) {
+      const bool late = this->random.Chance(aLateShare);
+      const Duration longest = this->random.Chance(0.4) ? 20'000 * kMs : 8000 * kMs;
+      delays.push_back(late ? this->random.Between(500 * kMs, longest)
+                            : this->random.Between(kMs, 200 * kMs));
+    }
+    return delays;
+  }
+
+  // The time for which the store does not serve the new leader.
+  Duration LoadTime()
+  {
+    if (this->random.Chance(0.9)) {
+      return {};
+    }
+    return this->random.Between(500 * kMs, this->random.Chance(0.3) ? 14'000 * kMs : 3000 * kMs);
+  }
+
+  void After(Duration aMaxDelay, std::function<void()> aCall)
+  {
+    this->cluster.world.time.After(this->random.Between({}, aMaxDelay), std::move(aCall));
+  }
+
+  void SubmitAndCancelJobs()
+  {
+    for (std::uint64_t left = 2 + this->random.Below(4); left > 0; --left) {
+      const JobRecord record = this->DrawJob();
+      this->jobs[record.id] = record;
+      const Duration submitAfter = this->random.Between({}, 3000 * kMs);
+      this->cluster.world.time.After(submitAfter, [this, record] { this->cluster.Submit(record); });
+      if (this->random.Chance(0.2)) {
+        // Cancelled around its start.
+        this->cluster.world.time.After(submitAfter + this->random.Between(15 * kMs, 500 * kMs),
+                                       [this, record] { this->cluster.Cancel(record.id); });
+      }
+    }
+    for (const auto& [id, record] : this->jobs) {
+      const bool longRunning = record.spec.steps.front().longRunning;
+      if (!this->cluster.world.cancelledAt.contains(id) &&
+          !this->cluster.world.store.ended.contains(id) &&
+          this->random.Chance(longRunning ? 0.2 : 0.1)) {
+        this->After(3500 * kMs, [this, cancelledId = id] { this->cluster.Cancel(cancelledId); });
+      }
+    }
+  }
+
+  JobRecord DrawJob()
+  {
+    const std::string id = "j" + std::to_string(this->jobs.size());
+    std::size_t lasting = 0;
+    for (const std::string& job : this->cluster.world.longRunningJobs) {
+      lasting += this->cluster.world.cancelledAt.contains(job) ? 0 : 1;
+    }
+    StepSpec step = MakeStep(static_cast<std::uint32_t>(1 + this->random.Below(4)));
+    step.estimateMs = static_cast<std::int64_t>(200 + this->random.Below(2800));
+    std::vector<StepSpec> steps{ step };
+    if (lasting < kMaxLongRunningJobs && this->random.Chance(0.25)) {
+      steps[0].longRunning = true;
+      steps[0].count = 2;
+      this->cluster.world.longRunningJobs.insert(id);
+    } else if (this->random.Chance(0.2)) {
+      steps[0].gang = true;
+      steps[0].image = kPlayedGangImage;
+    }
+    if (!steps[0].longRunning && this->random.Chance(0.5)) {
+      steps.push_back(step);
+      steps[1].after = { 0 };
+    }
+    JobRecord record = MakeJob(id, steps);
+    // Half of the long-running tasks end, and have to be started again.
+    const bool lasts = steps[0].longRunning && this->random.Chance(0.5);
+    record.spec.payload = lasts ? "0" : std::to_string(step.estimateMs);
+    record.policy.maxAttempts = 1000;
+    record.submittedUnixMs = this->cluster.world.time.Current().unixMs;
+    return record;
+  }
+
+  // One worker drains, carries out starts late, crashes or loses its agent's process, or several of
+  // these.
+  void DisturbWorkers()
+  {
+    const std::size_t index = this->random.Below(kWorkers);
+    PlayedWorker& worker = this->cluster.world.workers[index];
+    const Duration longest = this->random.Chance(0.2) ? 15'000 * kMs : 2000 * kMs;
+    const Duration downFor = this->random.Between(20 * kMs, longest);
+    const bool crashes = this->random.Chance(0.25);
+    if (crashes && this->random.Chance(0.5)) {
+      this->After(1500 * kMs, [&worker] { worker.state.draining = worker.up; });
+    }
+    if (crashes) {
+      this->cluster.world.time.After(
+        this->random.Between(1500 * kMs, 4000 * kMs),
+        [this, index, downFor] { this->cluster.CrashWorker(index, downFor); });
+    }
+    if (this->random.Chance(0.4)) {
+      worker.lateUntil = this->cluster.world.time.Present() + 3000 * kMs;
+    }
+    if (this->random.Chance(0.4)) {
+      this->After(2500 * kMs, [this, index] { this->cluster.RestartAgent(index); });
+    }
+  }
+
+  // Returns what a job lacks, or what a worker runs in vain; empty if nothing.
+  std::string FindUnsettled()
+  {
+    std::map<std::string, std::uint32_t> running;
+    for (PlayedWorker& worker : this->cluster.world.workers) {
+      worker.Advance(this->cluster.world.time.Present());
+      for (const auto& [ref, run] : worker.running) {
+        TaskName name;
+        TaskName::Parse(ref.task, name);
+        ++running[name.job];
+      }
+    }
+    for (const auto& [id, record] : this->jobs) {
+      const auto ended = this->cluster.world.store.ended.find(id);
+      const StepSpec& step = record.spec.steps.front();
+      const bool lasts = step.longRunning && !this->cluster.world.cancelledAt.contains(id);
+      const std::uint32_t expectedRuns = lasts ? step.count : 0;
+      if (running[id] != expectedRuns) {
+        return id + " has " + std::to_string(running[id]) + " runs instead of " +
+               std::to_string(expectedRuns);
+      }
+      if (lasts) {
+        continue;
+      }
+      if (ended == this->cluster.world.store.ended.end()) {
+        return id + " has not ended";
+      }
+      if (ended->second != JobState::Completed && !this->cluster.world.cancelledAt.contains(id)) {
+        return id + " is " + std::string(JobStateName(ended->second));
+      }
+    }
+    return {};
+  }
+
+  std::uint64_t seed;
+  std::uint64_t number = 0;
+  RandomSource random;
+  PlayedCluster cluster;
+  std::map<std::string, JobRecord> jobs;
+};
+
+} // namespace
+
+// Guards against tasks that run twice, again after their end, after their cancellation or never,
+// because two leaders act at a hand-over. ORIOLESPREAD_SEED sets the first seed, and
+// ORIOLESPREAD_HANDOVERS the number of hand-overs; a seed plays 25.
+TEST_CASE("JobScheduler RunsEachTaskOnceWhenTheLeaderChanges")
+{
+  const std::uint64_t first = ReadNumber("ORIOLESPREAD_SEED", 1);
+  const std::uint64_t count = ReadNumber("ORIOLESPREAD_HANDOVERS", kHandovers);
+  std::uint64_t starts = 0;
+  std::uint64_t refusedWrites = 0;
+  std::uint64_t refusedOrders = 0;
+  for (std::uint64_t played = 0; played < count; played += kHandoversPerSeed) {
+    HandoverPlay play(first + played / kHandoversPerSeed);
+    for (std::uint64_t number = 1; number <= kHandoversPerSeed; ++number) {
+      play.HandOver(number);
+    }
+    play.Settle();
+    starts += play.World().starts.size();
+    refusedWrites += play.World().refusedWrites;
+    refusedOrders += play.World().refusedOrders;
+  }
+  // Earlier leaders have acted, so the seeds play what the rules are about.
+  INFO("starts " << starts << ", refused writes " << refusedWrites << ", refused orders "
+                 << refusedOrders);
+  CHECK(starts >= count);
+  CHECK(refusedWrites > 0);
+  CHECK(refusedOrders > 0);
+}
--- /dev/null
+++ b/packages/jobs/tests/PlayedWorld.h
@@ -0,0 +1,398 @@
+// What a played cluster consists of beside its processes, in simulated time: the store, links,
+// workers, and the rules. The rules are checked whenever a run begins on a worker. The first one
+// that is broken is kept with the last events.
+#pragma once
+
+#include "SchedulerFixture.h"
+
+#include "oriolespread/base/RandomSource.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace oriolespread::jobs {
+
+// Times of the agent and the leader's process, as in ClusterSettings.h.
+inline constexpr Duration kPlayedLease = 5000 * kMs;
+inline constexpr Duration kPlayedPollInterval = 100 * kMs;
+inline constexpr Duration kPlayedReportInterval = 300 * kMs;
+inline constexpr Duration kPlayedResponseAge = 2000 * kMs;
+inline constexpr Duration kPlayedLeaseCheck = 30 * kMs;
+inline constexpr Duration kPlayedBatchDelay = 8 * kMs;
+inline constexpr Duration kPlayedTick = 200 * kMs;
+inline constexpr Duration kPlayedCommitTimeout = 300 * kMs;
+inline constexpr Duration kPlayedElectionPoll = 300 * kMs;
+inline constexpr Duration kPlayedLeaderTimeout = 950 * kMs;
+// How late a worker carries orders out. Starts that are later than their lease are refused.
+inline constexpr Duration kPlayedMaxCallDelay = 50 * kMs;
+inline constexpr Duration kPlayedMaxStartDelay = 5000 * kMs;
+inline constexpr int kPlayedRefusalsUntilLost = 2;
+inline constexpr std::size_t kPlayedBatchRows = 95;
+// A cancellation has to reach every worker within this time, as in the soak (Promises.cpp).
+inline constexpr Duration kPlayedCancelTime = 3000 * kMs;
+// The image of the tasks of gangs.
+inline constexpr std::string_view kPlayedGangImage = "gang";
+inline constexpr std::size_t kPlayedHistory = 200;
+
+// Runs calls at simulated times; those of one time in the order in which they were added.
+class PlayedTime
+{
+public:
+  const Now& Current() const { return this->now; }
+  Instant Present() const { return this->now.instant; }
+
+  void At(Instant aTime, std::function<void()> aCall)
+  {
+    this->calls.emplace(aTime, std::move(aCall));
+  }
+  void After(Duration aDelay, std::function<void()> aCall)
+  {
+    this->At(this->now.instant + aDelay, std::move(aCall));
+  }
+
+  // Runs the next call if it is due by then, else sets the time to `aEnd`. Returns whether it ran.
+  bool RunNext(Instant aEnd)
+  {
+    const auto next = this->calls.begin();
+    const bool isDue = next != this->calls.end() && next->first <= aEnd;
+    const Instant time = isDue ? next->first : aEnd;
+    this->now.unixMs += ToMilliseconds(time - kStart) - ToMilliseconds(this->now.instant - kStart);
+    this->now.instant = time;
+    if (isDue) {
+      const std::function<void()> call = std::move(next->second);
+      this->calls.erase(next);
+      call();
+    }
+    return isDue;
+  }
+
+  static constexpr Instant kStart = Instant{} + std::chrono::hours(1);
+
+private:
+  Now now{ kStart, 1'000'000 };
+  std::multimap<Instant, std::function<void()>> calls;
+};
+
+// The row of the leader. `version` changes with each write.
+struct PlayedLeaderRow
+{
+  std::uint64_t version = 0;
+  std::uint64_t epoch = 0;
+  std::uint64_t renewal = 0;
+  bool released = false;
+};
+
+struct PlayedTransaction
+{
+  // The version that the leader's row must have.
+  std::uint64_t condition = 0;
+  PlayedLeaderRow row;
+  StoreBatch batch;
+};
+
+class PlayedStore
+{
+public:
+  // Returns the version of the leader's row if the transaction was applied, now or by an earlier
+  // attempt.
+  std::optional<std::uint64_t> Commit(const PlayedTransaction& aTransaction)
+  {
+    if (this->leader.version != aTransaction.condition) {
+      const bool isOwn = this->leader.epoch == aTransaction.row.epoch &&
+                         this->leader.renewal == aTransaction.row.renewal;
+      return isOwn ? std::optional(this->leader.version) : std::nullopt;
+    }
+    this->leader = aTransaction.row;
+    this->leader.version = aTransaction.condition + 1;
+    for (const RowChange& change : aTransaction.batch.changes) {
+      if (change.remove) {
+        this->rows.erase(change.row);
+        continue;
+      }
+      this->rows[change.row] = change.value;
+      JobState state{};
+      if (change.row.table == kStateTable &&
+          ParseJobState(change.value.substr(0, change.value.find(' ')), state) &&
+          IsTerminal(state)) {
+        this->ended.emplace(change.row.key, state);
+      }
+    }
+    return this->leader.version;
+  }
+
+  void WriteJobRow(const RowKey& aRow, const std::string& aValue)
+  {
+    this->rows[aRow] = aValue;
+    this->jobRows.emplace_back(aRow.key, aValue);
+  }
+
+  PlayedLeaderRow leader;
+  std::map<RowKey, std::string> rows;
+  // All rows of `jobs` in the order in which they were written, for watches.
+  std::vector<std::pair<std::string, std::string>> jobRows;
+  // The state in which each job ended, kept when its rows are removed.
+  std::map<std::string, JobState> ended;
+};
+
+struct PlayedRun
+{
+  Instant startedAt{};
+  // Zero if the run lasts until it is stopped.
+  Duration length{};
+  bool stalls = false;
+  RunEnd how = RunEnd::Done;
+};
+
+class PlayedWorker
+{
+public:
+  enum class Answer
+  {
+    Done,
+    Started,
+    AlreadyEnded,
+    Fenced,
+    Late,
+  };
+
+  // Ends the runs that have ended by themselves, and all if the lease has expired.
+  void Advance(Instant aNow)
+  {
+    const std::map<RunRef, PlayedRun> runs = this->running;
+    for (const auto& [ref, run] : runs) {
+      const Instant end = run.startedAt + run.length;
+      if (run.length > Duration::zero() && !run.stalls &&
+          end <= std::min(aNow, this->leaseExpiry)) {
+        this->End(ref, run.how);
+      } else if (this->leaseExpiry <= aNow) {
+        this->End(ref, RunEnd::Lapsed);
+      }
+    }
+  }
+
+  Answer Start(const RunRef& aRef, const PlayedRun& aRun, Epoch aEpoch, Instant aDeadline)
+  {
+    if (aEpoch < this->fence) {
+      return Answer::Fenced;
+    }
+    this->fence = aEpoch;
+    if (this->running.contains(aRef)) {
+      return Answer::Done;
+    }
+    if (this->settled.contains(aRef)) {
+      return Answer::AlreadyEnded;
+    }
+    if (aDeadline <= aRun.startedAt) {
+      return Answer::Late;
+    }
+    this->leaseExpiry = std::max(this->leaseExpiry, aDeadline);
+    this->running[aRef] = aRun;
+    return Answer::Started;
+  }
+
+  // A run that is stopped before it starts can not start any more.
+  Answer Stop(const RunRef& aRef, Epoch aEpoch)
+  {
+    if (aEpoch < this->fence) {
+      return Answer::Fenced;
+    }
+    this->fence = aEpoch;
+    if (this->running.contains(aRef)) {
+      this->End(aRef, RunEnd::Stopped);
+    }
+    this->settled.insert(aRef);
+    return Answer::Done;
+  }
+
+  void Crash()
+  {
+    this->up = false;
+    this->state.draining = false;
+    this->running.clear();
+    this->ended.clear();
+    this->settled.clear();
+    this->fence = {};
+    this->lastEnd = 0;
+    this->leaseExpiry = {};
+  }
+
+  void Boot(std::int64_t aBorn)
+  {
+    this->up = true;
+    this->state.born = aBorn;
+  }
+
+  WorkerState state;
+  bool up = true;
+  // The worker carries out starts late that are sent before this time.
+  Instant lateUntil{};
+  Epoch fence;
+  Instant leaseExpiry{};
+  std::map<RunRef, PlayedRun> running;
+  // Ends that were not acknowledged.
+  std::vector<EndedRun> ended;
+
+private:
+  void End(const RunRef& aRef, RunEnd aHow)
+  {
+    this->running.erase(aRef);
+    this->settled.insert(aRef);
+    this->ended.push_back({ ++this->lastEnd, aRef, aHow, "" });
+  }
+
+  std::set<RunRef> settled;
+  std::uint64_t lastEnd = 0;
+};
+
+struct PlayedFinding
+{
+  std::string expected;
+  std::string actual;
+};
+
+// What all parts of the cluster share, and the rules.
+class PlayedWorld
+{
+public:
+  explicit PlayedWorld(std::uint64_t aSeed)
+    : random(aSeed)
+  {
+  }
+
+  void Note(std::string aText)
+  {
+    const std::int64_t ms = ToMilliseconds(this->time.Present() - PlayedTime::kStart);
+    this->history.push_back(std::to_string(ms) + " ms: " + std::move(aText));
+    if (this->history.size() > kPlayedHistory) {
+      this->history.pop_front();
+    }
+  }
+
+  void Break(std::string aExpected, std::string aActual)
+  {
+    if (!this->finding.has_value()) {
+      this->finding = { std::move(aExpected), std::move(aActual) };
+    }
+  }
+
+  Duration StoreDelay()
+  {
+    const bool slow = this->time.Present() < this->storeSlowUntil;
+    return this->random.Between(kMs, slow ? 400 * kMs : 15 * kMs);
+  }
+
+  // Checks the rules when a run has begun on a worker by a call with this token. `aLinkedSince`
+  // tells since when the worker's agent is linked to the leader of the token, if it is.
+  void OnStarted(const PlayedWorker& aWorker,
+                 const RunRef& aRef,
+                 std::optional<Instant> aLinkedSince,
+                 Epoch aToken)
+  {
+    const std::string what = aRef.task + " run " + std::to_string(aRef.run);
+    this->Note(aWorker.state.id + " starts " + what);
+    if (++this->starts[aRef] > 1) {
+      this->Break("each order has one effect", what + " starts again on " + aWorker.state.id);
+    }
+    for (PlayedWorker& other : this->workers) {
+      other.Advance(this->time.Present());
+      for (const auto& [ref, run] : other.running) {
+        if (ref.task == aRef.task && (ref != aRef || &other != &aWorker)) {
+          this->Break("a task has one run at a time",
+                      what + " starts on " + aWorker.state.id + " while run " +
+                        std::to_string(ref.run) + " is on " + other.state.id);
+        }
+      }
+    }
+    if (this->acknowledgedDone.contains(aRef.task)) {
+      this->Break("no start after the task's end was acknowledged",
+                  what + " starts on " + aWorker.state.id);
+    }
+    if (!this->isKnown(aToken, aRef)) {
+      this->Break("a leader expects the runs that begin under its token",
+                  what + " starts on " + aWorker.state.id + " under " +
+                    std::to_string(aToken.Value()));
+    }
+    const bool followsLast =
+      aToken == this->readyEpoch && aToken.Value() == this->store.leader.epoch;
+    if (followsLast && aLinkedSince.has_value()) {
+      this->CheckCancellation(what + " starts on " + aWorker.state.id, aRef, *aLinkedSince);
+    }
+  }
+
+  RandomSource random;
+  PlayedTime time;
+  PlayedStore store;
+  std::vector<PlayedWorker> workers;
+  std::set<std::string> longRunningJobs;
+  std::map<std::string, Instant> cancelledAt;
+  std::set<std::string> acknowledgedDone;
+  std::map<RunRef, int> starts;
+  // The last leader that has loaded the rows, and since when it runs and reaches the store and its
+  // links.
+  Epoch readyEpoch;
+  Instant undisturbedSince{};
+  Instant storeSlowUntil{};
+  // Writes and orders of earlier leaders that were refused.
+  std::uint64_t refusedWrites = 0;
+  std::uint64_t refusedOrders = 0;
+  // Returns whether the leader of the epoch expects the run, or does not lead.
+  std::function<bool(Epoch, const RunRef&)> isKnown;
+  std::deque<std::string> history;
+  std::optional<PlayedFinding> finding;
+
+private:
+  void CheckCancellation(const std::string& aWhat, const RunRef& aRef, Instant aLinkedSince)
+  {
+    TaskName name;
+    TaskName::Parse(aRef.task, name);
+    const auto cancelled = this->cancelledAt.find(name.job);
+    if (cancelled == this->cancelledAt.end()) {
+      return;
+    }
+    const Duration late =
+      this->time.Present() - std::max({ cancelled->second, aLinkedSince, this->undisturbedSince });
+    if (late > kPlayedCancelTime) {
+      this->Break("no start " + std::to_string(ToMilliseconds(kPlayedCancelTime)) +
+                    " ms after a cancellation",
+                  aWhat + " " + std::to_string(ToMilliseconds(late)) + " ms after it");
+    }
+  }
+};
+
+// One direction of a link. Messages keep their order.
+struct PlayedDirection
+{
+  void Deliver(PlayedWorld& aWorld, std::function<void()> aMessage)
+  {
+    const Instant arrival = aWorld.time.Present() + aWorld.random.Between(kMs, this->maxLatency);
+    this->lastArrival = std::max({ arrival, this->heldUntil, this->lastArrival });
+    aWorld.time.At(this->lastArrival, std::move(aMessage));
+  }
+
+  Duration maxLatency = 4 * kMs;
+  // Messages that are sent before this time arrive after it.
+  Instant heldUntil{};
+  Instant lastArrival{};
+};
+
+// A connection of an agent to the process of a leader. Its ends notice its loss at different times.
+struct PlayedLink
+{
+  std::size_t agent = 0;
+  PlayedDirection toAgent;
+  PlayedDirection toLeader;
+  bool openAtAgent = true;
+  bool openAtLeader = true;
+  // Handles a report at the leader's process.
+  std::function<void(const std::shared_ptr<PlayedLink>&, const WorkerReport&)> onReport;
+};
+
+} // namespace oriolespread::jobs
