--- a/packages/settings/tests/TomlDocumentTest.cpp
+++ b/packages/settings/tests/TomlDocumentTest.cpp
@@ -87,3 +87,16 @@
     }
   }
 }
+
+// Guards against a check of toml++ that ends the process in a build with assertions and is assumed
+// to hold in others.
+TEST_CASE("TomlDocument RefusesDocumentsThatBreakAnAssertionOfTheParser")
+{
+  for (const char* text : { "[!]", "[[!]]", "a = 2020-01-01 1," }) {
+    INFO(text);
+    Findings findings;
+    CHECK_FALSE(internal::ParseToml(text, "s.toml", findings));
+    REQUIRE(findings.size() == 1);
+    CHECK(findings.All().front().place.line == 1);
+  }
+}
