Refuse floating-point numbers in integer fields of messages

Cause: the JSON library converts a floating-point number to an integer by a cast, which is undefined if the integer cannot hold the number, such as -1.0 or NaN. A peer's message with such a number in a field of an integer reached it. GCC's group `undefined` of sanitizers does not contain float-cast-overflow, so the fuzz tests did not show it.

Change: HasFloatingPoint of base/ExternalJson.h finds such numbers, and DecodeMessage refuses them before it reads the fields. The field `disturbance` of lease_extension, the only one with floating-point numbers, is excepted.

Result: with address, undefined and float-cast-overflow sanitizers, MessageCodec RefusesFloatingPointNumbersInFieldsOfIntegers ends before with "-1 is outside the range of representable values of type 'long unsigned int'" (from_json.hpp:67) and passes after. messages_tests (4 cases) and base_tests (9 cases) pass with these sanitizers, and with address and undefined only.

--- a/packages/base/src/ExternalJson.cpp
+++ b/packages/base/src/ExternalJson.cpp
@@ -1,5 +1,6 @@
 #include "oriolespread/base/ExternalJson.h"
 
+#include <algorithm>
 #include <string>
 
 namespace oriolespread {
@@ -175,4 +176,20 @@
   return parsed;
 }
 
+bool HasFloatingPoint(const json& aValue, std::string_view aExcept)
+{
+  if (aValue.is_object()) {
+    return std::any_of(aValue.items().begin(), aValue.items().end(), [&](const auto& aField) {
+      return (aExcept.empty() || aField.key() != aExcept) &&
+             HasFloatingPoint(aField.value(), aExcept);
+    });
+  }
+  if (aValue.is_array()) {
+    return std::any_of(aValue.begin(), aValue.end(), [&](const json& aItem) {
+      return HasFloatingPoint(aItem, aExcept);
+    });
+  }
+  return aValue.is_number_float();
+}
+
 } // namespace oriolespread
--- a/packages/messages/src/MessageCodec.cpp
+++ b/packages/messages/src/MessageCodec.cpp
@@ -23,6 +23,8 @@
 
 constexpr const char* kTypeKey = "t";
 constexpr const char* kBodyKey = "b";
+// The only field of a message that has floating-point numbers.
+constexpr const char* kFloatingPointKey = "disturbance";
 
 template<std::size_t... Indexes>
 std::optional<LinkMessage> Parse(std::string_view aName,
@@ -67,6 +69,10 @@
     return absl::InvalidArgumentError("message is not a MessagePack map with type and body");
   }
   const std::string& name = envelope[kTypeKey].get_ref<const std::string&>();
+  if (HasFloatingPoint(envelope[kBodyKey], kFloatingPointKey)) {
+    return absl::InvalidArgumentError(
+      absl::StrCat("message ", name, ": a floating-point number in place of an integer"));
+  }
   try {
     std::optional<LinkMessage> message =
       Parse(name, envelope[kBodyKey], std::make_index_sequence<std::variant_size_v<LinkMessage>>{});
--- a/packages/messages/tests/MessageCodecTest.cpp
+++ b/packages/messages/tests/MessageCodecTest.cpp
@@ -3,6 +3,9 @@
 #include "oriolespread/base/RandomSource.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cmath>
 
 using namespace oriolespread;
 
@@ -68,3 +71,33 @@
   bytes.append(kMaxMessageBytes - bytes.size(), '\x91');
   CHECK_FALSE(DecodeMessage(bytes).ok());
 }
+
+// Guards against the library's conversion of a floating-point number to an integer, which is
+// undefined if the integer cannot hold it.
+TEST_CASE("MessageCodec RefusesFloatingPointNumbersInFieldsOfIntegers")
+{
+  using nlohmann::json;
+  const auto decode = [](const char* aName, json aBody) {
+    std::string bytes;
+    json::to_msgpack({ { "t", aName }, { "b", std::move(aBody) } }, bytes);
+    return DecodeMessage(bytes).status();
+  };
+  for (const double number : { -1.0, 0.5, 1e300, -1e300, std::nan(""), HUGE_VAL }) {
+    INFO(number);
+    CHECK_FALSE(decode("leader_claim", { { "epoch", number } }).ok());
+    CHECK_FALSE(
+      decode("lease_extension",
+             { { "epoch", 1 }, { "sequence", number }, { "disturbance", json::object() } })
+        .ok());
+    CHECK_FALSE(
+      decode("entry_directory",
+             { { "shardCount", 1 },
+               { "entries", json::array() },
+               { "owners", { { { "shard", number }, { "epoch", 1 }, { "entry", "e" } } } } })
+        .ok());
+  }
+  const auto status = decode(
+    "lease_extension", { { "epoch", 1 }, { "sequence", 2 }, { "disturbance", { { "i", 0.5 } } } });
+  INFO(status);
+  CHECK(status.ok());
+}
