Refuse floating-point numbers in integer fields of stored rows

Cause: as in messages, the JSON library's cast of a floating-point number to an integer that cannot hold it is undefined. Rows of jobs, of progress, of interference weights and of the leader reached it; the test LeaderElection ClaimsWithAHigherEpochWhenTheRowIsMalformed did so already, unseen without float-cast-overflow.

Change: the decoders of the first three rows use HasFloatingPoint before they read fields, with `stretch` of a job's record excepted. DecodeLeaderRecord checks `epoch` and `renewal` only, so that a floating-point field of a later version does not make the row unreadable.

--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -34,7 +34,11 @@
 std::optional<LeaderRecord> DecodeLeaderRecord(const std::string& aBytes)
 {
   const auto parsed = ParseJson(aBytes);
-  if (!parsed.ok() || !parsed->is_object()) {
+  // The library's conversion of a floating-point number to an integer may be undefined. Fields of
+  // later versions are ignored.
+  if (!parsed.ok() || !parsed->is_object() ||
+      HasFloatingPoint(parsed->value("epoch", nlohmann::json())) ||
+      HasFloatingPoint(parsed->value("renewal", nlohmann::json()))) {
     return std::nullopt;
   }
   try {
--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -286,6 +286,7 @@
                              R"({"epoch":-1})",
                              R"({"epoch":18446744073709551615})",
                              R"({"epoch":1e300})",
+                             R"({"epoch":1,"renewal":-1.5})",
                              R"({"epoch":1e999})",
                              R"({"epoch":"5"})" }) {
     INFO(value);
--- a/packages/jobs/src/InterferenceModel.cpp
+++ b/packages/jobs/src/InterferenceModel.cpp
@@ -209,7 +209,7 @@
 bool InterferenceModel::Restore(const std::string& aBytes)
 {
   const auto parsed = ParseMessagePack(aBytes);
-  if (!parsed.ok()) {
+  if (!parsed.ok() || HasFloatingPoint(*parsed)) {
     return false;
   }
   std::vector<std::string> servingImages;
--- a/packages/jobs/src/JobSpec.cpp
+++ b/packages/jobs/src/JobSpec.cpp
@@ -20,6 +20,8 @@
 // The length of a job's identifier and its queue's name together. The store takes keys of at most
 // 200 bytes, and the rest is for the numbers that the leader adds to form the keys of its rows.
 constexpr std::size_t kMaxNameBytes = 175;
+// The only field of a job's record that is a floating-point number.
+constexpr const char* kFloatingPointField = "stretch";
 
 bool IsBetween(std::int64_t aValue, std::int64_t aMin, std::int64_t aMax)
 {
@@ -123,7 +125,7 @@
 bool DecodeJobRecord(const std::string& aBytes, JobRecord& aRecord)
 {
   const auto parsed = ParseMessagePack(aBytes);
-  if (!parsed.ok() || !parsed->is_object()) {
+  if (!parsed.ok() || !parsed->is_object() || HasFloatingPoint(*parsed, kFloatingPointField)) {
     return false;
   }
   try {
--- a/packages/jobs/src/ProgressCodec.cpp
+++ b/packages/jobs/src/ProgressCodec.cpp
@@ -74,7 +74,7 @@
 bool DecodeProgress(const std::string& aBytes, Step& aStep)
 {
   const auto parsed = ParseMessagePack(aBytes);
-  if (!parsed.ok()) {
+  if (!parsed.ok() || HasFloatingPoint(*parsed)) {
     return false;
   }
   const nlohmann::json& tasks = *parsed;
--- a/packages/jobs/tests/InterferenceModelTest.cpp
+++ b/packages/jobs/tests/InterferenceModelTest.cpp
@@ -3,6 +3,7 @@
 #include "oriolespread/base/RandomSource.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <cmath>
 
@@ -220,7 +221,13 @@
   const double first = model.Weight("new", model.ServingImageIndex("serving"));
   InterferenceModel other;
   other.ServingImageIndex("a");
-  for (const std::string& bytes : { std::string(),
+  // The library's conversion of this weight to an integer is undefined.
+  std::string largeWeight;
+  nlohmann::json::to_msgpack(
+    nlohmann::json::parse(R"({"serving": ["a"], "filling": ["b"], "weights": [[1e300]]})"),
+    largeWeight);
+  for (const std::string& bytes : { largeWeight,
+                                    std::string(),
                                     std::string("x"),
                                     std::string("\x81\xa1z\x01"),
                                     std::string(1'000'000, '\x91'),
--- a/packages/jobs/tests/JobRowsTest.cpp
+++ b/packages/jobs/tests/JobRowsTest.cpp
@@ -3,7 +3,9 @@
 #include "oriolespread/jobs/JobSpec.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <functional>
 #include <limits>
 
@@ -64,6 +66,27 @@
   CHECK_FALSE(DecodeJobRecord(maps + "\xc0", read));
 }
 
+// Guards against the library's conversion of a floating-point number to an integer, which is
+// undefined if the integer cannot hold it.
+TEST_CASE("JobRecord RejectsFloatingPointNumbersInFieldsOfIntegers")
+{
+  JobRecord record;
+  record.id = "j";
+  record.policy.stretch = 1.5;
+  record.spec.steps.push_back(MakeStep(10, {}));
+  JobRecord read;
+  REQUIRE(DecodeJobRecord(EncodeJobRecord(record), read));
+  CHECK(read.policy.stretch == 1.5);
+  for (const double number : { -1.0, 1e300, std::nan("") }) {
+    INFO(number);
+    auto row = nlohmann::json::from_msgpack(EncodeJobRecord(record));
+    row["spec"]["steps"][0]["count"] = number;
+    std::string bytes;
+    nlohmann::json::to_msgpack(row, bytes);
+    CHECK_FALSE(DecodeJobRecord(bytes, read));
+  }
+}
+
 // Guards against a row in the table of jobs that ends each leader or stops it for good. Without
 // steps, or with a step that waits for one that does not exist, the leader read past the end of a
 // list. Texts that are not UTF-8, and names that are too long for a row's key, made every later
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -297,6 +297,7 @@
          std::string("x"),
          progress({ { false, -1, 0, "", nlohmann::json::array() } }),
          progress({ { false, 1e300, 0, "", nlohmann::json::array() } }),
+         progress({ { false, 1, 1e300, "", nlohmann::json::array() } }),
          progress({ { false, std::uint64_t{ 0 } - 1, 0, "", nlohmann::json::array() } }) }) {
     auto rows = first.rows;
     rows[ProgressRow("j", 0, 0)] = value;
