Read a leader's row whose time of earlier leases is malformed

Cause: the field is read by the library's conversion, which is undefined for a floating-point number beyond the range, and a text in it made the whole row malformed, so that any entry claimed at once.

Change: a value that is not a whole number of milliseconds up to an hour counts as absent.

Result: LeaderElection CountsTheLongestLeasesWhenTheRowDoesNotTellOfThem covers a text and null too, which failed before; all tests of cluster pass.

--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -13,7 +13,12 @@
 constexpr double kLatencyDecay = 0.7;
 constexpr std::uint64_t kMaxEpoch = std::uint64_t{ 1 } << 53U;
 // Longer than any sum of a lease and an outage that is tolerated.
-constexpr std::int64_t kMaxEarlierLeasesMs = 3'600'000;
+constexpr std::uint64_t kMaxEarlierLeasesMs = 3'600'000;
+
+bool IsLeaseTime(const nlohmann::json& aValue)
+{
+  return aValue.is_number_unsigned() && aValue.get<std::uint64_t>() <= kMaxEarlierLeasesMs;
+}
 
 } // namespace
 
@@ -33,7 +38,7 @@
 
 std::optional<LeaderRecord> DecodeLeaderRecord(const std::string& aBytes)
 {
-  const auto parsed = ParseJson(aBytes);
+  auto parsed = ParseJson(aBytes);
   // The library's conversion of a floating-point number to an integer may be undefined. Fields of
   // later versions are ignored.
   if (!parsed.ok() || !parsed->is_object() ||
@@ -42,13 +47,12 @@
     return std::nullopt;
   }
   try {
-    auto record = parsed->get<LeaderRecord>();
-    // The next leader needs a higher epoch.
     const auto leases = parsed->find("earlierLeasesMs");
-    if (leases != parsed->end() &&
-        (!leases->is_number_integer() || record.earlierLeasesMs > kMaxEarlierLeasesMs)) {
-      record.earlierLeasesMs = -1;
+    if (leases != parsed->end() && !IsLeaseTime(*leases)) {
+      parsed->erase(leases);
     }
+    auto record = parsed->get<LeaderRecord>();
+    // The next leader needs a higher epoch.
     const bool isValid = parsed->at("epoch").is_number_unsigned() && record.epoch <= kMaxEpoch;
     return isValid ? std::optional(std::move(record)) : std::nullopt;
   } catch (const nlohmann::json::exception&) {
--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -202,6 +202,8 @@
                              R"(,"earlierLeasesMs":-1)",
                              R"(,"earlierLeasesMs":1e300)",
                              R"(,"earlierLeasesMs":0.5)",
+                             R"(,"earlierLeasesMs":"0")",
+                             R"(,"earlierLeasesMs":null)",
                              R"(,"earlierLeasesMs":18446744073709551615)",
                              R"(,"earlierLeasesMs":9223372036854775807)" }) {
     INFO(field);
