Acknowledge the end of a lost run once its replacement is stopped

Cause: run 1 was considered lost and run 2 ordered when the end of run 1, done, arrived. The end was acknowledged as soon as it was stored, while the start of run 2 was under way, so that run 2 could start after the end of its task had been acknowledged.

Change: the end of a task that has another run is acknowledged once that run is gone; the agent reports the end again until then.

Tests: AcceptsTheSuccessfulEndOfARunThatItConsideredLost demanded the acknowledgement while run 2 was still listed by its worker, which is the fault. It now demands that there is none until the worker reports that run 2 is gone, and then the same acknowledgement.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -180,7 +180,8 @@
   void UpdateCheckpoint(const TaskKey& aTaskKey, const std::string& aCheckpoint, Now aNow);
   void UpdateInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   void ApplyRunEnd(Worker& aWorker, const EndedRun& aEnd, Now aNow);
-  // Acknowledges the end once the present progress of the task's step is stored.
+  // Acknowledges the end once the present progress of the task's step is stored, or at the next
+  // report of the end if a run of an ended task is not stopped yet.
   void AcknowledgeOnceStored(Worker& aWorker, const TaskKey& aTaskKey, std::uint64_t aEndNumber);
   // `aLastOrders` is the last of the orders that the agent had received when it rejected the run.
   void ApplyRejection(Worker& aWorker,
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -292,12 +292,8 @@
                          task->state != TaskState::Done && aEnd.ref.run < task->nextRunNumber &&
                          !IsTerminal(this->jobs.at(runKey.task.job).state);
   if (!isCurrentRun && !isLateEnd) {
-    if (task == nullptr || this->jobs.at(runKey.task.job).endStored) {
-      this->OrdersFor(aWorker.agent, aWorker.key).acknowledgedEnds.push_back(aEnd.number);
-    } else {
-      // The end that made this one needless, maybe the same one, may not be stored yet.
-      this->AcknowledgeOnceStored(aWorker, runKey.task, aEnd.number);
-    }
+    // The end that made this one needless, maybe the same one, may not be stored yet.
+    this->AcknowledgeOnceStored(aWorker, runKey.task, aEnd.number);
     return;
   }
   Job& job = this->jobs.at(runKey.task.job);
@@ -308,7 +304,7 @@
   if (isCurrentRun) {
     this->RemoveRun(runKey);
   }
-  this->AcknowledgeOnceStored(aWorker, runKey.task, aEnd.number);
+  this->MarkChanged(ProgressRow(runKey.task.job, runKey.task.occurrence, runKey.task.step));
   this->counters.Add("runs_ended_total", nlohmann::json(aEnd.how).get_ref<const std::string&>());
   this->log("run_ended",
             { { "task", aEnd.ref.task },
@@ -317,21 +313,29 @@
               { "how", aEnd.how },
               { "stopping", stopping },
               { "given_up", isLateEnd } });
-  if (IsTerminal(job.state)) {
-    return;
-  }
-  if (aEnd.how == RunEnd::Done) {
+  if (!IsTerminal(job.state) && aEnd.how == RunEnd::Done) {
     aWorker.failedJobs.clear();
     this->OnRunDone(job, runKey.task, aNow);
-  } else if (aEnd.how == RunEnd::Failed) {
+  } else if (!IsTerminal(job.state) && aEnd.how == RunEnd::Failed) {
     this->OnRunFailed(job, runKey.task, aWorker, aNow);
   }
+  this->AcknowledgeOnceStored(aWorker, runKey.task, aEnd.number);
 }
 
 void JobScheduler::AcknowledgeOnceStored(Worker& aWorker,
                                          const TaskKey& aTaskKey,
                                          std::uint64_t aEndNumber)
 {
+  const Task* task = this->FindTask(aTaskKey);
+  if (task != nullptr && task->state == TaskState::Done && !task->runs.empty()) {
+    // Another run of the task is being stopped, and may start until then. The agent reports the end
+    // again.
+    return;
+  }
+  if (task == nullptr || this->jobs.at(aTaskKey.job).endStored) {
+    this->OrdersFor(aWorker.agent, aWorker.key).acknowledgedEnds.push_back(aEndNumber);
+    return;
+  }
   const RowKey row = ProgressRow(aTaskKey.job, aTaskKey.occurrence, aTaskKey.step);
   this->MarkChanged(row);
   aWorker.pendingEnds.insert(aEndNumber);
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -345,9 +345,15 @@
   fixture.TakeOrders();
   CHECK(fixture.acknowledgedEnds.empty());
   fixture.RunUntilIdle();
-  CHECK(fixture.acknowledgedEnds == std::vector<std::uint64_t>{ 1 });
   CHECK(fixture.StateOf("j") == JobState::Completed);
   CHECK(fixture.stops == std::vector<RunRef>{ { "j.0.0.0", 2 } });
+  // The replacement may start until its worker reports that it is gone.
+  CHECK(fixture.acknowledgedEnds.empty());
+  fixture.agents["b"].running.clear();
+  fixture.Report("b");
+  fixture.Report("a");
+  fixture.RunUntilIdle();
+  CHECK(fixture.acknowledgedEnds == std::vector<std::uint64_t>{ 1 });
 }
 
 // Guards against serving runs that miss their target next to best-effort runs: a restarted agent
--- a/packages/jobs/tests/UnconfirmedOrdersTest.cpp
+++ b/packages/jobs/tests/UnconfirmedOrdersTest.cpp
@@ -138,6 +138,31 @@
   CHECK(fixture.stops.empty());
 }
 
+// Guards against a start of a task after its end was acknowledged.
+TEST_CASE("JobScheduler AcknowledgesTheEndOfALostRunOnceItsReplacementIsStopped")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1), MakeStep(1, { 0 }) }));
+  fixture.RunUntilIdle();
+  fixture.Advance(std::chrono::seconds(6));
+  fixture.AddAgent("b");
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 2);
+  fixture.agents["b"].running.clear();
+  fixture.agents["b"].starting = { { "j.0.0.0", 2 } };
+  fixture.Report("b");
+  fixture.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  fixture.RunUntilIdle();
+  CHECK(fixture.stops == std::vector<RunRef>{ { "j.0.0.0", 2 } });
+  CHECK(fixture.acknowledgedEnds.empty());
+  fixture.agents["b"].starting.clear();
+  fixture.Report("b");
+  fixture.Report("a");
+  fixture.RunUntilIdle();
+  CHECK(fixture.acknowledgedEnds == std::vector<std::uint64_t>{ 1 });
+}
+
 // Guards against a task that never starts again: the agent rejects the repeated start.
 TEST_CASE("JobScheduler ReplacesARunWhoseRepeatedStartWasRejected")
 {
