--- a/packages/jobs/tests/HandoverTest.cpp
+++ b/packages/jobs/tests/HandoverTest.cpp
@@ -72,8 +72,11 @@
                              kKindNames[static_cast<std::size_t>(kind)]);
     const Duration loadTime = this->LoadTime();
     const bool claimAtOnce = this->Disturb(*earlier, kind, maxLatency);
-    this->cluster.Elect(
-      claimAtOnce ? Duration::zero() : kTakeOverAfter, this->ConnectDelays(0.35), loadTime);
+    const bool restarts = kind == HandoverKind::Kill && this->random.Chance(0.5);
+    this->cluster.Elect(claimAtOnce ? Duration::zero() : kTakeOverAfter,
+                        this->ConnectDelays(0.35),
+                        loadTime,
+                        restarts ? earlier->Entry() : "");
     this->AwaitLeader(leaders + 1);
     if (loadTime > SchedulerSettings{}.storeOutageTolerance) {
       this->SilenceAgentsAfterLoading(loadTime);
--- a/packages/jobs/tests/PlayedCluster.h
+++ b/packages/jobs/tests/PlayedCluster.h
@@ -48,14 +48,20 @@
   // Reads the leader's row until a claim of the leadership succeeds. It is claimed when the leader
   // has released or not renewed the row, and after `aClaimAfter` in any case. Agent i connects to
   // the new leader after `aConnectDelays[i]`; the store does not serve the new leader for
-  // `aLoadTime`.
-  void Elect(Duration aClaimAfter, std::vector<Duration> aConnectDelays, Duration aLoadTime)
-  {
-    auto standby = std::make_shared<Standby>();
-    standby->claimAt = this->world.time.Present() + aClaimAfter;
-    standby->connectDelays = std::move(aConnectDelays);
-    standby->loadTime = aLoadTime;
-    this->ReadLeaderRow(standby);
+  // `aLoadTime`. `aRestarted` is an entry whose process has ended and that claims as a new one; the
+  // claim is of another entry if it is empty.
+  void Elect(Duration aClaimAfter,
+             std::vector<Duration> aConnectDelays,
+             Duration aLoadTime,
+             const std::string& aRestarted = "")
+  {
+    const std::string process = std::to_string(++this->lastProcess);
+    const std::string entry = aRestarted.empty() ? "e" + process : aRestarted;
+    this->ReadLeaderRow(std::make_shared<Standby>(
+      Standby{ cluster::LeaderElection(PlayedElectionSettings(), entry, process),
+               this->world.time.Present() + aClaimAfter,
+               std::move(aConnectDelays),
+               aLoadTime }));
   }
 
   PlayedLeader* Newest() { return this->leaders.empty() ? nullptr : this->leaders.back().get(); }
@@ -149,14 +155,22 @@
   // An entry that reads the leader's row until it leads.
   struct Standby
   {
+    cluster::LeaderElection election;
     Instant claimAt{};
     std::vector<Duration> connectDelays;
     Duration loadTime{};
-    std::optional<std::uint64_t> version;
-    Instant unchangedSince{};
-    Instant latestRenewal{};
   };
 
+  static cluster::ElectionSettings PlayedElectionSettings()
+  {
+    SchedulerSettings scheduler;
+    scheduler.workerLease = kPlayedLease;
+    cluster::ElectionSettings settings;
+    settings.outageTolerance = scheduler.storeOutageTolerance;
+    settings.leaseBound = scheduler.LeaseBound();
+    return settings;
+  }
+
   void ReadLeaderRow(const std::shared_ptr<Standby>& aStandby)
   {
     const Instant requestedAt = this->world.time.Present();
@@ -172,20 +186,19 @@
                    Instant aRequestedAt)
   {
     const Instant now = this->world.time.Present();
-    if (aStandby->version != aRow.version) {
-      aStandby->version = aRow.version;
-      aStandby->unchangedSince = aRequestedAt;
-      aStandby->latestRenewal = now;
+    cluster::LeaderElection& election = aStandby->election;
+    std::optional<cluster::StoredRow> stored;
+    if (aRow.version > 0) {
+      stored = { LeaderRow(), cluster::EncodeLeaderRecord(aRow.record), aRow.version, false };
     }
-    if (now < aStandby->claimAt && !aRow.released &&
-        now - aStandby->unchangedSince < kPlayedLeaderTimeout) {
+    election.OnRow(stored, aRequestedAt, now);
+    if (now < aStandby->claimAt && !election.ShouldClaim(now)) {
       this->world.time.After(kPlayedElectionPoll, [=, this] { this->ReadLeaderRow(aStandby); });
       return;
     }
     PlayedTransaction claim;
     claim.condition = aRow.version;
-    claim.row.epoch = aRow.epoch + 1;
-    claim.row.renewal = 1;
+    claim.row.record = election.ClaimedRecord();
     this->world.time.After(this->world.StoreDelay(), [=, this]() mutable {
       const auto version = this->world.store.Commit(claim);
       claim.row.version = version.value_or(0);
@@ -204,7 +217,7 @@
                        Instant aClaimSentAt)
   {
     this->leaders.push_back(std::make_unique<PlayedLeader>(
-      this->world, this->agents, aRow, aClaimSentAt, aStandby->latestRenewal));
+      this->world, this->agents, aRow, aClaimSentAt, aStandby->election.EarlierLeasesExpiry()));
     PlayedLeader* leader = this->leaders.back().get();
     if (aStandby->loadTime > Duration::zero()) {
       leader->CutStore(aStandby->loadTime, false);
@@ -248,6 +261,7 @@
   // The links of each agent to the processes of leaders.
   std::map<std::size_t, std::map<Epoch, std::shared_ptr<PlayedLink>>> links;
   std::int64_t lastBorn = 0;
+  std::uint64_t lastProcess = 0;
 };
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/tests/PlayedLeader.h
+++ b/packages/jobs/tests/PlayedLeader.h
@@ -23,12 +23,12 @@
                std::vector<std::unique_ptr<PlayedAgent>>& aAgents,
                const PlayedLeaderRow& aClaimed,
                Instant aClaimSentAt,
-               Instant aLatestRenewal)
+               Instant aEarlierLeasesExpiry)
     : world(aWorld)
     , agents(aAgents)
     , row(aClaimed)
     , renewedAt(aClaimSentAt)
-    , latestRenewal(aLatestRenewal)
+    , earlierLeasesExpiry(aEarlierLeasesExpiry)
   {
     SchedulerSettings settings;
     settings.workerLease = kPlayedLease;
@@ -51,7 +51,8 @@
     this->Load(aLoadTime);
   }
 
-  Epoch LeaderEpoch() const { return Epoch{ this->row.epoch }; }
+  const std::string& Entry() const { return this->row.record.entry; }
+  Epoch LeaderEpoch() const { return Epoch{ this->row.record.epoch }; }
   bool HasEnded() const { return this->phase == Phase::Ended; }
   bool IsLeading() const { return this->phase == Phase::Leading; }
 
@@ -156,7 +157,7 @@
 
   void Note(const std::string& aText)
   {
-    this->world.Note("leader " + std::to_string(this->row.epoch) + " " + aText);
+    this->world.Note("leader " + std::to_string(this->row.record.epoch) + " " + aText);
   }
 
   void Handle(std::function<void()> aCall)
@@ -243,10 +244,12 @@
       return;
     }
     StoreBatch batch = leads ? this->scheduler->TakeBatch(kPlayedBatchRows) : StoreBatch{};
-    this->row.released = leads && this->releasing && !this->scheduler->HasChanges();
+    this->row.record.released = leads && this->releasing && !this->scheduler->HasChanges();
     const bool renewalDue = this->world.time.Present() - this->renewedAt >= kPlayedTick;
-    if (!batch.empty() || renewalDue || this->row.released) {
-      ++this->row.renewal;
+    if (!batch.empty() || renewalDue || this->row.record.released) {
+      ++this->row.record.renewal;
+      this->row.record.earlierLeasesMs = std::max<std::int64_t>(
+        ToMilliseconds(this->earlierLeasesExpiry - this->world.time.Present()), 0);
       this->inFlight = std::make_shared<PlayedTransaction>(
         PlayedTransaction{ this->row.version, this->row, std::move(batch) });
       this->SendTransaction(this->inFlight);
@@ -293,7 +296,7 @@
     }
     this->scheduler->OnStored(std::move(aTransaction->batch), this->world.time.Current());
     this->SendOrders();
-    if (this->row.released) {
+    if (this->row.record.released) {
       this->End("released");
     } else if (this->scheduler->HasChanges()) {
       this->RequestPass();
@@ -373,11 +376,7 @@
   {
     this->Note("leads");
     this->phase = Phase::Leading;
-    const SchedulerSettings settings;
-    this->scheduler->FinishLoading(this->LeaderEpoch(),
-                                   this->latestRenewal + settings.storeOutageTolerance +
-                                     settings.LeaseBound(),
-                                   aNow);
+    this->scheduler->FinishLoading(this->LeaderEpoch(), this->earlierLeasesExpiry, aNow);
     if (this->world.readyEpoch < this->LeaderEpoch()) {
       this->world.readyEpoch = this->LeaderEpoch();
       this->world.undisturbedSince = aNow.instant;
@@ -413,7 +412,7 @@
   std::vector<std::unique_ptr<PlayedAgent>>& agents;
   PlayedLeaderRow row;
   Instant renewedAt{};
-  Instant latestRenewal{};
+  Instant earlierLeasesExpiry{};
   Counters counters;
   std::unique_ptr<JobScheduler> scheduler;
   Phase phase = Phase::Loading;
--- a/packages/jobs/tests/PlayedWorld.h
+++ b/packages/jobs/tests/PlayedWorld.h
@@ -6,6 +6,7 @@
 #include "SchedulerFixture.h"
 
 #include "oriolespread/base/RandomSource.h"
+#include "oriolespread/cluster/LeaderElection.h"
 
 #include <algorithm>
 #include <deque>
@@ -30,7 +31,6 @@
 inline constexpr Duration kPlayedTick = 200 * kMs;
 inline constexpr Duration kPlayedCommitTimeout = 300 * kMs;
 inline constexpr Duration kPlayedElectionPoll = 300 * kMs;
-inline constexpr Duration kPlayedLeaderTimeout = 950 * kMs;
 // How late a worker carries orders out. Starts that are later than their lease are refused.
 inline constexpr Duration kPlayedMaxCallDelay = 50 * kMs;
 inline constexpr Duration kPlayedMaxStartDelay = 5000 * kMs;
@@ -81,13 +81,11 @@
   std::multimap<Instant, std::function<void()>> calls;
 };
 
-// The row of the leader. `version` changes with each write.
+// The row of the leader; the version changes with each write.
 struct PlayedLeaderRow
 {
   std::uint64_t version = 0;
-  std::uint64_t epoch = 0;
-  std::uint64_t renewal = 0;
-  bool released = false;
+  cluster::LeaderRecord record;
 };
 
 struct PlayedTransaction
@@ -106,8 +104,7 @@
   std::optional<std::uint64_t> Commit(const PlayedTransaction& aTransaction)
   {
     if (this->leader.version != aTransaction.condition) {
-      const bool isOwn = this->leader.epoch == aTransaction.row.epoch &&
-                         this->leader.renewal == aTransaction.row.renewal;
+      const bool isOwn = this->leader.record == aTransaction.row.record;
       return isOwn ? std::optional(this->leader.version) : std::nullopt;
     }
     this->leader = aTransaction.row;
@@ -321,7 +318,7 @@
                     std::to_string(aToken.Value()));
     }
     const bool followsLast =
-      aToken == this->readyEpoch && aToken.Value() == this->store.leader.epoch;
+      aToken == this->readyEpoch && aToken.Value() == this->store.leader.record.epoch;
     if (followsLast && aLinkedSince.has_value()) {
       this->CheckCancellation(what + " starts on " + aWorker.state.id, aRef, *aLinkedSince);
     }
