Decode updates of the configuration with fractional values

Agents would have refused each update of the configuration that has a weight, budget or quantile with a fraction, and their link with it.

Cause: DecodeMessage refuses floating-point numbers except in the field `disturbance`, said to be the only one with such numbers. The values of ticket_update have them too; 1.0 is also encoded as a floating-point number.

Change: HasFloatingPoint takes several excepted fields, and DecodeMessage excepts `value` as well. Its readers check the type of each number before they convert it.

--- a/packages/base/include/oriolespread/base/ExternalJson.h
+++ b/packages/base/include/oriolespread/base/ExternalJson.h
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <initializer_list>
 #include <string_view>
 
 namespace oriolespread {
@@ -27,9 +28,11 @@
 // Returns InvalidArgument if the bytes are not one MessagePack value or nest too deeply.
 absl::StatusOr<nlohmann::json> ParseMessagePack(std::string_view aBytes);
 
-// Returns whether there is a floating-point number in the value, except in fields of the name
-// `aExcept`. The library's conversion of such a number to an integer is undefined if the integer
-// cannot hold it, so decoders refuse them before they read fields of integers.
-bool HasFloatingPoint(const nlohmann::json& aValue, std::string_view aExcept = {});
+// Returns whether there is a floating-point number in the value, except in fields of the names
+// `aExcept` and all that they contain. The library's conversion of such a number to an integer is
+// undefined if the integer cannot hold it, so decoders refuse them before they read fields of
+// integers.
+bool HasFloatingPoint(const nlohmann::json& aValue,
+                      std::initializer_list<std::string_view> aExcept = {});
 
 } // namespace oriolespread
--- a/packages/base/src/ExternalJson.cpp
+++ b/packages/base/src/ExternalJson.cpp
@@ -176,11 +176,11 @@
   return parsed;
 }
 
-bool HasFloatingPoint(const json& aValue, std::string_view aExcept)
+bool HasFloatingPoint(const json& aValue, std::initializer_list<std::string_view> aExcept)
 {
   if (aValue.is_object()) {
     return std::any_of(aValue.items().begin(), aValue.items().end(), [&](const auto& aField) {
-      return (aExcept.empty() || aField.key() != aExcept) &&
+      return std::find(aExcept.begin(), aExcept.end(), aField.key()) == aExcept.end() &&
              HasFloatingPoint(aField.value(), aExcept);
     });
   }
--- a/packages/base/tests/ExternalJsonTest.cpp
+++ b/packages/base/tests/ExternalJsonTest.cpp
@@ -88,8 +88,9 @@
 {
   CHECK(HasFloatingPoint(json(1.0)));
   CHECK(HasFloatingPoint(json::parse(R"([1, {"a": [2.5]}])")));
-  CHECK(HasFloatingPoint(json::parse(R"({"a": 1e300, "b": 0.5})"), "b"));
+  CHECK(HasFloatingPoint(json::parse(R"({"a": 1e300, "b": 0.5})"), { "b" }));
   CHECK(HasFloatingPoint(json::parse(R"({"": 0.5})")));
   CHECK_FALSE(HasFloatingPoint(json::parse(R"([1, -1, true, null, "0.5", {"a": {}}])")));
-  CHECK_FALSE(HasFloatingPoint(json::parse(R"({"a": 1, "b": {"c": 0.5}})"), "b"));
+  CHECK_FALSE(HasFloatingPoint(json::parse(R"({"a": 1, "b": {"c": 0.5}})"), { "b" }));
+  CHECK_FALSE(HasFloatingPoint(json::parse(R"([{"a": 0.5}, {"b": 0.5}])"), { "a", "b" }));
 }
--- a/packages/jobs/src/JobSpec.cpp
+++ b/packages/jobs/src/JobSpec.cpp
@@ -125,7 +125,7 @@
 bool DecodeJobRecord(const std::string& aBytes, JobRecord& aRecord)
 {
   const auto parsed = ParseMessagePack(aBytes);
-  if (!parsed.ok() || !parsed->is_object() || HasFloatingPoint(*parsed, kFloatingPointField)) {
+  if (!parsed.ok() || !parsed->is_object() || HasFloatingPoint(*parsed, { kFloatingPointField })) {
     return false;
   }
   try {
--- a/packages/messages/src/MessageCodec.cpp
+++ b/packages/messages/src/MessageCodec.cpp
@@ -23,8 +23,9 @@
 
 constexpr const char* kTypeKey = "t";
 constexpr const char* kBodyKey = "b";
-// The only field of a message that has floating-point numbers.
-constexpr const char* kFloatingPointKey = "disturbance";
+// The fields of messages that may have floating-point numbers: `disturbance` of lease_extension,
+// and `value` of ticket_update, whose readers check the type of each number.
+const std::initializer_list<std::string_view> kFloatingPointKeys = { "disturbance", "value" };
 
 template<std::size_t... Indexes>
 std::optional<LinkMessage> Parse(std::string_view aName,
@@ -69,7 +70,7 @@
     return absl::InvalidArgumentError("message is not a MessagePack map with type and body");
   }
   const std::string& name = envelope[kTypeKey].get_ref<const std::string&>();
-  if (HasFloatingPoint(envelope[kBodyKey], kFloatingPointKey)) {
+  if (HasFloatingPoint(envelope[kBodyKey], kFloatingPointKeys)) {
     return absl::InvalidArgumentError(
       absl::StrCat("message ", name, ": a floating-point number in place of an integer"));
   }
--- a/packages/messages/tests/MessageCodecTest.cpp
+++ b/packages/messages/tests/MessageCodecTest.cpp
@@ -101,3 +101,19 @@
   INFO(status);
   CHECK(status.ok());
 }
+
+// Guards against a change of the configuration that no agent takes over.
+TEST_CASE("MessageCodec DecodesUpdatesOfTheConfigurationWithFractionalValues")
+{
+  TicketUpdate update;
+  update.number = TicketNumber{ 1 };
+  update.states = { { "organisation/a", TicketNumber{ 1 }, { { "weight", 1.5 } } },
+                    { "request_policy", TicketNumber{ 1 }, { { "retry_budget", 0.1 } } } };
+  const auto decoded = DecodeMessage(EncodeMessage(update));
+  INFO(decoded.status());
+  REQUIRE(decoded.ok());
+  const auto& states = std::get<TicketUpdate>(*decoded).states;
+  REQUIRE(states.size() == 2);
+  CHECK(states[0].value == update.states[0].value);
+  CHECK(states[1].value == update.states[1].value);
+}
