Count a repeated renewal of the leadership from its first attempt

Cause: a renewal whose answer was lost is sent again, and the repetition meets a conflict with the row that the first attempt wrote. The leader then counted the renewal from when the repetition was sent, and a claim likewise.

What callers saw: a leader without the store could extend leases for longer than its successor waits, by the time between the first attempt and the answered one, so that a task could run twice after a hand-over.

Change: after a conflict, a renewal counts from its first attempt, and a claim from the answer of the read that showed the row before it, as each of its attempts was sent later. An applied attempt counts from when it was sent itself: its condition on the version shows that no earlier one was carried out. The played leader does the same. The time for which a leader without the store extends leases is an option of LeaderDriver, so that its tests take under 2 s.

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -19,6 +19,7 @@
 {
   jobs::SchedulerSettings settings;
   settings.workerLease = aOptions.workerLease;
+  settings.storeOutageTolerance = aOptions.storeOutageTolerance;
   // Ended jobs are kept for twice the time that callers are promised.
   settings.keepEnded = 2 * aOptions.endedJobRetention;
   return settings;
@@ -158,7 +159,9 @@
                          const cluster::StoredRow& storedRow = aResult.current.front();
                          const auto value = cluster::DecodeLeaderRecord(storedRow.value);
                          if (value.has_value() && *value == claimedRow) {
-                           this->BeginLeadership(claimedRow, storedRow.version, sentAt);
+                           // Each attempt was sent after the read that showed the row before it.
+                           this->BeginLeadership(
+                             claimedRow, storedRow.version, this->election.LatestRenewal());
                            return;
                          }
                        }
@@ -176,14 +179,14 @@
 
 void LeaderDriver::BeginLeadership(const cluster::LeaderRecord& aRow,
                                    std::uint64_t aVersion,
-                                   Instant aSentAt)
+                                   Instant aRenewedAt)
 {
   ++this->term;
   this->phase = Phase::Loading;
   this->earlierLeasesExpiry = this->election.EarlierLeasesExpiry();
   this->leaderRow = aRow;
   this->leaderRowVersion = aVersion;
-  this->renewedAt = aSentAt;
+  this->renewedAt = aRenewedAt;
   this->commitInFlight = false;
   this->removalInFlight = false;
   this->jobsVersion = 0;
@@ -387,7 +390,8 @@
     return;
   }
   this->leaderRowVersion = version;
-  this->renewedAt = aSentAt;
+  // After a conflict, it is not known which of the earlier attempts renewed the row.
+  this->renewedAt = aResult.end == CommitEnd::Applied ? aSentAt : this->commitStartedAt;
   this->commitInFlight = false;
   this->commitLatency.Add(BootClock::now() - this->commitStartedAt);
   if (this->phase == Phase::Leading) {
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -28,6 +28,8 @@
   std::string process;
   // The lease that agents request, on which the leader bases its decisions.
   Duration workerLease{};
+  // See SchedulerSettings.
+  Duration storeOutageTolerance = jobs::SchedulerSettings().storeOutageTolerance;
   // How long callers are promised that the state of an ended job can be read.
   Duration endedJobRetention{};
 };
@@ -75,7 +77,9 @@
   // Measures the processor speed, passes it to the election and returns it.
   double MeasureSpeed();
   void ClaimLeadership();
-  void BeginLeadership(const cluster::LeaderRecord& aRow, std::uint64_t aVersion, Instant aSentAt);
+  void BeginLeadership(const cluster::LeaderRecord& aRow,
+                       std::uint64_t aVersion,
+                       Instant aRenewedAt);
   void StepDown(std::string_view aReason);
 
   // The following functions are in LeaderLoading.cpp.
@@ -134,7 +138,7 @@
   // When all leases that earlier leaders have extended have certainly expired.
   Instant earlierLeasesExpiry{};
   Instant speedMeasuredAt{};
-  // When the last applied renewal was sent.
+  // The earliest time at which the store can have carried out the last applied renewal.
   Instant renewedAt{};
   bool commitInFlight = false;
   Instant commitStartedAt{};
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -18,16 +18,19 @@
 {
   std::vector<Epoch> claims;
   std::vector<WorkerOrders> orders;
+  std::size_t extensions = 0;
   std::unique_ptr<LeaderDriver> driver;
 
   TestEntry(StoreFixture& aFixture,
             const std::string& aName,
-            Duration aWorkerLease = std::chrono::seconds(5))
+            Duration aWorkerLease = std::chrono::seconds(5),
+            Duration aStoreOutageTolerance = std::chrono::seconds(5))
   {
     LeaderDriverOptions options;
     options.entry = aName;
     options.process = "process of " + aName;
     options.workerLease = aWorkerLease;
+    options.storeOutageTolerance = aStoreOutageTolerance;
     options.endedJobRetention = std::chrono::seconds(120);
     this->driver = std::make_unique<LeaderDriver>(
       aFixture.context,
@@ -39,6 +42,8 @@
           this->claims.push_back(claim->epoch);
         } else if (const auto* sent = std::get_if<WorkerOrders>(&aMessage)) {
           this->orders.push_back(*sent);
+        } else if (std::holds_alternative<LeaseExtension>(aMessage)) {
+          ++this->extensions;
         }
         return true;
       });
@@ -193,6 +198,52 @@
   CHECK(second.orders.front().starts.size() == 1);
 }
 
+// Guards against leases that a leader extends although the next one takes them for expired.
+TEST_CASE("LeaderDriver ExtendsNoLeaseTooLongAfterTheFirstAttemptAtARenewal")
+{
+  constexpr Duration kTolerance = 600 * kMillisecond;
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a", std::chrono::seconds(5), kTolerance);
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  fixture.RunFor(800 * kMillisecond);
+  entry.SendReport();
+  REQUIRE(entry.extensions == 1);
+  const std::uint64_t repeated = fixture.counters.Total("commit_retries_total");
+  fixture.store.SetFault(fixture.server, { .lost = 1.0 });
+  REQUIRE(
+    fixture.RunUntil([&] { return fixture.counters.Total("commit_retries_total") > repeated; }));
+  const Instant repeatedAt = BootClock::now();
+  const std::uint64_t renewals = entry.driver->CommitLatency().Buckets().count;
+  fixture.store.SetFault(fixture.server, {});
+  REQUIRE(
+    fixture.RunUntil([&] { return entry.driver->CommitLatency().Buckets().count > renewals; }));
+  fixture.store.SetFault(fixture.server, { .silent = true });
+  const Instant firstAttemptBy = repeatedAt - cluster::TimeoutLimits().min;
+  fixture.RunUntil(
+    [&] { return BootClock::now() >= firstAttemptBy + kTolerance + 100 * kMillisecond; });
+  entry.SendReport();
+  CHECK(entry.extensions == 1);
+}
+
+TEST_CASE("LeaderDriver ExtendsNoLeaseTooLongAfterTheFirstAttemptAtItsClaim")
+{
+  constexpr Duration kTolerance = 600 * kMillisecond;
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a", std::chrono::seconds(5), kTolerance);
+  fixture.store.SetFault(fixture.server, { .lost = 1.0 });
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return fixture.store.CountRows("lead") == 1; }));
+  const Instant claimedBy = BootClock::now();
+  fixture.RunFor(100 * kMillisecond);
+  fixture.store.SetFault(fixture.server, {});
+  REQUIRE(fixture.RunUntil([&] { return !entry.claims.empty(); }));
+  fixture.store.SetFault(fixture.server, { .silent = true });
+  REQUIRE(BootClock::now() >= claimedBy + kTolerance);
+  entry.SendReport();
+  CHECK(entry.extensions == 0);
+}
+
 // Guards against two leaders: a leader must stop once another entry has claimed the leadership.
 TEST_CASE("LeaderDriver StepsDownWhenAnotherEntryHasClaimedTheLeadership")
 {
--- a/packages/jobs/tests/PlayedLeader.h
+++ b/packages/jobs/tests/PlayedLeader.h
@@ -250,8 +250,8 @@
       ++this->row.record.renewal;
       this->row.record.earlierLeasesMs = std::max<std::int64_t>(
         ToMilliseconds(this->earlierLeasesExpiry - this->world.time.Present()), 0);
-      this->inFlight = std::make_shared<PlayedTransaction>(
-        PlayedTransaction{ this->row.version, this->row, std::move(batch) });
+      this->inFlight = std::make_shared<PlayedTransaction>(PlayedTransaction{
+        this->row.version, this->row, std::move(batch), this->world.time.Present() });
       this->SendTransaction(this->inFlight);
     }
   }
@@ -262,10 +262,12 @@
     const Instant sentAt = this->world.time.Present();
     if (sentAt >= this->requestsCutUntil) {
       this->world.time.After(this->world.StoreDelay(), [=, this] {
+        const bool isConflict = this->world.store.leader.version != aTransaction->condition;
         const auto version = this->world.store.Commit(*aTransaction);
         if (this->world.time.Present() >= this->answersCutUntil) {
+          const Instant renewedAt = isConflict ? aTransaction->startedAt : sentAt;
           this->After(this->world.StoreDelay(),
-                      [=, this] { this->OnCommitted(aTransaction, version, sentAt); });
+                      [=, this] { this->OnCommitted(aTransaction, version, renewedAt); });
         }
       });
     }
@@ -278,7 +280,7 @@
 
   void OnCommitted(const std::shared_ptr<PlayedTransaction>& aTransaction,
                    std::optional<std::uint64_t> aVersion,
-                   Instant aSentAt)
+                   Instant aRenewedAt)
   {
     if (this->inFlight != aTransaction) {
       return;
@@ -290,7 +292,7 @@
     }
     this->inFlight.reset();
     this->row.version = *aVersion;
-    this->renewedAt = aSentAt;
+    this->renewedAt = aRenewedAt;
     if (this->phase != Phase::Leading) {
       return;
     }
--- a/packages/jobs/tests/PlayedWorld.h
+++ b/packages/jobs/tests/PlayedWorld.h
@@ -94,6 +94,8 @@
   std::uint64_t condition = 0;
   PlayedLeaderRow row;
   StoreBatch batch;
+  // When its first attempt was sent.
+  Instant startedAt{};
 };
 
 class PlayedStore
