Place long-running tasks on an avoided worker when no other has room

Cause: a worker that is avoided after failed, stalled or slow runs took no task at all for 2 or 5 s.

What callers saw: a service had no run for up to 5 s although there was room, when all workers with room were avoided.

Change: for a task of a long-running step, the avoidance is a cost above all others, so that it is placed there at once if no other worker can take it. Other tasks wait as before. The 300 ms after a rejected start are kept apart from the avoidance and hold for all tasks, so that starts are not repeated several times a second.

Result: JobScheduler PlacesALongRunningTaskOnAnAvoidedWorkerOnlyWhenNoOtherHasRoom failed before (0 starts instead of 1) and passes; StartsNoLongRunningTaskAtOnceWhereOneWasRejected passes before and after; jobs_tests (95 cases, 1,000 hand-overs) passes.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -197,8 +197,10 @@
   Instant lastFullReport{};
   // The latest time at which the leases of the worker's runs expire if no further report arrives.
   Instant latestLeaseExpiry{};
-  // No new runs are placed before this time, after a rejected start, a stalled run or repeated
-  // failures.
+  // No new runs are placed before this time, after a rejected start.
+  Instant rejectsUntil{};
+  // Before this time, after a stalled run, slow runs or repeated failures, only tasks of
+  // long-running steps are placed, if no other worker can take them.
   Instant avoidUntil{};
   // Jobs with a failed run on this worker since its last successful run.
   std::set<std::string> failedJobs;
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -11,6 +11,8 @@
 // The unit of all costs is the load of a fully loaded worker.
 constexpr double kOtherRackCost = 0.5;
 constexpr double kFailedWorkerCost = 4.0;
+// Higher than all other costs together.
+constexpr double kAvoidedWorkerCost = 1000.0;
 constexpr double kSameStepCost = 0.05;
 // Cost of a serving task per best-effort run on the worker, of which at most four count.
 constexpr double kBestEffortRunCost = 0.1;
@@ -141,7 +143,9 @@
   if (aWorker.state.draining) {
     return PlacementObstacle::Draining;
   }
-  if (aNow < aWorker.avoidUntil || aRequest.excludedWorkers.contains(aWorker.key.id)) {
+  const bool isAvoided = aNow < aWorker.avoidUntil && !aRequest.step->longRunning;
+  if (isAvoided || aNow < aWorker.rejectsUntil ||
+      aRequest.excludedWorkers.contains(aWorker.key.id)) {
     return PlacementObstacle::Avoided;
   }
   if (!HasLabel(aWorker, aRequest.step->requiredLabel)) {
@@ -175,6 +179,9 @@
   if (aWorker.key.id == aRequest.lastFailedWorker) {
     result.cost += kFailedWorkerCost;
   }
+  if (aNow < aWorker.avoidUntil) {
+    result.cost += kAvoidedWorkerCost;
+  }
   if (step.longRunning) {
     result.cost += ServingMixCost(aWorker, step);
     result.cost += kBestEffortRunCost * std::min(aWorker.bestEffortRuns, 4U);
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -419,7 +419,7 @@
               { "reason", aRejected.reason } });
   this->FindTask(runKey.task)->notBefore = aNow.instant + this->settings.retryDelay;
   this->RemoveRun(runKey);
-  aWorker.avoidUntil = std::max(aWorker.avoidUntil, aNow.instant + this->settings.rejectionBackoff);
+  aWorker.rejectsUntil = aNow.instant + this->settings.rejectionBackoff;
 }
 
 void JobScheduler::Reconcile(Worker& aWorker, const WorkerReport& aReport, Now aNow)
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -175,6 +175,63 @@
   CHECK(fixture.starts.size() > 3);
 }
 
+// Guards against a service without a run for as long as all workers with room are avoided.
+TEST_CASE("JobScheduler PlacesALongRunningTaskOnAnAvoidedWorkerOnlyWhenNoOtherHasRoom")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  for (const char* job : { "first", "second", "third" }) {
+    fixture.Submit(MakeJob(job, { MakeStep(1) }));
+  }
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 3);
+  for (const auto& [agent, start] : std::vector(fixture.starts)) {
+    fixture.End(agent, start.ref, RunEnd::Failed);
+  }
+  fixture.starts.clear();
+  StepSpec lasting = MakeStep(1);
+  lasting.longRunning = true;
+  lasting.demand.milliCores = 1500;
+  fixture.Submit(MakeJob("alone", { lasting }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  CHECK(fixture.starts[0].second.ref == RunRef{ "alone.0.0.0", 1 });
+
+  fixture.AddAgent("b", 6000);
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 4);
+  for (const char* job : { "second-lasting", "third-lasting", "last" }) {
+    fixture.Submit(MakeJob(job, { lasting }));
+    fixture.RunUntilIdle();
+  }
+  REQUIRE(fixture.starts.size() == 7);
+  CHECK(fixture.starts[4].first == "b");
+  CHECK(fixture.starts[5].first == "b");
+  CHECK(fixture.starts[6].first == "a");
+}
+
+// Guards against repeating a start several times a second on a worker that refuses it.
+TEST_CASE("JobScheduler StartsNoLongRunningTaskAtOnceWhereOneWasRejected")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  StepSpec lasting = MakeStep(1);
+  lasting.longRunning = true;
+  fixture.Submit(MakeJob("j", { lasting }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  fixture.agents["a"].running.clear();
+  fixture.agents["a"].rejected.push_back({ fixture.starts[0].second.ref, "full" });
+  fixture.Report("a");
+  fixture.agents["a"].rejected.clear();
+  fixture.Advance(250 * kMs);
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.size() == 1);
+  fixture.Advance(100 * kMs);
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.size() == 2);
+}
+
 TEST_CASE("JobScheduler StopsAllRunsAndStartsNoneAfterACancellation")
 {
   SchedulerFixture fixture;
