Drop a queued start when its run is removed

Cause: the repetition of a start waits up to 8 ms for the next scheduling pass. If its run is given up meanwhile, for example because the agent reports that all runs are lost, the start stayed in the queue.

What callers saw: nothing known; a task could run twice, as its replacement is placed in the same pass.

Change: the removal of a run also removes its queued starts.

--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -398,6 +398,11 @@
       this->RecomputeHeadroomCosts(worker->second);
     }
   }
+  if (const auto orders = this->outgoingOrders.find(run->agent);
+      orders != this->outgoingOrders.end()) {
+    std::erase_if(orders->second.starts,
+                  [ref = ToRunRef(aRunKey)](const StartRun& aStart) { return aStart.ref == ref; });
+  }
   std::erase_if(task->runs, [&](const Run& aItem) { return aItem.number == aRunKey.number; });
   if (task->runs.empty() && task->state == TaskState::Active) {
     task->state = TaskState::Waiting;
--- a/packages/jobs/tests/UnconfirmedOrdersTest.cpp
+++ b/packages/jobs/tests/UnconfirmedOrdersTest.cpp
@@ -39,6 +39,24 @@
   CHECK(fixture.starts[0].second.ref == RunRef{ "j.0.0.0", 1 });
 }
 
+// Guards against a start of a run that was reported lost while the order was queued.
+TEST_CASE("JobScheduler DropsAQueuedStartWhenItsRunIsLost")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  fixture.agents["a"].running.clear();
+  ReconnectAgent(fixture, "a");
+  fixture.Report("a");
+  fixture.agents["a"].allLost = true;
+  fixture.Report("a");
+  CHECK_FALSE(fixture.scheduler.Jobs().at("j").HasActiveRuns());
+  fixture.TakeOrders();
+  CHECK(fixture.starts.empty());
+}
+
 // Guards against a start that takes effect although no job needs it: the leader that ordered it is
 // gone, and its successor does not know the run.
 TEST_CASE("JobScheduler StopsAnUnknownRunThatHasNotStartedYet")
