Claim again at once when the row names the claiming process itself

Cause: a claim that the store had carried out, but whose answer was lost and whose repetition was refused, left a row that names the entry's own process. The entry treated it as the row of another leader.

What callers saw: no task was placed for a further second, and tasks of silent workers waited for up to 10.6 s from the read of the row, counted for leases that a leader without the store extends, although no such leader existed after the one before the claim.

Change: LeaderElection claims at once over a claim of its own process. It keeps the time at which the leases of the leader before that claim have expired, and adds a lease from the read that showed the claim, as the process may have led for a while.

--- a/packages/cluster/include/oriolespread/cluster/LeaderElection.h
+++ b/packages/cluster/include/oriolespread/cluster/LeaderElection.h
@@ -96,6 +96,9 @@
 private:
   // Returns whether the row names an earlier process of this entry, which has ended.
   bool IsOwnEarlierProcess() const;
+  // Returns whether the row names this process, which does not lead: its claim was applied, but the
+  // answer was lost, or it has taken the leadership for lost.
+  bool IsOwnClaim() const;
 
   ElectionSettings settings;
   std::string entry;
@@ -109,6 +112,9 @@
   std::uint64_t highestEpoch = 0;
   Instant unchangedSince{};
   Instant latestRenewal{};
+  // While the row names this process: when the leases that others extended have expired. Empty if
+  // the row of the leader before was not read.
+  std::optional<Instant> expiryBeforeOwnClaims;
   // A decaying maximum of the latency of the reads of the row.
   Duration readLatency{};
   // When the current epoch was first seen.
--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -87,6 +87,10 @@
   if (this->rowRead && foundVersion == 0 && this->version == 0) {
     return;
   }
+  // A claim of this process has replaced the row that was read before it.
+  const std::optional<Instant> expiryBefore = this->rowRead && !this->IsOwnClaim()
+                                                ? std::optional(this->EarlierLeasesExpiry())
+                                                : this->expiryBeforeOwnClaims;
   this->rowRead = true;
   this->version = foundVersion;
   this->unchangedSince = aRequestedAt;
@@ -96,6 +100,7 @@
   if (this->record.has_value() && this->record->epoch != epochBefore) {
     this->epochFirstSeen = aRequestedAt;
   }
+  this->expiryBeforeOwnClaims = this->IsOwnClaim() ? expiryBefore : std::nullopt;
   this->highestEpoch =
     std::max(this->highestEpoch, this->record.has_value() ? this->record->epoch : 0);
 }
@@ -114,7 +119,7 @@
   if (!this->record.has_value()) {
     return true;
   }
-  if (this->IsOwnEarlierProcess()) {
+  if (this->IsOwnEarlierProcess() || this->IsOwnClaim()) {
     return true;
   }
   const bool isThisEntryMuchSlower =
@@ -140,6 +145,12 @@
          this->record->process != this->process;
 }
 
+bool LeaderElection::IsOwnClaim() const
+{
+  return this->record.has_value() && this->record->entry == this->entry &&
+         this->record->process == this->process;
+}
+
 Instant LeaderElection::EarlierLeasesExpiry() const
 {
   // A leader that has released its row or ended extends no leases after its last renewal.
@@ -147,6 +158,9 @@
     this->record.has_value() && (this->record->released || this->IsOwnEarlierProcess());
   const bool areEarlierLeasesKnown = this->record.has_value() && this->record->earlierLeasesMs >= 0;
   const Instant lastLeases = this->latestRenewal + this->settings.leaseBound;
+  if (this->expiryBeforeOwnClaims.has_value()) {
+    return std::max(lastLeases, *this->expiryBeforeOwnClaims);
+  }
   if (!hasEnded || !areEarlierLeasesKnown) {
     return lastLeases + this->settings.outageTolerance;
   }
--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -195,6 +195,33 @@
   CHECK(EarlierLeasesAfter(released) == 12'000 * kMs);
 }
 
+// Guards against a cluster without a leader and tasks that wait after a lost answer to a claim.
+TEST_CASE("LeaderElection ClaimsAgainAtOnceWhenTheRowNamesItsOwnProcess")
+{
+  LeaderElection election(SettingsWithLeases(), "a", "p-a");
+  election.OnRow(RowOf(RecordWithLeases("b", 0), 10), kStart, kStart + 100 * kMs);
+  const Instant leasesOfB = election.EarlierLeasesExpiry();
+  LeaderRecord own = election.ClaimedRecord();
+  election.OnRow(RowOf(own, 11), kStart + 2000 * kMs, kStart + 2100 * kMs);
+  CHECK(election.ShouldClaim(kStart + 2100 * kMs));
+  CHECK(election.MakeClaim().conditions.at(0).version == 11);
+  CHECK(election.ClaimedRecord().epoch == own.epoch + 1);
+  CHECK(election.EarlierLeasesExpiry() == leasesOfB);
+  // It may have led and extended leases until this read.
+  own.renewal = 60;
+  const Instant answeredAt = kStart + 12'000 * kMs;
+  election.OnRow(RowOf(own, 71), answeredAt, answeredAt);
+  CHECK(election.EarlierLeasesExpiry() == answeredAt + 5550 * kMs);
+}
+
+// Guards against counting no leases of a process whose name was used again.
+TEST_CASE("LeaderElection CountsTheLongestLeasesWhenTheFirstRowNamesItsOwnProcess")
+{
+  LeaderElection election(SettingsWithLeases(), "a", "p-a");
+  election.OnRow(RowOf(RecordWithLeases("a", 0), 10), kStart, kStart);
+  CHECK(election.EarlierLeasesExpiry() == kStart + 13'550 * kMs);
+}
+
 // Guards against rows of earlier versions and malformed ones, which do not tell of earlier leases.
 TEST_CASE("LeaderElection CountsTheLongestLeasesWhenTheRowDoesNotTellOfThem")
 {
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -244,6 +244,24 @@
   CHECK(entry.extensions == 0);
 }
 
+// Guards against a second without a leader after a claim whose answer was lost.
+TEST_CASE("LeaderDriver ClaimsAgainAtOnceWhenTheRowNamesItsOwnProcess")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  fixture.store.SetFault(fixture.server, { .lost = 1.0 });
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return fixture.store.CountRows("lead") == 1; }));
+  fixture.store.SetFault(fixture.server, { .busy = true });
+  REQUIRE(fixture.RunUntil(
+    [&] { return fixture.counters.Get("leadership_total", "claim_failed") == 2; }));
+  fixture.store.SetFault(fixture.server, {});
+  const Instant servedAt = BootClock::now();
+  REQUIRE(fixture.RunUntil([&] { return !entry.claims.empty(); }));
+  CHECK(entry.claims.front() == Epoch{ 2 });
+  CHECK(BootClock::now() - servedAt < 800 * kMillisecond);
+}
+
 // Guards against two leaders: a leader must stop once another entry has claimed the leadership.
 TEST_CASE("LeaderDriver StepsDownWhenAnotherEntryHasClaimedTheLeadership")
 {
