Stop the rest of a gang when a member has lost its run

Cause: a gang is placed again only when none of its members has a run. When one lost its worker, or its start was rejected, the leader left the others running and waited for their ends.

What callers saw: nothing known; found by reading. Unless the workers ended the other runs by themselves, the gang was not placed again, and members of a long-running gang had no run although there was room.

Change: the leader stops the remaining runs of an incomplete gang (gang_incomplete), also after a take-over, and places the gang as a whole once they are gone. A run that ends successfully meanwhile still completes the step.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -224,6 +224,9 @@
                  PlacementRequest& aRequest,
                  Now aNow);
   void PlaceGang(const ReadyStep& aReady, bool aAllowInterference, Now aNow);
+  // Stops the runs of a gang of which other members have none. It is placed again as a whole once
+  // they are gone.
+  void StopRestOfGang(const ReadyStep& aReady);
   void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker, Now aNow);
 
   // Look up parts of a job; the pointers are null if the part does not exist.
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -248,10 +248,14 @@
 void JobScheduler::PlaceGang(const ReadyStep& aReady, bool aAllowInterference, Now aNow)
 {
   Step& step = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step];
+  if (step.active > 0) {
+    this->StopRestOfGang(aReady);
+    return;
+  }
   const bool isDelayed = std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& aTask) {
     return aNow.instant < aTask.notBefore;
   });
-  if (step.active > 0 || isDelayed) {
+  if (isDelayed) {
     return;
   }
   std::uint64_t runNumber = 0;
@@ -278,6 +282,25 @@
   step.waitingSince = {};
 }
 
+void JobScheduler::StopRestOfGang(const ReadyStep& aReady)
+{
+  auto& tasks = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks;
+  std::size_t stopped = 0;
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    for (Run& run : tasks[index].runs) {
+      stopped += run.state == RunState::Stopping ? 0 : 1;
+      this->StopRun({ aReady.job->record.id, aReady.occurrence, aReady.step, index }, run);
+    }
+  }
+  if (stopped > 0) {
+    this->counters.Add("runs_stopped_total", "gang_incomplete", stopped);
+    this->LogJob(
+      "gang_incomplete",
+      *aReady.job,
+      { { "occurrence", aReady.occurrence }, { "step", aReady.step }, { "stopped", stopped } });
+  }
+}
+
 void JobScheduler::LogWaitingStep(const ReadyStep& aReady,
                                   const PlacementRequest& aRequest,
                                   Now aNow)
