Report the loss of a silent worker after a restart of its agent

Cause: an agent that has been restarted and has got no heartbeat reported a loss only if connections to its worker were refused. A worker that accepts calls and does not answer them was never reported, although it ends its runs when the leases of the earlier agent have expired.

What callers saw: tasks of a silent worker waited for the worst case of a new leader, which begins anew with each hand-over.

Change: the agent reports that no worker is left once the longest lease that the worker accepts has expired, counted from its own start, and the worker has not answered for 1.5 s. It grants no lease before the first heartbeat. A silent worker that the agent knows was reported already, and still is. `worker_absent` tells the reason.

Result: WorkerDriver ReportsThatNoWorkerIsLeftWhenTheWorkerIsSilentAfterARestart failed before (no report within 5 s) and passes; ReportsNothingWhenAWorkerThatItDoesNotKnowAnswersAgainInTime passes before and after. The 35 cases of WorkerDriver pass.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -17,6 +17,13 @@
 constexpr double kMaxWorkerClockRatio = 1.03;
 constexpr Duration kLeaseExpiryMargin = std::chrono::milliseconds(200);
 
+// Returns how long the longest lease that the worker accepts can last on the agent's clock.
+Duration LongestLeaseOnAgentClock(Duration aMaxWorkerLease)
+{
+  return std::chrono::duration_cast<Duration>(aMaxWorkerLease * kMaxWorkerClockRatio) +
+         kLeaseExpiryMargin;
+}
+
 // Logs the answer to an order about a run. Of starts, only those that were not confirmed at once
 // are logged, since most starts are.
 void LogOrderAnswer(std::string_view aEvent,
@@ -65,6 +72,7 @@
   , sendToLeader(std::move(aSend))
   , client(std::move(aClient))
   , pollTimer(aContext)
+  , allLeasesExpiredAt(BootClock::now() + LongestLeaseOnAgentClock(aMaxWorkerLease))
   , paceController(cluster::PaceSettings{})
 {
 }
@@ -140,10 +148,7 @@
   this->leaseExpiry = {};
   this->grantedLeaseExpiry = {};
   // An earlier agent of this worker may have granted it the longest lease that the worker accepts.
-  this->allLeasesExpiredAt =
-    BootClock::now() +
-    std::chrono::duration_cast<Duration>(this->maxWorkerLease * kMaxWorkerClockRatio) +
-    kLeaseExpiryMargin;
+  this->allLeasesExpiredAt = BootClock::now() + LongestLeaseOnAgentClock(this->maxWorkerLease);
   this->lastAnswerAt = BootClock::now();
   this->consecutiveRefusals = 0;
   this->workerLost = false;
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -97,6 +97,7 @@
   void PollWorker();
   // Polls a worker that has sent no heartbeat to this process, to learn whether it exists.
   void ProbeWorker();
+  void OnProbeAnswer(const platformwire::WorkerAnswer& aAnswer);
   void OnPollAnswer(const platformwire::WorkerAnswer& aAnswer,
                     Epoch aFencingEpoch,
                     Instant aSentAt);
@@ -184,8 +185,9 @@
   Instant leaseExpiry{};
   // When the lease that was last granted to the worker expires.
   Instant grantedLeaseExpiry{};
-  // When every deadline that the worker may have received has certainly passed on its clock.
-  Instant allLeasesExpiredAt{};
+  // When every deadline that the worker may have received, also from an earlier process of the
+  // agent, has certainly passed on its clock.
+  Instant allLeasesExpiredAt;
   Instant lastAnswerAt{};
   int consecutiveRefusals = 0;
   bool workerLost = false;
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -77,25 +77,39 @@
   request.fence = this->epoch;
   this->client->Poll(
     request, kWorkerCallTimeout, [this, pollId = ++this->lastPollId](const WorkerAnswer& aAnswer) {
-      if (pollId != this->lastPollId) {
-        return;
+      if (pollId == this->lastPollId) {
+        this->OnProbeAnswer(aAnswer);
       }
-      this->pollPending = false;
-      this->consecutiveRefusals =
-        aAnswer.end == WorkerCallOutcome::Refused ? this->consecutiveRefusals + 1 : 0;
-      const bool isGone = this->consecutiveRefusals >= kRefusalsUntilWorkerLost;
-      if (isGone && !this->workerLost) {
-        Log(LogLevel::Warning, "worker_absent");
-      }
-      this->workerLost = isGone;
-      if (isGone && BootClock::now() - this->lastPeriodicReportAt >= kFullReportInterval) {
-        this->lastPeriodicReportAt = BootClock::now();
-        this->ReportState(false, {});
-      }
-      this->SchedulePoll(kWorkerRetryDelay);
     });
 }
 
+void WorkerDriver::OnProbeAnswer(const WorkerAnswer& aAnswer)
+{
+  this->pollPending = false;
+  const Instant now = BootClock::now();
+  const bool isRefused = aAnswer.end == WorkerCallOutcome::Refused;
+  this->consecutiveRefusals = isRefused ? this->consecutiveRefusals + 1 : 0;
+  if (!isRefused && aAnswer.end != WorkerCallOutcome::Unknown) {
+    this->lastAnswerAt = now;
+  }
+  const bool isGone = this->consecutiveRefusals >= kRefusalsUntilWorkerLost;
+  // This process grants no lease to a worker that it does not know.
+  const bool hasLapsed =
+    now > this->allLeasesExpiredAt && now - this->lastAnswerAt >= kMaxWorkerSilence;
+  const bool isLost = isGone || hasLapsed;
+  if (isLost && !this->workerLost) {
+    Log(LogLevel::Warning,
+        "worker_absent",
+        { { "reason", std::string(isGone ? "refused" : "lease_lapsed") } });
+  }
+  this->workerLost = isLost;
+  if (isLost && now - this->lastPeriodicReportAt >= kFullReportInterval) {
+    this->lastPeriodicReportAt = now;
+    this->ReportState(false, {});
+  }
+  this->SchedulePoll(kWorkerRetryDelay);
+}
+
 void WorkerDriver::OnPollAnswer(const WorkerAnswer& aAnswer, Epoch aFencingEpoch, Instant aSentAt)
 {
   this->pollPending = false;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -61,7 +61,12 @@
     observer.acknowledged = [](const std::string&, std::uint64_t, const std::string&) {};
     this->worker = std::make_unique<platformwire_testing::StandInWorker>(
       this->context, options, std::move(observer), 1);
-    this->driver = *WorkerDriver::Create(
+    this->driver = this->MakeDriver(aMaxWorkerLease);
+  }
+
+  std::unique_ptr<WorkerDriver> MakeDriver(Duration aMaxWorkerLease)
+  {
+    return *WorkerDriver::Create(
       this->context,
       "127.0.0.1:" + std::to_string(this->worker->Port()),
       aMaxWorkerLease,
@@ -779,3 +784,39 @@
   fixture.RunFor(2000 * kMillisecond);
   CHECK(fixture.started.size() == startedBefore);
 }
+
+// Guards against a leader that waits for leases although all of an earlier agent have expired.
+TEST_CASE("WorkerDriver ReportsThatNoWorkerIsLeftWhenTheWorkerIsSilentAfterARestart")
+{
+  WorkerDriverFixture fixture(1500 * kMillisecond, std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.control.reset();
+  fixture.worker->SetPollsUnanswered(true);
+  const std::unique_ptr<WorkerDriver> earlierDriver = std::move(fixture.driver);
+  earlierDriver->OnLeaderLost();
+  fixture.driver = fixture.MakeDriver(1500 * kMillisecond);
+  fixture.reports.clear();
+  fixture.driver->FollowLeader(Epoch{ 2 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  CHECK(fixture.reports.back().allLost);
+  CHECK(fixture.reports.back().worker.id.empty());
+  CHECK(fixture.ended.size() == 1);
+}
+
+// Guards against a second run of a task whose worker was silent for a while only.
+TEST_CASE("WorkerDriver ReportsNothingWhenAWorkerThatItDoesNotKnowAnswersAgainInTime")
+{
+  WorkerDriverFixture fixture(1500 * kMillisecond);
+  fixture.control.reset();
+  fixture.worker->SetPollsUnanswered(true);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  fixture.RunFor(1000 * kMillisecond);
+  fixture.worker->SetPollsUnanswered(false);
+  fixture.RunFor(1500 * kMillisecond);
+  fixture.worker->SetPollsUnanswered(true);
+  fixture.RunFor(800 * kMillisecond);
+  CHECK(fixture.reports.empty());
+}
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -63,8 +63,8 @@
 void JobScheduler::OnReport(const std::string& aAgent, const WorkerReport& aReport, Now aNow)
 {
   if (aReport.worker.id.empty()) {
-    // The agent has been restarted and knows no worker. If nothing listens at the worker's address,
-    // the worker that the agent served before has ended.
+    // The agent has been restarted and knows no worker. The worker that it served before has ended,
+    // or all leases of that worker have expired.
     if (aReport.allLost) {
       this->RemoveOtherWorkers(aAgent, std::nullopt, "worker_absent", aNow);
     }
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -89,8 +89,8 @@
   // Whether `running` and `starting` list every run on the worker.
   bool full = false;
   // No run is left: the worker does not respond and all its leases have expired, or its process has
-  // ended. The worker has no id if the agent has been restarted and nothing listens at the worker's
-  // address.
+  // ended. The worker has no id if the agent has been restarted and the worker has sent it no
+  // heartbeat.
   bool allLost = false;
   std::vector<RunningRun> running;
   std::vector<RunRef> starting;
