Report ends that are not acknowledged together with the loss of a worker

Cause: an end was repeated in full reports only, and a report of a loss is none. If the first report of an end was not sent, for example because the output of the link was full, the leader learned of the loss without the end. When a worker restarted, the agent forgot the ends of the earlier incarnation, also those that no leader had been told or had stored.

What callers saw: a task that was done ran again.

Change: each report of a loss lists all ends that are not acknowledged. Successful ends of an earlier incarnation are kept until they are acknowledged, under numbers above those of workers, and are reported with the new incarnation. The leader accepts them as late ends.

Result: WorkerDriver ReportsUnacknowledgedEndsWhenTheWorkerIsLost and ReportsUnacknowledgedEndsWhenTheWorkerRestarts failed before (no end in the report) and pass. JobScheduler DoesNotRepeatATaskWhenANewIncarnationReportsItsEnd, which needs no change of the scheduler, passes. The 37 cases of WorkerDriver and all of jobs_tests pass.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -17,6 +17,10 @@
 constexpr double kMaxWorkerClockRatio = 1.03;
 constexpr Duration kLeaseExpiryMargin = std::chrono::milliseconds(200);
 
+// Ends of earlier incarnations have higher numbers, which this process assigns. Numbers of the
+// worker are smaller (WorkerClient).
+constexpr std::uint64_t kMaxEndNumberOfWorker = std::uint64_t{ 1 } << 41U;
+
 // Returns how long the longest lease that the worker accepts can last on the agent's clock.
 Duration LongestLeaseOnAgentClock(Duration aMaxWorkerLease)
 {
@@ -154,7 +158,7 @@
   this->workerLost = false;
   this->trackedRuns.clear();
   this->running.clear();
-  this->unacknowledgedEnds.clear();
+  this->KeepEndsOfEarlierIncarnation();
   this->reportedEnds.clear();
   this->acknowledgedEnds.clear();
   this->lastAcknowledgedEnd = 0;
@@ -170,6 +174,17 @@
   this->PollWorker();
 }
 
+void WorkerDriver::KeepEndsOfEarlierIncarnation()
+{
+  // Other ends tell the leader nothing that the loss of the run does not tell.
+  for (const auto& [number, end] : std::exchange(this->unacknowledgedEnds, {})) {
+    if (end.how == RunEnd::Done) {
+      const std::uint64_t kept = kMaxEndNumberOfWorker + ++this->keptEnds;
+      this->unacknowledgedEnds[kept] = { kept, end.ref, end.how, end.checkpoint };
+    }
+  }
+}
+
 bool WorkerDriver::MayRunBarredRuns() const
 {
   if (BootClock::now() - this->barredSince > kMaxBarDelay) {
@@ -280,7 +295,12 @@
   }
   this->lastOrders = aOrders.sequence;
   for (const std::uint64_t number : aOrders.acknowledgedEnds) {
-    this->acknowledgedEnds.insert(number);
+    if (number > kMaxEndNumberOfWorker) {
+      this->unacknowledgedEnds.erase(number);
+      this->reportedEnds.erase(number);
+    } else {
+      this->acknowledgedEnds.insert(number);
+    }
   }
   this->AdvanceAcknowledgedEnds();
   for (const RunRef& stop : aOrders.stops) {
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -83,6 +83,9 @@
                std::unique_ptr<platformwire::WorkerClient> aClient);
 
   void BeginIncarnation(const platformwire::WorkerHeartbeat& aHeartbeat);
+  // Keeps successful ends that the leader has not acknowledged, so that it learns of them with the
+  // new incarnation and does not repeat the work.
+  void KeepEndsOfEarlierIncarnation();
   void ForgetOldUnansweredStarts();
   // Returns whether a stop that the new incarnation was sent in BeginIncarnation is not confirmed
   // yet, for at most `kMaxBarDelay`.
@@ -107,8 +110,9 @@
   // Reports all runs as lost once the worker's process is gone or every lease on it has expired.
   // Starts that it may still carry out are stopped, as it may answer again and get a new lease.
   void OnPollFailed(const platformwire::WorkerAnswer& aAnswer);
-  // Reports new ends and rejections to the leader. A full report also lists all runs; those that
-  // were confirmed since `aPollSentAt` count as starting, as the poll may not show them yet.
+  // Reports new ends and rejections to the leader, and with a loss all ends that the leader has not
+  // acknowledged. A full report also lists all runs; those that were confirmed since `aPollSentAt`
+  // count as starting, as the poll may not show them yet.
   void ReportState(bool aFull, Instant aPollSentAt);
   // Adds the sequence number and the worker's state, and sends the report.
   void SendReport(WorkerReport aReport);
@@ -206,6 +210,8 @@
   // Ended runs by number, until the leader has acknowledged them without a gap.
   std::map<std::uint64_t, EndedRun> unacknowledgedEnds;
   std::set<std::uint64_t> reportedEnds;
+  // How many ends of earlier incarnations have been kept, for their numbers.
+  std::uint64_t keptEnds = 0;
   // Acknowledged numbers that do not follow `lastAcknowledgedEnd` without a gap yet.
   std::set<std::uint64_t> acknowledgedEnds;
   std::uint64_t lastAcknowledgedEnd = 0;
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -284,7 +284,7 @@
     }
   }
   for (const auto& [number, end] : this->unacknowledgedEnds) {
-    if (this->reportedEnds.insert(number).second || aFull) {
+    if (this->reportedEnds.insert(number).second || aFull || this->workerLost) {
       report.ended.push_back(end);
     }
   }
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -820,3 +820,52 @@
   fixture.RunFor(800 * kMillisecond);
   CHECK(fixture.reports.empty());
 }
+
+// Guards against a second run of a task that is done, as the report of its end was not sent.
+TEST_CASE("WorkerDriver ReportsUnacknowledgedEndsWhenTheWorkerIsLost")
+{
+  WorkerDriverFixture fixture;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.back().ended.empty(); }));
+  fixture.worker.reset();
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().allLost; }));
+  CHECK(fixture.reports.back().ended.size() == 1);
+}
+
+// Guards against a second run of a task that is done, as its worker restarts before a report.
+TEST_CASE("WorkerDriver ReportsUnacknowledgedEndsWhenTheWorkerRestarts")
+{
+  WorkerDriverFixture fixture;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  const std::int64_t before = fixture.reports.back().worker.born;
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.driver->OnLeaderLost();
+  fixture.RunFor(500 * kMillisecond);
+  REQUIRE(fixture.ended.size() == 1);
+  fixture.worker->Restart();
+  fixture.RunFor(300 * kMillisecond);
+  fixture.driver->FollowLeader(Epoch{ 2 });
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().worker.born > before; }));
+  const auto first =
+    std::find_if(fixture.reports.begin(), fixture.reports.end(), [&](const WorkerReport& aReport) {
+      return aReport.worker.born > before;
+    });
+  REQUIRE(first->ended.size() == 1);
+  CHECK(first->ended[0].ref == RunRef{ "j.0.0.0", 1 });
+  CHECK(first->ended[0].how == RunEnd::Done);
+  fixture.StartTask("j.0.0.1", Epoch{ 2 });
+  REQUIRE(fixture.RunUntil(
+    [&] { return fixture.reports.back().full && fixture.reports.back().ended.size() == 2; }));
+  WorkerOrders orders = fixture.MakeOrders(Epoch{ 2 });
+  for (const EndedRun& end : fixture.reports.back().ended) {
+    orders.acknowledgedEnds.push_back(end.number);
+  }
+  fixture.driver->OnOrders(orders);
+  CHECK(fixture.RunUntil(
+    [&] { return fixture.reports.back().full && fixture.reports.back().ended.empty(); }));
+  CHECK(fixture.worker->AcknowledgedUpTo() == 1);
+}
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -93,6 +93,24 @@
   CHECK(second.starts[0].second.ref.task == "j.0.0.0");
 }
 
+// Guards against a second run of a task that was done before its worker restarted.
+TEST_CASE("JobScheduler DoesNotRepeatATaskWhenANewIncarnationReportsItsEnd")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(1) }));
+  first.RunUntilIdle();
+  SchedulerFixture second(first.rows);
+  second.agents = first.agents;
+  second.agents["a"].worker.born = 2;
+  second.scheduler.OnAgentUp("a", second.now);
+  second.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  second.RunUntilIdle();
+  CHECK(second.starts.empty());
+  CHECK(second.StateOf("j") == JobState::Completed);
+  CHECK(second.acknowledgedEnds == std::vector<std::uint64_t>{ 1 });
+}
+
 // Guards against a second run of a task: a leader extends leases while it loads the rows, which may
 // take longer than an earlier leader without the store would have extended them.
 TEST_CASE("JobScheduler WaitsForLeasesThatItExtendedWhileItLoaded")
