Stop a run again when its worker restarts under its id

Cause: the agent forgot its stops when the worker restarted, and repeated only those of runs whose starts it had sent itself. A worker that restarts under its id forgets which runs were stopped, but may carry out late starts of its earlier process. So a start that an earlier process of the agent had sent began after the restart, whether or not the worker had confirmed the stop. A stop that arrived after the restart was ignored because it named the earlier incarnation.

What callers saw: a run of a cancelled job went on, or a task that had been given up ran a second time, until the leader learned of the run and stopped it.

Stops that were ordered for an earlier incarnation are carried out; the number of a run is used once, so that no other run is concerned.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -76,7 +76,8 @@
   , sendToLeader(std::move(aSend))
   , client(std::move(aClient))
   , pollTimer(aContext)
-  , allLeasesExpiredAt(BootClock::now() + LongestLeaseOnAgentClock(aMaxWorkerLease))
+  , createdAt(BootClock::now())
+  , allLeasesExpiredAt(this->createdAt + LongestLeaseOnAgentClock(aMaxWorkerLease))
   , paceController(cluster::PaceSettings{})
 {
 }
@@ -291,6 +292,12 @@
   if (aOrders.epoch != this->epoch || aOrders.born != this->worker.born) {
     this->counters.Add("orders_ignored_total",
                        aOrders.epoch != this->epoch ? "other_epoch" : "other_life");
+    if (aOrders.epoch == this->epoch && !this->worker.id.empty()) {
+      // A worker that has restarted may still carry out the starts of these runs.
+      for (const RunRef& stop : aOrders.stops) {
+        this->StopRun(stop);
+      }
+    }
     return;
   }
   this->lastOrders = aOrders.sequence;
@@ -483,10 +490,17 @@
 void WorkerDriver::StopRun(const RunRef& aRef)
 {
   TrackedRun& tracked = this->trackedRuns[aRef];
-  if (!tracked.stopping) {
-    tracked.stopping = true;
-    this->SendStop(aRef);
+  if (tracked.stopping) {
+    return;
+  }
+  tracked.stopping = true;
+  const Instant now = BootClock::now();
+  if (now - this->createdAt < kMaxCallDelay) {
+    // An earlier process of the agent may have sent a start of the run.
+    this->ForgetOldUnansweredStarts();
+    this->unansweredStarts.emplace_back(now, aRef);
   }
+  this->SendStop(aRef);
 }
 
 void WorkerDriver::SendStop(const RunRef& aRef)
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -162,6 +162,7 @@
   SendToLeader sendToLeader;
   std::unique_ptr<platformwire::WorkerClient> client;
   asio::steady_timer pollTimer;
+  Instant createdAt;
 
   WorkerState worker;
   std::uint64_t heartbeatSequence = 0;
@@ -200,8 +201,9 @@
   std::uint64_t unansweredLossReport = 0;
 
   std::map<RunRef, TrackedRun> trackedRuns;
-  // Starts without an answer and when their answers were due, in order of that time. The worker may
-  // carry them out although their runs have ended meanwhile, if it has restarted under its id.
+  // Starts without an answer and when their answers were due, in order of that time; also runs that
+  // an earlier process of the agent may have started, and when they were stopped. The worker may
+  // carry the starts out although the runs have ended meanwhile, if it has restarted under its id.
   std::deque<std::pair<Instant, RunRef>> unansweredStarts;
   // Runs of the earlier incarnation that the current one may start, and when it began.
   std::set<RunRef> barredRuns;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -142,6 +142,21 @@
       });
   }
 
+  // Sends a start as an earlier process of the agent, which the worker carries out 1.5 s later.
+  std::unique_ptr<platformwire::WorkerClient> SendDelayedStart(const std::string& aTask)
+  {
+    auto client = *platformwire::WorkerClient::Create(
+      this->context, "127.0.0.1:" + std::to_string(this->worker->Port()), this->counters);
+    this->worker->SetDelayedCallShare(1.0);
+    StartRun start;
+    start.ref = { aTask, 1 };
+    client->Start(
+      start, Epoch{ 1 }, 5000, 500 * kMillisecond, [](const platformwire::WorkerAnswer&) {});
+    this->RunFor(50 * kMillisecond);
+    this->worker->SetDelayedCallShare(0);
+    return client;
+  }
+
   void StartTask(const std::string& aTask, Epoch aEpoch = Epoch{ 1 })
   {
     WorkerOrders orders = this->MakeOrders(aEpoch);
@@ -869,3 +884,38 @@
     [&] { return fixture.reports.back().full && fixture.reports.back().ended.empty(); }));
   CHECK(fixture.worker->AcknowledgedUpTo() == 1);
 }
+
+// Guards against a cancelled run that a restarted worker begins by the start of an earlier agent.
+TEST_CASE("WorkerDriver RepeatsAStopWhenTheWorkerRestarts")
+{
+  const bool isConfirmed = GENERATE(true, false);
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  const auto earlierAgent = fixture.SendDelayedStart("j.0.0.0");
+  fixture.worker->SetOverloaded(!isConfirmed);
+  fixture.StopTask("j.0.0.0");
+  fixture.RunFor(isConfirmed ? 800 * kMillisecond : 400 * kMillisecond);
+  CHECK(fixture.IsListed("j.0.0.0") != isConfirmed);
+  fixture.worker->Restart();
+  fixture.worker->SetOverloaded(false);
+  fixture.RunFor(2500 * kMillisecond);
+  CHECK(fixture.started.empty());
+}
+
+// Guards against a cancelled run that begins as its stop was under way during a restart.
+TEST_CASE("WorkerDriver CarriesOutAStopThatWasOrderedForTheEarlierIncarnation")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  const std::int64_t before = fixture.reports.back().worker.born;
+  const auto earlierAgent = fixture.SendDelayedStart("j.0.0.0");
+  WorkerOrders orders = fixture.MakeOrders(Epoch{ 1 });
+  orders.stops.push_back({ "j.0.0.0", 1 });
+  fixture.worker->Restart();
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().worker.born > before; }));
+  fixture.driver->OnOrders(orders);
+  fixture.RunFor(2500 * kMillisecond);
+  CHECK(fixture.started.empty());
+}
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -135,7 +135,8 @@
   bool repeated = false;
 };
 
-// Leading entry to agent. The orders hold only for the worker process that started at `born`.
+// Leading entry to agent. Starts and acknowledgements hold only for the worker process that started
+// at `born`; stops hold for later ones too.
 struct WorkerOrders
 {
   Epoch epoch;
