Store nothing for a gang that does not fit

Cause: PlaceGang began the runs of the members one by one, and removed them again when one found no worker. Each attempt marked the job as started and the progress row as changed.

What callers saw: a job whose gang waited for room counted as running. By reading: each transaction caused the next attempt, so that the leader wrote to the store without a pause, and the run numbers rose.

Change: workers are selected and reserved for all members first; the runs begin only if each has one.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -223,6 +223,8 @@
                  std::uint32_t aIndex,
                  PlacementRequest& aRequest,
                  Now aNow);
+  // Returns the worker for the task, or null, and counts the task in the request.
+  Worker* SelectWorker(const Task& aTask, PlacementRequest& aRequest, Now aNow);
   void PlaceGang(const ReadyStep& aReady, bool aAllowInterference, Now aNow);
   // Stops the runs of a gang of which other members have none. It is placed again as a whole once
   // they are gone.
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -231,18 +231,27 @@
                              Now aNow)
 {
   const Step& step = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step];
-  aRequest.lastFailedWorker = step.tasks[aIndex].lastFailedWorker;
-  Worker* worker = ChooseWorker(this->workers, aRequest, aNow.instant);
+  Worker* worker = this->SelectWorker(step.tasks[aIndex], aRequest, aNow);
   if (worker == nullptr) {
     return false;
   }
+  this->BeginRun(aReady, aIndex, *worker, aNow);
+  return true;
+}
+
+Worker* JobScheduler::SelectWorker(const Task& aTask, PlacementRequest& aRequest, Now aNow)
+{
+  aRequest.lastFailedWorker = aTask.lastFailedWorker;
+  Worker* worker = ChooseWorker(this->workers, aRequest, aNow.instant);
+  if (worker == nullptr) {
+    return nullptr;
+  }
   ++aRequest.sameStepTasks[worker->key.id];
   if (aRequest.step->fillsUnused) {
     this->AddHeadroomCost(*worker, *aRequest.step);
     aRequest.allowInterference = false;
   }
-  this->BeginRun(aReady, aIndex, *worker, aNow);
-  return true;
+  return worker;
 }
 
 void JobScheduler::PlaceGang(const ReadyStep& aReady, bool aAllowInterference, Now aNow)
@@ -258,26 +267,36 @@
   if (isDelayed) {
     return;
   }
+  PlacementRequest request = this->MakePlacementRequest(aReady);
+  std::vector<Worker*> selected;
+  for (const Task& task : step.tasks) {
+    request.allowInterference = aAllowInterference;
+    Worker* worker = this->SelectWorker(task, request, aNow);
+    if (worker == nullptr) {
+      break;
+    }
+    this->AdjustReservation(*worker, *request.step, 1);
+    selected.push_back(worker);
+  }
+  // The runs reserve their workers themselves when they begin.
+  for (Worker* worker : selected) {
+    this->AdjustReservation(*worker, *request.step, -1);
+    this->RecomputeHeadroomCosts(*worker);
+  }
+  if (selected.size() < step.tasks.size()) {
+    this->LogWaitingStep(aReady, request, aNow);
+    return;
+  }
   std::uint64_t runNumber = 0;
   for (const Task& task : step.tasks) {
     runNumber = std::max(runNumber, task.nextRunNumber);
   }
-  PlacementRequest request = this->MakePlacementRequest(aReady);
   const std::string checkpoint = step.tasks[0].checkpoint;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     step.tasks[index].nextRunNumber = runNumber;
     step.tasks[index].checkpoint = checkpoint;
-    request.allowInterference = aAllowInterference;
-    if (!this->PlaceTask(aReady, index, request, aNow)) {
-      // A gang is placed as a whole or not at all. No order was sent yet, so the runs so far are
-      // just removed.
-      for (std::uint32_t undo = 0; undo < index; ++undo) {
-        this->RemoveRun(
-          { { aReady.job->record.id, aReady.occurrence, aReady.step, undo }, runNumber });
-      }
-      this->LogWaitingStep(aReady, request, aNow);
-      return;
-    }
+    this->BeginRun(aReady, index, *selected[index], aNow);
+    this->RecomputeHeadroomCosts(*selected[index]);
   }
   step.waitingSince = {};
 }
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -327,6 +327,27 @@
   CHECK(fixture.StateOf("j") == JobState::Completed);
 }
 
+// Guards against transactions without end, and a job that counts as running, while a gang waits.
+TEST_CASE("JobScheduler StoresNothingForAGangThatDoesNotFit")
+{
+  for (const bool longRunning : { false, true }) {
+    SchedulerFixture fixture;
+    fixture.AddAgent("a", 2000);
+    StepSpec step = MakeStep(3);
+    step.gang = true;
+    step.longRunning = longRunning;
+    fixture.Submit(MakeJob("j", { step }));
+    fixture.scheduler.Decide(fixture.now);
+    CHECK_FALSE(fixture.scheduler.HasChanges());
+    CHECK(fixture.StateOf("j") == JobState::Queued);
+    CHECK(fixture.scheduler.TakeStartDelays().empty());
+    // Its trial leaves no reservation behind.
+    fixture.Submit(MakeJob("k", { MakeStep(2) }));
+    fixture.RunUntilIdle();
+    CHECK(fixture.starts.size() == 2);
+  }
+}
+
 namespace {
 
 // A gang of two tasks on the workers of two agents.
