Poll the worker after a report to the leader has failed

Cause: the next poll was scheduled after the report of a poll's answer, so that polling ended for good when the report threw an exception, for example when it could not be encoded. A report that the link refuses does not throw, and did not end polling.

What callers saw: nothing yet; found by review. The leases of the worker would end and its loss would not be reported until the agent follows a leader again.

Change: the next poll is scheduled before an answer is handled, as the leader does with its ticks.

Result: WorkerDriver PollsTheWorkerAfterAReportHasFailed failed before (no report within 5 s, with a worker and without one) and passes. The 40 cases of WorkerDriver pass.

--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -86,6 +86,8 @@
 void WorkerDriver::OnProbeAnswer(const WorkerAnswer& aAnswer)
 {
   this->pollPending = false;
+  // Scheduled first, so that polling continues if the handling of the answer throws.
+  this->SchedulePoll(kWorkerRetryDelay);
   const Instant now = BootClock::now();
   const bool isRefused = aAnswer.end == WorkerCallOutcome::Refused;
   this->consecutiveRefusals = isRefused ? this->consecutiveRefusals + 1 : 0;
@@ -107,12 +109,13 @@
     this->lastPeriodicReportAt = now;
     this->ReportState(false, {});
   }
-  this->SchedulePoll(kWorkerRetryDelay);
 }
 
 void WorkerDriver::OnPollAnswer(const WorkerAnswer& aAnswer, Epoch aFencingEpoch, Instant aSentAt)
 {
   this->pollPending = false;
+  // Scheduled first, so that polling continues if the handling of the answer throws.
+  this->SchedulePoll(kWorkerRetryDelay);
   const Instant now = BootClock::now();
   if (aAnswer.end != WorkerCallOutcome::Done) {
     if (aAnswer.end == WorkerCallOutcome::OtherInstance && this->ConfirmIncarnation(aAnswer)) {
@@ -122,7 +125,6 @@
       this->counters.Add("looks_fenced_total", "worker");
     }
     this->OnPollFailed(aAnswer);
-    this->SchedulePoll(kWorkerRetryDelay);
     return;
   }
   if (aAnswer.born != 0 && aAnswer.born != this->worker.born) {
@@ -132,7 +134,6 @@
     // The answer is from another incarnation than the heartbeats. Waits for a heartbeat from that
     // incarnation.
     this->counters.Add("looks_of_other_life_total", "worker");
-    this->SchedulePoll(kWorkerRetryDelay);
     return;
   }
   if (aAnswer.born != 0) {
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <stdexcept>
 #include <thread>
 
 using namespace oriolespread;
@@ -26,6 +27,7 @@
   std::unique_ptr<platformwire_testing::StandInWorker> worker;
   std::unique_ptr<WorkerDriver> driver;
   bool extendLeases = true;
+  bool failReports = false;
   std::uint64_t ordersSequence = 0;
 
   explicit WorkerDriverFixture(Duration aMaxWorkerLease = std::chrono::seconds(6),
@@ -72,6 +74,9 @@
       aMaxWorkerLease,
       this->counters,
       [this](const WorkerReport& aReport) {
+        if (this->failReports) {
+          throw std::runtime_error("report not sent");
+        }
         this->reports.push_back(aReport);
         if (this->extendLeases) {
           this->driver->OnLeaseExtension({ aReport.epoch, aReport.sequence, {} });
@@ -919,3 +924,19 @@
   fixture.RunFor(2500 * kMillisecond);
   CHECK(fixture.started.empty());
 }
+
+// Guards against leases that end, or a loss that stays unreported, because a report failed.
+TEST_CASE("WorkerDriver PollsTheWorkerAfterAReportHasFailed")
+{
+  const bool isPresent = GENERATE(true, false);
+  WorkerDriverFixture fixture;
+  if (!isPresent) {
+    fixture.worker.reset();
+  }
+  fixture.failReports = true;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE_THROWS(fixture.RunFor(2000 * kMillisecond));
+  fixture.failReports = false;
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  CHECK(fixture.reports.back().allLost != isPresent);
+}
