Accept an extension of leases after many later reports

Cause: the agent kept the times of its last 16 reports and ignored an extension that answers an earlier one. Each end, each rejection and each change of the worker sends a report, so that 16 reports may be sent within fractions of a second, less than a leader may take to answer.

What callers saw: nothing yet; found by review. Starts would wait, leases end and runs be placed again while worker, agent and leader work.

Change: the time of a report is kept for as long as the lease that an answer to it extends.

Result: WorkerDriver AcceptsAnExtensionWhenManyLaterReportsWereSent failed before (no start within 5 s) and passes. The 41 cases of WorkerDriver pass.

--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -180,6 +180,8 @@
   // Whether the worker has received the fencing token of `epoch`.
   bool fenceConfirmed = false;
   std::uint64_t sequence = 0;
+  // When the reports of the last lease that the leader has not answered were sent, by sequence
+  // number.
   std::map<std::uint64_t, Instant> reportSentTimes;
   std::uint64_t lastOrders = 0;
 
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -10,14 +10,6 @@
 using platformwire::WorkerAnswer;
 using platformwire::WorkerCallOutcome;
 
-namespace {
-
-// The number of latest reports for which a lease extension is accepted. An extension counts from
-// the time its report was sent, so one for an older report is of no use.
-constexpr std::size_t kMaxUnansweredReports = 16;
-
-} // namespace
-
 void WorkerDriver::SchedulePoll(Duration aDelay)
 {
   if (this->pollPending) {
@@ -299,13 +291,16 @@
   aReport.sequence = ++this->sequence;
   aReport.lastOrders = this->lastOrders;
   aReport.worker = this->worker;
-  this->reportSentTimes[aReport.sequence] = BootClock::now();
+  const Instant now = BootClock::now();
+  // An extension counts from the time its report was sent, so one for an older report is of no use.
+  while (!this->reportSentTimes.empty() &&
+         this->reportSentTimes.begin()->second + this->requestedLease <= now) {
+    this->reportSentTimes.erase(this->reportSentTimes.begin());
+  }
+  this->reportSentTimes[aReport.sequence] = now;
   if (aReport.allLost) {
     this->unansweredLossReport = aReport.sequence;
   }
-  if (this->reportSentTimes.size() > kMaxUnansweredReports) {
-    this->reportSentTimes.erase(this->reportSentTimes.begin());
-  }
   this->sendToLeader(aReport);
 }
 
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -940,3 +940,25 @@
   REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
   CHECK(fixture.reports.back().allLost != isPresent);
 }
+
+// Guards against leases that end because the leader answers after many later reports were sent.
+TEST_CASE("WorkerDriver AcceptsAnExtensionWhenManyLaterReportsWereSent")
+{
+  WorkerDriverFixture fixture;
+  fixture.extendLeases = false;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  const std::uint64_t first = fixture.reports.back().sequence;
+  platformwire::WorkerHeartbeat heartbeat;
+  heartbeat.worker = fixture.reports.back().worker;
+  heartbeat.sequence = 1000000;
+  for (int index = 1; index <= 100; ++index) {
+    ++heartbeat.sequence;
+    heartbeat.worker.remainingMs = index;
+    fixture.driver->OnHeartbeat(heartbeat);
+  }
+  REQUIRE(fixture.reports.back().sequence >= first + 100);
+  fixture.driver->OnLeaseExtension({ Epoch{ 1 }, first, {} });
+  fixture.StartTask("j.0.0.0");
+  CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+}
