Report the loss of a worker that restarted and whose heartbeats are lost

Cause: if a poll is answered by another incarnation than the one that the agent knows, the agent waits for a heartbeat of it, and reported nothing meanwhile.

What callers saw: nothing yet; found by review. Each new leader would wait for the leases of the earlier incarnation anew, as for a worker that is silent.

Change: such a worker counts as silent, so that its runs are reported as lost once all leases have expired.

Result: WorkerDriver ReportsAllRunsLostWhenAnIncarnationWithoutHeartbeatsAnswers failed before (no loss reported within 5 s) and passes.

--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -124,8 +124,11 @@
       return;
     }
     // The answer is from another incarnation than the heartbeats. Waits for a heartbeat from that
-    // incarnation.
+    // incarnation. Until then, the worker counts as silent.
     this->counters.Add("looks_of_other_life_total", "worker");
+    if (now > this->allLeasesExpiredAt) {
+      this->OnPollFailed(aAnswer);
+    }
     return;
   }
   if (aAnswer.born != 0) {
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -962,3 +962,18 @@
   fixture.StartTask("j.0.0.0");
   CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
 }
+
+// Guards against a leader that waits for a worker that restarted and whose heartbeats are lost.
+TEST_CASE("WorkerDriver ReportsAllRunsLostWhenAnIncarnationWithoutHeartbeatsAnswers")
+{
+  WorkerDriverFixture fixture(1500 * kMillisecond, std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.control.reset();
+  fixture.worker->Restart();
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().allLost; }));
+  fixture.reports.clear();
+  fixture.driver->FollowLeader(Epoch{ 2 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  CHECK(fixture.reports.back().allLost);
+}
