Delay the next start of a long-running task that fails again

Cause: a failed long-running task is placed again in the next pass. The avoidance of a worker on which three jobs failed was the only limit, and long-running tasks are placed there now if no other worker has room. So services that fail everywhere were started, stored and logged without a pause, and a gang with such a member stopped its other members in each round.

Change: the first start after a failure waits for 50 ms, and for twice as long after each further failure within 5 s, up to 1 s.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -71,6 +71,8 @@
   bool moved = false;
   // No run of the task is started before this time.
   Instant notBefore{};
+  // The delay after the last failure. Used for long-running tasks only.
+  Duration restartDelay{};
 };
 
 struct Step
@@ -199,8 +201,8 @@
   Instant latestLeaseExpiry{};
   // No new runs are placed before this time, after a rejected start.
   Instant rejectsUntil{};
-  // Before this time, after a stalled run, slow runs or repeated failures, only tasks of
-  // long-running steps are placed, if no other worker can take them.
+  // Set after a stalled run, slow runs or repeated failures. Until then, only long-running tasks
+  // are placed, and only if no other worker has room.
   Instant avoidUntil{};
   // Jobs with a failed run on this worker since its last successful run.
   std::set<std::string> failedJobs;
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -58,8 +58,11 @@
   Duration failingWorkerBackoff = std::chrono::seconds(5);
   // How long a worker that rejected a start gets no new runs, until the agent's next full reports.
   Duration rejectionBackoff = std::chrono::milliseconds(300);
-  // Delay before a rejected or lost run is placed again.
+  // Delay before a rejected or lost run, or a failed one of a long-running task, is placed again.
   Duration retryDelay = std::chrono::milliseconds(50);
+  // The delay doubles up to this time while a long-running task fails again soon, within
+  // failingWorkerBackoff.
+  Duration maxRestartDelay = std::chrono::seconds(1);
   // How long the state of an ended job is kept, twice the time guaranteed to callers.
   Duration keepEnded = std::chrono::seconds(240);
   // How often the progress of a step is stored when only checkpoints of its runs have changed. A
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -388,6 +388,11 @@
     this->log("worker_avoided", { { "worker", aWorker.key.id }, { "reason", "failing" } });
   }
   if (spec.longRunning) {
+    const bool failedSoon = aNow.instant < task.notBefore + this->settings.failingWorkerBackoff;
+    task.restartDelay = std::clamp(failedSoon ? 2 * task.restartDelay : Duration::zero(),
+                                   this->settings.retryDelay,
+                                   this->settings.maxRestartDelay);
+    task.notBefore = aNow.instant + task.restartDelay;
     return;
   }
   ++task.failedRuns;
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -189,10 +189,10 @@
     fixture.End(agent, start.ref, RunEnd::Failed);
   }
   fixture.starts.clear();
-  StepSpec lasting = MakeStep(1);
-  lasting.longRunning = true;
-  lasting.demand.milliCores = 1500;
-  fixture.Submit(MakeJob("alone", { lasting }));
+  StepSpec service = MakeStep(1);
+  service.longRunning = true;
+  service.demand.milliCores = 1500;
+  fixture.Submit(MakeJob("alone", { service }));
   fixture.RunUntilIdle();
   REQUIRE(fixture.starts.size() == 1);
   CHECK(fixture.starts[0].second.ref == RunRef{ "alone.0.0.0", 1 });
@@ -200,8 +200,8 @@
   fixture.AddAgent("b", 6000);
   fixture.RunUntilIdle();
   REQUIRE(fixture.starts.size() == 4);
-  for (const char* job : { "second-lasting", "third-lasting", "last" }) {
-    fixture.Submit(MakeJob(job, { lasting }));
+  for (const char* job : { "second-service", "third-service", "last" }) {
+    fixture.Submit(MakeJob(job, { service }));
     fixture.RunUntilIdle();
   }
   REQUIRE(fixture.starts.size() == 7);
@@ -215,9 +215,9 @@
 {
   SchedulerFixture fixture;
   fixture.AddAgent("a");
-  StepSpec lasting = MakeStep(1);
-  lasting.longRunning = true;
-  fixture.Submit(MakeJob("j", { lasting }));
+  StepSpec service = MakeStep(1);
+  service.longRunning = true;
+  fixture.Submit(MakeJob("j", { service }));
   fixture.RunUntilIdle();
   REQUIRE(fixture.starts.size() == 1);
   fixture.agents["a"].running.clear();
@@ -232,6 +232,41 @@
   CHECK(fixture.starts.size() == 2);
 }
 
+// Guards against starts without a pause while a service fails everywhere.
+TEST_CASE("JobScheduler RestartsALongRunningTaskThatFailsAgainWithAGrowingDelay")
+{
+  for (const bool gang : { false, true }) {
+    SchedulerFixture fixture;
+    fixture.AddAgent("a");
+    StepSpec service = MakeStep(1);
+    service.longRunning = true;
+    service.gang = gang;
+    fixture.Submit(MakeJob("j", { service }));
+    fixture.RunUntilIdle();
+    REQUIRE(fixture.starts.size() == 1);
+    const auto delayAfterFailure = [&] {
+      const Instant failedAt = fixture.now.instant;
+      const auto [agent, start] = fixture.starts.back();
+      const std::size_t startsBefore = fixture.starts.size();
+      fixture.End(agent, start.ref, RunEnd::Failed);
+      fixture.RunUntilIdle();
+      while (fixture.starts.size() == startsBefore && fixture.now.instant < failedAt + 2000 * kMs) {
+        fixture.Advance(10 * kMs);
+        fixture.RunUntilIdle();
+      }
+      return ToMilliseconds(fixture.now.instant - failedAt);
+    };
+    std::vector<std::int64_t> delays;
+    for (int failure = 0; failure < 7; ++failure) {
+      delays.push_back(delayAfterFailure());
+    }
+    CHECK(delays == std::vector<std::int64_t>{ 50, 100, 200, 400, 800, 1000, 1000 });
+    fixture.Advance(5000 * kMs);
+    fixture.Report("a");
+    CHECK(delayAfterFailure() == 50);
+  }
+}
+
 TEST_CASE("JobScheduler StopsAllRunsAndStartsNoneAfterACancellation")
 {
   SchedulerFixture fixture;
