Keep a worker avoided no longer because services fail there meanwhile

Cause: failures of long-running tasks that were placed on an avoided worker counted as others do, so that the worker was avoided again and again, and no other job was placed there.

Change: failures of long-running tasks do not count while their worker is avoided.

Result: JobScheduler AvoidsAWorkerNoLongerBecauseServicesFailThereMeanwhile failed before (the job of a batch was still queued after 5 s) and passes; all tests of jobs (104 cases) pass.

--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -380,7 +380,11 @@
   Task& task = *this->FindTask(aTaskKey);
   const StepSpec& spec = this->SpecOf(aTaskKey);
   task.lastFailedWorker = aWorker.key.id;
-  aWorker.failedJobs.insert(aTaskKey.job);
+  // Only long-running tasks are placed on an avoided worker. Their failures must not keep the
+  // others away for longer.
+  if (!spec.longRunning || aNow.instant >= aWorker.avoidUntil) {
+    aWorker.failedJobs.insert(aTaskKey.job);
+  }
   if (aWorker.failedJobs.size() >= this->settings.failingJobLimit) {
     aWorker.avoidUntil = aNow.instant + this->settings.failingWorkerBackoff;
     aWorker.failedJobs.clear();
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -267,6 +267,34 @@
   }
 }
 
+// Guards against services that fail everywhere and keep all other jobs off the workers.
+TEST_CASE("JobScheduler AvoidsAWorkerNoLongerBecauseServicesFailThereMeanwhile")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  StepSpec service = MakeStep(1);
+  service.longRunning = true;
+  for (const char* job : { "first", "second", "third" }) {
+    fixture.Submit(MakeJob(job, { service }));
+  }
+  const auto failAll = [&] {
+    fixture.RunUntilIdle();
+    for (const auto& [agent, start] : std::exchange(fixture.starts, {})) {
+      fixture.End(agent, start.ref, RunEnd::Failed);
+    }
+  };
+  failAll();
+  fixture.Submit(MakeJob("batch", { MakeStep(1) }));
+  for (int time = 0; time < 4900; time += 100) {
+    fixture.Advance(100 * kMs);
+    failAll();
+  }
+  REQUIRE(fixture.StateOf("batch") == JobState::Queued);
+  fixture.Advance(100 * kMs);
+  fixture.RunUntilIdle();
+  CHECK(fixture.StateOf("batch") == JobState::Running);
+}
+
 TEST_CASE("JobScheduler StopsAllRunsAndStartsNoneAfterACancellation")
 {
   SchedulerFixture fixture;
