Use no clock or numbers of an earlier incarnation once another one answers

What callers saw: nothing yet; found by review. If the heartbeats of a restarted worker were late or lost, a task could run twice, or the end of a run be dropped before it was read.

Cause: a poll that another incarnation answered left the clock, the fencing token and the numbers of ends of the earlier one in use until its heartbeat came. Leases and starts got deadlines on the wrong clock, which a new process takes for its longest lease, and the agent reported the loss of the runs before that lease had expired.

Change: at such an answer the agent forgets the clock and the fence, so that it grants no lease and starts nothing; it acknowledges no ends, and counts the longest lease from then on.

Result: WorkerDriver StartsNothingWhenAnIncarnationWithoutHeartbeatsAnswers failed before (the run was started) and passes; all tests of daemon (84 cases) pass. The acknowledged numbers have no test of their own.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -21,13 +21,6 @@
 // worker are smaller (WorkerClient).
 constexpr std::uint64_t kMaxEndNumberOfWorker = std::uint64_t{ 1 } << 41U;
 
-// Returns how long the longest lease that the worker accepts can last on the agent's clock.
-Duration LongestLeaseOnAgentClock(Duration aMaxWorkerLease)
-{
-  return std::chrono::duration_cast<Duration>(aMaxWorkerLease * kMaxWorkerClockRatio) +
-         kLeaseExpiryMargin;
-}
-
 // Logs the answer to an order about a run. Of starts, only those that were not confirmed at once
 // are logged, since most starts are.
 void LogOrderAnswer(std::string_view aEvent,
@@ -147,6 +140,7 @@
   this->worker = aHeartbeat.worker;
   this->heartbeatSequence = aHeartbeat.sequence;
   this->unconfirmedHeartbeat.reset();
+  this->otherIncarnationAnswered = false;
   this->client->SetExpectedInstance(aHeartbeat.worker.id);
   this->fenceConfirmed = false;
   this->workerClockMs.reset();
@@ -175,6 +169,12 @@
   this->PollWorker();
 }
 
+Duration WorkerDriver::LongestLeaseOnAgentClock(Duration aMaxWorkerLease)
+{
+  return std::chrono::duration_cast<Duration>(aMaxWorkerLease * kMaxWorkerClockRatio) +
+         kLeaseExpiryMargin;
+}
+
 void WorkerDriver::KeepEndsOfEarlierIncarnation()
 {
   // Other ends tell the leader nothing that the loss of the run does not tell.
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -82,6 +82,8 @@
                SendToLeader aSend,
                std::unique_ptr<platformwire::WorkerClient> aClient);
 
+  // Returns how long the longest lease that the worker accepts can last on the agent's clock.
+  static Duration LongestLeaseOnAgentClock(Duration aMaxWorkerLease);
   void BeginIncarnation(const platformwire::WorkerHeartbeat& aHeartbeat);
   // Keeps successful ends that the leader has not acknowledged, so that it learns of them with the
   // new incarnation and does not repeat the work.
@@ -169,6 +171,8 @@
   // The last heartbeat of another incarnation than the current one: a new one, or a delayed or
   // foreign heartbeat. The worker's answers tell which it is.
   std::optional<platformwire::WorkerHeartbeat> unconfirmedHeartbeat;
+  // Whether another incarnation has answered the last poll. Its heartbeats are late or lost.
+  bool otherIncarnationAnswered = false;
   // Incremented with each incarnation of the worker; answers of an earlier one are dropped.
   std::uint64_t incarnation = 0;
   bool pollPending = false;
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -37,7 +37,8 @@
   platformwire::WorkerPoll request;
   request.fence = this->epoch;
   // Numbers of ends and times on the worker's clock hold for one incarnation only.
-  const bool mayBeOtherIncarnation = this->unconfirmedHeartbeat.has_value();
+  const bool mayBeOtherIncarnation =
+    this->unconfirmedHeartbeat.has_value() || this->otherIncarnationAnswered;
   request.acknowledgedEnds = mayBeOtherIncarnation ? 0 : this->lastAcknowledgedEnd;
   if (!mayBeOtherIncarnation && this->workerClockMs.has_value() &&
       now - this->lastAnswerAt < kMaxWorkerSilence && this->GrantLease()) {
@@ -126,6 +127,15 @@
     // The answer is from another incarnation than the heartbeats. Waits for a heartbeat from that
     // incarnation. Until then, the worker counts as silent.
     this->counters.Add("looks_of_other_life_total", "worker");
+    if (!this->otherIncarnationAnswered) {
+      // Its clock and fencing token are not known, and it may have taken a deadline on the clock of
+      // the known incarnation for the longest lease.
+      this->otherIncarnationAnswered = true;
+      this->workerClockMs.reset();
+      this->fenceConfirmed = false;
+      this->allLeasesExpiredAt =
+        std::max(this->allLeasesExpiredAt, now + LongestLeaseOnAgentClock(this->maxWorkerLease));
+    }
     if (now > this->allLeasesExpiredAt) {
       this->OnPollFailed(aAnswer);
     }
@@ -134,6 +144,7 @@
   if (aAnswer.born != 0) {
     // The incarnation of the last accepted heartbeat has answered a poll that was sent later.
     this->unconfirmedHeartbeat.reset();
+    this->otherIncarnationAnswered = false;
   }
   this->lastAnswerAt = now;
   this->consecutiveRefusals = 0;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -963,6 +963,20 @@
   CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
 }
 
+// Guards against leases and starts whose deadlines are those of an earlier incarnation's clock.
+TEST_CASE("WorkerDriver StartsNothingWhenAnIncarnationWithoutHeartbeatsAnswers")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.control.reset();
+  fixture.worker->Restart();
+  fixture.RunFor(500 * kMillisecond);
+  fixture.StartTask("j.0.0.0");
+  fixture.RunFor(1500 * kMillisecond);
+  CHECK(fixture.started.empty());
+}
+
 // Guards against a leader that waits for a worker that restarted and whose heartbeats are lost.
 TEST_CASE("WorkerDriver ReportsAllRunsLostWhenAnIncarnationWithoutHeartbeatsAnswers")
 {
