Send a stop that was queued when the worker restarted

What callers saw: nothing yet; found by review. A cancelled run could begin by a delayed start on a worker that had restarted under its id, until the leader learned of it.

Change: the stops are kept.

Result: JobScheduler SendsAStopThatWasQueuedForTheEarlierIncarnation failed before (no stop was sent) and passes; all tests of jobs (105 cases) pass, and RunsEachTaskOnceWhenTheLeaderChanges with 25,000 hand-overs.

--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -442,9 +442,11 @@
 WorkerOrders& JobScheduler::OrdersFor(const std::string& aAgent, const WorkerKey& aWorker)
 {
   auto [it, inserted] = this->outgoingOrders.try_emplace(aAgent);
-  // Orders to an earlier process of the worker are obsolete.
   if (inserted || it->second.born != aWorker.born) {
+    // Only stops hold for a later process of the worker, which may carry out delayed starts.
+    std::vector<RunRef> stops = std::move(it->second.stops);
     it->second = {};
+    it->second.stops = std::move(stops);
     it->second.epoch = this->epoch;
     it->second.sequence = ++this->lastOrders;
     it->second.born = aWorker.born;
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -93,6 +93,23 @@
   CHECK(second.starts[0].second.ref.task == "j.0.0.0");
 }
 
+// Guards against a cancelled run that a restarted worker begins by a delayed start.
+TEST_CASE("JobScheduler SendsAStopThatWasQueuedForTheEarlierIncarnation")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  fixture.scheduler.OnJobRow("j.cancel", "", fixture.now);
+  fixture.scheduler.Decide(fixture.now);
+  fixture.agents["a"].worker.born = 2;
+  fixture.agents["a"].running.clear();
+  fixture.End("a", { "unknown.0.0.0", 1 }, RunEnd::Done);
+  fixture.RunUntilIdle();
+  CHECK(fixture.acknowledgedEnds.size() == 1);
+  CHECK(fixture.stops == std::vector<RunRef>{ { "j.0.0.0", 1 } });
+}
+
 // Guards against a second run of a task that was done before its worker restarted.
 TEST_CASE("JobScheduler DoesNotRepeatATaskWhenANewIncarnationReportsItsEnd")
 {
