Forget acknowledgements of ends that are acknowledged already

Cause: an end that was reported again while its acknowledgement was under way is acknowledged twice. The agent kept the second number until the worker's next incarnation.

Change: only numbers above the last acknowledged one are kept. The bound for the numbers of a worker's ends is shared with the decoder, and some comments are clearer. The played cluster requires that a leader is found.

The change has no test of its own.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -17,10 +17,6 @@
 constexpr double kMaxWorkerClockRatio = 1.03;
 constexpr Duration kLeaseExpiryMargin = std::chrono::milliseconds(200);
 
-// Ends of earlier incarnations have higher numbers, which this process assigns. Numbers of the
-// worker are smaller (WorkerClient).
-constexpr std::uint64_t kMaxEndNumberOfWorker = std::uint64_t{ 1 } << 41U;
-
 // Logs the answer to an order about a run. Of starts, only those that were not confirmed at once
 // are logged, since most starts are.
 void LogOrderAnswer(std::string_view aEvent,
@@ -177,10 +173,11 @@
 
 void WorkerDriver::KeepEndsOfEarlierIncarnation()
 {
-  // Other ends tell the leader nothing that the loss of the run does not tell.
+  // The leader ignores other ends of runs that it has given up.
   for (const auto& [number, end] : std::exchange(this->unacknowledgedEnds, {})) {
     if (end.how == RunEnd::Done) {
-      const std::uint64_t kept = kMaxEndNumberOfWorker + ++this->keptEnds;
+      // Above all numbers of the worker's own.
+      const std::uint64_t kept = platformwire::kMaxEndNumber + ++this->keptEnds;
       this->unacknowledgedEnds[kept] = { kept, end.ref, end.how, end.checkpoint };
     }
   }
@@ -302,10 +299,10 @@
   }
   this->lastOrders = aOrders.sequence;
   for (const std::uint64_t number : aOrders.acknowledgedEnds) {
-    if (number > kMaxEndNumberOfWorker) {
+    if (number > platformwire::kMaxEndNumber) {
       this->unacknowledgedEnds.erase(number);
       this->reportedEnds.erase(number);
-    } else {
+    } else if (number > this->lastAcknowledgedEnd) {
       this->acknowledgedEnds.insert(number);
     }
   }
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -890,7 +890,7 @@
   CHECK(fixture.worker->AcknowledgedUpTo() == 1);
 }
 
-// Guards against a cancelled run that a restarted worker begins by the start of an earlier agent.
+// Guards against a cancelled run that a delayed call of an earlier agent process starts.
 TEST_CASE("WorkerDriver RepeatsAStopWhenTheWorkerRestarts")
 {
   const bool isConfirmed = GENERATE(true, false);
--- a/packages/jobs/tests/PlayedCluster.h
+++ b/packages/jobs/tests/PlayedCluster.h
@@ -4,6 +4,8 @@
 
 #include "PlayedLeader.h"
 
+#include <catch2/catch.hpp>
+
 #include <algorithm>
 #include <functional>
 #include <map>
@@ -166,6 +168,7 @@
       std::find_if(this->leaders.begin(), this->leaders.end(), [&](const auto& aLeader) {
         return aLeader->LeaderEpoch() == aEpoch;
       });
+    REQUIRE(leader != this->leaders.end());
     return leader->get();
   }
 
