--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace oriolespread;
 using namespace oriolespread::jobs;
 
@@ -256,10 +258,8 @@
       }
       return ToMilliseconds(fixture.now.instant - failedAt);
     };
-    std::vector<std::int64_t> delays;
-    for (int failure = 0; failure < 7; ++failure) {
-      delays.push_back(delayAfterFailure());
-    }
+    std::vector<std::int64_t> delays(7);
+    std::generate(delays.begin(), delays.end(), delayAfterFailure);
     CHECK(delays == std::vector<std::int64_t>{ 50, 100, 200, 400, 800, 1000, 1000 });
     fixture.Advance(5000 * kMs);
     fixture.Report("a");
