Split long files of the scheduler, the worker driver and their tests

Cause: four sources and tests had 500 to 1,000 lines, and tests of gangs, failures and losses stood between others.

Change: moved without a change of content: SchedulerEnds.cpp, SchedulerLogs.cpp and WorkerOrders.cpp; the tests SchedulerGangTest, SchedulerFailureTest and WorkerLossTest; the fixture WorkerDriverFixture.h. ParseRunRef stands beside ToRunRef. The comment of DelaysAStartUntilTheWorkerHasALease stands at its test again.

--- /dev/null
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -0,0 +1,318 @@
+// The part of WorkerDriver that carries out the leader's orders.
+#include "WorkerDriver.h"
+
+#include "oriolespread/daemon/ClusterSettings.h"
+#include "oriolespread/service/Log.h"
+
+namespace oriolespread::daemon {
+
+using platformwire::WorkerAnswer;
+using platformwire::WorkerCallOutcome;
+
+namespace {
+
+// Logs the answer to an order about a run. Of starts, only those that were not confirmed at once
+// are logged, since most starts are.
+void LogOrderAnswer(std::string_view aEvent,
+                    const RunRef& aRef,
+                    Epoch aEpoch,
+                    int aAttempt,
+                    Instant aSentAt,
+                    const WorkerAnswer& aAnswer)
+{
+  Log(LogLevel::Info,
+      aEvent,
+      { { "task", aRef.task },
+        { "run", aRef.run },
+        { "epoch", aEpoch.Value() },
+        { "attempt", aAttempt },
+        { "outcome", std::string(WorkerCallOutcomeName(aAnswer.end)) },
+        { "reason", aAnswer.reason },
+        { "took_ms", ToMilliseconds(BootClock::now() - aSentAt) } });
+}
+
+} // namespace
+
+void WorkerDriver::OnOrders(const WorkerOrders& aOrders)
+{
+  if (aOrders.epoch != this->epoch || aOrders.born != this->worker.born) {
+    this->counters.Add("orders_ignored_total",
+                       aOrders.epoch != this->epoch ? "other_epoch" : "other_life");
+    if (aOrders.epoch == this->epoch && !this->worker.id.empty()) {
+      // A worker that has restarted may still carry out the starts of these runs.
+      for (const RunRef& stop : aOrders.stops) {
+        this->StopRun(stop);
+      }
+    }
+    return;
+  }
+  this->lastOrders = aOrders.sequence;
+  for (const std::uint64_t number : aOrders.acknowledgedEnds) {
+    if (number > platformwire::kMaxEndNumber) {
+      this->unacknowledgedEnds.erase(number);
+      this->reportedEnds.erase(number);
+    } else if (number > this->lastAcknowledgedEnd) {
+      this->acknowledgedEnds.insert(number);
+    }
+  }
+  this->AdvanceAcknowledgedEnds();
+  for (const RunRef& stop : aOrders.stops) {
+    this->StopRun(stop);
+  }
+  for (const StartRun& start : aOrders.starts) {
+    const bool isTracked = this->trackedRuns.contains(start.ref);
+    TrackedRun& tracked = this->trackedRuns[start.ref];
+    if (tracked.stopping || (tracked.starting && !tracked.suspended)) {
+      continue;
+    }
+    if (this->IsRunning(start.ref)) {
+      // The order describes a run that was started by an earlier process of the agent, or by a
+      // start that was not answered. It is accepted even while the worker drains, as the run must
+      // not be reported as rejected.
+      tracked.start = start;
+      tracked.starting = false;
+      tracked.suspended = false;
+      tracked.startedByEarlierAgent = tracked.startedByEarlierAgent || !isTracked;
+      tracked.confirmedAt = BootClock::now();
+      continue;
+    }
+    if (!tracked.suspended) {
+      tracked = {};
+      tracked.openStarts = start.repeated ? 1 : 0;
+    }
+    tracked.start = start;
+    tracked.starting = true;
+    tracked.suspended = false;
+    tracked.orderedAt = BootClock::now();
+    if (this->worker.draining) {
+      this->RejectRun(start.ref, "draining");
+      continue;
+    }
+    if (this->MayPrecedeLoss()) {
+      this->RejectRun(start.ref, "worker_lost");
+      continue;
+    }
+    this->TryStart(start.ref, tracked.orderedAt);
+  }
+  if (!aOrders.acknowledgedEnds.empty()) {
+    this->SchedulePoll(Duration::zero());
+  }
+}
+
+void WorkerDriver::AdvanceAcknowledgedEnds()
+{
+  while (this->acknowledgedEnds.erase(this->lastAcknowledgedEnd + 1) > 0) {
+    ++this->lastAcknowledgedEnd;
+    this->unacknowledgedEnds.erase(this->lastAcknowledgedEnd);
+    this->reportedEnds.erase(this->lastAcknowledgedEnd);
+  }
+}
+
+bool WorkerDriver::IsRunning(const RunRef& aRef) const
+{
+  return std::any_of(this->running.begin(), this->running.end(), [&](const RunningRun& aRun) {
+    return aRun.ref == aRef;
+  });
+}
+
+void WorkerDriver::TryStart(const RunRef& aRef, Instant aOrderedAt)
+{
+  const auto it = this->trackedRuns.find(aRef);
+  if (it == this->trackedRuns.end() || it->second.orderedAt != aOrderedAt || !it->second.starting ||
+      it->second.suspended || it->second.stopping) {
+    return;
+  }
+  // Without a lease, the deadline of the start would have passed when it reaches the worker.
+  // Without a recent answer from the leader, an order to stop the run may be queued behind the
+  // order to start it.
+  if (!this->fenceConfirmed || !this->workerClockMs.has_value() ||
+      !this->HasRecentLeaderResponse() || !this->GrantLease()) {
+    this->CallAfter(kLeasePollInterval,
+                    [this, aRef, aOrderedAt] { this->TryStart(aRef, aOrderedAt); });
+    return;
+  }
+  const int attempt = ++it->second.startAttempts;
+  ++it->second.openStarts;
+  this->client->Start(
+    it->second.start,
+    this->epoch,
+    this->ToWorkerClockMs(this->grantedLeaseExpiry),
+    kWorkerCallTimeout,
+    [this, aRef, attempt, epoch = this->epoch, id = this->incarnation, sentAt = BootClock::now()](
+      const WorkerAnswer& aAnswer) {
+      if (attempt > 1 || aAnswer.end != WorkerCallOutcome::Done) {
+        LogOrderAnswer("start_answered", aRef, epoch, attempt, sentAt, aAnswer);
+      }
+      if (aAnswer.end == WorkerCallOutcome::Unknown) {
+        this->ForgetOldUnansweredStarts();
+        this->unansweredStarts.emplace_back(BootClock::now(), aRef);
+      }
+      if (id == this->incarnation) {
+        this->OnStartAnswer(aRef, attempt, aAnswer);
+      }
+    });
+}
+
+void WorkerDriver::GiveUpStartsOrderedBefore(Instant aTime)
+{
+  std::vector<RunRef> outdated;
+  for (const auto& [ref, tracked] : this->trackedRuns) {
+    if (tracked.starting && !tracked.stopping && tracked.orderedAt < aTime) {
+      outdated.push_back(ref);
+    }
+  }
+  for (const RunRef& ref : outdated) {
+    this->counters.Add("starts_void_total", "lease_expired");
+    this->RejectRun(ref, "lease_expired");
+  }
+}
+
+void WorkerDriver::OnStartAnswer(const RunRef& aRef, int aAttempt, const WorkerAnswer& aAnswer)
+{
+  const auto it = this->trackedRuns.find(aRef);
+  if (it == this->trackedRuns.end() || !it->second.starting) {
+    return;
+  }
+  TrackedRun& tracked = it->second;
+  tracked.openStarts -= aAnswer.end == WorkerCallOutcome::Unknown ? 0 : 1;
+  switch (aAnswer.end) {
+    case WorkerCallOutcome::Done:
+    case WorkerCallOutcome::AlreadyEnded:
+      // The worker may have carried out an earlier start that it did not answer, and the run may
+      // have ended since. The next poll then lists its end.
+      tracked.starting = false;
+      tracked.suspended = false;
+      tracked.confirmedAt = BootClock::now();
+      this->startLatency.Add(tracked.confirmedAt - tracked.orderedAt);
+      return;
+    case WorkerCallOutcome::Rejected:
+      if (!tracked.stopping) {
+        this->RejectRun(aRef, aAnswer.reason);
+      }
+      return;
+    case WorkerCallOutcome::Fenced:
+    case WorkerCallOutcome::OtherInstance:
+      // A later leader or a later incarnation of the worker makes the order void, and with it all
+      // earlier attempts.
+      this->counters.Add("starts_void_total", aAnswer.reason);
+      if (!tracked.stopping && aAttempt == tracked.startAttempts) {
+        this->trackedRuns.erase(it);
+      }
+      return;
+    case WorkerCallOutcome::Refused:
+    case WorkerCallOutcome::Unknown:
+      break;
+  }
+  this->counters.Add("starts_retried_total", aAnswer.reason);
+  if (tracked.stopping || tracked.suspended || aAttempt != tracked.startAttempts) {
+    return;
+  }
+  if (tracked.startAttempts >= kMaxStartAttempts) {
+    Log(LogLevel::Warning,
+        "start_unanswered",
+        { { "task", aRef.task }, { "run", aRef.run }, { "reason", aAnswer.reason } });
+    this->StopRun(aRef);
+    return;
+  }
+  // Starts are idempotent: the worker reports success if the run is already running.
+  this->CallAfter(aAnswer.end == WorkerCallOutcome::Refused ? kWorkerRetryDelay : Duration::zero(),
+                  [this, aRef, orderedAt = tracked.orderedAt] { this->TryStart(aRef, orderedAt); });
+}
+
+void WorkerDriver::RejectRun(const RunRef& aRef, const std::string& aReason)
+{
+  if (const auto it = this->trackedRuns.find(aRef); it != this->trackedRuns.end()) {
+    if (it->second.openStarts > 0 && !it->second.stopConfirmed) {
+      it->second.rejection = aReason;
+      this->StopRun(aRef);
+      return;
+    }
+    this->trackedRuns.erase(it);
+  }
+  this->rejected.push_back({ aRef, aReason });
+  this->ReportState(false, {});
+}
+
+void WorkerDriver::StopRun(const RunRef& aRef)
+{
+  TrackedRun& tracked = this->trackedRuns[aRef];
+  if (tracked.stopping) {
+    return;
+  }
+  tracked.stopping = true;
+  const Instant now = BootClock::now();
+  if (now - this->createdAt < kMaxCallDelay) {
+    // An earlier process of the agent may have sent a start of the run.
+    this->ForgetOldUnansweredStarts();
+    this->unansweredStarts.emplace_back(now, aRef);
+  }
+  this->SendStop(aRef);
+}
+
+void WorkerDriver::SendStop(const RunRef& aRef)
+{
+  const int attempt = ++this->trackedRuns.at(aRef).stopAttempts;
+  this->client->Stop(
+    aRef,
+    this->epoch,
+    kWorkerCallTimeout,
+    [this, aRef, attempt, epoch = this->epoch, id = this->incarnation, sentAt = BootClock::now()](
+      const WorkerAnswer& aAnswer) {
+      LogOrderAnswer("stop_answered", aRef, epoch, attempt, sentAt, aAnswer);
+      if (id == this->incarnation) {
+        this->OnStopAnswer(aRef, attempt, epoch, aAnswer);
+      }
+    });
+}
+
+void WorkerDriver::OnStopAnswer(const RunRef& aRef,
+                                int aAttempt,
+                                Epoch aEpoch,
+                                const WorkerAnswer& aAnswer)
+{
+  const auto it = this->trackedRuns.find(aRef);
+  if (it == this->trackedRuns.end() || !it->second.stopping || it->second.stopConfirmed) {
+    return;
+  }
+  TrackedRun& tracked = it->second;
+  switch (aAnswer.end) {
+    case WorkerCallOutcome::Done:
+    case WorkerCallOutcome::AlreadyEnded:
+    case WorkerCallOutcome::OtherInstance:
+      // The worker stops the run, or will never start it. Whether the run has begun meanwhile is
+      // known from the next poll.
+      tracked.starting = false;
+      tracked.suspended = false;
+      tracked.stopConfirmed = true;
+      tracked.confirmedAt = BootClock::now();
+      this->lastPeriodicReportAt = {};
+      return;
+    case WorkerCallOutcome::Fenced:
+      this->counters.Add("stops_void_total", aAnswer.reason);
+      // A later leader is in charge of the worker. Once the agent follows it, the stop is sent with
+      // its token.
+      if (aEpoch == this->epoch) {
+        return;
+      }
+      break;
+    case WorkerCallOutcome::Rejected:
+    case WorkerCallOutcome::Refused:
+    case WorkerCallOutcome::Unknown:
+      break;
+  }
+  if (aAttempt != tracked.stopAttempts) {
+    return;
+  }
+  this->counters.Add("stops_retried_total", aAnswer.reason);
+  this->CallAfter(aAnswer.end == WorkerCallOutcome::Unknown ? Duration::zero() : kWorkerRetryDelay,
+                  [this, aRef, aAttempt, id = this->incarnation] {
+                    const auto pending = this->trackedRuns.find(aRef);
+                    if (id == this->incarnation && pending != this->trackedRuns.end() &&
+                        pending->second.stopping && !pending->second.stopConfirmed &&
+                        pending->second.stopAttempts == aAttempt) {
+                      this->SendStop(aRef);
+                    }
+                  });
+}
+
+} // namespace oriolespread::daemon
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -172,6 +172,17 @@
   return { ToString(TaskName{ task.job, task.occurrence, task.step, task.index }), aRunKey.number };
 }
 
+// Returns whether the name of the task is valid, and then sets `aRunKey`.
+inline bool ParseRunRef(const RunRef& aRef, RunKey& aRunKey)
+{
+  TaskName name;
+  if (!TaskName::Parse(aRef.task, name)) {
+    return false;
+  }
+  aRunKey = { { name.job, name.occurrence, name.step, name.index }, aRef.run };
+  return true;
+}
+
 // The headroom of a serving step with runs on one worker, as of the worker's last report.
 struct ServingHeadroom
 {
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -179,22 +179,24 @@
   void ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   void UpdateCheckpoint(const TaskKey& aTaskKey, const std::string& aCheckpoint, Now aNow);
   void UpdateInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow);
-  void ApplyRunEnd(Worker& aWorker, const EndedRun& aEnd, Now aNow);
-  // Acknowledges the end once the present progress of the task's step is stored, or at the next
-  // report of the end if a run of an ended task is not stopped yet.
-  void AcknowledgeOnceStored(Worker& aWorker, const TaskKey& aTaskKey, std::uint64_t aEndNumber);
   // `aLastOrders` is the last of the orders that the agent had received when it rejected the run.
   void ApplyRejection(Worker& aWorker,
                       const RejectedRun& aRejected,
                       std::uint64_t aLastOrders,
                       Now aNow);
   void Reconcile(Worker& aWorker, const WorkerReport& aReport, Now aNow);
-  void OnRunDone(Job& aJob, const TaskKey& aTaskKey, Now aNow);
-  void OnRunFailed(Job& aJob, const TaskKey& aTaskKey, Worker& aWorker, Now aNow);
   void RemoveLostWorker(Worker& aWorker, std::string_view aReason, Now aNow);
   void RemoveLostRuns(Worker& aWorker, std::string_view aReason, Now aNow);
   void StopResumableRuns(Worker& aWorker);
 
+  // Defined in SchedulerEnds.cpp.
+  void ApplyRunEnd(Worker& aWorker, const EndedRun& aEnd, Now aNow);
+  // Acknowledges the end once the present progress of the task's step is stored, or at the next
+  // report of the end if a run of an ended task is not stopped yet.
+  void AcknowledgeOnceStored(Worker& aWorker, const TaskKey& aTaskKey, std::uint64_t aEndNumber);
+  void OnRunDone(Job& aJob, const TaskKey& aTaskKey, Now aNow);
+  void OnRunFailed(Job& aJob, const TaskKey& aTaskKey, Worker& aWorker, Now aNow);
+
   // Defined in SchedulerStragglers.cpp.
   void IgnoreReportGap(Worker& aWorker, Now aNow);
   void StopIfStalled(Worker& aWorker, const RunKey& aRunKey, Now aNow);
@@ -215,10 +217,6 @@
   std::set<std::string> FindServicesWithFreeCores() const;
   void PlaceStep(const ReadyStep& aReady, Duration aAllowInterferenceAfter, Now aNow);
   PlacementRequest MakePlacementRequest(const ReadyStep& aReady) const;
-  // Logs why no worker can take a task of the step, if it has waited for a while.
-  void LogWaitingStep(const ReadyStep& aReady, const PlacementRequest& aRequest, Now aNow);
-  // Logs once, some time after loading, which workers have not reported yet.
-  void LogAwaitedWorkers(Now aNow);
   bool PlaceTask(const ReadyStep& aReady,
                  std::uint32_t aIndex,
                  PlacementRequest& aRequest,
@@ -231,6 +229,12 @@
   void StopRestOfGang(const ReadyStep& aReady);
   void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker, Now aNow);
 
+  // Defined in SchedulerLogs.cpp.
+  // Logs why no worker can take a task of the step, if it has waited for a while.
+  void LogWaitingStep(const ReadyStep& aReady, const PlacementRequest& aRequest, Now aNow);
+  // Logs once, some time after loading, which workers have not reported yet.
+  void LogAwaitedWorkers(Now aNow);
+
   // Look up parts of a job; the pointers are null if the part does not exist.
   Job* FindJob(const std::string& aId);
   Step* FindStep(const TaskKey& aTaskKey);
