Log what a leader believes of runs of long-running tasks that are not confirmed

Cause: for a long-running task that does not run, the log told why no worker takes it, but not that the leader regards a run as being stored, ordered, stopped, or running on a worker without reports.

Change: run_unconfirmed, for runs that were not known to be running for 2 s, at most 16 lines a second. Only steps of long-running tasks are looked through, once a second. Run::stateSince, which nothing read, is removed.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -41,7 +41,6 @@
   WorkerKey worker;
   std::string agent;
   RunState state = RunState::Committing;
-  Instant stateSince{};
   // The sequence number of the WorkerOrders message that contains the start order or, once the run
   // is stopping, the stop order.
   std::uint64_t ordersSequence = 0;
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -234,6 +234,14 @@
   void LogWaitingStep(const ReadyStep& aReady, const PlacementRequest& aRequest, Now aNow);
   // Logs once, some time after loading, which workers have not reported yet.
   void LogAwaitedWorkers(Now aNow);
+  // Logs the runs of long-running tasks that are not known to be running for a while, and what this
+  // leader believes of them.
+  void LogUnconfirmedRuns(Now aNow);
+  void FindUnconfirmedRuns(const Job& aJob,
+                           const std::set<WorkerKey>& aSilent,
+                           Now aNow,
+                           std::map<RunKey, Instant>& aSince) const;
+  void LogUnconfirmedRun(const RunKey& aRunKey, Instant aSince, Now aNow);
 
   // Look up parts of a job; the pointers are null if the part does not exist.
   Job* FindJob(const std::string& aId);
@@ -274,6 +282,9 @@
   Instant nextWaitingLog{};
   // When the workers that have not reported are logged; zero once they were.
   Instant awaitedLogAt{};
+  Instant nextUnconfirmedScan{};
+  // Since when runs of long-running tasks were not known to be running, as of the last scan.
+  std::map<RunKey, Instant> unconfirmedSince;
   std::vector<Duration> startDelays;
   bool loading = true;
   std::map<std::string, StoredState> loadedStates;
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -220,7 +220,6 @@
         this->RemoveRun(*order.start);
       } else {
         run->state = RunState::Ordered;
-        run->stateSince = aNow.instant;
         run->percentChangedAt = aNow.instant;
         this->OrderStart(*order.start, false);
       }
--- a/packages/jobs/src/SchedulerLogs.cpp
+++ b/packages/jobs/src/SchedulerLogs.cpp
@@ -13,6 +13,26 @@
 constexpr Duration kWaitingLogDelay = std::chrono::milliseconds(2000);
 constexpr Duration kWaitingLogInterval = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxLoggedWorkers = 10;
+// Runs of long-running tasks that are not known to be running for longer than this are logged at
+// each scan.
+constexpr Duration kUnconfirmedLogDelay = std::chrono::milliseconds(2000);
+constexpr Duration kUnconfirmedScanInterval = std::chrono::milliseconds(1000);
+constexpr std::size_t kMaxUnconfirmedLines = 16;
+
+std::string_view RunStateName(RunState aState)
+{
+  switch (aState) {
+    case RunState::Committing:
+      return "committing";
+    case RunState::Ordered:
+      return "ordered";
+    case RunState::Running:
+      return "running";
+    case RunState::Stopping:
+      return "stopping";
+  }
+  return "unknown";
+}
 
 } // namespace
 
@@ -85,4 +105,73 @@
   }
 }
 
+void JobScheduler::LogUnconfirmedRuns(Now aNow)
+{
+  if (aNow.instant < this->nextUnconfirmedScan) {
+    return;
+  }
+  this->nextUnconfirmedScan = aNow.instant + kUnconfirmedScanInterval;
+  std::set<WorkerKey> silent;
+  for (const auto& [key, worker] : this->workers) {
+    if (!worker.connected || !worker.reported ||
+        aNow.instant - worker.lastReport >= kUnconfirmedLogDelay) {
+      silent.insert(key);
+    }
+  }
+  std::map<RunKey, Instant> since;
+  for (const std::string& id : this->activeJobs) {
+    this->FindUnconfirmedRuns(this->jobs.at(id), silent, aNow, since);
+  }
+  this->unconfirmedSince = std::move(since);
+  std::size_t lines = 0;
+  for (const auto& [key, first] : this->unconfirmedSince) {
+    if (aNow.instant - first >= kUnconfirmedLogDelay && lines < kMaxUnconfirmedLines) {
+      ++lines;
+      this->LogUnconfirmedRun(key, first, aNow);
+    }
+  }
+}
+
+void JobScheduler::FindUnconfirmedRuns(const Job& aJob,
+                                       const std::set<WorkerKey>& aSilent,
+                                       Now aNow,
+                                       std::map<RunKey, Instant>& aSince) const
+{
+  for (const auto& [occurrence, state] : aJob.occurrences) {
+    for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
+      if (!aJob.record.spec.steps[step].longRunning) {
+        continue;
+      }
+      const std::vector<Task>& tasks = state.steps[step].tasks;
+      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        for (const Run& run : tasks[index].runs) {
+          if (run.state == RunState::Running && !aSilent.contains(run.worker)) {
+            continue;
+          }
+          const RunKey key{ { aJob.record.id, occurrence, step, index }, run.number };
+          const auto known = this->unconfirmedSince.find(key);
+          aSince[key] = known == this->unconfirmedSince.end() ? aNow.instant : known->second;
+        }
+      }
+    }
+  }
+}
+
+void JobScheduler::LogUnconfirmedRun(const RunKey& aRunKey, Instant aSince, Now aNow)
+{
+  const Run& run = *this->FindRun(aRunKey);
+  nlohmann::ordered_json fields = { { "task", ToRunRef(aRunKey).task },
+                                    { "run", run.number },
+                                    { "worker", run.worker.id },
+                                    { "state", RunStateName(run.state) },
+                                    { "unconfirmed_ms", ToMilliseconds(aNow.instant - aSince) } };
+  const auto worker = this->workers.find(run.worker);
+  if (worker != this->workers.end()) {
+    fields["connected"] = worker->second.connected;
+    fields["reported"] = worker->second.reported;
+    fields["lease_ends_in_ms"] = ToMilliseconds(worker->second.latestLeaseExpiry - aNow.instant);
+  }
+  this->log("run_unconfirmed", fields);
+}
+
 } // namespace oriolespread::jobs
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -38,6 +38,7 @@
     }
   }
   this->LogAwaitedWorkers(aNow);
+  this->LogUnconfirmedRuns(aNow);
   this->PlaceReadySteps(aNow);
   this->RemoveExpiredJobs(aNow);
   if (aNow.instant >= this->nextWeightsStore && !this->interference.IsEmpty()) {
@@ -327,7 +328,6 @@
   run.number = task.nextRunNumber++;
   run.worker = aWorker.key;
   run.agent = aWorker.agent;
-  run.stateSince = aNow.instant;
   const RunKey runKey{ taskKey, run.number };
   task.runs.push_back(std::move(run));
   task.state = TaskState::Active;
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -160,7 +160,6 @@
     Run* run = this->FindRun(runKey);
     if (run->state == RunState::Ordered) {
       run->state = RunState::Running;
-      run->stateSince = aNow.instant;
       run->percentChangedAt = aNow.instant;
       if (this->FindTask(runKey.task)->checkpoint.empty()) {
         run->speed.Restart(running.percent, aNow.instant);
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -471,3 +471,31 @@
   const nlohmann::json expected{ { "capacity", 1 }, { "draining", 1 }, { "not_reporting", 1 } };
   CHECK(nlohmann::json(line.at("workers")) == expected);
 }
+
+// Guards against a service that does not run, while no line tells what the leader believes of it.
+TEST_CASE("JobScheduler LogsALongRunningTaskWhoseRunIsNotConfirmed")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  StepSpec step = MakeStep(1);
+  step.longRunning = true;
+  fixture.Submit(MakeJob("j", { step }));
+  const auto pass = [&] {
+    for (int round = 0; round < 4; ++round) {
+      fixture.Advance(600 * kMs);
+      fixture.RunUntilIdle();
+    }
+  };
+  fixture.RunUntilIdle();
+  fixture.Report("a");
+  REQUIRE(fixture.LastLogged("run_unconfirmed").is_null());
+  pass();
+  CHECK(fixture.LastLogged("run_unconfirmed").is_null());
+  pass();
+  const nlohmann::ordered_json line = fixture.LastLogged("run_unconfirmed");
+  REQUIRE(line.is_object());
+  CHECK(line.at("task") == "j.0.0.0");
+  CHECK(line.at("state") == "running");
+  CHECK(line.at("unconfirmed_ms") >= 2000);
+  CHECK(line.at("lease_ends_in_ms") > 0);
+}
