Reject a start that waits at the agent for longer than a lease

What callers saw: nothing yet; found by a search for waits without an end.

Cause: an agent waited for the worker's fence and clock, the leader's answer and a lease as long as none of them came or failed, for example with a worker that answers polls without its clock. It listed the run as starting, so that the leader counted a run that was nowhere.

Change: after the time of a lease the start is rejected, with what it waited for as the reason. Sent attempts are stopped first, as with other rejections.

--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -128,8 +128,12 @@
   void AdvanceAcknowledgedEnds();
   // Returns whether the worker's last answer lists the run as running.
   bool IsRunning(const RunRef& aRef) const;
-  // Sends the start of the run to the worker, or tries again later if there is no valid lease. Does
-  // nothing if another order has taken the place of the one that came at `aOrderedAt`.
+  // Returns what a start has to wait for, as a reason code, or an empty text. Grants the worker a
+  // lease if it is the last condition.
+  std::string_view AwaitedForStart();
+  // Sends the start of the run to the worker, or tries again later if it has to wait. Rejects it
+  // after the time of a lease. Does nothing if another order has taken the place of the one that
+  // came at `aOrderedAt`.
   void TryStart(const RunRef& aRef, Instant aOrderedAt);
   // Gives up starts that the worker has not confirmed and that were ordered before the time. Called
   // when the lease expired meanwhile: the leader may have started the runs elsewhere.
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -122,11 +122,13 @@
       it->second.suspended || it->second.stopping) {
     return;
   }
-  // Without a lease, the deadline of the start would have passed when it reaches the worker.
-  // Without a recent answer from the leader, an order to stop the run may be queued behind the
-  // order to start it.
-  if (!this->fenceConfirmed || !this->workerClockMs.has_value() ||
-      !this->HasRecentLeaderResponse() || !this->GrantLease()) {
+  if (const std::string_view awaited = this->AwaitedForStart(); !awaited.empty()) {
+    // The leader may have a worker that can start the task at once.
+    if (BootClock::now() - aOrderedAt >= this->requestedLease) {
+      this->counters.Add("starts_void_total", awaited);
+      this->RejectRun(aRef, std::string(awaited));
+      return;
+    }
     this->CallAfter(kLeasePollInterval,
                     [this, aRef, aOrderedAt] { this->TryStart(aRef, aOrderedAt); });
     return;
@@ -153,6 +155,23 @@
     });
 }
 
+std::string_view WorkerDriver::AwaitedForStart()
+{
+  if (!this->fenceConfirmed) {
+    return "fence_awaited";
+  }
+  if (!this->workerClockMs.has_value()) {
+    return "clock_awaited";
+  }
+  // Without a recent answer from the leader, an order to stop the run may be queued behind the
+  // order to start it.
+  if (!this->HasRecentLeaderResponse()) {
+    return "leader_awaited";
+  }
+  // Without a lease, the deadline of the start would have passed when it reaches the worker.
+  return this->GrantLease() ? "" : "lease_awaited";
+}
+
 void WorkerDriver::GiveUpStartsOrderedBefore(Instant aTime)
 {
   std::vector<RunRef> outdated;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -466,3 +466,17 @@
   fixture.StartTask("j.0.0.0");
   CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
 }
+
+// Guards against a start that waits for good, as nothing tells that it does not happen.
+TEST_CASE("WorkerDriver RejectsAStartThatWaitsForLongerThanALease")
+{
+  WorkerDriverFixture fixture(1500 * kMillisecond);
+  fixture.extendLeases = false;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  fixture.RunFor(1000 * kMillisecond);
+  CHECK_FALSE(fixture.IsRejected("j.0.0.0"));
+  CHECK(fixture.RunUntil([&] { return fixture.IsRejected("j.0.0.0"); }));
+  CHECK(fixture.started.empty());
+}
