Repeat a failed start or stop after a delay

What callers saw: nothing known.

Cause: a start or stop without an answer was repeated at once, since it had waited for the timeout. A connection that is reset, or an unexpected status, is no answer either, and comes at once.

One that timed out is still repeated at once.

--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -138,7 +138,10 @@
   // Gives up starts that the worker has not confirmed and that were ordered before the time. Called
   // when the lease expired meanwhile: the leader may have started the runs elsewhere.
   void GiveUpStartsOrderedBefore(Instant aTime);
-  void OnStartAnswer(const RunRef& aRef, int aAttempt, const platformwire::WorkerAnswer& aAnswer);
+  void OnStartAnswer(const RunRef& aRef,
+                     int aAttempt,
+                     Instant aSentAt,
+                     const platformwire::WorkerAnswer& aAnswer);
   // Orders the worker to stop the run, and repeats the order until the worker has carried it out.
   // The run is reported as present until then. Does nothing if the run is being stopped already.
   void StopRun(const RunRef& aRef);
@@ -146,6 +149,7 @@
   void OnStopAnswer(const RunRef& aRef,
                     int aAttempt,
                     Epoch aEpoch,
+                    Instant aSentAt,
                     const platformwire::WorkerAnswer& aAnswer);
   // Reports the run as rejected. If the worker may still carry out a start of it, stops it first.
   void RejectRun(const RunRef& aRef, const std::string& aReason);
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -4,6 +4,8 @@
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/service/Log.h"
 
+#include <algorithm>
+
 namespace oriolespread::daemon {
 
 using platformwire::WorkerAnswer;
@@ -31,6 +33,13 @@
         { "took_ms", ToMilliseconds(BootClock::now() - aSentAt) } });
 }
 
+// Returns when a call that was sent at `aSentAt` is repeated. One without an answer has waited
+// already, unless its connection was reset.
+Duration RetryDelay(Instant aSentAt)
+{
+  return std::max(aSentAt + kWorkerRetryDelay - BootClock::now(), Duration::zero());
+}
+
 } // namespace
 
 void WorkerDriver::OnOrders(const WorkerOrders& aOrders)
@@ -150,7 +159,7 @@
         this->unansweredStarts.emplace_back(BootClock::now(), aRef);
       }
       if (id == this->incarnation) {
-        this->OnStartAnswer(aRef, attempt, aAnswer);
+        this->OnStartAnswer(aRef, attempt, sentAt, aAnswer);
       }
     });
 }
@@ -186,7 +195,10 @@
   }
 }
 
-void WorkerDriver::OnStartAnswer(const RunRef& aRef, int aAttempt, const WorkerAnswer& aAnswer)
+void WorkerDriver::OnStartAnswer(const RunRef& aRef,
+                                 int aAttempt,
+                                 Instant aSentAt,
+                                 const WorkerAnswer& aAnswer)
 {
   const auto it = this->trackedRuns.find(aRef);
   if (it == this->trackedRuns.end() || !it->second.starting) {
@@ -234,7 +246,7 @@
     return;
   }
   // Starts are idempotent: the worker reports success if the run is already running.
-  this->CallAfter(aAnswer.end == WorkerCallOutcome::Refused ? kWorkerRetryDelay : Duration::zero(),
+  this->CallAfter(RetryDelay(aSentAt),
                   [this, aRef, orderedAt = tracked.orderedAt] { this->TryStart(aRef, orderedAt); });
 }
 
@@ -279,7 +291,7 @@
       const WorkerAnswer& aAnswer) {
       LogOrderAnswer("stop_answered", aRef, epoch, attempt, sentAt, aAnswer);
       if (id == this->incarnation) {
-        this->OnStopAnswer(aRef, attempt, epoch, aAnswer);
+        this->OnStopAnswer(aRef, attempt, epoch, sentAt, aAnswer);
       }
     });
 }
@@ -287,6 +299,7 @@
 void WorkerDriver::OnStopAnswer(const RunRef& aRef,
                                 int aAttempt,
                                 Epoch aEpoch,
+                                Instant aSentAt,
                                 const WorkerAnswer& aAnswer)
 {
   const auto it = this->trackedRuns.find(aRef);
@@ -323,15 +336,13 @@
     return;
   }
   this->counters.Add("stops_retried_total", aAnswer.reason);
-  this->CallAfter(aAnswer.end == WorkerCallOutcome::Unknown ? Duration::zero() : kWorkerRetryDelay,
-                  [this, aRef, aAttempt, id = this->incarnation] {
-                    const auto pending = this->trackedRuns.find(aRef);
-                    if (id == this->incarnation && pending != this->trackedRuns.end() &&
-                        pending->second.stopping && !pending->second.stopConfirmed &&
-                        pending->second.stopAttempts == aAttempt) {
-                      this->SendStop(aRef);
-                    }
-                  });
+  this->CallAfter(RetryDelay(aSentAt), [this, aRef, aAttempt, id = this->incarnation] {
+    const auto pending = this->trackedRuns.find(aRef);
+    if (id == this->incarnation && pending != this->trackedRuns.end() && pending->second.stopping &&
+        !pending->second.stopConfirmed && pending->second.stopAttempts == aAttempt) {
+      this->SendStop(aRef);
+    }
+  });
 }
 
 } // namespace oriolespread::daemon
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -467,6 +467,21 @@
   CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
 }
 
+// Guards against calls without a pause to a worker that fails or resets them.
+TEST_CASE("WorkerDriver RepeatsAFailedStopAfterADelay")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.worker->SetFailing(true);
+  fixture.StopTask("j.0.0.0");
+  fixture.RunFor(1500 * kMillisecond);
+  CHECK(fixture.counters.Total("stops_retried_total") >= 5);
+  CHECK(fixture.counters.Total("stops_retried_total") <= 11);
+}
+
 // Guards against a start that waits for good, as nothing tells that it does not happen.
 TEST_CASE("WorkerDriver RejectsAStartThatWaitsForLongerThanALease")
 {
