End a job whose tasks are all done when the leadership changes

What callers saw: nothing known; found by review. A job that was accepted and whose work was done never ended.

Cause: the last progress of a job and its end are two rows, which may be stored in different transactions. A leader that took over between them loaded all tasks as done, and only the end of a run ends a job.

Change: a job whose occurrences are all complete ends when it is loaded.

Result: JobScheduler EndsAJobWhoseTasksAreAllDoneWhenItTakesOver failed before (the job was running) and passes; the other tests of jobs pass.

--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -161,6 +161,9 @@
       this->activeJobs.erase(id);
       this->StopAllRuns(job);
       this->DropProgress(job);
+    } else if (job.completedOccurrences >= std::max(job.record.spec.repeats, 1U)) {
+      // The earlier leader has stored the last progress, but not the end of the job.
+      this->EndJob(job, JobState::Completed, aNow);
     }
   }
   for (const std::string& key : std::exchange(this->loadedCancels, {})) {
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -110,6 +110,25 @@
   CHECK(fixture.stops == std::vector<RunRef>{ { "j.0.0.0", 1 } });
 }
 
+// Guards against a job that never ends: the state row may be stored later than the last progress.
+TEST_CASE("JobScheduler EndsAJobWhoseTasksAreAllDoneWhenItTakesOver")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(1) }));
+  first.RunUntilIdle();
+  first.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  REQUIRE(first.StateOf("j") == JobState::Completed);
+  const StoreBatch batch = first.scheduler.TakeBatch(1);
+  REQUIRE(batch.changes.size() == 1);
+  REQUIRE(batch.changes[0].row == ProgressRow("j", 0, 0));
+  first.Apply(batch);
+  SchedulerFixture second(first.rows);
+  second.AddAgent("a");
+  second.RunUntilIdle();
+  CHECK(second.StateOf("j") == JobState::Completed);
+}
+
 // Guards against a second run of a task that was done before its worker restarted.
 TEST_CASE("JobScheduler DoesNotRepeatATaskWhenANewIncarnationReportsItsEnd")
 {
