Replace a run that vanishes after its agent has reconnected

A task whose run was gone counted as running, on a worker that got no other order.

Cause: a run that a full report does not list is gone if the agent has had its order. The agent counts the orders of a connection, so that an order of an earlier connection never counted as received.

Change: a run that the first full report of a connection lists needs no order of this connection.

--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -342,6 +342,10 @@
                   { "reason", "vanished" } });
       this->FindTask(item.task)->notBefore = aNow.instant + this->settings.retryDelay;
       this->RemoveRun(item);
+    } else if (isFirstFullReport) {
+      // The agent counts the orders of a connection, and has the one for this run from an earlier
+      // connection.
+      run->ordersSequence = 0;
     }
   }
 }
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -129,6 +129,28 @@
   CHECK(second.StateOf("j") == JobState::Completed);
 }
 
+// Guards against a run that counts as running although its worker does not list it any more.
+TEST_CASE("JobScheduler ReplacesARunThatVanishesAfterItsAgentHasReconnected")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  fixture.Report("a");
+  fixture.scheduler.OnAgentDown("a", fixture.now);
+  fixture.scheduler.OnAgentUp("a", fixture.now);
+  // An agent that follows a leader again has received no orders on the new connection.
+  fixture.agents["a"].lastOrders = 0;
+  fixture.Report("a");
+  fixture.RunUntilIdle();
+  fixture.agents["a"].running.clear();
+  fixture.Report("a");
+  fixture.Advance(50 * kMs);
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.size() == 2);
+}
+
 // Guards against a second run of a task that was done before its worker restarted.
 TEST_CASE("JobScheduler DoesNotRepeatATaskWhenANewIncarnationReportsItsEnd")
 {
