Store the progress of a wide step in several rows

Cause: the runs of all tasks of a step were stored in one row, about 46 bytes a running task. Above 64 KiB the store answers 400 to each transaction with this row, and the leader repeats the transaction, which also renews its leadership, so that it stores and orders nothing more.

Change: a step of more than 40 tasks has a row for each 40 tasks. Names and checkpoints of 40 tasks fit into a row even if each checkpoint has the longest accepted length; a row that is too long all the same is stored without checkpoints. A step that an earlier version stored in one row is still read, and the new rows replace parts of it. A gang of which one row says that it is done is done.

--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
 
 using namespace oriolespread;
@@ -72,13 +73,13 @@
   }
 };
 
-void SubmitJob(StoreFixture& aFixture, const std::string& aId)
+void SubmitJob(StoreFixture& aFixture, const std::string& aId, std::uint32_t aTasks = 1)
 {
   jobs::JobRecord record;
   record.id = aId;
   record.policy.queue = "q";
   record.policy.service = "s";
-  record.spec.steps.emplace_back().count = 1;
+  record.spec.steps.emplace_back().count = aTasks;
   cluster::StoreTransaction submission;
   submission.changes.push_back({ jobs::JobRow(aId), jobs::EncodeJobRecord(record), false });
   bool stored = false;
@@ -118,6 +119,30 @@
   CHECK(entry.driver->CommitLatency().Buckets().count > 0);
 }
 
+// Guards against a row that the store refuses for its length, which stops all scheduling.
+TEST_CASE("LeaderDriver StartsTheTasksOfOtherJobsBesideAWideStep")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  entry.SendReport();
+  SubmitJob(fixture, "j", 5000);
+  const auto starts = [&](const std::string& aPrefix) {
+    std::size_t count = 0;
+    for (const WorkerOrders& orders : entry.orders) {
+      count += static_cast<std::size_t>(
+        std::count_if(orders.starts.begin(), orders.starts.end(), [&](const StartRun& aStart) {
+          return aStart.ref.task.starts_with(aPrefix);
+        }));
+    }
+    return count;
+  };
+  CHECK(fixture.RunUntil([&] { return starts("j.") == 5000; }));
+  SubmitJob(fixture, "k");
+  CHECK(fixture.RunUntil([&] { return starts("k.") == 1; }));
+}
+
 // Guards against a lost answer of the store that stops all decisions for 0.9 s, the time that a
 // slow store may take.
 TEST_CASE("LeaderDriver RepeatsATransactionSoonWhenItsAnswerIsLost")
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -82,8 +82,12 @@
   std::uint32_t active = 0;
   // Used for serving steps only.
   BaselineHeadroom baseline;
-  // When the progress was last stored only because of new checkpoints.
-  Instant checkpointsStoredAt{};
+  // When each row of the progress was last stored only because of new checkpoints, by the row's
+  // number.
+  std::map<std::uint32_t, Instant> checkpointsStoredAt;
+  // An earlier version has stored the progress of a wide step in one row. The rows that have been
+  // stored since replace parts of it.
+  bool hasWholeRow = false;
   // Since when a task of the step could not be placed; zero if all could be.
   Instant waitingSince{};
 
--- a/packages/jobs/include/oriolespread/jobs/JobRows.h
+++ b/packages/jobs/include/oriolespread/jobs/JobRows.h
@@ -5,6 +5,7 @@
 //   state    <id>                the job state shown to callers, written by the leader
 //   waiting  <queue>/<id>        present until the job's first task is started
 //   progress <id>.<occ>.<step>   runs, failures and checkpoints of a step, written by the leader
+//            <id>.<occ>.<step>+<row>   the same for some of the tasks of a wide step
 //   learned  interference        the leader's interference weights, read by the next leader
 //   lead     leader              the current leader; renewed by each of its transactions
 //
@@ -16,6 +17,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +40,10 @@
 // transactions.
 inline constexpr std::size_t kJobPartCount = 8;
 
+// Tasks of a step that one row of `progress` holds. A step with more tasks has several rows, since
+// the store limits the size of a row.
+inline constexpr std::uint32_t kTasksPerProgressRow = 40;
+
 struct RowKey
 {
   std::string table;
@@ -83,8 +89,22 @@
 };
 
 std::string ToString(const TaskName& aName);
-// Returns the key of a step's progress row in the form ID.OCCURRENCE.STEP.
-std::string ProgressKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aStep);
+
+// The key of a progress row in the form ID.OCCURRENCE.STEP or ID.OCCURRENCE.STEP+ROW.
+struct ProgressName
+{
+  std::string job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  // Which tasks the row holds: kTasksPerProgressRow of them from the index row *
+  // kTasksPerProgressRow. Without a number, the row holds all tasks of the step.
+  std::optional<std::uint32_t> row;
+
+  // Returns false if the text is not such a key.
+  static bool Parse(std::string_view aText, ProgressName& aName);
+};
+
+std::string ToString(const ProgressName& aName);
 
 // Returns the name of a part with rows of `jobs` and `waiting`; the index is below kJobPartCount.
 std::string JobPart(std::size_t aIndex);
@@ -97,6 +117,11 @@
 RowKey CancelRow(const std::string& aJob);
 RowKey WaitingRow(const std::string& aQueue, const std::string& aJob);
 RowKey StateRow(const std::string& aJob);
-RowKey ProgressRow(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aStep);
+RowKey ProgressRow(const std::string& aJob,
+                   std::uint32_t aOccurrence,
+                   std::uint32_t aStep,
+                   std::optional<std::uint32_t> aRow = std::nullopt);
+// Returns the number of the row with this task, or none if one row holds a step of this many tasks.
+std::optional<std::uint32_t> ProgressRowNumber(std::size_t aTaskCount, std::uint32_t aIndex);
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -144,13 +144,16 @@
   };
   struct StoredProgress
   {
-    TaskName name;
+    ProgressName name;
     std::string value;
   };
 
   // Defined in SchedulerLoading.cpp.
   void LoadEndedJob(const std::string& aId, StoredState aStored, Now aNow);
   void ApplyProgress(Job& aJob, const StoredProgress& aStored);
+  // Completes a gang of which a member is done. The earlier leader may have stored that in some of
+  // its rows only.
+  void CompleteLoadedGang(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aStep);
   void ReportUnreadableRow(std::string_view aTable, const std::string& aKey);
 
   // Defined in JobScheduler.cpp.
@@ -162,6 +165,8 @@
   void StopRun(const TaskKey& aTaskKey, Run& aRun);
   void MarkChanged(RowKey aRow);
   RowChange MakeChange(const RowKey& aRow) const;
+  // Returns the contents of a progress row, without checkpoints if it is too long with them.
+  std::string EncodeRow(const Step& aStep, std::optional<std::uint32_t> aRow) const;
   void RemoveExpiredJobs(Now aNow);
   void DropProgress(const Job& aJob);
   void LogJob(std::string_view aEvent, const Job& aJob, const nlohmann::ordered_json& aFields);
@@ -249,6 +254,8 @@
   Task* FindTask(const TaskKey& aTaskKey);
   Run* FindRun(const RunKey& aRunKey);
   const StepSpec& SpecOf(const TaskKey& aTaskKey) const;
+  // Returns the row that holds the progress of the task.
+  RowKey ProgressRowOf(const TaskKey& aTaskKey) const;
   void RemoveRun(const RunKey& aRunKey);
   // Adds the demand of a run of the step if `aSign` is 1, and removes it if `aSign` is -1.
   void AdjustReservation(Worker& aWorker, const StepSpec& aStep, int aSign);
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -3,6 +3,8 @@
 
 #include "oriolespread/base/Time.h"
 
+#include <cstddef>
+
 namespace oriolespread::jobs {
 
 struct SchedulerSettings
@@ -68,6 +70,8 @@
   // How often the progress of a step is stored when only checkpoints of its runs have changed. A
   // loss of power costs at most this much work of a run beside what the worker had not saved.
   Duration checkpointStoreInterval = std::chrono::milliseconds(1000);
+  // The longest value of a row. The store takes 65,536 bytes in Base64, which is a third longer.
+  std::size_t maxRowBytes = 49'152;
   // How often the interference weights are stored. They converge within about ten seconds, and
   // their row has a few kilobytes.
   Duration weightsStoreInterval = std::chrono::seconds(3);
--- a/packages/jobs/src/JobRows.cpp
+++ b/packages/jobs/src/JobRows.cpp
@@ -65,9 +65,32 @@
   return absl::StrCat(aName.job, ".", aName.occurrence, ".", aName.step, ".", aName.index);
 }
 
-std::string ProgressKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
+bool ProgressName::Parse(std::string_view aText, ProgressName& aName)
 {
-  return absl::StrCat(aJob, ".", aOccurrence, ".", aStep);
+  aName.row.reset();
+  if (const std::size_t plus = aText.rfind('+'); plus != std::string_view::npos) {
+    if (!ParseNumber(aText.substr(plus + 1), aName.row.emplace())) {
+      return false;
+    }
+    aText = aText.substr(0, plus);
+  }
+  TaskName name;
+  if (!TaskName::Parse(absl::StrCat(std::string(aText), ".0"), name)) {
+    return false;
+  }
+  aName.job = std::move(name.job);
+  aName.occurrence = name.occurrence;
+  aName.step = name.step;
+  return true;
+}
+
+std::string ToString(const ProgressName& aName)
+{
+  std::string text = absl::StrCat(aName.job, ".", aName.occurrence, ".", aName.step);
+  if (aName.row.has_value()) {
+    absl::StrAppend(&text, "+", *aName.row);
+  }
+  return text;
 }
 
 std::string JobPart(std::size_t aIndex)
@@ -115,9 +138,18 @@
   return { std::string(kStateTable), aJob };
 }
 
-RowKey ProgressRow(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
+RowKey ProgressRow(const std::string& aJob,
+                   std::uint32_t aOccurrence,
+                   std::uint32_t aStep,
+                   std::optional<std::uint32_t> aRow)
+{
+  return { std::string(kProgressTable), ToString(ProgressName{ aJob, aOccurrence, aStep, aRow }) };
+}
+
+std::optional<std::uint32_t> ProgressRowNumber(std::size_t aTaskCount, std::uint32_t aIndex)
 {
-  return { std::string(kProgressTable), ProgressKey(aJob, aOccurrence, aStep) };
+  return aTaskCount > kTasksPerProgressRow ? std::optional(aIndex / kTasksPerProgressRow)
+                                           : std::nullopt;
 }
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -174,19 +174,29 @@
   } else if (aRow.table == kLearnedTable) {
     change = { aRow, this->interference.Encode(), false };
   } else if (aRow.table == kProgressTable) {
-    // The key is a task name without the index.
-    TaskName name;
-    TaskName::Parse(aRow.key + ".0", name);
+    ProgressName name;
+    ProgressName::Parse(aRow.key, name);
     const auto job = this->jobs.find(name.job);
     if (job != this->jobs.end() && !job->second.endStored &&
         job->second.occurrences.contains(name.occurrence)) {
       const Step& step = job->second.occurrences.at(name.occurrence).steps[name.step];
-      change = { aRow, internal::EncodeProgress(step), false };
+      change = { aRow, this->EncodeRow(step, name.row), false };
     }
   }
   return change;
 }
 
+std::string JobScheduler::EncodeRow(const Step& aStep, std::optional<std::uint32_t> aRow) const
+{
+  std::string value = internal::EncodeProgress(aStep, aRow, internal::Checkpoints::Keep);
+  if (value.size() > this->settings.maxRowBytes) {
+    // Work since the checkpoints is repeated only if this leader and the workers fail together.
+    this->counters.Add("checkpoints_omitted_total", "row_too_long");
+    value = internal::EncodeProgress(aStep, aRow, internal::Checkpoints::Omit);
+  }
+  return value;
+}
+
 StoreBatch JobScheduler::TakeBatch(std::size_t aMaxRows)
 {
   StoreBatch batch;
@@ -248,7 +258,15 @@
   }
   for (const auto& [number, occurrence] : aJob.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-      this->MarkChanged(ProgressRow(aJob.record.id, number, step));
+      const std::size_t tasks = occurrence.steps[step].tasks.size();
+      if (tasks <= kTasksPerProgressRow || occurrence.steps[step].hasWholeRow) {
+        this->MarkChanged(ProgressRow(aJob.record.id, number, step));
+      }
+      for (std::uint32_t first = 0; tasks > kTasksPerProgressRow && first < tasks;
+           first += kTasksPerProgressRow) {
+        this->MarkChanged(
+          ProgressRow(aJob.record.id, number, step, ProgressRowNumber(tasks, first)));
+      }
     }
   }
 }
@@ -383,6 +401,14 @@
   return this->jobs.at(aTaskKey.job).record.spec.steps[aTaskKey.step];
 }
 
+RowKey JobScheduler::ProgressRowOf(const TaskKey& aTaskKey) const
+{
+  return ProgressRow(aTaskKey.job,
+                     aTaskKey.occurrence,
+                     aTaskKey.step,
+                     ProgressRowNumber(this->SpecOf(aTaskKey).count, aTaskKey.index));
+}
+
 void JobScheduler::RemoveRun(const RunKey& aRunKey)
 {
   Task* task = this->FindTask(aRunKey.task);
@@ -407,7 +433,7 @@
     task->state = TaskState::Waiting;
     --this->FindStep(aRunKey.task)->active;
   }
-  this->MarkChanged(ProgressRow(aRunKey.task.job, aRunKey.task.occurrence, aRunKey.task.step));
+  this->MarkChanged(this->ProgressRowOf(aRunKey.task));
 }
 
 void JobScheduler::AdjustReservation(Worker& aWorker, const StepSpec& aStep, int aSign)
--- a/packages/jobs/src/ProgressCodec.cpp
+++ b/packages/jobs/src/ProgressCodec.cpp
@@ -2,6 +2,9 @@
 
 #include "oriolespread/base/ExternalJson.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace oriolespread::jobs::internal {
 
 namespace {
@@ -56,14 +59,28 @@
   return occurrence;
 }
 
-std::string EncodeProgress(const Step& aStep)
+std::pair<std::size_t, std::size_t> TasksOfRow(const Step& aStep, std::optional<std::uint32_t> aRow)
+{
+  const std::size_t size = aStep.tasks.size();
+  if (!aRow.has_value()) {
+    return { 0, size };
+  }
+  const std::size_t first = std::min(std::size_t{ *aRow } * kTasksPerProgressRow, size);
+  return { first, std::min(first + kTasksPerProgressRow, size) };
+}
+
+std::string EncodeProgress(const Step& aStep,
+                           std::optional<std::uint32_t> aRow,
+                           Checkpoints aCheckpoints)
 {
   auto tasks = nlohmann::json::array();
-  for (const Task& task : aStep.tasks) {
+  const auto [first, end] = TasksOfRow(aStep, aRow);
+  for (std::size_t index = first; index < end; ++index) {
+    const Task& task = aStep.tasks[index];
     tasks.push_back({ task.state == TaskState::Done,
                       task.nextRunNumber,
                       task.failedRuns,
-                      task.checkpoint,
+                      aCheckpoints == Checkpoints::Keep ? task.checkpoint : std::string(),
                       EncodeRuns(task) });
   }
   std::string bytes;
@@ -71,14 +88,15 @@
   return bytes;
 }
 
-bool DecodeProgress(const std::string& aBytes, Step& aStep)
+bool DecodeProgress(const std::string& aBytes, std::optional<std::uint32_t> aRow, Step& aStep)
 {
   const auto parsed = ParseMessagePack(aBytes);
   if (!parsed.ok() || HasFloatingPoint(*parsed)) {
     return false;
   }
   const nlohmann::json& tasks = *parsed;
-  if (!tasks.is_array() || tasks.size() != aStep.tasks.size()) {
+  const auto [first, end] = TasksOfRow(aStep, aRow);
+  if (first == end || !tasks.is_array() || tasks.size() != end - first) {
     return false;
   }
   std::vector<Task> decoded(tasks.size());
@@ -89,7 +107,8 @@
   } catch (const nlohmann::json::exception&) {
     return false;
   }
-  aStep.tasks = std::move(decoded);
+  std::move(
+    decoded.begin(), decoded.end(), aStep.tasks.begin() + static_cast<std::ptrdiff_t>(first));
   aStep.done = 0;
   aStep.active = 0;
   for (const Task& task : aStep.tasks) {
--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -32,7 +32,7 @@
   if (isCurrentRun) {
     this->RemoveRun(runKey);
   }
-  this->MarkChanged(ProgressRow(runKey.task.job, runKey.task.occurrence, runKey.task.step));
+  this->MarkChanged(this->ProgressRowOf(runKey.task));
   this->counters.Add("runs_ended_total", nlohmann::json(aEnd.how).get_ref<const std::string&>());
   this->log("run_ended",
             { { "task", aEnd.ref.task },
@@ -64,7 +64,7 @@
     this->OrdersFor(aWorker.agent, aWorker.key).acknowledgedEnds.push_back(aEndNumber);
     return;
   }
-  const RowKey row = ProgressRow(aTaskKey.job, aTaskKey.occurrence, aTaskKey.step);
+  const RowKey row = this->ProgressRowOf(aTaskKey);
   this->MarkChanged(row);
   aWorker.pendingEnds.insert(aEndNumber);
   this->deferredOrders.push_back({ row, aWorker.agent, aWorker.key, std::nullopt, aEndNumber });
@@ -90,6 +90,8 @@
     step.active -= task.state == TaskState::Active ? 1 : 0;
     task.state = TaskState::Done;
     ++step.done;
+    this->MarkChanged(
+      this->ProgressRowOf({ aTaskKey.job, aTaskKey.occurrence, aTaskKey.step, index }));
   }
   const bool occurrenceDone = std::all_of(occurrence.steps.begin(),
                                           occurrence.steps.end(),
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -38,7 +38,7 @@
 void JobScheduler::LoadProgress(const std::string& aKey, const std::string& aValue)
 {
   StoredProgress stored;
-  if (!TaskName::Parse(aKey + ".0", stored.name)) {
+  if (!ProgressName::Parse(aKey, stored.name)) {
     this->ReportUnreadableRow(kProgressTable, aKey);
     return;
   }
@@ -100,7 +100,7 @@
 
 void JobScheduler::ApplyProgress(Job& aJob, const StoredProgress& aStored)
 {
-  const std::string key = ProgressKey(aStored.name.job, aStored.name.occurrence, aStored.name.step);
+  const std::string key = ToString(aStored.name);
   if (aStored.name.step >= aJob.record.spec.steps.size() ||
       aStored.name.occurrence >= std::max(aJob.record.spec.repeats, 1U)) {
     this->ReportUnreadableRow(kProgressTable, key);
@@ -110,9 +110,29 @@
   if (occurrence.steps.empty()) {
     occurrence = internal::MakeOccurrence(aJob.record.spec);
   }
-  if (!internal::DecodeProgress(aStored.value, occurrence.steps[aStored.name.step])) {
+  Step& step = occurrence.steps[aStored.name.step];
+  const bool isWide = step.tasks.size() > kTasksPerProgressRow;
+  if ((aStored.name.row.has_value() && !isWide) ||
+      !internal::DecodeProgress(aStored.value, aStored.name.row, step)) {
     this->ReportUnreadableRow(kProgressTable, key);
+    return;
   }
+  step.hasWholeRow = step.hasWholeRow || (isWide && !aStored.name.row.has_value());
+}
+
+void JobScheduler::CompleteLoadedGang(const std::string& aJob,
+                                      std::uint32_t aOccurrence,
+                                      std::uint32_t aStep)
+{
+  Step& step = this->jobs.at(aJob).occurrences.at(aOccurrence).steps[aStep];
+  for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+    if (step.tasks[index].state != TaskState::Done) {
+      step.tasks[index].state = TaskState::Done;
+      this->MarkChanged(this->ProgressRowOf({ aJob, aOccurrence, aStep, index }));
+    }
+  }
+  step.done = static_cast<std::uint32_t>(step.tasks.size());
+  step.active = 0;
 }
 
 void JobScheduler::FinishLoading(Epoch aEpoch, Instant aEarlierLeasesExpiry, Now aNow)
@@ -134,6 +154,9 @@
     for (auto& [number, occurrence] : job.occurrences) {
       std::uint32_t doneSteps = 0;
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (job.record.spec.steps[step].gang && occurrence.steps[step].done > 0) {
+          this->CompleteLoadedGang(id, number, step);
+        }
         doneSteps += occurrence.steps[step].IsDone() ? 1 : 0;
         for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
           Task& task = occurrence.steps[step].tasks[index];
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -342,7 +342,7 @@
                                          0 });
     this->RecomputeHeadroomCosts(aWorker);
   }
-  RowKey row = ProgressRow(taskKey.job, taskKey.occurrence, taskKey.step);
+  RowKey row = this->ProgressRowOf(taskKey);
   if (!job.started) {
     job.started = true;
     job.state = JobState::Running;
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -198,9 +198,11 @@
   }
   task.checkpoint = aCheckpoint;
   Step& step = *this->FindStep(aTaskKey);
-  if (aNow.instant - step.checkpointsStoredAt >= this->settings.checkpointStoreInterval) {
-    step.checkpointsStoredAt = aNow.instant;
-    this->MarkChanged(ProgressRow(aTaskKey.job, aTaskKey.occurrence, aTaskKey.step));
+  Instant& storedAt =
+    step.checkpointsStoredAt[ProgressRowNumber(step.tasks.size(), aTaskKey.index).value_or(0)];
+  if (aNow.instant - storedAt >= this->settings.checkpointStoreInterval) {
+    storedAt = aNow.instant;
+    this->MarkChanged(this->ProgressRowOf(aTaskKey));
   }
 }
 
