Limit the bytes of a transaction of the leader

The store takes transactions of 1 MB and answers 400 to longer ones, which the leader repeated without end. 24 rows of 40 tasks with checkpoints of 1,024 bytes are enough.

Change: a batch ends before its values exceed 600,000 bytes, which are 800,000 in Base64. The rows that remain are in the next batch.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -90,6 +90,8 @@
   void Decide(Now aNow);
 
   bool HasChanges() const { return !this->changedRows.empty(); }
+  // Returns changes for one transaction. Those that do not fit into `aMaxRows` or
+  // `SchedulerSettings::maxBatchBytes` remain for the next one.
   StoreBatch TakeBatch(std::size_t aMaxRows);
   void OnStored(StoreBatch aBatch, Now aNow);
 
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -72,6 +72,9 @@
   Duration checkpointStoreInterval = std::chrono::milliseconds(1000);
   // The longest value of a row. The store takes 65,536 bytes in Base64, which is a third longer.
   std::size_t maxRowBytes = 49'152;
+  // The values of all rows of a batch. The store takes transactions of 1 MB, in which values are a
+  // third longer; the rest is for keys.
+  std::size_t maxBatchBytes = 600'000;
   // How often the interference weights are stored. They converge within about ten seconds, and
   // their row has a few kilobytes.
   Duration weightsStoreInterval = std::chrono::seconds(3);
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -201,11 +201,17 @@
 {
   StoreBatch batch;
   std::set<RowKey> rows;
+  std::size_t bytes = 0;
   while (!this->changedRows.empty() && batch.changes.size() < aMaxRows) {
+    RowChange change = this->MakeChange(this->changedRows.front());
+    bytes += change.value.size();
+    if (!batch.empty() && bytes > this->settings.maxBatchBytes) {
+      break;
+    }
+    batch.changes.push_back(std::move(change));
     RowKey row = std::move(this->changedRows.front());
     this->changedRows.pop_front();
     this->changedRowSet.erase(row);
-    batch.changes.push_back(this->MakeChange(row));
     rows.insert(std::move(row));
   }
   // Orders whose row is not in this batch stay deferred.
--- a/packages/jobs/tests/WideStepTest.cpp
+++ b/packages/jobs/tests/WideStepTest.cpp
@@ -87,6 +87,36 @@
   }));
 }
 
+// Guards against a transaction that the store refuses for its length, which stops all scheduling.
+TEST_CASE("JobScheduler KeepsATransactionWithinTheLimitOfTheStore")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a", 40'000);
+  fixture.Submit(MakeJob("j", { MakeWideStep() }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == kWideCount);
+  for (RunningRun& run : fixture.agents["a"].running) {
+    run.checkpoint = std::string(1024, 'c');
+  }
+  fixture.Advance(2000 * kMs);
+  fixture.Report("a");
+  std::size_t stored = 0;
+  std::size_t longest = 0;
+  while (fixture.scheduler.HasChanges()) {
+    StoreBatch batch = fixture.scheduler.TakeBatch(95);
+    REQUIRE_FALSE(batch.empty());
+    std::size_t bytes = 0;
+    for (const RowChange& change : batch.changes) {
+      bytes += change.value.size();
+    }
+    longest = std::max(longest, bytes);
+    stored += batch.changes.size();
+    fixture.scheduler.OnStored(std::move(batch), fixture.now);
+  }
+  CHECK(longest <= 600'000);
+  CHECK(stored == kWideCount / kTasksPerProgressRow);
+}
+
 // Guards against rows that the store refuses, as names of workers may be long as well.
 TEST_CASE("JobScheduler OmitsTheCheckpointsOfARowThatIsTooLongWithThem")
 {
