Count an occurrence of a gang once when all its members are done

Cause: the first member that is done completes the step for all members. The end of each further member was applied in the same way, found the occurrence done and counted it again, so that each occurrence of a gang of n counted up to n times. The same happened with two runs of one task that both are done, and after a change of the leader.

Change: a member or run whose task is done already changes nothing but the acknowledgement of its end.

--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -78,6 +78,10 @@
   }
   Occurrence& occurrence = aJob.occurrences.at(aTaskKey.occurrence);
   Step& step = occurrence.steps[aTaskKey.step];
+  if (step.tasks[aTaskKey.index].state == TaskState::Done) {
+    // Another member of the gang or another run of the task was done first.
+    return;
+  }
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     Task& task = step.tasks[index];
     // The end of one member ends its whole gang.
--- a/packages/jobs/tests/SchedulerGangTest.cpp
+++ b/packages/jobs/tests/SchedulerGangTest.cpp
@@ -139,3 +139,59 @@
   next.RunUntilIdle();
   CHECK(next.stops == std::vector<RunRef>{ gang.second.second.ref });
 }
+
+// Guards against a periodic job that ends early, as each member counts as one more occurrence.
+TEST_CASE("JobScheduler CountsAnOccurrenceOfAGangOnceWhenAllItsMembersAreDone")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  StepSpec step = MakeStep(3);
+  step.gang = true;
+  JobRecord record = MakeJob("j", { step });
+  record.spec.repeats = 4;
+  record.spec.initialDelayMs = fixture.now.unixMs;
+  record.spec.intervalMs = 5000;
+  fixture.Submit(record);
+  for (int occurrence = 0; occurrence < 4; ++occurrence) {
+    INFO("occurrence " << occurrence);
+    fixture.Advance(100 * kMs);
+    fixture.RunUntilIdle();
+    CHECK(fixture.StateOf("j") == JobState::Running);
+    REQUIRE(fixture.starts.size() == 3);
+    for (const auto& [agent, start] : std::exchange(fixture.starts, {})) {
+      fixture.End(agent, start.ref, RunEnd::Done);
+    }
+    fixture.RunUntilIdle();
+    fixture.Advance(5000 * kMs);
+  }
+  CHECK(fixture.StateOf("j") == JobState::Completed);
+}
+
+// Guards against the same after a change of the leader, which stops the members that it loads with
+// runs.
+TEST_CASE("JobScheduler CountsAnOccurrenceOfAGangOnceWhenTheLeaderChanges")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  StepSpec step = MakeStep(3);
+  step.gang = true;
+  JobRecord record = MakeJob("j", { step });
+  record.spec.repeats = 3;
+  record.spec.initialDelayMs = first.now.unixMs - 100;
+  record.spec.intervalMs = 5000;
+  first.Submit(record);
+  first.RunUntilIdle();
+  REQUIRE(first.starts.size() == 3);
+  first.End("a", first.starts[0].second.ref, RunEnd::Done);
+  first.RunUntilIdle();
+  SchedulerFixture second(first.rows);
+  second.agents = first.agents;
+  second.lastEndNumber = first.lastEndNumber;
+  second.scheduler.OnAgentUp("a", second.now);
+  second.Report("a");
+  second.End("a", first.starts[1].second.ref, RunEnd::Done);
+  second.End("a", first.starts[2].second.ref, RunEnd::Done);
+  second.RunUntilIdle();
+  CHECK(second.StateOf("j") == JobState::Running);
+  CHECK(second.scheduler.Jobs().at("j").completedOccurrences == 1);
+}
