--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -112,6 +112,10 @@
 void JobScheduler::OnRunFailed(Job& aJob, const TaskKey& aTaskKey, Worker& aWorker, Now aNow)
 {
   Task& task = *this->FindTask(aTaskKey);
+  if (task.state == TaskState::Done) {
+    // A run that was being stopped, as another one was done first.
+    return;
+  }
   const StepSpec& spec = this->SpecOf(aTaskKey);
   task.lastFailedWorker = aWorker.key.id;
   // Only long-running tasks are placed on an avoided worker. Their failures must not keep the
--- a/packages/jobs/tests/SchedulerFailureTest.cpp
+++ b/packages/jobs/tests/SchedulerFailureTest.cpp
@@ -164,3 +164,29 @@
   fixture.RunUntilIdle();
   CHECK(fixture.StateOf("batch") == JobState::Running);
 }
+
+// Guards against a job that is shown as failed although each of its tasks has been done.
+TEST_CASE("JobScheduler IgnoresTheFailureOfARunWhoseTaskIsDone")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  JobRecord record = MakeJob("j", { MakeStep(1), MakeStep(1, { 0 }) });
+  record.policy.maxAttempts = 1;
+  fixture.Submit(record);
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  const RunRef given = fixture.starts[0].second.ref;
+  fixture.AddAgent("b");
+  // The worker of the first run is silent until its lease has expired, and reports its end later.
+  fixture.Advance(6000 * kMs);
+  fixture.Report("b");
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 2);
+  const auto [agent, second] = fixture.starts[1];
+  REQUIRE(agent == "b");
+  fixture.End("a", given, RunEnd::Done);
+  fixture.End("b", second.ref, RunEnd::Failed);
+  fixture.RunUntilIdle();
+  CHECK(fixture.StateOf("j") == JobState::Running);
+  CHECK(fixture.starts.size() == 3);
+}
