Report fully only when the worker lists all its ended runs

Cause: a worker lists at most 500 ended runs, and the next ones once these are acknowledged. The agent sent full reports all the same, and a leader takes a run that is neither running nor ended in a full report for vanished and places its task again.

Change: while the list has 500 entries, the agent's reports are not full, so that nothing is concluded from the absence of a run. Each periodic report repeats the listed ends, since full reports are what repeats an end that the leader has left unacknowledged.

--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -185,8 +185,9 @@
       it->second.confirmedAt = now;
     }
   }
-  // A run that is not listed may be one of the entries that are not readable.
-  const bool listsAllRuns = aAnswer.unreadableRunning == 0;
+  // A run that is not listed may be one of the entries that are not readable, or may have an end
+  // that the worker has not listed yet.
+  const bool listsAllRuns = aAnswer.unreadableRunning == 0 && !aAnswer.mayHaveMoreEnds;
   if (listsAllRuns) {
     this->ReportRejectedRuns(aSentAt);
     std::erase_if(this->trackedRuns, [&](const auto& aTracked) {
@@ -199,6 +200,8 @@
   const bool reportDue = now - this->lastPeriodicReportAt >= kFullReportInterval;
   if (reportDue && !listsAllRuns) {
     this->lastPeriodicReportAt = now;
+    // The leader may have left an end unacknowledged until it is reported again.
+    this->reportedEnds.clear();
   }
   if (hasNewEnds || reportDue) {
     this->ReportState(reportDue && listsAllRuns, aSentAt);
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -495,3 +495,37 @@
   CHECK(fixture.RunUntil([&] { return fixture.IsRejected("j.0.0.0"); }));
   CHECK(fixture.started.empty());
 }
+
+// Guards against work that runs again, as its end is behind the ends that the worker lists at once.
+TEST_CASE("WorkerDriver SendsNoFullReportWhileTheWorkerMayHaveMoreEnds")
+{
+  constexpr std::uint64_t kListedEnds = 500;
+  WorkerDriverFixture fixture;
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  nlohmann::json ends = nlohmann::json::array();
+  for (std::uint64_t number = 1; number <= kListedEnds; ++number) {
+    ends.push_back({ number, "k.0.0." + std::to_string(number), 1, "done", "" });
+    fixture.worker->SkipEndNumber();
+  }
+  fixture.worker->AddListedEntries(nlohmann::json::array(), ends);
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.ended.empty(); }));
+  fixture.reports.clear();
+  fixture.RunFor(1000 * kMillisecond);
+  CHECK(std::none_of(fixture.reports.begin(),
+                     fixture.reports.end(),
+                     [](const WorkerReport& aReport) { return aReport.full; }));
+  // The ends are repeated, so that the leader can acknowledge those that it left at first.
+  CHECK(
+    std::count_if(fixture.reports.begin(), fixture.reports.end(), [](const WorkerReport& aReport) {
+      return aReport.ended.size() == kListedEnds;
+    }) >= 2);
+  WorkerOrders orders = fixture.MakeOrders(Epoch{ 1 });
+  for (std::uint64_t number = 1; number <= kListedEnds; ++number) {
+    orders.acknowledgedEnds.push_back(number);
+  }
+  fixture.worker->AddListedEntries(nlohmann::json::array(), nlohmann::json::array());
+  fixture.driver->OnOrders(orders);
+  CHECK(fixture.RunUntil([&] { return fixture.IsListed("j.0.0.0"); }));
+}
