Send the orders for one agent in messages that a link accepts

Cause: all orders for an agent that are ready at once were put into one message, each start with the whole spec. A link does not send messages above 4 MiB. The orders counted as lost, and the next full report of the agent made the leader form the same message again.

Change: once the orders for an agent have 1 MiB, the next ones are put into a further message with its own sequence number. A restart of the worker drops the starts and acknowledgements of all its messages and keeps their stops, as before.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -102,7 +102,9 @@
   void OnRemoved(const std::vector<RowKey>& aRows, Now aNow);
   void OnRemovalFailed(std::vector<RowKey> aRows);
 
-  std::map<std::string, WorkerOrders> TakeOrders();
+  // Returns the messages to send, with the agent of each. Those for one agent are in the order of
+  // their sequence numbers.
+  std::vector<std::pair<std::string, WorkerOrders>> TakeOrders();
 
   const std::map<WorkerKey, Worker>& Workers() const { return this->workers; }
   const std::map<std::string, Job>& Jobs() const { return this->jobs; }
@@ -137,6 +139,14 @@
     Faster,
   };
 
+  // Messages to one agent that are not sent yet.
+  struct OutgoingOrders
+  {
+    std::vector<WorkerOrders> messages;
+    // The size of the last message.
+    std::size_t lastBytes = 0;
+  };
+
   // The stored state of a job, without its record.
   struct StoredState
   {
@@ -261,7 +271,11 @@
   void RemoveRun(const RunKey& aRunKey);
   // Adds the demand of a run of the step if `aSign` is 1, and removes it if `aSign` is -1.
   void AdjustReservation(Worker& aWorker, const StepSpec& aStep, int aSign);
-  WorkerOrders& OrdersFor(const std::string& aAgent, const WorkerKey& aWorker);
+  // Returns the message for the next order to the agent, whose payload, checkpoint and image have
+  // `aBytes`.
+  WorkerOrders& OrdersFor(const std::string& aAgent,
+                          const WorkerKey& aWorker,
+                          std::size_t aBytes = 0);
   // `aRepeated` tells that an earlier order for the run may have reached the worker.
   void OrderStart(const RunKey& aRunKey, bool aRepeated);
   void OrderStop(const RunKey& aRunKey);
@@ -284,7 +298,7 @@
   std::deque<RowKey> changedRows;
   std::set<RowKey> changedRowSet;
   std::vector<DeferredOrder> deferredOrders;
-  std::map<std::string, WorkerOrders> outgoingOrders;
+  std::map<std::string, OutgoingOrders> outgoingOrders;
   std::uint64_t lastOrders = 0;
   std::size_t waitingTasks = 0;
   // When the next line about a step that waits may be logged.
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -75,6 +75,9 @@
   // The values of all rows of a batch. The store takes transactions of 1 MB, in which values are a
   // third longer; the rest is for keys.
   std::size_t maxBatchBytes = 600'000;
+  // Orders to an agent above this size are sent in several messages. A link does not send messages
+  // above 4 MiB.
+  std::size_t maxOrderBytes = std::size_t{ 1 } << 20U;
   // How often the interference weights are stored. They converge within about ten seconds, and
   // their row has a few kilobytes.
   Duration weightsStoreInterval = std::chrono::seconds(3);
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -19,6 +19,10 @@
 // Weight of a new job in the moving average of the work of the jobs of its queue.
 constexpr double kMeanWorkSmoothing = 0.1;
 
+// The part of an encoded order that does not depend on the job, with the names of the task and of
+// all fields.
+constexpr std::size_t kOrderOverheadBytes = 256;
+
 // Returns the value of a state row: the state, the end in Unix milliseconds and the queue.
 std::string EncodeState(const Job& aJob)
 {
@@ -277,9 +281,15 @@
   }
 }
 
-std::map<std::string, WorkerOrders> JobScheduler::TakeOrders()
+std::vector<std::pair<std::string, WorkerOrders>> JobScheduler::TakeOrders()
 {
-  return std::exchange(this->outgoingOrders, {});
+  std::vector<std::pair<std::string, WorkerOrders>> taken;
+  for (auto& [agent, outgoing] : std::exchange(this->outgoingOrders, {})) {
+    for (WorkerOrders& message : outgoing.messages) {
+      taken.emplace_back(agent, std::move(message));
+    }
+  }
+  return taken;
 }
 
 std::vector<RowKey> JobScheduler::TakeRemovals(std::size_t aMaxRows)
@@ -429,10 +439,13 @@
       this->RecomputeHeadroomCosts(worker->second);
     }
   }
-  if (const auto orders = this->outgoingOrders.find(run->agent);
-      orders != this->outgoingOrders.end()) {
-    std::erase_if(orders->second.starts,
-                  [ref = ToRunRef(aRunKey)](const StartRun& aStart) { return aStart.ref == ref; });
+  if (const auto outgoing = this->outgoingOrders.find(run->agent);
+      outgoing != this->outgoingOrders.end()) {
+    for (WorkerOrders& message : outgoing->second.messages) {
+      std::erase_if(message.starts, [ref = ToRunRef(aRunKey)](const StartRun& aStart) {
+        return aStart.ref == ref;
+      });
+    }
   }
   std::erase_if(task->runs, [&](const Run& aItem) { return aItem.number == aRunKey.number; });
   if (task->runs.empty() && task->state == TaskState::Active) {
@@ -470,19 +483,28 @@
   }
 }
 
-WorkerOrders& JobScheduler::OrdersFor(const std::string& aAgent, const WorkerKey& aWorker)
+WorkerOrders& JobScheduler::OrdersFor(const std::string& aAgent,
+                                      const WorkerKey& aWorker,
+                                      std::size_t aBytes)
 {
-  auto [it, inserted] = this->outgoingOrders.try_emplace(aAgent);
-  if (inserted || it->second.born != aWorker.born) {
+  OutgoingOrders& outgoing = this->outgoingOrders[aAgent];
+  if (!outgoing.messages.empty() && outgoing.messages.back().born != aWorker.born) {
     // Only stops hold for a later process of the worker, which may carry out delayed starts.
-    std::vector<RunRef> stops = std::move(it->second.stops);
-    it->second = {};
-    it->second.stops = std::move(stops);
-    it->second.epoch = this->epoch;
-    it->second.sequence = ++this->lastOrders;
-    it->second.born = aWorker.born;
+    for (WorkerOrders& message : outgoing.messages) {
+      message.born = aWorker.born;
+      message.starts.clear();
+      message.acknowledgedEnds.clear();
+    }
+  }
+  if (outgoing.messages.empty() || outgoing.lastBytes >= this->settings.maxOrderBytes) {
+    WorkerOrders& message = outgoing.messages.emplace_back();
+    message.epoch = this->epoch;
+    message.sequence = ++this->lastOrders;
+    message.born = aWorker.born;
+    outgoing.lastBytes = 0;
   }
-  return it->second;
+  outgoing.lastBytes += aBytes + kOrderOverheadBytes;
+  return outgoing.messages.back();
 }
 
 void JobScheduler::OrderStop(const RunKey& aRunKey)
@@ -497,7 +519,6 @@
 {
   Run& run = *this->FindRun(aRunKey);
   const StepSpec& step = this->SpecOf(aRunKey.task);
-  WorkerOrders& orders = this->OrdersFor(run.agent, run.worker);
   StartRun start;
   start.ref = ToRunRef(aRunKey);
   start.payload = this->jobs.at(aRunKey.task.job).record.spec.payload;
@@ -506,6 +527,8 @@
   start.latencyTargetMs = step.longRunning ? step.latencyTargetMs : 0;
   start.fillsUnused = step.fillsUnused;
   start.repeated = aRepeated;
+  WorkerOrders& orders = this->OrdersFor(
+    run.agent, run.worker, start.payload.size() + start.checkpoint.size() + start.image.size());
   orders.starts.push_back(std::move(start));
   run.ordersSequence = orders.sequence;
 }
--- a/packages/jobs/tests/WideStepTest.cpp
+++ b/packages/jobs/tests/WideStepTest.cpp
@@ -1,5 +1,7 @@
 #include "SchedulerFixture.h"
 
+#include "oriolespread/messages/MessageCodec.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -248,3 +250,55 @@
   SchedulerFixture second(rows);
   CHECK(second.counters.Get("rows_unreadable_total", "progress") == 5);
 }
+
+// Guards against starts that are never sent, as a link refuses messages above its limit.
+TEST_CASE("JobScheduler KeepsOrdersWithinTheLimitOfALink")
+{
+  constexpr std::uint32_t kCount = 1300;
+  SchedulerFixture fixture;
+  fixture.AddAgent("a", 40'000);
+  JobRecord record = MakeJob("j", { MakeWideStep(kCount) });
+  record.spec.payload = std::string(4000, 'p');
+  fixture.Submit(record);
+  fixture.scheduler.Decide(fixture.now);
+  fixture.scheduler.OnStored(fixture.scheduler.TakeBatch(95), fixture.now);
+  std::set<std::string> started;
+  std::uint64_t lastSequence = 0;
+  for (const auto& [agent, orders] : fixture.scheduler.TakeOrders()) {
+    CHECK(EncodeMessage(orders).size() <= kMaxMessageBytes);
+    CHECK(orders.sequence > lastSequence);
+    lastSequence = orders.sequence;
+    for (const StartRun& start : orders.starts) {
+      started.insert(start.ref.task);
+    }
+  }
+  CHECK(started.size() == kCount);
+}
+
+// Guards against starts for an earlier process of a worker, and against stops that are lost with
+// them, when the orders for it have several messages.
+TEST_CASE("JobScheduler SendsOnlyTheStopsOfAllMessagesWhenTheWorkerHasRestarted")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a", 40'000);
+  JobRecord record = MakeJob("j", { MakeWideStep(600) });
+  record.spec.payload = std::string(4000, 'p');
+  fixture.Submit(record);
+  fixture.Submit(MakeJob("k", { MakeStep(1) }));
+  fixture.scheduler.Decide(fixture.now);
+  fixture.scheduler.OnStored(fixture.scheduler.TakeBatch(95), fixture.now);
+  fixture.scheduler.OnJobRow("k.cancel", "", fixture.now);
+  WorkerReport& report = fixture.agents["a"];
+  report.worker.born = 2;
+  fixture.Report("a");
+  fixture.End("a", { "unknown.0.0.0", 1 }, RunEnd::Done);
+  std::size_t starts = 0;
+  std::vector<RunRef> stops;
+  for (const auto& [agent, orders] : fixture.scheduler.TakeOrders()) {
+    CHECK(orders.born == 2);
+    starts += orders.starts.size();
+    stops.insert(stops.end(), orders.stops.begin(), orders.stops.end());
+  }
+  CHECK(starts == 0);
+  CHECK(stops == std::vector<RunRef>{ { "k.0.0.0", 1 } });
+}
