Keep a run that was considered lost while its task has no other

Cause: a leader that had dropped a run stopped it when its worker listed it, but nothing kept the task from being placed until that run had ended. What dropped the run within 220 ms of its start is not in the record, which is cut short. Two refused connections 150 ms apart, by which an agent takes its worker for gone, give the same sequence and the same gap.

Change: a run that its worker lists is taken up again if the leader has given out its number, its task is not done and has no other run. It goes on, so that its work is not lost either. A member of a gang is stopped instead, and the gang placed again once it is gone. A run beside another run of its task is stopped as before.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -191,8 +191,12 @@
                           const std::optional<WorkerKey>& aCurrent,
                           std::string_view aReason,
                           Now aNow);
-  // Orders the worker to stop the run unless it is known to run there. Returns whether it did.
+  // Orders the worker to stop the run unless it is known to run there or is adopted. Returns
+  // whether the run is being stopped.
   bool StopIfUnknown(Worker& aWorker, const RunRef& aRef);
+  // Takes up a run that was considered lost while its task has no other run, so that the task is
+  // not started a second time beside it. Returns whether it did.
+  bool AdoptRun(Worker& aWorker, const RunKey& aRunKey);
   void ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   void UpdateCheckpoint(const TaskKey& aTaskKey, const std::string& aCheckpoint, Now aNow);
   void UpdateInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow);
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -135,14 +135,19 @@
   }
 }
 
-// A run is unknown if its job has ended, or if it was considered lost and started elsewhere.
+// A run is unknown if its job has ended, or if it was considered lost and its task was started
+// again.
 bool JobScheduler::StopIfUnknown(Worker& aWorker, const RunRef& aRef)
 {
   RunKey runKey;
-  const Run* run = ParseRunRef(aRef, runKey) ? this->FindRun(runKey) : nullptr;
+  const bool isReadable = ParseRunRef(aRef, runKey);
+  const Run* run = isReadable ? this->FindRun(runKey) : nullptr;
   if (run != nullptr && run->worker == aWorker.key) {
     return false;
   }
+  if (isReadable && this->AdoptRun(aWorker, runKey)) {
+    return this->FindRun(runKey)->state == RunState::Stopping;
+  }
   this->OrdersFor(aWorker.agent, aWorker.key).stops.push_back(aRef);
   this->counters.Add("runs_stopped_total", "unknown");
   this->log("run_unknown",
@@ -150,6 +155,41 @@
   return true;
 }
 
+bool JobScheduler::AdoptRun(Worker& aWorker, const RunKey& aRunKey)
+{
+  Task* task = this->FindTask(aRunKey.task);
+  if (task == nullptr || task->state != TaskState::Waiting ||
+      aRunKey.number >= task->nextRunNumber || IsTerminal(this->jobs.at(aRunKey.task.job).state)) {
+    return false;
+  }
+  Run run;
+  run.number = aRunKey.number;
+  run.worker = aWorker.key;
+  run.agent = aWorker.agent;
+  run.state = RunState::Ordered;
+  task->runs.push_back(std::move(run));
+  task->state = TaskState::Active;
+  ++this->FindStep(aRunKey.task)->active;
+  aWorker.runs.insert(aRunKey);
+  const StepSpec& step = this->SpecOf(aRunKey.task);
+  this->AdjustReservation(aWorker, step, 1);
+  this->RecomputeHeadroomCosts(aWorker);
+  this->MarkChanged(this->ProgressRowOf(aRunKey.task));
+  this->counters.Add("runs_adopted_total", step.gang ? "stopped" : "kept");
+  this->log("run_adopted",
+            { { "task", ToRunRef(aRunKey).task },
+              { "run", aRunKey.number },
+              { "worker", aWorker.key.id },
+              { "stopping", step.gang } });
+  if (step.gang) {
+    // The other members may be stopped already. The gang is placed again once all are gone.
+    this->StopRun(aRunKey.task, task->runs.back());
+  } else {
+    this->OrderStart(aRunKey, true);
+  }
+  return true;
+}
+
 void JobScheduler::ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow)
 {
   for (const RunningRun& running : aReport.running) {
--- a/packages/jobs/tests/UnconfirmedOrdersTest.cpp
+++ b/packages/jobs/tests/UnconfirmedOrdersTest.cpp
@@ -203,3 +203,84 @@
   REQUIRE(fixture.starts.size() == 2);
   CHECK(fixture.starts[1].second.ref.run == 2);
 }
+
+// Guards against two runs of a task at the same time: a worker that was reported as lost lists a
+// run that goes on, and no other worker had room meanwhile.
+TEST_CASE("JobScheduler KeepsARunThatItConsideredLostWhenItsTaskHasNoOther")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  WorkerReport lost = fixture.agents["a"];
+  lost.full = false;
+  lost.running.clear();
+  lost.allLost = true;
+  fixture.scheduler.OnReport("a", lost, fixture.now);
+  fixture.RunUntilIdle();
+  fixture.Advance(150 * kMs);
+  fixture.Report("a");
+  fixture.scheduler.Decide(fixture.now);
+  StoreBatch batch = fixture.scheduler.TakeBatch(50);
+  fixture.Apply(batch);
+  fixture.scheduler.OnStored(std::move(batch), fixture.now);
+  for (const auto& [agent, orders] : fixture.scheduler.TakeOrders()) {
+    CHECK(orders.stops.empty());
+    for (const StartRun& start : orders.starts) {
+      CHECK(start.ref == RunRef{ "j.0.0.0", 1 });
+      CHECK(start.repeated);
+    }
+  }
+  // The next leader knows the run as well.
+  SchedulerFixture second(fixture.rows);
+  CHECK(second.scheduler.AwaitedWorkers() == 1);
+  fixture.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  fixture.RunUntilIdle();
+  CHECK(fixture.StateOf("j") == JobState::Completed);
+  CHECK(fixture.starts.size() == 1);
+}
+
+// Guards against two runs of a member of a gang at the same time, of which only this one was
+// considered lost.
+TEST_CASE("JobScheduler PlacesAGangAgainOnlyWhenAMemberThatItConsideredLostIsGone")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.AddAgent("b");
+  StepSpec step = MakeStep(2);
+  step.gang = true;
+  step.maxPerWorker = 1;
+  fixture.Submit(MakeJob("j", { step }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 2);
+  WorkerReport lost = fixture.agents["a"];
+  lost.full = false;
+  lost.running.clear();
+  lost.allLost = true;
+  fixture.scheduler.OnReport("a", lost, fixture.now);
+  fixture.Report("a");
+  fixture.RunUntilIdle();
+  CHECK(fixture.stops.size() == 2);
+  for (const char* agent : { "b", "a" }) {
+    CHECK(fixture.starts.size() == 2);
+    fixture.End(agent, fixture.agents[agent].running.front().ref, RunEnd::Stopped);
+    fixture.Advance(100 * kMs);
+    fixture.RunUntilIdle();
+  }
+  CHECK(fixture.starts.size() == 4);
+}
+
+// Guards against a run of another writer's number that a leader takes for one of its own.
+TEST_CASE("JobScheduler StopsARunThatItHasNotOrdered")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a", 500);
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.empty());
+  fixture.agents["a"].running.push_back({ { "j.0.0.0", 1 }, "", 10, 0 });
+  fixture.Report("a");
+  fixture.TakeOrders();
+  CHECK(fixture.stops == std::vector<RunRef>{ { "j.0.0.0", 1 } });
+}
