Show that refused connections make a worker's runs start elsewhere

A worker whose address refuses connections for a moment runs on until its lease expires, but after two refusals its agent reports it as lost and the leader starts its tasks on other workers: two runs at once.

The stand-in worker can stop listening while its runs go on.

--- a/packages/daemon/tests/WorkerLossTest.cpp
+++ b/packages/daemon/tests/WorkerLossTest.cpp
@@ -81,6 +81,26 @@
   CHECK(fixture.RunUntil([&] { return fixture.reports.back().allLost; }));
 }
 
+// Guards against a second run of a task that runs on behind a path that refuses connections for a
+// moment. Fails: an agent takes its worker for gone after two refused connections (KNOWN-RED.txt).
+TEST_CASE("WorkerDriver KeepsTheRunsOfAWorkerThatRefusesConnectionsForAWhile", "[!mayfail]")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsListed("j.0.0.0"); }));
+  fixture.reports.clear();
+  fixture.worker->SetListening(false);
+  fixture.RunFor(1000 * kMillisecond);
+  fixture.worker->SetListening(true);
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsListed("j.0.0.0"); }));
+  CHECK(fixture.ended.empty());
+  CHECK(std::none_of(fixture.reports.begin(),
+                     fixture.reports.end(),
+                     [](const WorkerReport& aReport) { return aReport.allLost; }));
+}
+
 // Guards against a new leader that waits for the leases of a worker that no longer exists.
 TEST_CASE("WorkerDriver ReportsAWorkerThatIsGoneToANewLeader")
 {
