Keep the runs of a worker that refuses connections until their lease ends

The record shows starts and stops that were refused for over a second, and worker_lost with the reason refused after 0.5 s; what dropped the runs is cut from it.

Cause: after two refused connections, 150 ms apart, an agent reported its worker as lost, and the leader started its tasks elsewhere. An address that refuses connections does not prove that the runs have ended.

Change: a worker counts as lost only when all its leases have expired or a new incarnation is confirmed. While it refuses connections its lease is not extended, and a start that it refused, with no earlier attempt open, is rejected at once, so that the task is placed elsewhere.

The soak's processes no longer inherit the stand-ins' sockets, which kept an address listening after its stand-in had closed it.

--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -63,8 +63,6 @@
 // no run of the earlier one. Bounds the time without the worker's capacity if it refuses all
 // orders.
 inline constexpr Duration kMaxBarDelay = std::chrono::milliseconds(2000);
-// Consecutive refused connections after which the worker's process counts as gone.
-inline constexpr int kRefusalsUntilWorkerLost = 2;
 inline constexpr Duration kWorkerRetryDelay = std::chrono::milliseconds(150);
 
 // A requested lease is at most this, and at most this fraction of the longest lease that the worker
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -125,7 +125,7 @@
   // An earlier agent of this worker may have granted it the longest lease that the worker accepts.
   this->allLeasesExpiredAt = BootClock::now() + LongestLeaseOnAgentClock(this->maxWorkerLease);
   this->lastAnswerAt = BootClock::now();
-  this->consecutiveRefusals = 0;
+  this->refusesConnections = false;
   this->workerLost = false;
   this->trackedRuns.clear();
   this->running.clear();
@@ -280,7 +280,7 @@
   const Instant now = BootClock::now();
   // A worker that does not answer may still carry out calls, so every deadline that is sent to it
   // counts. Until it answers, it is sent no later deadline than the last one.
-  if (now - this->lastAnswerAt < kMaxWorkerSilence) {
+  if (!this->refusesConnections && now - this->lastAnswerAt < kMaxWorkerSilence) {
     this->grantedLeaseExpiry = std::max(this->grantedLeaseExpiry, this->leaseExpiry);
   }
   if (this->grantedLeaseExpiry <= now) {
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -109,7 +109,7 @@
   // Reports the rejection of runs that the worker has been stopped from starting, and that the poll
   // sent at `aPollSentAt` does not show.
   void ReportRejectedRuns(Instant aPollSentAt);
-  // Reports all runs as lost once the worker's process is gone or every lease on it has expired.
+  // Reports all runs as lost once every lease on the worker has expired.
   // Starts that it may still carry out are stopped, as it may answer again and get a new lease.
   void OnPollFailed(const platformwire::WorkerAnswer& aAnswer);
   // Reports new ends and rejections to the leader, and with a loss all ends that the leader has not
@@ -208,7 +208,8 @@
   // agent, has certainly passed on its clock.
   Instant allLeasesExpiredAt;
   Instant lastAnswerAt{};
-  int consecutiveRefusals = 0;
+  // The last poll found nothing that listens on the worker's address.
+  bool refusesConnections = false;
   bool workerLost = false;
   // The sequence number of the last report on this link that all runs are lost; 0 if there is none,
   // or if the leader has answered it or a later report.
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -231,6 +231,12 @@
       }
       return;
     case WorkerCallOutcome::Refused:
+      if (!tracked.stopping && !tracked.suspended && tracked.openStarts == 0) {
+        // The worker has done nothing, and another one may start the task at once.
+        this->RejectRun(aRef, "connection_refused");
+        return;
+      }
+      break;
     case WorkerCallOutcome::Unknown:
       break;
   }
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -82,20 +82,17 @@
   // Scheduled first, so that polling continues if the handling of the answer throws.
   this->SchedulePoll(kWorkerRetryDelay);
   const Instant now = BootClock::now();
-  const bool isRefused = aAnswer.end == WorkerCallOutcome::Refused;
-  this->consecutiveRefusals = isRefused ? this->consecutiveRefusals + 1 : 0;
-  if (!isRefused && aAnswer.end != WorkerCallOutcome::Unknown) {
+  this->refusesConnections = aAnswer.end == WorkerCallOutcome::Refused;
+  if (!this->refusesConnections && aAnswer.end != WorkerCallOutcome::Unknown) {
     this->lastAnswerAt = now;
   }
-  const bool isGone = this->consecutiveRefusals >= kRefusalsUntilWorkerLost;
   // This process grants no lease to a worker that it does not know.
-  const bool hasLapsed =
+  const bool isLost =
     now > this->allLeasesExpiredAt && now - this->lastAnswerAt >= kMaxWorkerSilence;
-  const bool isLost = isGone || hasLapsed;
   if (isLost && !this->workerLost) {
     Log(LogLevel::Warning,
         "worker_absent",
-        { { "reason", std::string(isGone ? "refused" : "lease_lapsed") } });
+        { { "reason", std::string(this->refusesConnections ? "refused" : "lease_lapsed") } });
   }
   this->workerLost = isLost;
   if (isLost && now - this->lastPeriodicReportAt >= kFullReportInterval) {
@@ -147,7 +144,7 @@
     this->otherIncarnationAnswered = false;
   }
   this->lastAnswerAt = now;
-  this->consecutiveRefusals = 0;
+  this->refusesConnections = false;
   this->workerLost = false;
   if (aAnswer.clockMs.has_value()) {
     this->workerClockMs = aAnswer.clockMs;
@@ -230,10 +227,10 @@
 void WorkerDriver::OnPollFailed(const WorkerAnswer& aAnswer)
 {
   const Instant now = BootClock::now();
-  this->consecutiveRefusals =
-    aAnswer.end == WorkerCallOutcome::Refused ? this->consecutiveRefusals + 1 : 0;
-  const bool processGone = this->consecutiveRefusals >= kRefusalsUntilWorkerLost;
-  if ((processGone || now > this->allLeasesExpiredAt) && !this->workerLost) {
+  // A refused connection does not prove that the worker's process has ended: its runs may go on
+  // until their lease expires. A new incarnation announces itself by its heartbeats.
+  this->refusesConnections = aAnswer.end == WorkerCallOutcome::Refused;
+  if (now > this->allLeasesExpiredAt && !this->workerLost) {
     this->workerLost = true;
     std::vector<RunRef> mayStart;
     for (const auto& [ref, tracked] : this->trackedRuns) {
@@ -248,7 +245,7 @@
         "worker_lost",
         { { "worker", this->worker.id },
           { "born", this->worker.born },
-          { "reason", processGone ? "refused" : "lease_lapsed" },
+          { "reason", this->refusesConnections ? "refused" : "lease_lapsed" },
           { "silent_ms", ToMilliseconds(now - this->lastAnswerAt) } });
     for (const RunRef& ref : mayStart) {
       this->counters.Add("runs_barred_total", "worker_lost");
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -433,7 +433,7 @@
 TEST_CASE("WorkerDriver PollsTheWorkerAfterAReportHasFailed")
 {
   const bool isPresent = GENERATE(true, false);
-  WorkerDriverFixture fixture;
+  WorkerDriverFixture fixture(1500 * kMillisecond);
   if (!isPresent) {
     fixture.worker.reset();
   }
--- a/packages/soak/src/Main.cpp
+++ b/packages/soak/src/Main.cpp
@@ -24,6 +24,7 @@
   options.entries = aOptions["entries"].as<std::size_t>();
   options.workers = aOptions["workers"].as<std::size_t>();
   options.calm = aOptions.count("calm") > 0;
+  options.refusals = aOptions.count("refusals") > 0;
   options.network = 20 + static_cast<int>(::getpid() % kNetworks);
   options.directory = aOptions["directory"].as<std::string>() + "/" + std::to_string(::getpid()) +
                       "-" + std::to_string(aSeed);
@@ -62,8 +63,9 @@
     "workers", "workers", cxxopts::value<std::size_t>()->default_value("5"))(
     "directory",
     "settings and logs",
-    cxxopts::value<std::string>()->default_value("/tmp/oriolespread-soak"))("calm", "no faults")(
-    "help", "this text");
+    cxxopts::value<std::string>()->default_value("/tmp/oriolespread-soak"))(
+    "calm", "no faults but those named by other options")(
+    "refusals", "workers refuse connections for a while and run on")("help", "this text");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/packages/soak/src/Process.cpp
+++ b/packages/soak/src/Process.cpp
@@ -40,6 +40,8 @@
   posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // The process must not hold the sockets on which the stand-ins listen.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error = ::posix_spawn(
     &this->pid, this->command.front().c_str(), &actions, nullptr, arguments.data(), environment);
   posix_spawn_file_actions_destroy(&actions);
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -30,12 +30,15 @@
 constexpr Duration kRecovery = std::chrono::seconds(30);
 constexpr Duration kCallTimeout = std::chrono::seconds(4);
 constexpr int kPostTries = 5;
+// A run that is longer than a refusal shows whether its task is started again meanwhile.
+constexpr Duration kRunTimeWithRefusals = std::chrono::milliseconds(1500);
 
 } // namespace
 
 Soak::Soak(SoakOptions aOptions)
   : options(std::move(aOptions))
   , random(this->options.seed)
+  , refusalRandom(this->options.seed)
   , start(BootClock::now())
   , faultsEnd(this->start + kWarmUp + this->options.length)
   , promises(this->start)
@@ -121,6 +124,9 @@
   options.ip = settings.ip;
   options.port = kWorkerPort;
   options.agentAddress = ToString(settings.control);
+  if (this->options.refusals) {
+    options.runTime = kRunTimeWithRefusals;
+  }
   platformwire_testing::StandInWorkerObserver observer;
   observer.started = [this, id = options.id](
                        const std::string& aTask, std::uint64_t aRun, const std::string& aPayload) {
@@ -168,6 +174,9 @@
   if (!this->options.calm) {
     this->InjectSoon();
   }
+  if (this->options.refusals) {
+    this->RefuseSoon();
+  }
   this->RunUntil(this->faultsEnd);
   const Instant latest = BootClock::now() + kRecovery;
   while (BootClock::now() < latest && this->promises.OpenJobs() > 0) {
@@ -336,6 +345,23 @@
   });
 }
 
+void Soak::RefuseSoon()
+{
+  this->After(this->refusalRandom.Exponential(std::chrono::milliseconds(500)), [this] {
+    if (BootClock::now() >= this->faultsEnd) {
+      return;
+    }
+    const std::size_t index = this->refusalRandom.Below(this->workers.size());
+    const Duration time =
+      this->refusalRandom.Between(std::chrono::milliseconds(400), std::chrono::milliseconds(1500));
+    this->Note("worker " + std::to_string(index) + " refuses connections for " +
+               std::to_string(ToMilliseconds(time)) + " ms");
+    this->workers[index]->SetListening(false);
+    this->After(time, [this, index] { this->workers[index]->SetListening(true); });
+    this->RefuseSoon();
+  });
+}
+
 void Soak::Inject()
 {
   switch (this->random.Below(8)) {
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -30,6 +30,9 @@
   // Distinguishes the loopback addresses of runs side by side, 1 to 250.
   int network = 1;
   bool calm = false;
+  // Workers also refuse connections for a while, during which their runs go on. Without it, a seed
+  // gives the faults that it gave before.
+  bool refusals = false;
 };
 
 class Soak
@@ -62,6 +65,7 @@
 
   void InjectSoon();
   void Inject();
+  void RefuseSoon();
   void InjectIntoProcess(std::size_t aIndex);
   void InjectIntoStore(std::size_t aIndex);
   void InjectIntoLink(std::size_t aIndex);
@@ -72,6 +76,8 @@
 
   SoakOptions options;
   RandomSource random;
+  // Chooses the refusals.
+  RandomSource refusalRandom;
   asio::io_context context{ 1 };
   Counters counters;
   Instant start;
