Share the addition of a run, and mark only changed progress rows

A run that is placed and one that is adopted are added by one function, so that an adopted serving run counts for the headroom of its worker at once. An adopted run is described to its agent by the orders that already do that: to one that does not know it, or with the first full report. Its start was ordered twice before. The end of a task that is no member of a gang marked its row a second time for each end.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -272,6 +272,8 @@
   const StepSpec& SpecOf(const TaskKey& aTaskKey) const;
   // Returns the row that holds the progress of the task.
   RowKey ProgressRowOf(const TaskKey& aTaskKey) const;
+  // Adds a run of a task that has no other run, and reserves its demand.
+  void AddRun(const RunKey& aRunKey, RunState aState, Worker& aWorker);
   void RemoveRun(const RunKey& aRunKey);
   // Adds the demand of a run of the step if `aSign` is 1, and removes it if `aSign` is -1.
   void AdjustReservation(Worker& aWorker, const StepSpec& aStep, int aSign);
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -70,7 +70,8 @@
   // How often the progress of a step is stored when only checkpoints of its runs have changed. A
   // loss of power costs at most this much work of a run beside what the worker had not saved.
   Duration checkpointStoreInterval = std::chrono::milliseconds(1000);
-  // The longest value of a row. The store takes 65,536 bytes in Base64, which is a third longer.
+  // The longest value of a row, which has the 65,536 bytes that the store takes when it is in
+  // Base64.
   std::size_t maxRowBytes = 49'152;
   // The values of all rows of a batch. The store takes transactions of 1 MB, in which values are a
   // third longer; the rest is for keys.
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -269,11 +269,10 @@
   for (const auto& [number, occurrence] : aJob.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       const std::size_t tasks = occurrence.steps[step].tasks.size();
-      if (tasks <= kTasksPerProgressRow || occurrence.steps[step].hasWholeRow) {
+      if (occurrence.steps[step].hasWholeRow) {
         this->MarkChanged(ProgressRow(aJob.record.id, number, step));
       }
-      for (std::uint32_t first = 0; tasks > kTasksPerProgressRow && first < tasks;
-           first += kTasksPerProgressRow) {
+      for (std::uint32_t first = 0; first < tasks; first += kTasksPerProgressRow) {
         this->MarkChanged(
           ProgressRow(aJob.record.id, number, step, ProgressRowNumber(tasks, first)));
       }
@@ -425,6 +424,29 @@
                      ProgressRowNumber(this->SpecOf(aTaskKey).count, aTaskKey.index));
 }
 
+void JobScheduler::AddRun(const RunKey& aRunKey, RunState aState, Worker& aWorker)
+{
+  Step& step = *this->FindStep(aRunKey.task);
+  Task& task = step.tasks[aRunKey.task.index];
+  Run& run = task.runs.emplace_back();
+  run.number = aRunKey.number;
+  run.worker = aWorker.key;
+  run.agent = aWorker.agent;
+  run.state = aState;
+  task.state = TaskState::Active;
+  ++step.active;
+  aWorker.runs.insert(aRunKey);
+  const StepSpec& spec = this->SpecOf(aRunKey.task);
+  this->AdjustReservation(aWorker, spec, 1);
+  if (spec.longRunning && spec.latencyTargetMs > 0) {
+    aWorker.servingHeadrooms.push_back({ this->interference.ServingImageIndex(spec.image),
+                                         step.baseline.current,
+                                         step.baseline.recentMin,
+                                         0 });
+    this->RecomputeHeadroomCosts(aWorker);
+  }
+}
+
 void JobScheduler::RemoveRun(const RunKey& aRunKey)
 {
   Task* task = this->FindTask(aRunKey.task);
--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -94,8 +94,10 @@
     step.active -= task.state == TaskState::Active ? 1 : 0;
     task.state = TaskState::Done;
     ++step.done;
-    this->MarkChanged(
-      this->ProgressRowOf({ aTaskKey.job, aTaskKey.occurrence, aTaskKey.step, index }));
+    if (spec.gang) {
+      this->MarkChanged(
+        this->ProgressRowOf({ aTaskKey.job, aTaskKey.occurrence, aTaskKey.step, index }));
+    }
   }
   const bool occurrenceDone = std::all_of(occurrence.steps.begin(),
                                           occurrence.steps.end(),
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -321,27 +321,10 @@
                             Now aNow)
 {
   Job& job = *aReady.job;
-  Step& step = job.occurrences.at(aReady.occurrence).steps[aReady.step];
-  Task& task = step.tasks[aIndex];
+  Task& task = job.occurrences.at(aReady.occurrence).steps[aReady.step].tasks[aIndex];
   const TaskKey taskKey{ job.record.id, aReady.occurrence, aReady.step, aIndex };
-  Run run;
-  run.number = task.nextRunNumber++;
-  run.worker = aWorker.key;
-  run.agent = aWorker.agent;
-  const RunKey runKey{ taskKey, run.number };
-  task.runs.push_back(std::move(run));
-  task.state = TaskState::Active;
-  ++step.active;
-  aWorker.runs.insert(runKey);
-  const StepSpec& spec = job.record.spec.steps[aReady.step];
-  this->AdjustReservation(aWorker, spec, 1);
-  if (spec.longRunning && spec.latencyTargetMs > 0) {
-    aWorker.servingHeadrooms.push_back({ this->interference.ServingImageIndex(spec.image),
-                                         step.baseline.current,
-                                         step.baseline.recentMin,
-                                         0 });
-    this->RecomputeHeadroomCosts(aWorker);
-  }
+  const RunKey runKey{ taskKey, task.nextRunNumber++ };
+  this->AddRun(runKey, RunState::Committing, aWorker);
   RowKey row = this->ProgressRowOf(taskKey);
   if (!job.started) {
     job.started = true;
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -157,23 +157,14 @@
 
 bool JobScheduler::AdoptRun(Worker& aWorker, const RunKey& aRunKey)
 {
-  Task* task = this->FindTask(aRunKey.task);
+  const Task* task = this->FindTask(aRunKey.task);
   if (task == nullptr || task->state != TaskState::Waiting ||
       aRunKey.number >= task->nextRunNumber || IsTerminal(this->jobs.at(aRunKey.task.job).state)) {
     return false;
   }
-  Run run;
-  run.number = aRunKey.number;
-  run.worker = aWorker.key;
-  run.agent = aWorker.agent;
-  run.state = RunState::Ordered;
-  task->runs.push_back(std::move(run));
-  task->state = TaskState::Active;
-  ++this->FindStep(aRunKey.task)->active;
-  aWorker.runs.insert(aRunKey);
-  const StepSpec& step = this->SpecOf(aRunKey.task);
-  this->AdjustReservation(aWorker, step, 1);
+  this->AddRun(aRunKey, RunState::Ordered, aWorker);
   this->RecomputeHeadroomCosts(aWorker);
+  const StepSpec& step = this->SpecOf(aRunKey.task);
   this->MarkChanged(this->ProgressRowOf(aRunKey.task));
   this->counters.Add("runs_adopted_total", step.gang ? "stopped" : "kept");
   this->log("run_adopted",
@@ -183,9 +174,7 @@
               { "stopping", step.gang } });
   if (step.gang) {
     // The other members may be stopped already. The gang is placed again once all are gone.
-    this->StopRun(aRunKey.task, task->runs.back());
-  } else {
-    this->OrderStart(aRunKey, true);
+    this->StopRun(aRunKey.task, *this->FindRun(aRunKey));
   }
   return true;
 }
