--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -264,6 +264,16 @@
                            std::map<RunKey, Instant>& aSince) const;
   void LogUnconfirmedRun(const RunKey& aRunKey, Instant aSince, Now aNow);
 
+  // Defined in SchedulerOrders.cpp.
+  // Returns the message for the next order to the agent, whose payload, checkpoint and image have
+  // `aBytes`.
+  WorkerOrders& OrdersFor(const std::string& aAgent,
+                          const WorkerKey& aWorker,
+                          std::size_t aBytes = 0);
+  // `aRepeated` tells that an earlier order for the run may have reached the worker.
+  void OrderStart(const RunKey& aRunKey, bool aRepeated);
+  void OrderStop(const RunKey& aRunKey);
+
   // Look up parts of a job; the pointers are null if the part does not exist.
   Job* FindJob(const std::string& aId);
   Step* FindStep(const TaskKey& aTaskKey);
@@ -277,14 +287,6 @@
   void RemoveRun(const RunKey& aRunKey);
   // Adds the demand of a run of the step if `aSign` is 1, and removes it if `aSign` is -1.
   void AdjustReservation(Worker& aWorker, const StepSpec& aStep, int aSign);
-  // Returns the message for the next order to the agent, whose payload, checkpoint and image have
-  // `aBytes`.
-  WorkerOrders& OrdersFor(const std::string& aAgent,
-                          const WorkerKey& aWorker,
-                          std::size_t aBytes = 0);
-  // `aRepeated` tells that an earlier order for the run may have reached the worker.
-  void OrderStart(const RunKey& aRunKey, bool aRepeated);
-  void OrderStop(const RunKey& aRunKey);
 
   SchedulerSettings settings;
   Counters& counters;
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -204,16 +204,6 @@
   CHECK(fixture.starts[2].first == "b");
 }
 
-TEST_CASE("JobScheduler StopsAnUnknownRun")
-{
-  SchedulerFixture fixture;
-  fixture.AddAgent("a");
-  fixture.agents["a"].running.push_back({ { "x.0.0.0", 3 }, "", 10, 0 });
-  fixture.Report("a");
-  fixture.TakeOrders();
-  CHECK(fixture.stops == std::vector<RunRef>{ { "x.0.0.0", 3 } });
-}
-
 TEST_CASE("JobScheduler StartsAnOccurrenceOnlyWhenItIsDue")
 {
   SchedulerFixture fixture;
--- a/packages/jobs/tests/UnconfirmedOrdersTest.cpp
+++ b/packages/jobs/tests/UnconfirmedOrdersTest.cpp
@@ -284,3 +284,14 @@
   fixture.TakeOrders();
   CHECK(fixture.stops == std::vector<RunRef>{ { "j.0.0.0", 1 } });
 }
+
+// Guards against a run that goes on for a job that does not exist.
+TEST_CASE("JobScheduler StopsAnUnknownRun")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.agents["a"].running.push_back({ { "x.0.0.0", 3 }, "", 10, 0 });
+  fixture.Report("a");
+  fixture.TakeOrders();
+  CHECK(fixture.stops == std::vector<RunRef>{ { "x.0.0.0", 3 } });
+}
