Start a job when a worker has started one of its runs

Cause: a job counted as started when a worker was chosen for its first task. The row of `waiting` was removed, the state was set to running and the start delay was measured, and nothing took that back when the run was rejected or lost.

Change: a job starts when a report lists one of its runs as running or ended, whatever becomes of the run. The state is stored once, and the row is removed then, at the end of the job, and once more by a new leader: an earlier one may have ended before it removed the row.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -118,6 +118,7 @@
 {
   JobRecord record;
   JobState state = JobState::Queued;
+  // A worker has started a run of the job, or the job has ended.
   bool started = false;
   // When this leader first read the job's row.
   Instant firstSeen{};
--- a/packages/jobs/include/oriolespread/jobs/JobRows.h
+++ b/packages/jobs/include/oriolespread/jobs/JobRows.h
@@ -3,7 +3,8 @@
 //   jobs     <id>                the submitted record, written by the entry that accepted it
 //            <id>.cancel         present once a cancellation was accepted
 //   state    <id>                the job state shown to callers, written by the leader
-//   waiting  <queue>/<id>        present until the job's first task is started
+//   waiting  <queue>/<id>        present until a worker has started a task of the job, or the job
+//                                has ended
 //   progress <id>.<occ>.<step>   runs, failures and checkpoints of a step, written by the leader
 //            <id>.<occ>.<step>+<row>   the same for some of the tasks of a wide step
 //   learned  interference        the leader's interference weights, read by the next leader
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -111,8 +111,8 @@
   // Returns, by image of the best-effort runs on the agent's worker, the headroom that one such run
   // costs the serving image that it slows down most there.
   std::map<std::string, double> BestEffortHeadroomCosts(const std::string& aAgent) const;
-  // Returns the start delays of the jobs whose first task was placed since the last call. A delay
-  // counts from when this leader first read the job's row.
+  // Returns the start delays of the jobs whose first task has started since the last call. A delay
+  // counts from when this leader first read the job's row to the report of the start.
   std::vector<Duration> TakeStartDelays() { return std::exchange(this->startDelays, {}); }
   std::size_t WaitingTasks() const { return this->waitingTasks; }
   // Returns the number of workers with runs that have not reported to this leader yet.
@@ -198,6 +198,9 @@
   // not started a second time beside it. Returns whether it did.
   bool AdoptRun(Worker& aWorker, const RunKey& aRunKey);
   void ApplyRunning(Worker& aWorker, const WorkerReport& aReport, Now aNow);
+  // Handles that a worker has started the run. The first run of a job starts the job; a run that is
+  // only placed does not, since it may be rejected or lost before it starts.
+  void OnRunStarted(const RunKey& aRunKey, Now aNow);
   void UpdateCheckpoint(const TaskKey& aTaskKey, const std::string& aCheckpoint, Now aNow);
   void UpdateInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   // `aLastOrders` is the last of the orders that the agent had received when it rejected the run.
@@ -248,7 +251,7 @@
   // Stops the runs of a gang of which other members have none. It is placed again as a whole once
   // they are gone.
   void StopRestOfGang(const ReadyStep& aReady);
-  void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker, Now aNow);
+  void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker);
 
   // Defined in SchedulerLogs.cpp.
   // Logs why no worker can take a task of the step, if it has waited for a while.
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -341,8 +341,8 @@
     job.rowRemoval = RowRemoval::Requested;
     this->removableRows.push_back(JobRow(id));
     this->removableRows.push_back(CancelRow(id));
-    // The row is normally removed when the first task starts, but an earlier leader may have ended
-    // before it removed the row.
+    // The row is normally removed when the first task starts, but a job that was loaded in its
+    // terminal state may still have it: an earlier leader may have ended before it removed the row.
     this->removableRows.push_back(WaitingRow(job.record.policy.queue, id));
   }
 }
--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -11,7 +11,12 @@
     return;
   }
   RunKey runKey;
-  Run* run = ParseRunRef(aEnd.ref, runKey) ? this->FindRun(runKey) : nullptr;
+  const bool isReadable = ParseRunRef(aEnd.ref, runKey);
+  if (isReadable) {
+    // A short run may end before any report lists it as running.
+    this->OnRunStarted(runKey, aNow);
+  }
+  Run* run = isReadable ? this->FindRun(runKey) : nullptr;
   const bool isCurrentRun = run != nullptr && run->worker == aWorker.key;
   // The successful end of a run that was considered lost is accepted too, so that its work is not
   // repeated.
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -230,7 +230,7 @@
   if (worker == nullptr) {
     return false;
   }
-  this->BeginRun(aReady, aIndex, *worker, aNow);
+  this->BeginRun(aReady, aIndex, *worker);
   return true;
 }
 
@@ -290,7 +290,7 @@
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     step.tasks[index].nextRunNumber = runNumber;
     step.tasks[index].checkpoint = checkpoint;
-    this->BeginRun(aReady, index, *selected[index], aNow);
+    this->BeginRun(aReady, index, *selected[index]);
     this->RecomputeHeadroomCosts(*selected[index]);
   }
   step.waitingSince = {};
@@ -315,10 +315,7 @@
   }
 }
 
-void JobScheduler::BeginRun(const ReadyStep& aReady,
-                            std::uint32_t aIndex,
-                            Worker& aWorker,
-                            Now aNow)
+void JobScheduler::BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker)
 {
   Job& job = *aReady.job;
   Task& task = job.occurrences.at(aReady.occurrence).steps[aReady.step].tasks[aIndex];
@@ -326,13 +323,6 @@
   const RunKey runKey{ taskKey, task.nextRunNumber++ };
   this->AddRun(runKey, RunState::Committing, aWorker);
   RowKey row = this->ProgressRowOf(taskKey);
-  if (!job.started) {
-    job.started = true;
-    job.state = JobState::Running;
-    this->startDelays.push_back(aNow.instant - job.firstSeen);
-    this->MarkChanged(StateRow(job.record.id));
-    this->removableRows.push_back(WaitingRow(job.record.policy.queue, job.record.id));
-  }
   this->MarkChanged(row);
   this->deferredOrders.push_back({ std::move(row), aWorker.agent, aWorker.key, runKey, 0 });
 }
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -183,11 +183,16 @@
 {
   for (const RunningRun& running : aReport.running) {
     RunKey runKey;
-    if (!ParseRunRef(running.ref, runKey) || this->StopIfUnknown(aWorker, running.ref)) {
+    if (!ParseRunRef(running.ref, runKey)) {
+      continue;
+    }
+    if (this->StopIfUnknown(aWorker, running.ref)) {
+      this->OnRunStarted(runKey, aNow);
       continue;
     }
     Run* run = this->FindRun(runKey);
     if (run->state == RunState::Ordered) {
+      this->OnRunStarted(runKey, aNow);
       run->state = RunState::Running;
       run->percentChangedAt = aNow.instant;
       if (this->FindTask(runKey.task)->checkpoint.empty()) {
@@ -215,6 +220,20 @@
   }
 }
 
+void JobScheduler::OnRunStarted(const RunKey& aRunKey, Now aNow)
+{
+  Job* job = this->FindJob(aRunKey.task.job);
+  const Task* task = this->FindTask(aRunKey.task);
+  if (task == nullptr || job->started || aRunKey.number >= task->nextRunNumber) {
+    return;
+  }
+  job->started = true;
+  job->state = JobState::Running;
+  this->startDelays.push_back(aNow.instant - job->firstSeen);
+  this->MarkChanged(StateRow(job->record.id));
+  this->removableRows.push_back(WaitingRow(job->record.policy.queue, job->record.id));
+}
+
 // The stored checkpoints are used when the leader fails together with the workers, for example in a
 // loss of power.
 void JobScheduler::UpdateCheckpoint(const TaskKey& aTaskKey,
--- a/packages/jobs/tests/SchedulerFailureTest.cpp
+++ b/packages/jobs/tests/SchedulerFailureTest.cpp
@@ -162,6 +162,7 @@
   REQUIRE(fixture.StateOf("batch") == JobState::Queued);
   fixture.Advance(100 * kMs);
   fixture.RunUntilIdle();
+  fixture.Report("a");
   CHECK(fixture.StateOf("batch") == JobState::Running);
 }
 
--- a/packages/jobs/tests/SchedulerGangTest.cpp
+++ b/packages/jobs/tests/SchedulerGangTest.cpp
@@ -156,8 +156,9 @@
     INFO("occurrence " << occurrence);
     fixture.Advance(100 * kMs);
     fixture.RunUntilIdle();
-    CHECK(fixture.StateOf("j") == JobState::Running);
     REQUIRE(fixture.starts.size() == 3);
+    fixture.Report("a");
+    CHECK(fixture.StateOf("j") == JobState::Running);
     for (const auto& [agent, start] : std::exchange(fixture.starts, {})) {
       fixture.End(agent, start.ref, RunEnd::Done);
     }
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -117,6 +117,8 @@
   first.AddAgent("a");
   first.Submit(MakeJob("j", { MakeStep(1) }));
   first.RunUntilIdle();
+  first.Report("a");
+  first.RunUntilIdle();
   first.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
   REQUIRE(first.StateOf("j") == JobState::Completed);
   const StoreBatch batch = first.scheduler.TakeBatch(1);
--- a/packages/jobs/tests/SchedulerRemovalTest.cpp
+++ b/packages/jobs/tests/SchedulerRemovalTest.cpp
@@ -89,6 +89,9 @@
     fixture.Submit(MakeJob("j" + std::to_string(job), { MakeStep(1) }));
   }
   fixture.scheduler.Decide(fixture.now);
+  fixture.scheduler.OnStored(fixture.scheduler.TakeBatch(95), fixture.now);
+  fixture.TakeOrders();
+  fixture.Report("a");
   std::size_t taken = 0;
   std::set<std::string> parts;
   for (;;) {
--- a/packages/jobs/tests/WideStepTest.cpp
+++ b/packages/jobs/tests/WideStepTest.cpp
@@ -97,6 +97,9 @@
   fixture.Submit(MakeJob("j", { MakeWideStep() }));
   fixture.RunUntilIdle();
   REQUIRE(fixture.starts.size() == kWideCount);
+  // Stores the state of the job.
+  fixture.Report("a");
+  fixture.RunUntilIdle();
   for (RunningRun& run : fixture.agents["a"].running) {
     run.checkpoint = std::string(1024, 'c');
   }
