Replace the runs of a restarted worker only after a full report

A task could have two runs at once: a worker that restarts under its id carries out a start that its earlier process had not answered. The first report of the new process need not be a full one (a heartbeat that changes the worker's state, or an end, is reported at once). The leader then took all runs of the earlier process for lost, placed their tasks elsewhere within milliseconds, and stopped the run when the full report listed it, up to a stop's grace time too late.

Change: while an earlier process of the worker has runs, the leader ignores a report of the next one that is not full (reports_ignored_total, worker_restarted). A full report lists the run, and it is taken up again.

Test: JobScheduler KeepsTheRunsOfARestartedWorkerUntilAReportListsWhatRunsThere failed before (2 starts instead of 1, and a stop).

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -185,6 +185,10 @@
 
   // Defined in SchedulerReports.cpp.
   Worker* RegisterWorker(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
+  // Returns the known workers of the agent other than `aCurrent`.
+  std::set<WorkerKey> OtherWorkers(const std::string& aAgent,
+                                   const std::optional<WorkerKey>& aCurrent) const;
+  bool HasRunsOfOtherWorkers(const std::string& aAgent, const WorkerKey& aCurrent) const;
   // Removes the workers of the agent other than `aCurrent`. An agent serves one worker, so the
   // others have ended.
   void RemoveOtherWorkers(const std::string& aAgent,
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -12,6 +12,11 @@
 // interference.
 constexpr std::int64_t kMinActiveMilliCores = 100;
 
+WorkerKey KeyOf(const WorkerReport& aReport)
+{
+  return { aReport.worker.id, aReport.worker.born };
+}
+
 } // namespace
 
 void JobScheduler::OnAgentUp(const std::string& aAgent, Now aNow)
@@ -60,6 +65,12 @@
     }
     return;
   }
+  if (!aReport.full && !aReport.allLost && this->HasRunsOfOtherWorkers(aAgent, KeyOf(aReport))) {
+    // The worker has restarted and may have carried out a late start of one of these runs. The next
+    // full report lists what runs there.
+    this->counters.Add("reports_ignored_total", "worker_restarted");
+    return;
+  }
   Worker* worker = this->RegisterWorker(aAgent, aReport, aNow);
   worker->connected = true;
   worker->reported = true;
@@ -99,7 +110,7 @@
                                      const WorkerReport& aReport,
                                      Now aNow)
 {
-  const WorkerKey key{ aReport.worker.id, aReport.worker.born };
+  const WorkerKey key = KeyOf(aReport);
   this->RemoveOtherWorkers(aAgent, key, "worker_restarted", aNow);
   this->workerOfAgent[aAgent] = key;
   Worker& worker = this->workers[key];
@@ -115,24 +126,40 @@
   return &worker;
 }
 
-void JobScheduler::RemoveOtherWorkers(const std::string& aAgent,
-                                      const std::optional<WorkerKey>& aCurrent,
-                                      std::string_view aReason,
-                                      Now aNow)
+std::set<WorkerKey> JobScheduler::OtherWorkers(const std::string& aAgent,
+                                               const std::optional<WorkerKey>& aCurrent) const
 {
   std::set<WorkerKey> others;
-  if (const auto loaded = this->loadedWorkersOfAgent.extract(aAgent); !loaded.empty()) {
-    others = loaded.mapped();
+  if (const auto loaded = this->loadedWorkersOfAgent.find(aAgent);
+      loaded != this->loadedWorkersOfAgent.end()) {
+    others = loaded->second;
   }
   if (const auto known = this->workerOfAgent.find(aAgent); known != this->workerOfAgent.end()) {
     others.insert(known->second);
   }
-  for (const WorkerKey& key : others) {
-    const auto worker = this->workers.find(key);
-    if (worker != this->workers.end() && aCurrent != key) {
-      this->RemoveLostWorker(worker->second, aReason, aNow);
-    }
+  std::erase_if(others, [&](const WorkerKey& aKey) {
+    return aCurrent == aKey || !this->workers.contains(aKey);
+  });
+  return others;
+}
+
+bool JobScheduler::HasRunsOfOtherWorkers(const std::string& aAgent, const WorkerKey& aCurrent) const
+{
+  const std::set<WorkerKey> others = this->OtherWorkers(aAgent, aCurrent);
+  return std::any_of(others.begin(), others.end(), [&](const WorkerKey& aKey) {
+    return !this->workers.at(aKey).runs.empty();
+  });
+}
+
+void JobScheduler::RemoveOtherWorkers(const std::string& aAgent,
+                                      const std::optional<WorkerKey>& aCurrent,
+                                      std::string_view aReason,
+                                      Now aNow)
+{
+  for (const WorkerKey& key : this->OtherWorkers(aAgent, aCurrent)) {
+    this->RemoveLostWorker(this->workers.at(key), aReason, aNow);
   }
+  this->loadedWorkersOfAgent.erase(aAgent);
 }
 
 // A run is unknown if its job has ended, or if it was considered lost and its task was started
--- a/packages/jobs/tests/UnconfirmedOrdersTest.cpp
+++ b/packages/jobs/tests/UnconfirmedOrdersTest.cpp
@@ -241,6 +241,40 @@
   CHECK(fixture.starts.size() == 1);
 }
 
+// Guards against two runs of a task at the same time: a worker that has restarted under its id
+// carries out a late start, which the first report of the new process does not list.
+TEST_CASE("JobScheduler KeepsTheRunsOfARestartedWorkerUntilAReportListsWhatRunsThere")
+{
+  for (const bool isListed : { true, false }) {
+    INFO("the run is listed: " << isListed);
+    SchedulerFixture fixture;
+    fixture.AddAgent("a");
+    fixture.Submit(MakeJob("j", { MakeStep(1) }));
+    fixture.RunUntilIdle();
+    REQUIRE(fixture.starts.size() == 1);
+    fixture.AddAgent("b");
+    WorkerReport& report = fixture.agents["a"];
+    const std::vector<RunningRun> running = std::exchange(report.running, {});
+    report.worker.born = 2;
+    report.full = false;
+    report.lastOrders = 0;
+    fixture.Report("a");
+    fixture.Advance(300 * kMs);
+    fixture.RunUntilIdle();
+    CHECK(fixture.starts.size() == 1);
+
+    report.full = true;
+    if (isListed) {
+      report.running = running;
+    }
+    fixture.Report("a");
+    fixture.RunUntilIdle();
+    CHECK(fixture.stops.empty());
+    CHECK(fixture.starts.size() == (isListed ? 1 : 2));
+    CHECK(fixture.starts.back().second.ref == RunRef{ "j.0.0.0", isListed ? 1U : 2U });
+  }
+}
+
 // Guards against two runs of a member of a gang at the same time, of which only this one was
 // considered lost.
 TEST_CASE("JobScheduler PlacesAGangAgainOnlyWhenAMemberThatItConsideredLostIsGone")
