Raise the fencing token with each agent process and worker incarnation

A task could have two runs at once: a worker and its agent restart together, the leader starts the task elsewhere because the worker has restarted, and the new worker carries out a start that the earlier agent had sent and that was not answered. The new agent does not know of that start, and the clock of the new worker begins anew, so that the old deadline does not void it. A late poll was accepted in the same way, with the numbers of the ends of the earlier process.

Cause: the token was the bare epoch of the leader, so that under one leader a worker could not tell late calls from present ones.

Change: the token is the epoch x 2^32 and a stamp that rises with each process of the agent and each incarnation of the worker (cluster::WorkerFence). Once the worker has answered a call with the present token, on which each report waits, it refuses all earlier calls, and the first full report lists what was carried out before. An agent whose clock was set back raises the stamp until the worker accepts it. The first report of an incarnation is a full one if the worker's lists are readable.

--- a/packages/base/include/oriolespread/base/Ids.h
+++ b/packages/base/include/oriolespread/base/Ids.h
@@ -27,6 +27,8 @@
 using ShardId = StrongType<struct ShardIdTag, std::uint32_t>;
 // Fencing number of a shard's ownership; every change of owner raises it. 0 means none.
 using Epoch = StrongType<struct EpochTag, std::uint64_t>;
+// Number of a call to a worker, which refuses calls with a lower number than it has seen.
+using FencingToken = StrongType<struct FencingTokenTag, std::uint64_t>;
 // Position of a change ticket in the total order; the first ticket has number 1, 0 means none.
 using TicketNumber = StrongType<struct TicketNumberTag, std::uint64_t>;
 // Distinguishes successive lives of one process; a later life has a higher number.
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -17,6 +17,13 @@
 constexpr double kMaxWorkerClockRatio = 1.03;
 constexpr Duration kLeaseExpiryMargin = std::chrono::milliseconds(200);
 
+std::int64_t CurrentUnixMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<WorkerDriver>> WorkerDriver::Create(asio::io_context& aContext,
@@ -46,6 +53,7 @@
   , client(std::move(aClient))
   , pollTimer(aContext)
   , createdAt(BootClock::now())
+  , fence(CurrentUnixMs())
   , allLeasesExpiredAt(this->createdAt + LongestLeaseOnAgentClock(aMaxWorkerLease))
   , paceController(cluster::PaceSettings{})
 {
@@ -118,6 +126,10 @@
   this->unconfirmedHeartbeat.reset();
   this->otherIncarnationAnswered = false;
   this->client->SetExpectedInstance(aHeartbeat.worker.id);
+  // Calls to the earlier incarnation that this one accepts after its first answer would start runs
+  // that the leader has given up, extend leases by times of another clock, or acknowledge ends by
+  // numbers of another count.
+  this->fence.Raise(CurrentUnixMs());
   this->fenceConfirmed = false;
   this->workerClockMs.reset();
   this->leaseExpiry = {};
@@ -131,6 +143,9 @@
   this->running.clear();
   this->KeepEndsOfEarlierIncarnation();
   this->reportedEnds.clear();
+  // The leader replaces the runs of the earlier incarnation once a full report lists those of the
+  // new one.
+  this->lastPeriodicReportAt = {};
   this->acknowledgedEnds.clear();
   this->lastAcknowledgedEnd = 0;
   this->rejected.clear();
@@ -227,13 +242,8 @@
   }
   if (aEpoch > this->epoch) {
     this->epoch = aEpoch;
-    this->fenceConfirmed = false;
-    // The worker refuses orders with the earlier token as soon as it has seen the new one.
-    for (const auto& [ref, tracked] : this->trackedRuns) {
-      if (tracked.stopping && !tracked.stopConfirmed) {
-        this->SendStop(ref);
-      }
-    }
+    this->fence.Follow(aEpoch, CurrentUnixMs());
+    this->OnTokenChanged();
   }
   this->lastPeriodicReportAt = {};
   // Poll again without waiting for the answer to a long poll that may be in flight.
@@ -241,6 +251,17 @@
   this->SchedulePoll(Duration::zero());
 }
 
+void WorkerDriver::OnTokenChanged()
+{
+  this->fenceConfirmed = false;
+  // The worker refuses orders with the earlier token as soon as it has seen the new one.
+  for (const auto& [ref, tracked] : this->trackedRuns) {
+    if (tracked.stopping && !tracked.stopConfirmed) {
+      this->SendStop(ref);
+    }
+  }
+}
+
 void WorkerDriver::OnLeaderLost()
 {
   this->leaderLinked = false;
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -4,6 +4,7 @@
 
 #include "oriolespread/base/Counters.h"
 #include "oriolespread/cluster/PaceController.h"
+#include "oriolespread/cluster/WorkerFence.h"
 #include "oriolespread/messages/WorkerMessages.h"
 #include "oriolespread/platformwire/WorkerClient.h"
 #include "oriolespread/service/LatencyHistogram.h"
@@ -89,6 +90,9 @@
   // new incarnation and does not repeat the work.
   void KeepEndsOfEarlierIncarnation();
   void ForgetOldUnansweredStarts();
+  // Requires that the worker accepts the present token before anything is reported or started, and
+  // repeats the stops that it has not confirmed. Called whenever the token has changed.
+  void OnTokenChanged();
   // Returns whether a stop that the new incarnation was sent in BeginIncarnation is not confirmed
   // yet, for at most `kMaxBarDelay`.
   bool MayRunBarredRuns() const;
@@ -104,7 +108,7 @@
   void ProbeWorker();
   void OnProbeAnswer(const platformwire::WorkerAnswer& aAnswer);
   void OnPollAnswer(const platformwire::WorkerAnswer& aAnswer,
-                    Epoch aFencingEpoch,
+                    FencingToken aToken,
                     Instant aSentAt);
   // Reports the rejection of runs that the worker has been stopped from starting, and that the poll
   // sent at `aPollSentAt` does not show.
@@ -140,6 +144,7 @@
   void GiveUpStartsOrderedBefore(Instant aTime);
   void OnStartAnswer(const RunRef& aRef,
                      int aAttempt,
+                     FencingToken aToken,
                      Instant aSentAt,
                      const platformwire::WorkerAnswer& aAnswer);
   // Orders the worker to stop the run, and repeats the order until the worker has carried it out.
@@ -148,7 +153,7 @@
   void SendStop(const RunRef& aRef);
   void OnStopAnswer(const RunRef& aRef,
                     int aAttempt,
-                    Epoch aEpoch,
+                    FencingToken aToken,
                     Instant aSentAt,
                     const platformwire::WorkerAnswer& aAnswer);
   // Reports the run as rejected. If the worker may still carry out a start of it, stops it first.
@@ -189,7 +194,8 @@
 
   Epoch epoch;
   bool leaderLinked = false;
-  // Whether the worker has received the fencing token of `epoch`.
+  cluster::WorkerFence fence;
+  // Whether the worker has accepted the present token of `fence`.
   bool fenceConfirmed = false;
   std::uint64_t sequence = 0;
   // When the reports of the last lease that the leader has not answered were sent, by sequence
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -144,24 +144,28 @@
   }
   const int attempt = ++it->second.startAttempts;
   ++it->second.openStarts;
-  this->client->Start(
-    it->second.start,
-    this->epoch,
-    this->ToWorkerClockMs(this->grantedLeaseExpiry),
-    kWorkerCallTimeout,
-    [this, aRef, attempt, epoch = this->epoch, id = this->incarnation, sentAt = BootClock::now()](
-      const WorkerAnswer& aAnswer) {
-      if (attempt > 1 || aAnswer.end != WorkerCallOutcome::Done) {
-        LogOrderAnswer("start_answered", aRef, epoch, attempt, sentAt, aAnswer);
-      }
-      if (aAnswer.end == WorkerCallOutcome::Unknown) {
-        this->ForgetOldUnansweredStarts();
-        this->unansweredStarts.emplace_back(BootClock::now(), aRef);
-      }
-      if (id == this->incarnation) {
-        this->OnStartAnswer(aRef, attempt, sentAt, aAnswer);
-      }
-    });
+  this->client->Start(it->second.start,
+                      this->fence.Token(),
+                      this->ToWorkerClockMs(this->grantedLeaseExpiry),
+                      kWorkerCallTimeout,
+                      [this,
+                       aRef,
+                       attempt,
+                       epoch = this->epoch,
+                       token = this->fence.Token(),
+                       id = this->incarnation,
+                       sentAt = BootClock::now()](const WorkerAnswer& aAnswer) {
+                        if (attempt > 1 || aAnswer.end != WorkerCallOutcome::Done) {
+                          LogOrderAnswer("start_answered", aRef, epoch, attempt, sentAt, aAnswer);
+                        }
+                        if (aAnswer.end == WorkerCallOutcome::Unknown) {
+                          this->ForgetOldUnansweredStarts();
+                          this->unansweredStarts.emplace_back(BootClock::now(), aRef);
+                        }
+                        if (id == this->incarnation) {
+                          this->OnStartAnswer(aRef, attempt, token, sentAt, aAnswer);
+                        }
+                      });
 }
 
 std::string_view WorkerDriver::AwaitedForStart()
@@ -197,6 +201,7 @@
 
 void WorkerDriver::OnStartAnswer(const RunRef& aRef,
                                  int aAttempt,
+                                 FencingToken aToken,
                                  Instant aSentAt,
                                  const WorkerAnswer& aAnswer)
 {
@@ -222,6 +227,11 @@
       }
       return;
     case WorkerCallOutcome::Fenced:
+      if (aToken != this->fence.Token()) {
+        // Superseded by a call of this process.
+        break;
+      }
+      [[fallthrough]];
     case WorkerCallOutcome::OtherInstance:
       // A later leader or a later incarnation of the worker makes the order void, and with it all
       // earlier attempts.
@@ -289,22 +299,26 @@
 void WorkerDriver::SendStop(const RunRef& aRef)
 {
   const int attempt = ++this->trackedRuns.at(aRef).stopAttempts;
-  this->client->Stop(
-    aRef,
-    this->epoch,
-    kWorkerCallTimeout,
-    [this, aRef, attempt, epoch = this->epoch, id = this->incarnation, sentAt = BootClock::now()](
-      const WorkerAnswer& aAnswer) {
-      LogOrderAnswer("stop_answered", aRef, epoch, attempt, sentAt, aAnswer);
-      if (id == this->incarnation) {
-        this->OnStopAnswer(aRef, attempt, epoch, sentAt, aAnswer);
-      }
-    });
+  this->client->Stop(aRef,
+                     this->fence.Token(),
+                     kWorkerCallTimeout,
+                     [this,
+                      aRef,
+                      attempt,
+                      epoch = this->epoch,
+                      token = this->fence.Token(),
+                      id = this->incarnation,
+                      sentAt = BootClock::now()](const WorkerAnswer& aAnswer) {
+                       LogOrderAnswer("stop_answered", aRef, epoch, attempt, sentAt, aAnswer);
+                       if (id == this->incarnation) {
+                         this->OnStopAnswer(aRef, attempt, token, sentAt, aAnswer);
+                       }
+                     });
 }
 
 void WorkerDriver::OnStopAnswer(const RunRef& aRef,
                                 int aAttempt,
-                                Epoch aEpoch,
+                                FencingToken aToken,
                                 Instant aSentAt,
                                 const WorkerAnswer& aAnswer)
 {
@@ -327,9 +341,8 @@
       return;
     case WorkerCallOutcome::Fenced:
       this->counters.Add("stops_void_total", aAnswer.reason);
-      // A later leader is in charge of the worker. Once the agent follows it, the stop is sent with
-      // its token.
-      if (aEpoch == this->epoch) {
+      // A later leader is in charge of the worker. The stop is sent again with the next token.
+      if (aToken == this->fence.Token()) {
         return;
       }
       break;
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -35,7 +35,7 @@
   this->pollPending = true;
   const Instant now = BootClock::now();
   platformwire::WorkerPoll request;
-  request.fence = this->epoch;
+  request.fence = this->fence.Token();
   // Numbers of ends and times on the worker's clock hold for one incarnation only.
   const bool mayBeOtherIncarnation =
     this->unconfirmedHeartbeat.has_value() || this->otherIncarnationAnswered;
@@ -50,14 +50,14 @@
   const bool waitForEnd =
     this->unacknowledgedEnds.empty() && this->fenceConfirmed && !mayBeOtherIncarnation;
   request.wait = waitForEnd ? kWorkerLongPollTime : Duration::zero();
-  this->client->Poll(request,
-                     request.wait + kWorkerCallTimeout,
-                     [this, pollId = ++this->lastPollId, fencingEpoch = this->epoch, now](
-                       const WorkerAnswer& aAnswer) {
-                       if (pollId == this->lastPollId) {
-                         this->OnPollAnswer(aAnswer, fencingEpoch, now);
-                       }
-                     });
+  this->client->Poll(
+    request,
+    request.wait + kWorkerCallTimeout,
+    [this, pollId = ++this->lastPollId, token = request.fence, now](const WorkerAnswer& aAnswer) {
+      if (pollId == this->lastPollId) {
+        this->OnPollAnswer(aAnswer, token, now);
+      }
+    });
 }
 
 void WorkerDriver::ProbeWorker()
@@ -67,7 +67,7 @@
   }
   this->pollPending = true;
   platformwire::WorkerPoll request;
-  request.fence = this->epoch;
+  request.fence = this->fence.Token();
   this->client->Poll(
     request, kWorkerCallTimeout, [this, pollId = ++this->lastPollId](const WorkerAnswer& aAnswer) {
       if (pollId == this->lastPollId) {
@@ -101,7 +101,7 @@
   }
 }
 
-void WorkerDriver::OnPollAnswer(const WorkerAnswer& aAnswer, Epoch aFencingEpoch, Instant aSentAt)
+void WorkerDriver::OnPollAnswer(const WorkerAnswer& aAnswer, FencingToken aToken, Instant aSentAt)
 {
   this->pollPending = false;
   // Scheduled first, so that polling continues if the handling of the answer throws.
@@ -113,6 +113,10 @@
     }
     if (aAnswer.end == WorkerCallOutcome::Fenced) {
       this->counters.Add("looks_fenced_total", "worker");
+      if (this->epoch != Epoch{} && aToken == this->fence.Token()) {
+        this->fence.RaiseAfterRefusal();
+        this->OnTokenChanged();
+      }
     }
     this->OnPollFailed(aAnswer);
     return;
@@ -150,7 +154,10 @@
     this->workerClockMs = aAnswer.clockMs;
     this->workerClockReadAt = now;
   }
-  this->fenceConfirmed = aFencingEpoch == this->epoch && this->epoch != Epoch{};
+  if (aToken == this->fence.Token() && this->epoch != Epoch{}) {
+    this->fenceConfirmed = true;
+    this->fence.OnAccepted();
+  }
   this->running = aAnswer.running;
   bool hasNewEnds = false;
   if (!aAnswer.ended.empty()) {
@@ -340,21 +347,24 @@
     Log(LogLevel::Info,
         "run_paced",
         { { "task", order.ref.task }, { "run", order.ref.run }, { "percent", order.percent } });
-    this->client->Pace(order.ref,
-                       order.percent,
-                       this->epoch,
-                       kWorkerCallTimeout,
-                       [this, order, id = this->incarnation](const WorkerAnswer& aAnswer) {
-                         if (id != this->incarnation) {
-                           return;
-                         }
-                         if (aAnswer.end == WorkerCallOutcome::Unknown) {
-                           this->paceController.OnUnanswered(order.ref, BootClock::now());
-                         } else if (aAnswer.end == WorkerCallOutcome::Refused ||
-                                    aAnswer.end == WorkerCallOutcome::Rejected) {
-                           this->paceController.OnFailed(order.ref);
-                         }
-                       });
+    this->client->Pace(
+      order.ref,
+      order.percent,
+      this->fence.Token(),
+      kWorkerCallTimeout,
+      [this, order, id = this->incarnation, token = this->fence.Token()](
+        const WorkerAnswer& aAnswer) {
+        if (id != this->incarnation) {
+          return;
+        }
+        if (aAnswer.end == WorkerCallOutcome::Unknown) {
+          this->paceController.OnUnanswered(order.ref, BootClock::now());
+        } else if (aAnswer.end == WorkerCallOutcome::Refused ||
+                   aAnswer.end == WorkerCallOutcome::Rejected ||
+                   (aAnswer.end == WorkerCallOutcome::Fenced && token != this->fence.Token())) {
+          this->paceController.OnFailed(order.ref);
+        }
+      });
   }
 }
 
--- a/packages/daemon/tests/WorkerDriverFixture.h
+++ b/packages/daemon/tests/WorkerDriverFixture.h
@@ -147,6 +147,18 @@
       });
   }
 
+  // Returns the token of a process of the agent whose clock differs by the time.
+  static FencingToken TokenOfAgent(Duration aClockDifference)
+  {
+    const std::int64_t unixMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                  std::chrono::system_clock::now().time_since_epoch())
+                                  .count() +
+                                ToMilliseconds(aClockDifference);
+    cluster::WorkerFence fence(unixMs);
+    fence.Follow(Epoch{ 1 }, unixMs);
+    return fence.Token();
+  }
+
   // Sends a start as an earlier process of the agent, which the worker carries out 1.5 s later.
   std::unique_ptr<platformwire::WorkerClient> SendDelayedStart(const std::string& aTask)
   {
@@ -155,8 +167,11 @@
     this->worker->SetDelayedCallShare(1.0);
     StartRun start;
     start.ref = { aTask, 1 };
-    client->Start(
-      start, Epoch{ 1 }, 5000, 500 * kMillisecond, [](const platformwire::WorkerAnswer&) {});
+    client->Start(start,
+                  TokenOfAgent(-std::chrono::seconds(10)),
+                  5000,
+                  500 * kMillisecond,
+                  [](const platformwire::WorkerAnswer&) {});
     this->RunFor(50 * kMillisecond);
     this->worker->SetDelayedCallShare(0);
     return client;
--- a/packages/daemon/tests/WorkerLossTest.cpp
+++ b/packages/daemon/tests/WorkerLossTest.cpp
@@ -235,6 +235,40 @@
   CHECK_FALSE(fixture.IsListed("j.0.0.0"));
 }
 
+// Guards against a second run of a task: the worker and its agent restart together, and the new
+// worker carries out a start that the earlier agent had sent, after the leader has given it up.
+TEST_CASE("WorkerDriver PreventsStartsOfAnEarlierAgentWhenTheWorkerHasRestartedAsWell")
+{
+  WorkerDriverFixture fixture;
+  const auto earlier = fixture.SendDelayedStart("j.0.0.0");
+  fixture.worker->Restart();
+  fixture.driver = fixture.MakeDriver(std::chrono::seconds(6));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(
+    fixture.RunUntil([&] { return !fixture.reports.empty() && fixture.reports.back().full; }));
+  REQUIRE(fixture.started.empty());
+  fixture.RunFor(2000 * kMillisecond);
+  CHECK(fixture.started.empty());
+}
+
+// Guards against an agent that its worker refuses after a restart because the clock was set back.
+TEST_CASE("WorkerDriver ReportsItsWorkerWhenAnEarlierAgentHasUsedHigherTokens")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  const auto earlier = *platformwire::WorkerClient::Create(
+    fixture.context, "127.0.0.1:" + std::to_string(fixture.worker->Port()), fixture.counters);
+  platformwire::WorkerPoll poll;
+  poll.fence = WorkerDriverFixture::TokenOfAgent(std::chrono::seconds(20));
+  earlier->Poll(poll, 500 * kMillisecond, [](const platformwire::WorkerAnswer&) {});
+  fixture.RunFor(100 * kMillisecond);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.StopTask("j.0.0.0");
+  CHECK(fixture.RunUntil([&] { return !fixture.ended.empty(); }));
+}
+
 // Guards against a second run of a task (soak seed 6050): an agent that resumes after a pause sends
 // starts to a new incarnation of the worker, and the leader starts the runs elsewhere as soon as it
 // knows of that incarnation.
