Supersede unanswered starts when the lease has expired

A task could have two runs at once: an agent is cut off from the leader for longer than a lease, and the leader starts the task elsewhere. Once the agent is back, the lease that it grants lets the worker carry out a start that it had not answered, if the order to stop that run gets no answer at first either.

Cause: a start that the leader has given up was prevented by a stop of its own only, and the next lease did not wait for that stop.

Change: before a lease is granted again after a time without one, and when all leases have expired, the agent raises its fencing token if it has sent starts with the present one. The worker takes the new token with the lease, so that it refuses the earlier starts from then on.

Test: WorkerDriver PreventsUnansweredStartsWhenTheLeaseHasExpired failed before (the run started). daemon_tests pass.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -130,6 +130,7 @@
   // that the leader has given up, extend leases by times of another clock, or acknowledge ends by
   // numbers of another count.
   this->fence.Raise(CurrentUnixMs());
+  this->startsSent = false;
   this->fenceConfirmed = false;
   this->workerClockMs.reset();
   this->leaseExpiry = {};
@@ -243,6 +244,7 @@
   if (aEpoch > this->epoch) {
     this->epoch = aEpoch;
     this->fence.Follow(aEpoch, CurrentUnixMs());
+    this->startsSent = false;
     this->OnTokenChanged();
   }
   this->lastPeriodicReportAt = {};
@@ -281,10 +283,24 @@
   this->leaseExpiry = std::max(this->leaseExpiry, sent->second + this->requestedLease);
   this->reportSentTimes.erase(this->reportSentTimes.begin(), std::next(sent));
   if (earlierExpiry <= BootClock::now()) {
+    this->SupersedeStarts();
     this->GiveUpStartsOrderedBefore(earlierExpiry);
   }
 }
 
+void WorkerDriver::SupersedeStarts()
+{
+  if (!this->startsSent) {
+    return;
+  }
+  this->startsSent = false;
+  this->fence.Raise(CurrentUnixMs());
+  this->OnTokenChanged();
+  // Polls without waiting for the answer to a long poll with the earlier token.
+  this->pollPending = false;
+  this->SchedulePoll(Duration::zero());
+}
+
 bool WorkerDriver::HasRecentLeaderResponse() const
 {
   // A lease starts when the report was sent that the leader answered with the extension.
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -90,6 +90,9 @@
   // new incarnation and does not repeat the work.
   void KeepEndsOfEarlierIncarnation();
   void ForgetOldUnansweredStarts();
+  // Raises the token if a start was sent with the present one. Called before a lease is granted
+  // after a time without one, in which the leader may have started the runs elsewhere.
+  void SupersedeStarts();
   // Requires that the worker accepts the present token before anything is reported or started, and
   // repeats the stops that it has not confirmed. Called whenever the token has changed.
   void OnTokenChanged();
@@ -197,6 +200,8 @@
   cluster::WorkerFence fence;
   // Whether the worker has accepted the present token of `fence`.
   bool fenceConfirmed = false;
+  // A start was sent with the present token.
+  bool startsSent = false;
   std::uint64_t sequence = 0;
   // When the reports of the last lease that the leader has not answered were sent, by sequence
   // number.
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -144,6 +144,7 @@
   }
   const int attempt = ++it->second.startAttempts;
   ++it->second.openStarts;
+  this->startsSent = true;
   this->client->Start(it->second.start,
                       this->fence.Token(),
                       this->ToWorkerClockMs(this->grantedLeaseExpiry),
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -248,6 +248,7 @@
     }
     this->trackedRuns.clear();
     this->running.clear();
+    this->SupersedeStarts();
     Log(LogLevel::Warning,
         "worker_lost",
         { { "worker", this->worker.id },
--- a/packages/daemon/tests/WorkerLossTest.cpp
+++ b/packages/daemon/tests/WorkerLossTest.cpp
@@ -269,6 +269,23 @@
   CHECK(fixture.RunUntil([&] { return !fixture.ended.empty(); }));
 }
 
+// Guards against a second run of a task: a start that was not answered is carried out with a lease
+// that was granted after the leader had given the run up, before the stop, which is late as well.
+TEST_CASE("WorkerDriver PreventsUnansweredStartsWhenTheLeaseHasExpired")
+{
+  WorkerDriverFixture fixture(1500 * kMillisecond);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.worker->SetDelayedCallShare(1.0);
+  fixture.StartTask("j.0.0.0");
+  fixture.extendLeases = false;
+  fixture.RunFor(1450 * kMillisecond);
+  REQUIRE(fixture.started.empty());
+  fixture.extendLeases = true;
+  fixture.RunFor(2500 * kMillisecond);
+  CHECK(fixture.started.empty());
+}
+
 // Guards against a second run of a task (soak seed 6050): an agent that resumes after a pause sends
 // starts to a new incarnation of the worker, and the leader starts the runs elsewhere as soon as it
 // knows of that incarnation.
