Share the time of day between the daemon's sources

WorkerDriver needs the Unix time for its fencing tokens, and JobApi and LeaderDriver computed it by code of their own.

--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -1,6 +1,7 @@
 #include "JobApi.h"
 
 #include "MultiRangeReader.h"
+#include "UnixTime.h"
 #include "absl/strings/numbers.h"
 
 #include "oriolespread/daemon/ClusterSettings.h"
@@ -34,13 +35,6 @@
 constexpr Duration kMaxStoreSilence = std::chrono::milliseconds(700);
 constexpr std::size_t kMaxCachedEndedJobs = 20000;
 
-std::int64_t CurrentUnixMs()
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 std::int64_t CallerTimeoutMs(const HttpRequest& aRequest, const cluster::QueueConfig& aQueue)
 {
   const std::string_view text = FindHeader(aRequest.headers, platformwire::kTimeoutHeader);
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -1,12 +1,12 @@
 #include "LeaderDriver.h"
 
 #include "ProcessorSpeed.h"
+#include "UnixTime.h"
 
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/service/Log.h"
 
 #include <algorithm>
-#include <chrono>
 
 namespace oriolespread::daemon {
 
@@ -62,10 +62,7 @@
 
 jobs::Now LeaderDriver::CurrentTime() const
 {
-  return { BootClock::now(),
-           std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-             .count() };
+  return { BootClock::now(), CurrentUnixMs() };
 }
 
 void LeaderDriver::CallAfter(Duration aDelay, std::function<void()> aCall)
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -1,5 +1,7 @@
 #include "WorkerDriver.h"
 
+#include "UnixTime.h"
+
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/service/Log.h"
 
@@ -17,13 +19,6 @@
 constexpr double kMaxWorkerClockRatio = 1.03;
 constexpr Duration kLeaseExpiryMargin = std::chrono::milliseconds(200);
 
-std::int64_t CurrentUnixMs()
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 } // namespace
 
 absl::StatusOr<std::unique_ptr<WorkerDriver>> WorkerDriver::Create(asio::io_context& aContext,
