Poll the worker at intervals while no leader is followed

What was seen: an agent that has not yet followed a leader polls its worker without a pause: 20,383 polls in the second of the new test, from one agent. All agents do this while no entry leads, for example after a loss of power.

Cause: a poll asks for an immediate answer until the worker has accepted the fencing token, and the next poll followed the answer at once. Without a leader there is no token to accept. The same holds for a heartbeat of another incarnation that an answer without a start time can not confirm.

Change: without a leader the next poll comes after kWorkerRetryDelay (150 ms); following a leader polls at once, as before. With an unconfirmed heartbeat it comes after kMinWorkerPollInterval (25 ms).

WorkerDriver PollsAtIntervalsWhenItFollowsNoLeader failed before (20383 <= 25) and passes.

--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -210,10 +210,16 @@
   if (hasNewEnds || reportDue) {
     this->ReportState(reportDue && listsAllRuns, aSentAt);
   }
+  if (this->epoch == Epoch{}) {
+    // No leader needs the state yet, and these polls are answered at once. The next one is
+    // scheduled above.
+    return;
+  }
   // The worker answers at once while it lists ends, so the next poll has to be delayed.
   const bool hasEnds = !this->unacknowledgedEnds.empty() || !aAnswer.unreadableEnds.empty() ||
                        aAnswer.unnumberedEnds > 0;
-  this->SchedulePoll(hasEnds ? kMinWorkerPollInterval : Duration::zero());
+  this->SchedulePoll(hasEnds || this->unconfirmedHeartbeat.has_value() ? kMinWorkerPollInterval
+                                                                       : Duration::zero());
 }
 
 // A run that began before its stop arrived is running or has ended, and its end is reported.
--- a/packages/daemon/tests/WorkerPollingTest.cpp
+++ b/packages/daemon/tests/WorkerPollingTest.cpp
@@ -93,6 +93,18 @@
   CHECK(fixture.reports.back().allLost != isPresent);
 }
 
+// Guards against an agent that polls its worker without a pause while no entry leads.
+TEST_CASE("WorkerDriver PollsAtIntervalsWhenItFollowsNoLeader")
+{
+  WorkerDriverFixture fixture;
+  fixture.RunFor(1000 * kMillisecond);
+  CHECK(fixture.worker->PollCount() >= 1);
+  CHECK(fixture.worker->PollCount() <= 25);
+  // The first leader does not wait for the next interval.
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  CHECK(fixture.RunUntil([&] { return !fixture.reports.empty() && fixture.reports.back().full; }));
+}
+
 // Guards against work that runs again, as its end is behind the ends that the worker lists at once.
 TEST_CASE("WorkerDriver SendsNoFullReportWhileTheWorkerMayHaveMoreEnds")
 {
