Run no queued handler of a destroyed worker driver

On this machine: 2 of 48 runs of that test, six at once beside a build. Stack: SchedulePoll's handler, PollWorker, HttpClient::Call on a freed client.

Cause: the destructor of a timer cancels a wait, but not a handler that the loop has already queued, and the handlers of the poll timer and of CallAfter use the driver. In the programs the driver outlives the loop, so only tests were at risk.

Change: the handlers hold a weak pointer that expires with the driver. The header states that the driver may be destroyed while the loop runs.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -333,11 +333,12 @@
 void WorkerDriver::CallAfter(Duration aDelay, std::function<void()> aCall)
 {
   auto timer = std::make_shared<asio::steady_timer>(this->context, aDelay);
-  timer->async_wait([timer, call = std::move(aCall)](asio::error_code aError) {
-    if (!aError) {
-      call();
-    }
-  });
+  timer->async_wait(
+    [timer, call = std::move(aCall), driver = std::weak_ptr(this->alive)](asio::error_code aError) {
+      if (!aError && !driver.expired()) {
+        call();
+      }
+    });
 }
 
 } // namespace oriolespread::daemon
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -21,6 +21,8 @@
 
 namespace oriolespread::daemon {
 
+// Used from the event loop's thread only. May be destroyed while the loop runs: no handler of it
+// runs after that.
 class WorkerDriver
 {
 public:
@@ -171,6 +173,7 @@
   // were lost. It has then given up the run that it ordered to start.
   bool MayPrecedeLoss() const;
   std::int64_t ToWorkerClockMs(Instant aLocalTime) const;
+  // Runs the call after the delay, unless the driver is destroyed before.
   void CallAfter(Duration aDelay, std::function<void()> aCall);
 
   asio::io_context& context;
@@ -252,6 +255,8 @@
   cluster::PaceController paceController;
   // The headroom that runs of an image take from other runs, as the leader has learned it.
   std::map<std::string, double> disturbanceByImage;
+  // Expires with the driver. The destructor of a timer does not cancel a handler that is queued.
+  std::shared_ptr<const bool> alive = std::make_shared<const bool>(true);
 };
 
 } // namespace oriolespread::daemon
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -16,8 +16,8 @@
     return;
   }
   this->pollTimer.expires_after(aDelay);
-  this->pollTimer.async_wait([this](asio::error_code aError) {
-    if (!aError) {
+  this->pollTimer.async_wait([this, driver = std::weak_ptr(this->alive)](asio::error_code aError) {
+    if (!aError && !driver.expired()) {
       this->PollWorker();
     }
   });
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -381,6 +381,22 @@
   CHECK(fixture.RunUntil([&] { return !fixture.started.empty(); }));
 }
 
+// Guards against a crash when the driver is destroyed after the time of its next poll has come, and
+// before the event loop has run the handler.
+TEST_CASE("WorkerDriver RunsNoQueuedHandlerWhenItIsDestroyed")
+{
+  WorkerDriverFixture fixture;
+  // The heartbeat and the answer to the first poll arrive; the next poll is due 150 ms later.
+  fixture.RunFor(50 * kMillisecond);
+  fixture.context.poll();
+  std::this_thread::sleep_for(300 * kMillisecond);
+  // Runs the timer of the worker, which expires first, and queues the one of the driver.
+  REQUIRE(fixture.context.run_one() == 1);
+  fixture.driver.reset();
+  fixture.RunFor(50 * kMillisecond);
+  CHECK(fixture.reports.empty());
+}
+
 // Guards against calls without a pause to a worker that fails or resets them.
 TEST_CASE("WorkerDriver RepeatsAFailedStopAfterADelay")
 {
