Drop the callback of a rejected call when its client is destroyed

A call above the limit of waiting calls runs its callback from the loop, also when the client and the owner of the callback have been destroyed meanwhile, although the header says that all callbacks are dropped.

Cause: the queued handler did not look whether the client was closed, as the handler of the time-out does.

Change: it does.

HttpClientServer DropsTheCallbackOfACallAboveTheLimitWhenTheClientIsDestroyed failed before (the callback was called) and passes.

--- a/packages/http/src/ClientCore.cpp
+++ b/packages/http/src/ClientCore.cpp
@@ -33,7 +33,11 @@
     std::make_shared<ClientCall>(this->context, std::move(aRequest), std::move(aCallback));
   if (this->waiting.size() >= this->limits.waitingCalls) {
     this->counters.Add("http_calls_failed_total", "queue_full");
-    asio::post(this->context, [call] { call->Finish({ HttpEnd::NotSent, {}, "queue_full" }); });
+    asio::post(this->context, [self = this->shared_from_this(), call] {
+      if (!self->closed) {
+        call->Finish({ HttpEnd::NotSent, {}, "queue_full" });
+      }
+    });
     return;
   }
   call->timer.expires_after(aTimeout);
--- a/packages/http/tests/HttpClientServerTest.cpp
+++ b/packages/http/tests/HttpClientServerTest.cpp
@@ -92,6 +92,24 @@
   CHECK(pair.Call({ "GET", "/a", {}, {} }).end == HttpEnd::Refused);
 }
 
+// Guards against a callback that uses its owner after the owner and its client are gone.
+TEST_CASE("HttpClientServer DropsTheCallbackOfACallAboveTheLimitWhenTheClientIsDestroyed")
+{
+  Pair pair;
+  auto client = HttpClient::Create(pair.context,
+                                   "127.0.0.1:" + std::to_string(pair.server->Port()),
+                                   { .connections = 1, .waitingCalls = 0 },
+                                   pair.counters);
+  REQUIRE(client.ok());
+  bool called = false;
+  (*client)->Call(
+    { "GET", "/a", {}, {} }, std::chrono::seconds(1), [&](const HttpResult&) { called = true; });
+  REQUIRE(pair.counters.Get("http_calls_failed_total", "queue_full") == 1);
+  client->reset();
+  pair.context.run_for(std::chrono::milliseconds(20));
+  CHECK_FALSE(called);
+}
+
 TEST_CASE("HttpClientServer RefusesABodyAboveTheLimitWithoutReadingOn")
 {
   Pair pair({ .bodyBytes = 1000 });
