Refuse a job that the store can not hold at once

What callers saw: a job whose record has more than the 65,536 bytes of a row was answered with 504 when the caller's timeout was over, so that the caller sent it again, without end.

Cause: the store answers 400 to each attempt, which the entry took for a passing refusal that may have been applied.

Change: the entry compares the encoded record with the limit before it stores it and answers 400 (job_too_large), with the size in the log.

JobApi RefusesAJobAboveTheLimitOfTheStoreAtOnce failed before (504 after 1745 ms, expected 400 within 100 ms) and passes, as do the other tests of JobApi and jobs.

--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -164,10 +164,19 @@
   record.policy = aQueue.policy;
   record.spec = *std::move(spec);
   record.submittedUnixMs = CurrentUnixMs();
+  std::string value = jobs::EncodeJobRecord(record);
+  if (value.size() > jobs::kMaxRowBytes) {
+    // The store would refuse every attempt to store it.
+    Log(LogLevel::Warning,
+        "job_too_large",
+        { { "job", aRequest->jobId }, { "bytes", value.size() }, { "limit", jobs::kMaxRowBytes } });
+    this->Respond(aRequest, kHttpBadRequest, {}, "job_too_large");
+    return;
+  }
   cluster::StoreTransaction transaction;
   const cluster::RowKey row = jobs::JobRow(aRequest->jobId);
   transaction.conditions.push_back({ row, 0 });
-  transaction.changes.push_back({ row, jobs::EncodeJobRecord(record), false });
+  transaction.changes.push_back({ row, std::move(value), false });
   transaction.changes.push_back(
     { jobs::WaitingRow(aQueue.policy.queue, aRequest->jobId), {}, false });
   this->Commit(aRequest, transaction);
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -197,6 +197,21 @@
   CHECK(fixture.store.CountRows("jobs") == 0);
 }
 
+// Guards against a caller that waits until its timeout for a job that the store never takes.
+TEST_CASE("JobApi RefusesAJobAboveTheLimitOfTheStoreAtOnce")
+{
+  JobApiFixture fixture;
+  jobs::JobSpec spec;
+  spec.payload = std::string(jobs::kMaxRowBytes, 'x');
+  spec.steps.emplace_back().count = 1;
+  const Instant requestedAt = BootClock::now();
+  const HttpResponse response =
+    fixture.Call("POST", JobPath(), platformwire_testing::EncodeJob(spec), "2000");
+  CHECK(response.status == kHttpBadRequest);
+  CHECK(BootClock::now() - requestedAt < 100 * kMillisecond);
+  CHECK(fixture.store.CountRows("jobs") == 0);
+}
+
 // Guards against a response after the caller's timeout.
 TEST_CASE("JobApi AnswersWithinTheTimeoutOfTheCaller")
 {
--- a/packages/jobs/include/oriolespread/jobs/JobRows.h
+++ b/packages/jobs/include/oriolespread/jobs/JobRows.h
@@ -34,6 +34,9 @@
 inline constexpr std::string_view kLeaderKey = "leader";
 inline constexpr std::string_view kCancelSuffix = ".cancel";
 
+// The longest value of a row that the store takes.
+inline constexpr std::size_t kMaxRowBytes = 65'536;
+
 // The part with the leader's rows and those that entries share.
 inline constexpr std::string_view kSharedPart = "s0";
 // A part runs one transaction at a time, about six per second while the store is slowed down by
