Bound the row of interference weights when images have long names

What callers would see: with image names of some 20 KB in all, the row in which the leader stores its interference weights is above the limit of the store, which refuses the leader's whole transaction again and again, so that nothing starts any more. Callers of one organisation could stop the work of all.

Cause: the number of images in the row was bounded, the length of their names was not.

Change: images with names of more than 80 bytes are left out, so that the row has at most 49,152 bytes. The next leader learns their weights anew.

InterferenceModel EncodesAtMostOneRowWhenImagesHaveLongNames failed before (209,611 bytes for names of 1,000 bytes) and passes.

--- a/packages/jobs/include/oriolespread/jobs/InterferenceModel.h
+++ b/packages/jobs/include/oriolespread/jobs/InterferenceModel.h
@@ -63,7 +63,8 @@
   // Returns the weights of a best-effort image, by index of the serving image.
   std::vector<double> WeightsByServingImage(const std::string& aBestEffortImage) const;
 
-  // Returns the weights in their stored form of at most 50 KB, which the next leader reads.
+  // Returns the weights in their stored form of at most 49,152 bytes, which the next leader
+  // reads. Images with names of more than 80 bytes are left out.
   std::string Encode() const;
   // Replaces the weights by those that an earlier leader encoded. Returns false and changes nothing
   // if the bytes cannot be decoded.
--- a/packages/jobs/src/InterferenceModel.cpp
+++ b/packages/jobs/src/InterferenceModel.cpp
@@ -15,8 +15,11 @@
 constexpr double kPriorWeightVariance = 12.0;
 // Further images keep the prior weight. This limits an estimate to 128 KiB.
 constexpr std::size_t kMaxBestEffortImages = 128;
-// Limits and unit of the encoded weights; the image limit holds for each of the two kinds.
+// Limits and unit of the encoded weights; the image limit holds for each of the two kinds. Callers
+// choose the names of images at any length, and the store refuses a row that is too long together
+// with all rows of its transaction.
 constexpr std::size_t kMaxEncodedImages = 100;
+constexpr std::size_t kMaxEncodedNameBytes = 80;
 constexpr double kEncodedWeightScale = 100;
 constexpr double kMaxEncodedWeight = 30000;
 // Variance of restored weights, because the encoded form does not include it. Lower than that of
@@ -48,6 +51,33 @@
   return std::chrono::duration<double>(aTime).count();
 }
 
+// The index of an image and its name.
+using EncodedImage = std::pair<std::size_t, std::string>;
+
+// Returns the images that the encoded form includes, by index. The others begin with the prior
+// weight under the next leader.
+std::vector<EncodedImage> EncodedImages(const std::map<std::string, std::size_t>& aIndices)
+{
+  std::vector<EncodedImage> images;
+  for (const auto& [name, index] : aIndices) {
+    if (name.size() <= kMaxEncodedNameBytes) {
+      images.emplace_back(index, name);
+    }
+  }
+  std::sort(images.begin(), images.end());
+  images.resize(std::min(images.size(), kMaxEncodedImages));
+  return images;
+}
+
+std::vector<std::string> NamesOf(const std::vector<EncodedImage>& aImages)
+{
+  std::vector<std::string> names;
+  for (const auto& [index, name] : aImages) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 } // namespace
 
 void InterferenceModel::Estimate::Grow(std::size_t aSize)
@@ -178,31 +208,25 @@
 
 std::string InterferenceModel::Encode() const
 {
-  std::vector<std::string> servingImages(std::min(this->servingIndices.size(), kMaxEncodedImages));
-  std::vector<std::string> bestEffortImages(
-    std::min(this->bestEffortIndices.size(), kMaxEncodedImages));
-  for (const auto& [images, indices] : { std::pair(&servingImages, &this->servingIndices),
-                                         std::pair(&bestEffortImages, &this->bestEffortIndices) }) {
-    for (const auto& [image, imageIndex] : *indices) {
-      if (imageIndex < images->size()) {
-        (*images)[imageIndex] = image;
-      }
-    }
-  }
+  const std::vector<EncodedImage> servingImages = EncodedImages(this->servingIndices);
+  const std::vector<EncodedImage> bestEffortImages = EncodedImages(this->bestEffortIndices);
   std::vector<std::vector<int>> weights;
-  for (std::size_t index = 0; index < servingImages.size(); ++index) {
-    const std::vector<double>& weightsOfImage = this->estimates[index].weights;
+  for (const auto& [servingIndex, servingImage] : servingImages) {
+    const std::vector<double>& weightsOfImage = this->estimates[servingIndex].weights;
     auto& row = weights.emplace_back();
-    for (std::size_t image = 0; image < std::min(weightsOfImage.size(), bestEffortImages.size());
-         ++image) {
+    for (const auto& [index, image] : bestEffortImages) {
+      if (index >= weightsOfImage.size()) {
+        break;
+      }
       row.push_back(static_cast<int>(
-        std::min(kMaxEncodedWeight, std::round(weightsOfImage[image] * kEncodedWeightScale))));
+        std::min(kMaxEncodedWeight, std::round(weightsOfImage[index] * kEncodedWeightScale))));
     }
   }
   std::string bytes;
-  nlohmann::json::to_msgpack(
-    { { "serving", servingImages }, { "filling", bestEffortImages }, { "weights", weights } },
-    bytes);
+  nlohmann::json::to_msgpack({ { "serving", NamesOf(servingImages) },
+                               { "filling", NamesOf(bestEffortImages) },
+                               { "weights", weights } },
+                             bytes);
   return bytes;
 }
 
--- a/packages/jobs/tests/InterferenceModelTest.cpp
+++ b/packages/jobs/tests/InterferenceModelTest.cpp
@@ -214,6 +214,32 @@
   CHECK(next.Weight("light", next.ServingImageIndex("firm")) > before + 3.0);
 }
 
+// Guards against a row that the store refuses for its length, which stops all transactions of the
+// leader: callers choose the names of images, at any length.
+TEST_CASE("InterferenceModel EncodesAtMostOneRowWhenImagesHaveLongNames")
+{
+  constexpr std::size_t kMaxRowBytes = 49'152;
+  const std::size_t length = GENERATE(10U, 76U, 1000U);
+  InterferenceModel model;
+  BaselineHeadroom baseline;
+  Instant now = Instant{} + std::chrono::hours(1);
+  const std::size_t frail = model.ServingImageIndex("frail");
+  model.Observe(frail, 0.5, { { "heavy", kCoreShare } }, baseline, now);
+  for (int image = 100; image < 220; ++image) {
+    const std::string name = std::string(length, 'n') + std::to_string(image);
+    const std::size_t serving = model.ServingImageIndex(name);
+    now += std::chrono::milliseconds(100);
+    model.Observe(serving, 0.5, { { name, kCoreShare } }, baseline, now);
+  }
+  const std::string bytes = model.Encode();
+  INFO("names of " << length << " bytes");
+  CHECK(bytes.size() <= kMaxRowBytes);
+  InterferenceModel next;
+  REQUIRE(next.Restore(bytes));
+  CHECK(next.Weight("heavy", next.ServingImageIndex("frail")) ==
+        Approx(model.Weight("heavy", frail)).margin(0.01));
+}
+
 // Guards against a failure on a row that another program or a later version wrote.
 TEST_CASE("InterferenceModel RejectsBytesThatAreNotWeights")
 {
