Reserve the names of encoded images

Also names the constant of its test after what it bounds, as JobRows.h has a kMaxRowBytes of another value.

--- a/packages/jobs/src/InterferenceModel.cpp
+++ b/packages/jobs/src/InterferenceModel.cpp
@@ -72,6 +72,7 @@
 std::vector<std::string> NamesOf(const std::vector<EncodedImage>& aImages)
 {
   std::vector<std::string> names;
+  names.reserve(aImages.size());
   for (const auto& [index, name] : aImages) {
     names.push_back(name);
   }
--- a/packages/jobs/tests/InterferenceModelTest.cpp
+++ b/packages/jobs/tests/InterferenceModelTest.cpp
@@ -218,7 +218,7 @@
 // leader: callers choose the names of images, at any length.
 TEST_CASE("InterferenceModel EncodesAtMostOneRowWhenImagesHaveLongNames")
 {
-  constexpr std::size_t kMaxRowBytes = 49'152;
+  constexpr std::size_t kMaxEncodedBytes = 49'152;
   const std::size_t length = GENERATE(10U, 76U, 1000U);
   InterferenceModel model;
   BaselineHeadroom baseline;
@@ -233,7 +233,7 @@
   }
   const std::string bytes = model.Encode();
   INFO("names of " << length << " bytes");
-  CHECK(bytes.size() <= kMaxRowBytes);
+  CHECK(bytes.size() <= kMaxEncodedBytes);
   InterferenceModel next;
   REQUIRE(next.Restore(bytes));
   CHECK(next.Weight("heavy", next.ServingImageIndex("frail")) ==
