Reproduce requests that a stopping entry leaves without an answer

Callers of a deployment saw requests end without an answer around planned work. The soak's own callers can not see it: they use the system's HTTP client, few requests are under way at a time, and their checks do not look at the end of a connection.

Callers on plain sockets send one request after another over a kept connection and note when the last byte was sent and how the connection ended, while entries and agents get SIGTERM (6 s until SIGKILL) and SIGHUP and the configuration changes. A request whose connection ends later than 200 ms after its last byte without a complete answer is a broken promise.

--- a/packages/soak/src/Main.cpp
+++ b/packages/soak/src/Main.cpp
@@ -1,10 +1,12 @@
 // The soak's program: one run a seed, one line a run, and the faults and logs of a run that failed.
 
 #include "Soak.h"
+#include "StopSoak.h"
 
 #include <cxxopts.hpp>
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <iostream>
 
@@ -15,6 +17,58 @@
 
 constexpr int kNetworks = 200;
 
+// Lines of each kind that are printed of a run.
+constexpr std::size_t kMaxPrinted = 40;
+
+void Print(const char* aKind, const std::vector<std::string>& aLines)
+{
+  for (std::size_t index = 0; index < std::min(aLines.size(), kMaxPrinted); ++index) {
+    std::cout << "  " << aKind << " " << aLines[index] << "\n";
+  }
+  if (aLines.size() > kMaxPrinted) {
+    std::cout << "  " << aKind << " and " << aLines.size() - kMaxPrinted << " more\n";
+  }
+}
+
+bool RunStops(const cxxopts::ParseResult& aOptions, std::uint64_t aSeed)
+{
+  StopSoakOptions options;
+  options.programs = aOptions["programs"].as<std::string>();
+  options.seed = aSeed;
+  options.length = std::chrono::seconds(aOptions["seconds"].as<int>());
+  options.entries = aOptions["entries"].as<std::size_t>();
+  options.groups = aOptions["groups"].as<std::size_t>();
+  options.workers = aOptions["workers"].as<std::size_t>();
+  options.callers = aOptions["callers"].as<std::size_t>();
+  const auto plan = ParseStopPlan(aOptions["plan"].as<std::string>());
+  const auto slowStore = ParseSlowStore(aOptions["slow-store"].as<std::string>());
+  if (!plan.has_value() || !slowStore.has_value()) {
+    throw std::runtime_error("no such plan or kind of slow store");
+  }
+  options.plan = *plan;
+  options.slowStore = *slowStore;
+  options.secondSignal = aOptions.count("second-signal") > 0;
+  options.longTimeouts = aOptions.count("long-timeouts") > 0;
+  options.repeatCancels = aOptions.count("repeat-cancels") > 0;
+  options.balanced = aOptions.count("balanced") > 0;
+  options.network = 20 + static_cast<int>(::getpid() % kNetworks);
+  options.directory = aOptions["directory"].as<std::string>() + "/stops-" +
+                      std::to_string(::getpid()) + "-" + std::to_string(aSeed);
+  StopSoak soak(options);
+  const std::vector<std::string> broken = soak.Run();
+  std::cout << "stops seed " << aSeed << ": " << broken.size() << " promises broken; "
+            << soak.Figures() << std::endl;
+  Print("finding", soak.Findings());
+  if (broken.empty()) {
+    std::filesystem::remove_all(options.directory);
+    return true;
+  }
+  Print("event ", soak.Events());
+  Print("BROKEN", broken);
+  std::cout << "  logs in " << options.directory << std::endl;
+  return false;
+}
+
 bool RunSeed(const cxxopts::ParseResult& aOptions, std::uint64_t aSeed)
 {
   SoakOptions options;
@@ -65,7 +119,21 @@
     "settings and logs",
     cxxopts::value<std::string>()->default_value("/tmp/oriolespread-soak"))(
     "calm", "no faults but those named by other options")(
-    "refusals", "workers refuse connections for a while and run on")("help", "this text");
+    "refusals", "workers refuse connections for a while and run on")(
+    "stops", "planned work instead of faults, with callers on plain connections")(
+    "plan",
+    "with --stops, who gets SIGTERM: used (the entry of all callers), entries, groups, leader, "
+    "agents, none, mixed",
+    cxxopts::value<std::string>()->default_value("entries"))(
+    "callers", "with --stops, callers", cxxopts::value<std::size_t>()->default_value("60"))(
+    "groups", "with --stops, groups of entries", cxxopts::value<std::size_t>()->default_value("3"))(
+    "slow-store",
+    "with --stops, whose store calls are slow during a stop: none, stopping, entries",
+    cxxopts::value<std::string>()->default_value("none"))("second-signal",
+                                                          "with --stops, a second SIGTERM")(
+    "long-timeouts", "with --stops, half of the requests have a time-out of 10 s")(
+    "repeat-cancels", "with --stops, cancellations without an answer are sent again")(
+    "balanced", "with --stops, callers leave a stopping entry after 2 s")("help", "this text");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
@@ -75,7 +143,7 @@
     bool kept = true;
     const auto first = parsed["seed"].as<std::uint64_t>();
     for (std::uint64_t seed = first; seed < first + parsed["count"].as<std::uint64_t>(); ++seed) {
-      kept = RunSeed(parsed, seed) && kept;
+      kept = (parsed.count("stops") > 0 ? RunStops(parsed, seed) : RunSeed(parsed, seed)) && kept;
     }
     return kept ? 0 : 1;
   } catch (const std::exception& error) {
--- a/packages/soak/src/Process.cpp
+++ b/packages/soak/src/Process.cpp
@@ -59,7 +59,7 @@
 
 bool Process::IsRunning()
 {
-  if (this->pid > 0 && ::waitpid(this->pid, nullptr, WNOHANG) == this->pid) {
+  if (this->pid > 0 && ::waitpid(this->pid, &this->exitStatus, WNOHANG) == this->pid) {
     this->pid = 0;
   }
   return this->pid > 0;
--- a/packages/soak/src/Process.h
+++ b/packages/soak/src/Process.h
@@ -22,12 +22,15 @@
   void Signal(int aSignal) const;
   // Returns whether the process runs; collects it when it has ended.
   bool IsRunning();
+  // Returns how the last process that IsRunning collected has ended, as waitpid reports it.
+  int ExitStatus() const { return this->exitStatus; }
 
 private:
   std::vector<std::string> command;
   std::string settings;
   std::string log;
   pid_t pid = 0;
+  int exitStatus = 0;
 };
 
 } // namespace oriolespread::soak
