Close connections without a reset after their last answer

Callers may lose the answer to a request when the server closes the connection on its own: a close with unread bytes resets the connection, and the reset discards what is still on its way. The server closed as soon as the answer was handed to the kernel, also when it refused a request whose body was still arriving. A request that had been read together with the one before was dropped when the server drained.

The server now shuts its sending side down, discards what still arrives for at most 1 s and then closes. A draining connection answers the requests that it has read before it closes. An answer that is not delivered is counted (http_answers_lost_total). A timer that has expired while a later one is armed no longer closes the connection.

Evidence: HttpServer DoesNotResetTheConnectionWhenItRefusesARequestThatIsStillArriving and AnswersRequestsSentTogetherWhenItDrains fail on (connection_reset; the second answer is missing) and pass now. AnswersARequestThatArrivedBeforeTheIdleTimeoutWhenTheLoopIsLate passed before as well.

--- a/packages/http/src/ServerConnection.cpp
+++ b/packages/http/src/ServerConnection.cpp
@@ -9,6 +9,13 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+// How long a connection waits for its peer to close it after the last answer.
+constexpr Duration kLingerTime = std::chrono::milliseconds(1000);
+
+} // namespace
+
 ServerConnection::ServerConnection(std::shared_ptr<ServerCore> aCore, asio::ip::tcp::socket aSocket)
   : core(std::move(aCore))
   , socket(std::move(aSocket))
@@ -25,15 +32,14 @@
 
 void ServerConnection::Close()
 {
-  if (this->closing) {
+  if (this->state == State::Closed) {
     return;
   }
-  this->closing = true;
-  if (this->handling) {
-    this->handling = false;
+  if (this->state == State::Handling) {
     --this->core->inFlight;
     this->core->counters.Add("http_requests_abandoned_total", "connection_lost");
   }
+  this->state = State::Closed;
   asio::error_code ignored;
   this->timer.cancel();
   this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -47,7 +53,7 @@
   this->parser->header_limit(this->core->limits.headerBytes);
   this->parser->body_limit(this->core->limits.bodyBytes);
   this->parser->eager(true);
-  this->receiving = false;
+  this->state = State::Idle;
   this->ArmTimer(this->core->limits.idleTimeout);
   if (!this->input.empty() && !this->Parse()) {
     return;
@@ -75,7 +81,7 @@
 
 void ServerConnection::OnRead(asio::error_code aError, std::size_t aSize)
 {
-  if (this->closing) {
+  if (this->state == State::Closed) {
     return;
   }
   if (aError) {
@@ -90,8 +96,8 @@
 
 bool ServerConnection::Parse()
 {
-  if (!this->receiving) {
-    this->receiving = true;
+  if (this->state == State::Idle) {
+    this->state = State::Receiving;
     this->ArmTimer(this->core->limits.readTimeout);
   }
   boost::system::error_code error;
@@ -112,13 +118,13 @@
   if (this->parser->is_done()) {
     this->HandleRequest();
   }
-  return !this->closing;
+  return this->state != State::Closed;
 }
 
 void ServerConnection::HandleRequest()
 {
   this->timer.cancel();
-  this->handling = true;
+  this->state = State::Handling;
   ++this->core->inFlight;
   const std::uint64_t id = ++this->request;
   HttpRequest request;
@@ -142,25 +148,25 @@
 
 void ServerConnection::Reply(std::uint64_t aRequest, const HttpResponse& aResponse)
 {
-  if (!this->handling || aRequest != this->request) {
+  if (this->state != State::Handling || aRequest != this->request) {
     return;
   }
-  this->handling = false;
   --this->core->inFlight;
-  this->Write(aResponse, this->core->draining || !this->parser->get().keep_alive());
+  const bool asked = !this->parser->get().keep_alive();
+  // Requests that the peer has sent without awaiting this answer are answered first.
+  const bool draining = this->core->draining && this->input.empty();
+  this->Write(aResponse, asked || draining, !asked);
 }
 
 void ServerConnection::Refuse(int aStatus)
 {
   this->core->counters.Add("http_requests_refused_total", absl::StrCat(aStatus));
-  this->Write({ aStatus, {}, {} }, true);
+  this->Write({ aStatus, {}, {} }, true, true);
 }
 
-void ServerConnection::Write(const HttpResponse& aResponse, bool aClose)
+void ServerConnection::Write(const HttpResponse& aResponse, bool aClose, bool aLinger)
 {
-  if (this->closing) {
-    return;
-  }
+  this->state = State::Writing;
   const auto reason = http::obsolete_reason(static_cast<http::status>(aResponse.status));
   this->output = absl::StrCat("HTTP/1.1 ",
                               aResponse.status,
@@ -177,28 +183,80 @@
   }
   absl::StrAppend(&this->output, "\r\n", aResponse.body);
   this->ArmTimer(this->core->limits.readTimeout);
-  asio::async_write(
-    this->socket,
-    asio::buffer(this->output),
-    [self = this->shared_from_this(), aClose](asio::error_code aError, std::size_t /*aSize*/) {
-      if (self->closing) {
+  asio::async_write(this->socket,
+                    asio::buffer(this->output),
+                    [self = this->shared_from_this(), aClose, aLinger](asio::error_code aError,
+                                                                       std::size_t /*aSize*/) {
+                      if (self->state == State::Closed) {
+                        return;
+                      }
+                      if (aError) {
+                        self->core->counters.Add("http_answers_lost_total", aError.message());
+                        self->Close();
+                      } else if (!aClose) {
+                        self->BeginRequest();
+                      } else if (aLinger || self->UnreadBytes() > 0) {
+                        self->Linger();
+                      } else {
+                        self->Close();
+                      }
+                    });
+}
+
+void ServerConnection::Linger()
+{
+  this->state = State::Lingering;
+  asio::error_code error;
+  this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  if (error) {
+    this->Close();
+    return;
+  }
+  this->ArmTimer(kLingerTime);
+  this->Discard();
+}
+
+void ServerConnection::Discard()
+{
+  this->socket.async_read_some(
+    asio::buffer(this->chunk),
+    [self = this->shared_from_this()](asio::error_code aError, std::size_t /*aSize*/) {
+      if (self->state != State::Lingering) {
         return;
       }
-      if (aError || aClose) {
+      if (aError) {
         self->Close();
         return;
       }
-      self->BeginRequest();
+      self->Discard();
     });
 }
 
+std::size_t ServerConnection::UnreadBytes() const
+{
+  asio::error_code ignored;
+  return this->socket.available(ignored);
+}
+
+void ServerConnection::OnTimeout()
+{
+  if (this->state == State::Handling || this->state == State::Closed) {
+    return;
+  }
+  if (this->state == State::Writing) {
+    this->core->counters.Add("http_answers_lost_total", "not_read");
+  }
+  this->Close();
+}
+
 void ServerConnection::ArmTimer(Duration aTimeout)
 {
   this->timer.expires_after(aTimeout);
   this->timer.async_wait([weak = this->weak_from_this()](asio::error_code aError) {
     const auto self = weak.lock();
-    if (!aError && self != nullptr && !self->handling) {
-      self->Close();
+    // A wait that has ended is not cancelled by arming the timer again.
+    if (!aError && self != nullptr && self->timer.expiry() <= std::chrono::steady_clock::now()) {
+      self->OnTimeout();
     }
   });
 }
--- a/packages/http/src/ServerConnection.h
+++ b/packages/http/src/ServerConnection.h
@@ -20,6 +20,18 @@
   void Close();
 
 private:
+  enum class State
+  {
+    // No byte of a request has arrived.
+    Idle,
+    Receiving,
+    Handling,
+    Writing,
+    // The last answer was written and the sending side is closed; what still arrives is discarded.
+    Lingering,
+    Closed,
+  };
+
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void BeginRequest();
@@ -32,8 +44,14 @@
   void HandleRequest();
   void Reply(std::uint64_t aRequest, const HttpResponse& aResponse);
   void Refuse(int aStatus);
-  void Write(const HttpResponse& aResponse, bool aClose);
+  void Write(const HttpResponse& aResponse, bool aClose, bool aLinger);
+  void OnTimeout();
+  // Tells the peer that nothing follows, and closes the connection once the peer has closed it. If
+  // it were closed at once, unread bytes would reset it and discard the answer on its way.
+  void Linger();
+  void Discard();
   void ArmTimer(Duration aTimeout);
+  std::size_t UnreadBytes() const;
 
   std::shared_ptr<ServerCore> core;
   asio::ip::tcp::socket socket;
@@ -42,9 +60,7 @@
   std::string input;
   std::string output;
   std::optional<Parser> parser;
-  bool closing = false;
-  bool handling = false;
-  bool receiving = false;
+  State state = State::Idle;
   std::uint64_t request = 0;
 };
 
--- a/packages/http/tests/HttpClientServerTest.cpp
+++ b/packages/http/tests/HttpClientServerTest.cpp
@@ -2,10 +2,14 @@
 #include "oriolespread/http/HttpClient.h"
 #include "oriolespread/http/HttpServer.h"
 
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <thread>
 
 using namespace oriolespread;
 
@@ -56,6 +60,52 @@
   }
 };
 
+// A caller that controls when it sends and reads.
+struct PlainCaller
+{
+  Pair& pair;
+  asio::ip::tcp::socket socket{ pair.context };
+
+  explicit PlainCaller(Pair& aPair)
+    : pair(aPair)
+  {
+    this->socket.connect({ asio::ip::make_address("127.0.0.1"), this->pair.server->Port() });
+  }
+
+  void Send(const std::string& aBytes) { asio::write(this->socket, asio::buffer(aBytes)); }
+
+  void RunFor(Duration aTime)
+  {
+    this->pair.context.restart();
+    this->pair.context.run_for(aTime);
+  }
+
+  bool HasConnectionEnded()
+  {
+    this->socket.non_blocking(true);
+    char byte = 0;
+    asio::error_code error;
+    this->socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::eof || error == asio::error::connection_reset;
+  }
+
+  // Reads until the connection has ended, and returns the bytes and how it ended; would_block if it
+  // is open after two seconds.
+  std::string ReadToEnd(asio::error_code& aEnd)
+  {
+    this->socket.non_blocking(true);
+    std::string bytes;
+    for (int turn = 0; turn < 200; ++turn) {
+      asio::read(this->socket, asio::dynamic_buffer(bytes), aEnd);
+      if (aEnd != asio::error::would_block) {
+        break;
+      }
+      this->RunFor(std::chrono::milliseconds(10));
+    }
+    return bytes;
+  }
+};
+
 } // namespace
 
 TEST_CASE("HttpClientServer ReturnsTheWholeAnswerWhenBodiesSpanManyReads")
@@ -169,3 +219,49 @@
     CHECK(result.response.body == "POST /big " + std::string(size, 'x'));
   }
 }
+
+// Guards against a request that the server has read and drops because it closes the connection
+// after the answer to the one before.
+TEST_CASE("HttpServer AnswersRequestsSentTogetherWhenItDrains")
+{
+  Pair pair;
+  PlainCaller caller(pair);
+  pair.server->Drain();
+  caller.Send("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+  caller.RunFor(std::chrono::milliseconds(50));
+  asio::error_code end;
+  const std::string answers = caller.ReadToEnd(end);
+  CHECK(answers.find("GET /a") != std::string::npos);
+  CHECK(answers.find("GET /b") != std::string::npos);
+}
+
+// Guards against a reset that discards the answer on its way.
+TEST_CASE("HttpServer DoesNotResetTheConnectionWhenItRefusesARequestThatIsStillArriving")
+{
+  Pair pair({ .bodyBytes = 1000 });
+  PlainCaller caller(pair);
+  caller.Send("POST /big HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + std::string(50000, 'x'));
+  caller.RunFor(std::chrono::milliseconds(50));
+  caller.Send(std::string(50000, 'x'));
+  caller.RunFor(std::chrono::milliseconds(50));
+  asio::error_code end;
+  const std::string answer = caller.ReadToEnd(end);
+  CHECK(answer.starts_with("HTTP/1.1 413"));
+  CHECK(end == asio::error::eof);
+}
+
+// Guards against a late event loop that closes a connection as idle before it reads a request that
+// arrived in time.
+TEST_CASE("HttpServer AnswersARequestThatArrivedBeforeTheIdleTimeoutWhenTheLoopIsLate")
+{
+  Pair pair({ .idleTimeout = std::chrono::milliseconds(60) });
+  PlainCaller caller(pair);
+  caller.RunFor(std::chrono::milliseconds(10));
+  caller.Send("GET /held HTTP/1.1\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  caller.RunFor(std::chrono::milliseconds(20));
+  REQUIRE(pair.held != nullptr);
+  pair.held({ kHttpOk, {}, "late" });
+  caller.RunFor(std::chrono::milliseconds(20));
+  CHECK_FALSE(caller.HasConnectionEnded());
+}
