Answer every request before a stopping entry ends

Callers saw requests end without an answer around planned work. An entry that is stopped waited for a moment without requests in flight, which never comes while callers send one request after the other, as new connections were accepted until the end. When its time was over, the event loop stopped with those requests in flight.

After 2.5 s the entry now takes the connections that are established already, accepts no more, closes those on which no request has begun to arrive, and ends when all others are answered, so that the number of open connections only falls. Requests are given up 0.35 s before the end, also those that were received before the signal, and get 503, or 504 if they may have been stored. entry_stopped is a warning if requests are left.

--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -27,7 +27,7 @@
 // Requests that another entry passes on arrive at this many ports above the one for links.
 constexpr std::uint16_t kForwardPortOffset = 1;
 constexpr int kMaxPort = 65535;
-// How often a draining entry checks whether the last request has been answered.
+// How often a stopping entry checks whether the last request has been answered.
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(20);
 // The event loop stops this long before the grace period ends, so that the last responses are sent
 // and the process exits in time.
@@ -64,7 +64,11 @@
   bool SendToAgent(const std::string& aAgent, const LinkMessage& aMessage);
   void WaitForSignal();
   void Drain();
-  void StopWhenIdle(Instant aEarliest, Instant aLatest);
+  // Stops the event loop once the leadership is released and each request has its response, at the
+  // latest at `aLatest`.
+  void StopWhenIdle(Instant aLatest);
+  std::size_t OpenConnections() const;
+  void CallAt(Instant aTime, std::function<void()> aCall);
 
   platformwire::DaemonSettings settings;
   Counters counters;
@@ -86,6 +90,7 @@
   std::map<std::string, LinkId> linkByAgent;
   std::map<LinkId, std::string> agentByLink;
   bool draining = false;
+  bool released = false;
   // The last result of UpdateReadiness.
   bool ready = false;
 };
@@ -347,38 +352,64 @@
     this->forwardServer->Drain();
   }
   const Instant now = BootClock::now();
-  const Instant latest = now + std::max(this->settings.stopGrace - kStopMargin, Duration::zero());
-  this->leader->Release([this, now, latest] {
+  const Duration time = std::max(this->settings.stopGrace - kStopMargin, Duration::zero());
+  const Instant latest = now + time;
+  this->jobApi->RespondBy(latest);
+  this->leader->Release([this] {
     Log(LogLevel::Info, "leadership_left");
-    this->StopWhenIdle(std::min(now + kEntryDrainTime, latest), latest);
+    this->released = true;
   });
-  // Stops in time even if the store does not answer the release.
-  auto timer = std::make_shared<asio::steady_timer>(this->context, latest - now);
-  timer->async_wait([this, timer](asio::error_code /*aError*/) { this->context.stop(); });
+  // While connections are accepted, callers that send one request after the other keep the entry
+  // from ever being idle. The second half of the time is left for their last responses.
+  this->CallAt(now + std::min(kEntryDrainTime, time / 2), [this, latest] {
+    this->apiServer->StopAccepting();
+    if (this->forwardServer != nullptr) {
+      this->forwardServer->StopAccepting();
+    }
+    Log(LogLevel::Info, "accepting_stopped", { { "open_connections", this->OpenConnections() } });
+    this->StopWhenIdle(latest);
+  });
+  // Stops in time whatever the loop of StopWhenIdle waits for.
+  this->CallAt(latest, [this] { this->context.stop(); });
 }
 
-void ClusterEntry::StopWhenIdle(Instant aEarliest, Instant aLatest)
+void ClusterEntry::CallAt(Instant aTime, std::function<void()> aCall)
 {
-  const Instant now = BootClock::now();
-  const std::size_t inFlight =
-    this->apiServer->InFlight() +
-    (this->forwardServer == nullptr ? 0 : this->forwardServer->InFlight());
-  if (now >= aLatest || (now >= aEarliest && inFlight == 0)) {
+  auto timer = std::make_shared<asio::steady_timer>(this->context, aTime - BootClock::now());
+  timer->async_wait([timer, call = std::move(aCall)](asio::error_code aError) {
+    if (!aError) {
+      call();
+    }
+  });
+}
+
+void ClusterEntry::StopWhenIdle(Instant aLatest)
+{
+  if (BootClock::now() >= aLatest || (this->released && this->OpenConnections() == 0)) {
     this->context.stop();
     return;
   }
   this->drainTimer.expires_after(kDrainPollInterval);
-  this->drainTimer.async_wait([this, aEarliest, aLatest](asio::error_code aError) {
+  this->drainTimer.async_wait([this, aLatest](asio::error_code aError) {
     if (!aError) {
-      this->StopWhenIdle(aEarliest, aLatest);
+      this->StopWhenIdle(aLatest);
     }
   });
 }
 
+std::size_t ClusterEntry::OpenConnections() const
+{
+  return this->apiServer->OpenConnections() +
+         (this->forwardServer == nullptr ? 0 : this->forwardServer->OpenConnections());
+}
+
 void ClusterEntry::Run()
 {
   RunEventLoop(this->context, this->counters);
-  Log(LogLevel::Info, "entry_stopped", { { "in_flight", this->apiServer->InFlight() } });
+  const std::size_t inFlight = this->apiServer->InFlight();
+  Log(inFlight == 0 ? LogLevel::Info : LogLevel::Warning,
+      "entry_stopped",
+      { { "in_flight", inFlight }, { "open_connections", this->OpenConnections() } });
 }
 
 } // namespace
--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -131,7 +131,7 @@
   aRequest->forwardable = false;
   this->forwarder.Forward(
     aRequest->http,
-    aRequest->deadline,
+    this->DeadlineOf(*aRequest),
     [this, aRequest, otherwise = std::move(aOtherwise)](const ForwardResult& aResult) {
       if (aResult.response.has_value()) {
         this->Respond(aRequest, aResult.response->status, aResult.response->body, "forwarded");
@@ -142,9 +142,19 @@
     });
 }
 
-Duration JobApi::RemainingStoreTimeout(const Request& aRequest)
+void JobApi::RespondBy(Instant aTime)
 {
-  return std::clamp(aRequest.deadline - BootClock::now(), kMinStoreTimeout, kStoreTimeout);
+  this->latestDeadline = aTime - kMinStoreTimeout - kResponseMargin;
+}
+
+Instant JobApi::DeadlineOf(const Request& aRequest) const
+{
+  return std::min(aRequest.deadline, this->latestDeadline);
+}
+
+Duration JobApi::RemainingStoreTimeout(const Request& aRequest) const
+{
+  return std::clamp(this->DeadlineOf(aRequest) - BootClock::now(), kMinStoreTimeout, kStoreTimeout);
 }
 
 void JobApi::Submit(const RequestPtr& aRequest,
@@ -186,7 +196,7 @@
 {
   ++aRequest->attempts;
   this->store.Commit(aTransaction,
-                     RemainingStoreTimeout(*aRequest),
+                     this->RemainingStoreTimeout(*aRequest),
                      [this, aRequest, aTransaction](const cluster::CommitResult& aResult) {
                        this->OnCommitted(aRequest, aTransaction, aResult);
                      });
@@ -230,7 +240,7 @@
 
 void JobApi::RetryHere(const RequestPtr& aRequest, std::function<void()> aCall)
 {
-  const bool isTimeOver = BootClock::now() + kStoreRetryDelay >= aRequest->deadline;
+  const bool isTimeOver = BootClock::now() + kStoreRetryDelay >= this->DeadlineOf(*aRequest);
   const int maxAttempts = aRequest->fromEntry ? kMaxRefusedAttemptsForEntry : kMaxRefusedAttempts;
   if (!aRequest->maybeApplied && (aRequest->attempts >= maxAttempts || isTimeOver)) {
     this->Respond(aRequest, kHttpUnavailable, {}, "store_refuses");
@@ -254,7 +264,7 @@
                   std::function<void(const std::vector<cluster::StoredRow>&)> aOnRead)
 {
   this->store.Read(aRange,
-                   RemainingStoreTimeout(*aRequest),
+                   this->RemainingStoreTimeout(*aRequest),
                    [this, aRequest, retry = std::move(aRetry), onRead = std::move(aOnRead)](
                      const cluster::ReadResult& aResult) {
                      if (aResult.end != ReadEnd::Done) {
@@ -353,7 +363,7 @@
     this->context,
     this->store,
     JobTableRanges(jobs::kWaitingTable, aQueue + "/", aQueue + "0"),
-    [aRequest] { return RemainingStoreTimeout(*aRequest); },
+    [this, aRequest] { return this->RemainingStoreTimeout(*aRequest); },
     [](const std::string& /*aReason*/) { return false; },
     [this, aRequest, aQueue](const MultiRangeResult& aResult) {
       if (!aResult.complete) {
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -35,6 +35,10 @@
 
   void Handle(const HttpRequest& aRequest, Sender aSender, HttpServer::Reply aReply);
 
+  // Gives requests up early enough that each one has its response at this time, also those that
+  // have been received already. For a process that ends then.
+  void RespondBy(Instant aTime);
+
   // The time from the arrival of a request to its response.
   const LatencyHistogram& Latency() const { return this->latency; }
 
@@ -66,7 +70,8 @@
   void Forward(const RequestPtr& aRequest, std::function<void()> aOtherwise);
 
   // Returns the timeout of a call to the store, so that it ends before the caller stops waiting.
-  static Duration RemainingStoreTimeout(const Request& aRequest);
+  Duration RemainingStoreTimeout(const Request& aRequest) const;
+  Instant DeadlineOf(const Request& aRequest) const;
   void Submit(const RequestPtr& aRequest,
               const cluster::QueueConfig& aQueue,
               const std::string& aBody);
@@ -106,6 +111,7 @@
   RequestForwarder& forwarder;
   Counters& counters;
   LatencyHistogram latency;
+  Instant latestDeadline = Instant::max();
   // Terminal states by job id, cached because they do not change any more.
   std::unordered_map<std::string, jobs::JobState> endedStates;
 };
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace oriolespread;
 using namespace oriolespread::daemon;
 
@@ -309,3 +311,30 @@
   CHECK(read.status != kHttpGone);
   CHECK(read.status != kHttpOk);
 }
+
+// Guards against requests that end without a response because the process ends before their
+// deadline.
+TEST_CASE("JobApi RespondsInTimeWhenItsProcessEndsBeforeTheDeadline")
+{
+  JobApiFixture fixture;
+  fixture.store.SetFault(fixture.server, { .silent = true });
+  std::vector<int> statuses;
+  const auto call = [&](const std::string& aMethod, const std::string& aBody) {
+    fixture.api.Handle(
+      { aMethod, JobPath(), { { "Host", "h" } }, aBody },
+      JobApi::Sender::Caller,
+      [&](const HttpResponse& aResponse) { statuses.push_back(aResponse.status); });
+  };
+  call("POST", JobBody());
+  fixture.RunFor(300 * kMillisecond);
+  const Instant end = BootClock::now() + 1000 * kMillisecond;
+  fixture.api.RespondBy(end);
+  call("GET", "");
+  call("DELETE", "");
+  fixture.RunUntil([&] { return statuses.size() == 3; });
+  CHECK(BootClock::now() < end);
+  REQUIRE(statuses.size() == 3);
+  // The store may carry out the submission; the others have changed nothing.
+  CHECK(std::count(statuses.begin(), statuses.end(), kHttpGatewayTimeout) == 1);
+  CHECK(std::count(statuses.begin(), statuses.end(), kHttpUnavailable) == 2);
+}
--- a/packages/http/include/oriolespread/http/HttpServer.h
+++ b/packages/http/include/oriolespread/http/HttpServer.h
@@ -59,6 +59,14 @@
   // Closes each connection after its next response; connections are still accepted.
   void Drain();
 
+  // Drains, takes the connections that are already established, accepts no more, and closes those
+  // on which no request has begun to arrive. Requests that have begun are read and answered.
+  void StopAccepting();
+
+  // Returns the number of connections on which a request may still arrive or has no whole response
+  // yet. Once StopAccepting was called, none is added.
+  std::size_t OpenConnections() const;
+
   // Returns how many requests have been read and not answered.
   std::size_t InFlight() const;
 
--- a/packages/http/src/HttpServer.cpp
+++ b/packages/http/src/HttpServer.cpp
@@ -44,6 +44,16 @@
   this->core->draining = true;
 }
 
+void HttpServer::StopAccepting()
+{
+  this->core->StopAccepting();
+}
+
+std::size_t HttpServer::OpenConnections() const
+{
+  return this->core->OpenConnections();
+}
+
 std::size_t HttpServer::InFlight() const
 {
   return this->core->inFlight;
--- a/packages/http/src/ServerConnection.cpp
+++ b/packages/http/src/ServerConnection.cpp
@@ -13,6 +13,9 @@
 
 // How long a connection waits for its peer to close it after the last answer.
 constexpr Duration kLingerTime = std::chrono::milliseconds(1000);
+// How long an idle connection is kept after the server has stopped accepting, for a request that is
+// on its way.
+constexpr Duration kLastRequestTime = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -54,7 +57,7 @@
   this->parser->body_limit(this->core->limits.bodyBytes);
   this->parser->eager(true);
   this->state = State::Idle;
-  this->ArmTimer(this->core->limits.idleTimeout);
+  this->ArmTimer(this->core->accepting ? this->core->limits.idleTimeout : kLastRequestTime);
   if (!this->input.empty() && !this->Parse()) {
     return;
   }
@@ -232,6 +235,13 @@
     });
 }
 
+void ServerConnection::CloseIfIdle()
+{
+  if (this->state == State::Idle) {
+    this->ArmTimer(kLastRequestTime);
+  }
+}
+
 std::size_t ServerConnection::UnreadBytes() const
 {
   asio::error_code ignored;
--- a/packages/http/src/ServerConnection.h
+++ b/packages/http/src/ServerConnection.h
@@ -18,6 +18,10 @@
 
   void Start();
   void Close();
+  // Returns whether a request may be on its way, is read, handled or answered on this connection.
+  bool IsOpen() const { return this->state != State::Lingering && this->state != State::Closed; }
+  // Closes the connection soon unless a request has begun to arrive; see HttpServer::StopAccepting.
+  void CloseIfIdle();
 
 private:
   enum class State
--- a/packages/http/src/ServerCore.cpp
+++ b/packages/http/src/ServerCore.cpp
@@ -3,6 +3,8 @@
 #include "ServerConnection.h"
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
+
 namespace oriolespread::internal {
 
 namespace {
@@ -59,27 +61,74 @@
       if (self->closed) {
         return;
       }
+      if (!self->accepting) {
+        if (!aError) {
+          self->Add(std::move(aSocket));
+        }
+        return;
+      }
       if (aError) {
         self->counters.Add("http_accept_failed_total", aError.message());
         self->acceptTimer.expires_after(kAcceptPause);
         self->acceptTimer.async_wait([self](asio::error_code aTimerError) {
-          if (!aTimerError && !self->closed) {
+          if (!aTimerError && !self->closed && self->accepting) {
             self->Accept();
           }
         });
         return;
       }
-      if (self->connections.size() >= self->limits.connections) {
-        self->counters.Add("http_connections_refused_total", "too_many");
-      } else {
-        auto connection = std::make_shared<ServerConnection>(self, std::move(aSocket));
-        self->connections.insert(connection);
-        connection->Start();
-      }
+      self->Add(std::move(aSocket));
       self->Accept();
     });
 }
 
+void ServerCore::Add(asio::ip::tcp::socket aSocket)
+{
+  if (this->connections.size() >= this->limits.connections) {
+    this->counters.Add("http_connections_refused_total", "too_many");
+    return;
+  }
+  auto connection =
+    std::make_shared<ServerConnection>(this->shared_from_this(), std::move(aSocket));
+  this->connections.insert(connection);
+  connection->Start();
+}
+
+void ServerCore::StopAccepting()
+{
+  if (this->closed || !this->accepting) {
+    return;
+  }
+  this->accepting = false;
+  this->draining = true;
+  this->acceptTimer.cancel();
+  asio::error_code error;
+  // Connections that the kernel has established would be reset, with the requests on them.
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    asio::ip::tcp::socket socket(this->context);
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->Add(std::move(socket));
+    }
+  }
+  if (error != asio::error::would_block && error != asio::error::try_again) {
+    this->counters.Add("http_accept_failed_total", error.message());
+  }
+  this->acceptor.close(error);
+  for (const auto& connection : this->connections) {
+    connection->CloseIfIdle();
+  }
+}
+
+std::size_t ServerCore::OpenConnections() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->connections.begin(), this->connections.end(), [](const auto& aConnection) {
+      return aConnection->IsOpen();
+    }));
+}
+
 void ServerCore::Close()
 {
   this->closed = true;
--- a/packages/http/src/ServerCore.h
+++ b/packages/http/src/ServerCore.h
@@ -23,6 +23,8 @@
   absl::Status Listen(const std::string& aAddress, std::uint16_t aPort);
   std::uint16_t Port() const { return this->port; }
   void Close();
+  void StopAccepting();
+  std::size_t OpenConnections() const;
   void Forget(const std::shared_ptr<ServerConnection>& aConnection);
 
   asio::io_context& context;
@@ -30,10 +32,12 @@
   HttpServer::Handler handler;
   Counters& counters;
   bool draining = false;
+  bool accepting = true;
   std::size_t inFlight = 0;
 
 private:
   void Accept();
+  void Add(asio::ip::tcp::socket aSocket);
 
   asio::ip::tcp::acceptor acceptor;
   asio::steady_timer acceptTimer;
--- a/packages/http/tests/HttpClientServerTest.cpp
+++ b/packages/http/tests/HttpClientServerTest.cpp
@@ -220,6 +220,61 @@
   }
 }
 
+// Guards against callers that keep an entry from ever being idle, so that it ends with their
+// requests unanswered.
+TEST_CASE("HttpServer ClosesIdleConnectionsAndRefusesNewOnesWhenItStopsAccepting")
+{
+  Pair pair;
+  PlainCaller idle(pair);
+  PlainCaller used(pair);
+  used.Send("GET /a HTTP/1.1\r\n\r\n");
+  idle.RunFor(std::chrono::milliseconds(20));
+  REQUIRE(pair.server->OpenConnections() == 2);
+  pair.server->StopAccepting();
+  idle.RunFor(std::chrono::milliseconds(300));
+  CHECK(pair.server->OpenConnections() == 0);
+  CHECK(idle.HasConnectionEnded());
+  asio::ip::tcp::socket late(pair.context);
+  asio::error_code error;
+  late.connect({ asio::ip::make_address("127.0.0.1"), pair.server->Port() }, error);
+  CHECK(error == asio::error::connection_refused);
+}
+
+// Guards against requests on established connections that are reset unread.
+TEST_CASE("HttpServer AnswersRequestsOnConnectionsItHasNotAcceptedYetWhenItStopsAccepting")
+{
+  Pair pair;
+  PlainCaller caller(pair);
+  caller.Send("GET /a HTTP/1.1\r\n\r\n");
+  pair.server->StopAccepting();
+  caller.RunFor(std::chrono::milliseconds(50));
+  asio::error_code end;
+  const std::string answer = caller.ReadToEnd(end);
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(end == asio::error::eof);
+}
+
+// Guards against a stop that does not wait for requests of which only a part has arrived.
+TEST_CASE("HttpServer CountsAConnectionAsOpenUntilItsResponseIsWrittenWhenItStopsAccepting")
+{
+  Pair pair;
+  PlainCaller caller(pair);
+  caller.Send("POST /held HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+  caller.RunFor(std::chrono::milliseconds(20));
+  pair.server->StopAccepting();
+  caller.RunFor(std::chrono::milliseconds(300));
+  CHECK(pair.server->OpenConnections() == 1);
+  caller.Send("cd");
+  caller.RunFor(std::chrono::milliseconds(20));
+  REQUIRE(pair.held != nullptr);
+  CHECK(pair.server->OpenConnections() == 1);
+  pair.held({ kHttpOk, {}, "late" });
+  caller.RunFor(std::chrono::milliseconds(20));
+  CHECK(pair.server->OpenConnections() == 0);
+  asio::error_code end;
+  CHECK(caller.ReadToEnd(end).ends_with("late"));
+}
+
 // Guards against a request that the server has read and drops because it closes the connection
 // after the answer to the one before.
 TEST_CASE("HttpServer AnswersRequestsSentTogetherWhenItDrains")
