Show that the store refuses a leader's transactions as invalid

A leader whose transactions the store answers with 400 repeats them without end. In its metrics this looked like any other retry, and the log said nothing, so operators could not tell why jobs stood still.

The leader counts such answers (commits_invalid_total), logs the first rows and the bytes at most once a second (commit_invalid), and has a gauge for the time since its last applied transaction (last_commit_age_seconds).

--- a/packages/cluster/include/oriolespread/cluster/StoreTypes.h
+++ b/packages/cluster/include/oriolespread/cluster/StoreTypes.h
@@ -43,6 +43,10 @@
   Conflict,
   // The transaction was not applied, and will certainly not be applied later.
   Refused,
+  // The store takes no transaction with this content: it was not applied, and repeating it
+  // unchanged cannot succeed. An earlier attempt without an answer may have been applied
+  // nevertheless.
+  Invalid,
   // The transaction may have been applied, or may be applied later while the conditions still hold.
   Unknown,
 };
--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -214,6 +214,7 @@
       // The row exists: an earlier attempt or an earlier request has written it.
       this->Respond(aRequest, kHttpOk, "{}", "stored_before");
       return;
+    case CommitEnd::Invalid:
     case CommitEnd::Unknown:
       aRequest->maybeApplied = true;
       break;
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+constexpr Duration kInvalidLogInterval = std::chrono::seconds(1);
+// Rows of a refused transaction that its line names.
+constexpr std::size_t kMaxLoggedRows = 3;
+
 jobs::SchedulerSettings MakeSchedulerSettings(const LeaderDriverOptions& aOptions)
 {
   jobs::SchedulerSettings settings;
@@ -184,6 +188,7 @@
   this->leaderRow = aRow;
   this->leaderRowVersion = aVersion;
   this->renewedAt = aRenewedAt;
+  this->lastCommitAt = BootClock::now();
   this->commitInFlight = false;
   this->removalInFlight = false;
   this->jobsVersion = 0;
@@ -363,6 +368,9 @@
   } else if (aResult.end != CommitEnd::Refused) {
     this->commitTimeout.OnAnswer(latency);
   }
+  if (aResult.end == CommitEnd::Invalid) {
+    this->ReportInvalid(aTransaction, aResult);
+  }
   std::uint64_t version = aResult.version;
   bool applied = aResult.end == CommitEnd::Applied;
   if (aResult.end == CommitEnd::Conflict) {
@@ -390,7 +398,8 @@
   // After a conflict, it is not known which of the earlier attempts renewed the row.
   this->renewedAt = aResult.end == CommitEnd::Applied ? aSentAt : this->commitStartedAt;
   this->commitInFlight = false;
-  this->commitLatency.Add(BootClock::now() - this->commitStartedAt);
+  this->lastCommitAt = BootClock::now();
+  this->commitLatency.Add(this->lastCommitAt - this->commitStartedAt);
   if (this->phase == Phase::Leading) {
     this->scheduler->OnStored(std::move(*aBatch), this->CurrentTime());
     this->SendOrders();
@@ -404,6 +413,34 @@
   }
 }
 
+void LeaderDriver::ReportInvalid(const cluster::StoreTransaction& aTransaction,
+                                 const cluster::CommitResult& aResult)
+{
+  this->counters.Add("commits_invalid_total", aResult.reason);
+  ++this->unloggedInvalid;
+  const Instant now = BootClock::now();
+  if (now < this->nextInvalidLog) {
+    return;
+  }
+  this->nextInvalidLog = now + kInvalidLogInterval;
+  std::size_t bytes = 0;
+  nlohmann::ordered_json firstRows = nlohmann::ordered_json::array();
+  for (const cluster::RowChange& change : aTransaction.changes) {
+    bytes += change.value.size();
+    if (change.row != jobs::LeaderRow() && firstRows.size() < kMaxLoggedRows) {
+      firstRows.push_back(change.row.table + "/" + change.row.key);
+    }
+  }
+  Log(LogLevel::Error,
+      "commit_invalid",
+      { { "epoch", this->leaderRow.epoch },
+        { "reason", aResult.reason },
+        { "rows", aTransaction.changes.size() },
+        { "bytes", bytes },
+        { "first_rows", std::move(firstRows) },
+        { "refused", std::exchange(this->unloggedInvalid, 0) } });
+}
+
 void LeaderDriver::RemoveRows()
 {
   if (this->removalInFlight || this->phase != Phase::Leading) {
@@ -471,6 +508,8 @@
   std::map<std::string, double> gauges{ { "leader_epoch",
                                           static_cast<double>(this->leaderRow.epoch) } };
   if (this->scheduler != nullptr) {
+    gauges["last_commit_age_seconds"] =
+      std::chrono::duration<double>(BootClock::now() - this->lastCommitAt).count();
     gauges["jobs_known"] = static_cast<double>(this->scheduler->Jobs().size());
     gauges["workers_known"] = static_cast<double>(this->scheduler->Workers().size());
     gauges["tasks_waiting"] = static_cast<double>(this->scheduler->WaitingTasks());
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -111,6 +111,9 @@
                    const cluster::StoreTransaction& aTransaction,
                    const cluster::CommitResult& aResult,
                    Instant aSentAt);
+  // Counts the refused transaction, and logs it unless one was logged within the last second.
+  void ReportInvalid(const cluster::StoreTransaction& aTransaction,
+                     const cluster::CommitResult& aResult);
   void SendOrders();
   void RemoveRows();
   void FinishRelease();
@@ -142,6 +145,11 @@
   Instant renewedAt{};
   bool commitInFlight = false;
   Instant commitStartedAt{};
+  // When the last transaction, or the claim, was known to be applied.
+  Instant lastCommitAt{};
+  // When the next line about a refused transaction may be logged, and those refused since the last.
+  Instant nextInvalidLog{};
+  std::uint64_t unloggedInvalid = 0;
   cluster::TimeoutEstimator commitTimeout{ cluster::TimeoutLimits{} };
   // Whether a transaction is in flight that removes rows outside the leader's part of the store.
   bool removalInFlight = false;
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -143,6 +143,23 @@
   CHECK(fixture.RunUntil([&] { return starts("k.") == 1; }));
 }
 
+// Guards against a leader that cannot store, without a sign of it in its metrics.
+TEST_CASE("LeaderDriver ShowsThatItsTransactionsAreRefusedAsInvalid")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.IsLeading(); }));
+  fixture.RunFor(500 * kMillisecond);
+  CHECK(entry.driver->Gauges().at("last_commit_age_seconds") < 0.4);
+  CHECK(fixture.counters.Total("commits_invalid_total") == 0);
+  fixture.store.SetFault(
+    fixture.server, { .refuses = [](const std::string&, const std::string&) { return true; } });
+  fixture.RunFor(800 * kMillisecond);
+  CHECK(entry.driver->Gauges().at("last_commit_age_seconds") > 0.5);
+  CHECK(fixture.counters.Get("commits_invalid_total", "status 400") > 2);
+}
+
 // Guards against a lost answer of the store that stops all decisions for 0.9 s, the time that a
 // slow store may take.
 TEST_CASE("LeaderDriver RepeatsATransactionSoonWhenItsAnswerIsLost")
