Keep one refused row from stopping everything that a leader stores

What callers saw: if the store refused one row of the leader (a value or key that it does not take, 400), no job started any more, cancelled jobs kept their state, and each new leader met the same answer.

Cause: LeaderDriver repeated a refused transaction unchanged and without end. The renewal of the leadership was in it, so that entries replaced one another and formed the same transaction from the same rows.

Change: after such an answer the leader renews its row alone. This tells whether an unanswered earlier attempt was applied, since each transaction is conditional on the leadership row, and whether the rows are the reason at all. Only what was applied is passed on as stored; a refused batch goes back to the scheduler with its deferred orders. RowQueue takes its rows again in halves, alternating with other rows, until single rows are found. Such a row is withheld for 1 to 30 s and then tried alone; its runs that were not stored are removed, so that they reserve no worker, and its tasks are not placed meanwhile. rows_refused_total and row_refused name it, and the gauge rows_withheld counts it. A refused claim is repeated after 1 s.

--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -14,6 +14,9 @@
 inline constexpr Duration kStoreTimeout = std::chrono::milliseconds(900);
 // The delay before a call is retried that the store refused or did not answer.
 inline constexpr Duration kStoreRetryDelay = std::chrono::milliseconds(100);
+// The delay before a call is retried that the store refused as invalid. The reason is a fault that
+// does not pass by itself.
+inline constexpr Duration kInvalidRetryDelay = std::chrono::milliseconds(1000);
 // How long the store may hold a watch request open. Bounds the delay that a silent connection
 // causes.
 inline constexpr Duration kWatchLongPollTime = std::chrono::milliseconds(1000);
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -143,39 +143,39 @@
         { "silent_ms", ToMilliseconds(BootClock::now() - this->election.UnchangedSince()) },
         { "speed", claimedRow.speed },
         { "earlier_speed", current.has_value() ? current->speed : 0.0 } });
-  this->store.Commit(this->election.MakeClaim(),
-                     kStoreTimeout,
-                     [this, claimedRow, term = this->term, sentAt = BootClock::now()](
-                       const cluster::CommitResult& aResult) {
-                       if (term != this->term || this->phase != Phase::Claiming) {
-                         return;
-                       }
-                       if (aResult.end == CommitEnd::Applied) {
-                         this->BeginLeadership(claimedRow, aResult.version, sentAt);
-                         return;
-                       }
-                       // If the claim was applied and its answer was lost, the stored row equals
-                       // the claimed one.
-                       if (aResult.end == CommitEnd::Conflict && !aResult.current.empty()) {
-                         const cluster::StoredRow& storedRow = aResult.current.front();
-                         const auto value = cluster::DecodeLeaderRecord(storedRow.value);
-                         if (value.has_value() && *value == claimedRow) {
-                           // Each attempt was sent after the read that showed the row before it.
-                           this->BeginLeadership(
-                             claimedRow, storedRow.version, this->election.LatestRenewal());
-                           return;
-                         }
-                       }
-                       this->counters.Add("leadership_total", "claim_failed");
-                       this->phase = Phase::Standby;
-                       // Retry an unanswered claim with the same row: whichever attempt was
-                       // applied, the stored row names this process as the leader.
-                       if (aResult.end == CommitEnd::Unknown) {
-                         this->ClaimLeadership();
-                         return;
-                       }
-                       this->SchedulePoll(kStoreRetryDelay);
-                     });
+  this->store.Commit(
+    this->election.MakeClaim(),
+    kStoreTimeout,
+    [this, claimedRow, term = this->term, sentAt = BootClock::now()](
+      const cluster::CommitResult& aResult) {
+      if (term != this->term || this->phase != Phase::Claiming) {
+        return;
+      }
+      if (aResult.end == CommitEnd::Applied) {
+        this->BeginLeadership(claimedRow, aResult.version, sentAt);
+        return;
+      }
+      // If the claim was applied and its answer was lost, the stored row equals
+      // the claimed one.
+      if (aResult.end == CommitEnd::Conflict && !aResult.current.empty()) {
+        const cluster::StoredRow& storedRow = aResult.current.front();
+        const auto value = cluster::DecodeLeaderRecord(storedRow.value);
+        if (value.has_value() && *value == claimedRow) {
+          // Each attempt was sent after the read that showed the row before it.
+          this->BeginLeadership(claimedRow, storedRow.version, this->election.LatestRenewal());
+          return;
+        }
+      }
+      this->counters.Add("leadership_total", "claim_failed");
+      this->phase = Phase::Standby;
+      // Retry an unanswered claim with the same row: whichever attempt was
+      // applied, the stored row names this process as the leader.
+      if (aResult.end == CommitEnd::Unknown) {
+        this->ClaimLeadership();
+        return;
+      }
+      this->SchedulePoll(aResult.end == CommitEnd::Invalid ? kInvalidRetryDelay : kStoreRetryDelay);
+    });
 }
 
 void LeaderDriver::BeginLeadership(const cluster::LeaderRecord& aRow,
@@ -190,6 +190,7 @@
   this->renewedAt = aRenewedAt;
   this->lastCommitAt = BootClock::now();
   this->commitInFlight = false;
+  this->refusedCommit = nullptr;
   this->removalInFlight = false;
   this->jobsVersion = 0;
   this->counters.Add("leadership_total", "claimed");
@@ -328,37 +329,38 @@
 void LeaderDriver::CommitBatch(jobs::StoreBatch aBatch)
 {
   this->commitInFlight = true;
-  this->commitStartedAt = BootClock::now();
-  if (this->commitStartedAt - this->speedMeasuredAt >= kSpeedMeasurementInterval) {
+  auto commit = std::make_shared<Commit>();
+  commit->startedAt = BootClock::now();
+  if (commit->startedAt - this->speedMeasuredAt >= kSpeedMeasurementInterval) {
     this->leaderRow.speed = this->MeasureSpeed();
   }
   ++this->leaderRow.renewal;
   this->leaderRow.earlierLeasesMs =
-    std::max<std::int64_t>(ToMilliseconds(this->earlierLeasesExpiry - this->commitStartedAt), 0);
-  cluster::StoreTransaction transaction;
+    std::max<std::int64_t>(ToMilliseconds(this->earlierLeasesExpiry - commit->startedAt), 0);
+  commit->releases = this->leaderRow.released;
+  cluster::StoreTransaction& transaction = commit->transaction;
   transaction.conditions.push_back({ jobs::LeaderRow(), this->leaderRowVersion });
   transaction.changes.push_back(
     { jobs::LeaderRow(), cluster::EncodeLeaderRecord(this->leaderRow), false });
   transaction.changes.insert(
     transaction.changes.end(), aBatch.changes.begin(), aBatch.changes.end());
-  this->SendTransaction(std::make_shared<jobs::StoreBatch>(std::move(aBatch)), transaction);
+  commit->batch = std::move(aBatch);
+  this->SendTransaction(commit);
 }
 
-void LeaderDriver::SendTransaction(const std::shared_ptr<jobs::StoreBatch>& aBatch,
-                                   const cluster::StoreTransaction& aTransaction)
+void LeaderDriver::SendTransaction(const CommitPtr& aCommit)
 {
-  this->store.Commit(aTransaction,
+  this->store.Commit(aCommit->transaction,
                      this->commitTimeout.Timeout(),
-                     [this, aBatch, aTransaction, term = this->term, sentAt = BootClock::now()](
+                     [this, aCommit, term = this->term, sentAt = BootClock::now()](
                        const cluster::CommitResult& aResult) {
                        if (term == this->term) {
-                         this->OnCommitted(aBatch, aTransaction, aResult, sentAt);
+                         this->OnCommitted(aCommit, aResult, sentAt);
                        }
                      });
 }
 
-void LeaderDriver::OnCommitted(const std::shared_ptr<jobs::StoreBatch>& aBatch,
-                               const cluster::StoreTransaction& aTransaction,
+void LeaderDriver::OnCommitted(const CommitPtr& aCommit,
                                const cluster::CommitResult& aResult,
                                Instant aSentAt)
 {
@@ -368,40 +370,67 @@
   } else if (aResult.end != CommitEnd::Refused) {
     this->commitTimeout.OnAnswer(latency);
   }
-  if (aResult.end == CommitEnd::Invalid) {
-    this->ReportInvalid(aTransaction, aResult);
+  if (aResult.end == CommitEnd::Applied) {
+    if (const CommitPtr refused = std::exchange(this->refusedCommit, nullptr); refused != nullptr) {
+      this->scheduler->OnRefused(std::move(refused->batch), this->CurrentTime());
+    }
+    this->OnApplied(aCommit, aResult.version, aSentAt);
+    return;
   }
-  std::uint64_t version = aResult.version;
-  bool applied = aResult.end == CommitEnd::Applied;
   if (aResult.end == CommitEnd::Conflict) {
-    // If an earlier attempt was applied and its answer was lost, the stored row equals the one in
-    // the transaction.
-    for (const cluster::StoredRow& storedRow : aResult.current) {
-      if (storedRow.row == jobs::LeaderRow() &&
-          storedRow.value == aTransaction.changes.front().value) {
-        applied = true;
-        version = storedRow.version;
+    this->OnConflict(aCommit, aResult);
+    return;
+  }
+  if (aResult.end == CommitEnd::Invalid) {
+    this->ReportInvalid(aCommit->transaction, aResult);
+    if (!aCommit->batch.empty()) {
+      // Renews the leadership without the rows. If this is refused as well, the rows are not the
+      // reason.
+      this->refusedCommit = aCommit;
+      this->leaderRow.released = false;
+      this->CommitBatch({});
+      return;
+    }
+  }
+  this->counters.Add("commit_retries_total", aResult.reason);
+  this->CallAfter(std::max(Duration::zero(), kStoreRetryDelay - latency),
+                  [this, aCommit] { this->SendTransaction(aCommit); });
+}
+
+void LeaderDriver::OnConflict(const CommitPtr& aCommit, const cluster::CommitResult& aResult)
+{
+  const CommitPtr refused = std::exchange(this->refusedCommit, nullptr);
+  for (const cluster::StoredRow& storedRow : aResult.current) {
+    if (storedRow.row != jobs::LeaderRow()) {
+      continue;
+    }
+    // If an attempt was applied and its answer was lost, the stored row equals the one in the
+    // transaction. It is not known which attempt renewed the row.
+    if (storedRow.value == aCommit->LeaderRowValue()) {
+      if (refused != nullptr) {
+        this->scheduler->OnRefused(std::move(refused->batch), this->CurrentTime());
       }
+      this->OnApplied(aCommit, storedRow.version, aCommit->startedAt);
+      return;
     }
-    if (!applied) {
-      this->StepDown("superseded");
+    if (refused != nullptr && storedRow.value == refused->LeaderRowValue()) {
+      this->OnApplied(refused, storedRow.version, refused->startedAt);
       return;
     }
   }
-  if (!applied) {
-    this->counters.Add("commit_retries_total", aResult.reason);
-    this->CallAfter(std::max(Duration::zero(), kStoreRetryDelay - latency),
-                    [this, aBatch, aTransaction] { this->SendTransaction(aBatch, aTransaction); });
-    return;
-  }
-  this->leaderRowVersion = version;
-  // After a conflict, it is not known which of the earlier attempts renewed the row.
-  this->renewedAt = aResult.end == CommitEnd::Applied ? aSentAt : this->commitStartedAt;
+  this->StepDown("superseded");
+}
+
+void LeaderDriver::OnApplied(const CommitPtr& aCommit, std::uint64_t aVersion, Instant aRenewedAt)
+{
+  this->leaderRow.released = aCommit->releases;
+  this->leaderRowVersion = aVersion;
+  this->renewedAt = aRenewedAt;
   this->commitInFlight = false;
   this->lastCommitAt = BootClock::now();
-  this->commitLatency.Add(this->lastCommitAt - this->commitStartedAt);
+  this->commitLatency.Add(this->lastCommitAt - aCommit->startedAt);
   if (this->phase == Phase::Leading) {
-    this->scheduler->OnStored(std::move(*aBatch), this->CurrentTime());
+    this->scheduler->OnStored(std::move(aCommit->batch), this->CurrentTime());
     this->SendOrders();
     if (this->leaderRow.released) {
       this->FinishRelease();
@@ -510,6 +539,7 @@
   if (this->scheduler != nullptr) {
     gauges["last_commit_age_seconds"] =
       std::chrono::duration<double>(BootClock::now() - this->lastCommitAt).count();
+    gauges["rows_withheld"] = static_cast<double>(this->scheduler->WithheldRows());
     gauges["jobs_known"] = static_cast<double>(this->scheduler->Jobs().size());
     gauges["workers_known"] = static_cast<double>(this->scheduler->Workers().size());
     gauges["tasks_waiting"] = static_cast<double>(this->scheduler->WaitingTasks());
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -72,6 +72,20 @@
     Stopped,
   };
 
+  // A transaction of the leader. It renews the leadership as well.
+  struct Commit
+  {
+    jobs::StoreBatch batch;
+    cluster::StoreTransaction transaction;
+    // The transaction releases the leadership.
+    bool releases = false;
+    // When the first attempt was sent.
+    Instant startedAt{};
+
+    const std::string& LeaderRowValue() const { return this->transaction.changes.front().value; }
+  };
+  using CommitPtr = std::shared_ptr<Commit>;
+
   void PollLeaderRow();
   void SchedulePoll(Duration aDelay);
   // Measures the processor speed, passes it to the election and returns it.
@@ -105,12 +119,13 @@
   // Runs a scheduling pass and removes old rows every kIdleSchedulingInterval.
   void ScheduleTick();
   void CommitBatch(jobs::StoreBatch aBatch);
-  void SendTransaction(const std::shared_ptr<jobs::StoreBatch>& aBatch,
-                       const cluster::StoreTransaction& aTransaction);
-  void OnCommitted(const std::shared_ptr<jobs::StoreBatch>& aBatch,
-                   const cluster::StoreTransaction& aTransaction,
-                   const cluster::CommitResult& aResult,
-                   Instant aSentAt);
+  void SendTransaction(const CommitPtr& aCommit);
+  void OnCommitted(const CommitPtr& aCommit, const cluster::CommitResult& aResult, Instant aSentAt);
+  // Handles that the leadership row has another version than expected: the transaction or the
+  // refused one before it was applied by an unanswered attempt, or another entry leads.
+  void OnConflict(const CommitPtr& aCommit, const cluster::CommitResult& aResult);
+  // `aVersion` is the new one of the leadership row, `aRenewedAt` see `renewedAt`.
+  void OnApplied(const CommitPtr& aCommit, std::uint64_t aVersion, Instant aRenewedAt);
   // Counts the refused transaction, and logs it unless one was logged within the last second.
   void ReportInvalid(const cluster::StoreTransaction& aTransaction,
                      const cluster::CommitResult& aResult);
@@ -144,7 +159,9 @@
   // The earliest time at which the store can have carried out the last applied renewal.
   Instant renewedAt{};
   bool commitInFlight = false;
-  Instant commitStartedAt{};
+  // The transaction before the one in flight, if it was refused as invalid. Only the end of the one
+  // in flight tells that no unanswered attempt at it was applied.
+  CommitPtr refusedCommit;
   // When the last transaction, or the claim, was known to be applied.
   Instant lastCommitAt{};
   // When the next line about a refused transaction may be logged, and those refused since the last.
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -51,6 +51,28 @@
     this->driver->OnAgentUp("agent");
   }
 
+  // Returns the number of starts that were ordered for tasks of the job.
+  std::size_t CountStarts(const std::string& aJob) const
+  {
+    std::size_t count = 0;
+    for (const WorkerOrders& sent : this->orders) {
+      count += static_cast<std::size_t>(
+        std::count_if(sent.starts.begin(), sent.starts.end(), [&](const StartRun& aStart) {
+          return aStart.ref.task.starts_with(aJob + ".");
+        }));
+    }
+    return count;
+  }
+
+  std::size_t CountStops() const
+  {
+    std::size_t count = 0;
+    for (const WorkerOrders& sent : this->orders) {
+      count += sent.stops.size();
+    }
+    return count;
+  }
+
   // Only a leader has a scheduler, which provides the gauge "jobs_known".
   bool IsLeading() const { return this->driver->Gauges().contains("jobs_known"); }
   double JobCount() const
@@ -73,6 +95,18 @@
   }
 };
 
+void PutRow(StoreFixture& aFixture, const jobs::RowKey& aRow, const std::string& aValue)
+{
+  cluster::StoreTransaction transaction;
+  transaction.changes.push_back({ aRow, aValue, false });
+  bool stored = false;
+  aFixture.client->Commit(
+    transaction, 1000 * kMillisecond, [&](const cluster::CommitResult& aResult) {
+      stored = aResult.end == cluster::CommitEnd::Applied;
+    });
+  REQUIRE(aFixture.RunUntil([&] { return stored; }));
+}
+
 void SubmitJob(StoreFixture& aFixture, const std::string& aId, std::uint32_t aTasks = 1)
 {
   jobs::JobRecord record;
@@ -80,26 +114,19 @@
   record.policy.queue = "q";
   record.policy.service = "s";
   record.spec.steps.emplace_back().count = aTasks;
-  cluster::StoreTransaction submission;
-  submission.changes.push_back({ jobs::JobRow(aId), jobs::EncodeJobRecord(record), false });
-  bool stored = false;
-  aFixture.client->Commit(
-    submission, 1000 * kMillisecond, [&](const cluster::CommitResult& aResult) {
-      stored = aResult.end == cluster::CommitEnd::Applied;
-    });
-  REQUIRE(aFixture.RunUntil([&] { return stored; }));
+  PutRow(aFixture, jobs::JobRow(aId), jobs::EncodeJobRecord(record));
 }
 
 void PutLeaderRow(StoreFixture& aFixture, const cluster::LeaderRecord& aRecord)
 {
-  cluster::StoreTransaction transaction;
-  transaction.changes.push_back({ jobs::LeaderRow(), cluster::EncodeLeaderRecord(aRecord), false });
-  bool stored = false;
-  aFixture.client->Commit(
-    transaction, 1000 * kMillisecond, [&](const cluster::CommitResult& aResult) {
-      stored = aResult.end == cluster::CommitEnd::Applied;
-    });
-  REQUIRE(aFixture.RunUntil([&] { return stored; }));
+  PutRow(aFixture, jobs::LeaderRow(), cluster::EncodeLeaderRecord(aRecord));
+}
+
+std::function<bool(const std::string&, const std::string&)> RefuseKeys(const std::string& aPrefix)
+{
+  return [aPrefix](const std::string& /*aTable*/, const std::string& aKey) {
+    return aKey.starts_with(aPrefix);
+  };
 }
 
 } // namespace
@@ -128,19 +155,95 @@
   REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
   entry.SendReport();
   SubmitJob(fixture, "j", 5000);
-  const auto starts = [&](const std::string& aPrefix) {
-    std::size_t count = 0;
-    for (const WorkerOrders& orders : entry.orders) {
-      count += static_cast<std::size_t>(
-        std::count_if(orders.starts.begin(), orders.starts.end(), [&](const StartRun& aStart) {
-          return aStart.ref.task.starts_with(aPrefix);
-        }));
-    }
-    return count;
-  };
-  CHECK(fixture.RunUntil([&] { return starts("j.") == 5000; }));
+  CHECK(fixture.RunUntil([&] { return entry.CountStarts("j") == 5000; }));
   SubmitJob(fixture, "k");
-  CHECK(fixture.RunUntil([&] { return starts("k.") == 1; }));
+  CHECK(fixture.RunUntil([&] { return entry.CountStarts("k") == 1; }));
+}
+
+// Guards against a row that the store refuses and that keeps the leader from storing anything else.
+TEST_CASE("LeaderDriver StartsAndStopsOtherJobsWhenTheStoreRefusesRowsOfOne")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  TestEntry standby(fixture, "b");
+  standby.driver->Start();
+  fixture.store.SetFault(fixture.server, { .refuses = RefuseKeys("odd.0.0") });
+  for (const std::string id : { "j1", "odd", "j2", "j3" }) {
+    SubmitJob(fixture, id);
+  }
+  REQUIRE(fixture.RunUntil([&] { return entry.JobCount() == 4; }));
+  entry.SendReport();
+  for (const std::string id : { "j1", "j2", "j3" }) {
+    INFO(id);
+    CHECK(fixture.RunUntil([&] { return entry.CountStarts(id) == 1; }, 2000 * kMillisecond));
+  }
+  PutRow(fixture, jobs::CancelRow("j1"), {});
+  CHECK(fixture.RunUntil(
+    [&] { return entry.CountStops() == 1 && fixture.store.CountRows("state") == 1; },
+    2000 * kMillisecond));
+  fixture.RunFor(1500 * kMillisecond);
+  SubmitJob(fixture, "j4");
+  CHECK(fixture.RunUntil([&] { return entry.CountStarts("j4") == 1; }, 2000 * kMillisecond));
+  CHECK(entry.CountStarts("odd") == 0);
+  CHECK(entry.IsLeading());
+  CHECK_FALSE(standby.IsLeading());
+  CHECK(fixture.counters.Get("leadership_total", "lost") == 0);
+  CHECK(fixture.counters.Get("rows_refused_total", "progress") > 0);
+  fixture.store.SetFault(fixture.server, {});
+  CHECK(fixture.RunUntil([&] { return entry.CountStarts("odd") == 1; }));
+  CHECK(entry.driver->Gauges().at("rows_withheld") == 0);
+}
+
+// Guards against a planned stop that waits for a row that the store refuses.
+TEST_CASE("LeaderDriver IsReleasedWhenTheStoreRefusesARow")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  fixture.store.SetFault(fixture.server, { .refuses = RefuseKeys("odd.0.0") });
+  SubmitJob(fixture, "odd");
+  SubmitJob(fixture, "j");
+  REQUIRE(fixture.RunUntil([&] { return entry.JobCount() == 2; }));
+  entry.SendReport();
+  REQUIRE(fixture.RunUntil([&] { return fixture.counters.Total("commits_invalid_total") > 0; }));
+  bool released = false;
+  entry.driver->Release([&] { released = true; });
+  CHECK(fixture.RunUntil([&] { return released; }, 1500 * kMillisecond));
+  TestEntry next(fixture, "b");
+  next.driver->Start();
+  CHECK(fixture.RunUntil([&] { return next.JobCount() == 2; }, 700 * kMillisecond));
+}
+
+// Guards against an order for a run that is not stored, or none for one that is, because the
+// repetition of an unanswered transaction is refused.
+TEST_CASE("LeaderDriver FindsOutWhetherARefusedTransactionWasAppliedBefore")
+{
+  const bool isApplied = GENERATE(true, false);
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  SubmitJob(fixture, "j");
+  REQUIRE(fixture.RunUntil([&] { return entry.JobCount() == 1; }));
+  // The next renewal is due after a while, so that the next transaction stores the run.
+  const auto commits = [&] { return entry.driver->CommitLatency().Buckets().count; };
+  const std::uint64_t before = commits();
+  REQUIRE(fixture.RunUntil([&] { return commits() > before; }));
+  fixture.store.SetFault(fixture.server, { .silent = !isApplied, .lost = 1.0 });
+  entry.SendReport();
+  fixture.RunFor(100 * kMillisecond);
+  REQUIRE(fixture.store.CountRows("progress") == (isApplied ? 1 : 0));
+  fixture.store.SetFault(fixture.server, { .refuses = RefuseKeys("j.0.0") });
+  REQUIRE(fixture.RunUntil([&] { return fixture.counters.Total("commits_invalid_total") == 1; }));
+  fixture.RunFor(300 * kMillisecond);
+  INFO("applied " << isApplied);
+  CHECK(entry.CountStarts("j") == (isApplied ? 1 : 0));
+  CHECK(fixture.counters.Get("leadership_total", "lost") == 0);
+  fixture.store.SetFault(fixture.server, {});
+  CHECK(fixture.RunUntil([&] { return entry.CountStarts("j") == 1; }));
 }
 
 // Guards against a leader that cannot store, without a sign of it in its metrics.
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -4,7 +4,7 @@
 //   scheduler.OnReport(agent, report, now);
 //   scheduler.Decide(now);
 //   StoreBatch batch = scheduler.TakeBatch(kMaxRows);   // store it in one transaction, then
-//   scheduler.OnStored(std::move(batch), now);
+//   scheduler.OnStored(std::move(batch), now);          // or OnRefused
 //   for (auto& [agent, orders] : scheduler.TakeOrders()) { send(agent, orders); }
 //
 // A start is ordered, and an end is acknowledged, only after the row that records it is stored. The
@@ -14,11 +14,11 @@
 #include "oriolespread/base/Counters.h"
 #include "oriolespread/jobs/InterferenceModel.h"
 #include "oriolespread/jobs/JobModel.h"
+#include "oriolespread/jobs/RowQueue.h"
 #include "oriolespread/jobs/SchedulerSettings.h"
 
 #include <nlohmann/json.hpp>
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -89,11 +89,14 @@
   // Handles expired leases, due occurrences and expired jobs, and places tasks.
   void Decide(Now aNow);
 
-  bool HasChanges() const { return !this->changedRows.empty(); }
+  bool HasChanges() const { return !this->changedRows.IsEmpty(); }
   // Returns changes for one transaction. Those that do not fit into `aMaxRows` or
   // `SchedulerSettings::maxBatchBytes` remain for the next one.
   StoreBatch TakeBatch(std::size_t aMaxRows);
   void OnStored(StoreBatch aBatch, Now aNow);
+  // Handles that the batch is not stored and that the store never takes a transaction with these
+  // changes. Its rows are taken again in smaller batches, and a single row after a while.
+  void OnRefused(StoreBatch aBatch, Now aNow);
 
   // Returns obsolete rows, all of one part and none of the leader's part. They may be removed in a
   // separate transaction, unconditionally and repeatedly. The caller reports the result with
@@ -115,6 +118,8 @@
   // counts from when this leader first read the job's row to the report of the start.
   std::vector<Duration> TakeStartDelays() { return std::exchange(this->startDelays, {}); }
   std::size_t WaitingTasks() const { return this->waitingTasks; }
+  // Returns the number of rows that the store has refused and that are tried again later.
+  std::size_t WithheldRows() const { return this->changedRows.WithheldCount(); }
   // Returns the number of workers with runs that have not reported to this leader yet.
   std::size_t AwaitedWorkers() const;
 
@@ -175,7 +180,10 @@
   void EndJob(Job& aJob, JobState aState, Now aNow);
   void StopAllRuns(Job& aJob);
   void StopRun(const TaskKey& aTaskKey, Run& aRun);
-  void MarkChanged(RowKey aRow);
+  void MarkChanged(RowKey aRow) { this->changedRows.Add(std::move(aRow)); }
+  // Removes the runs whose start is not ordered because the row is not stored, so that they reserve
+  // no room on workers.
+  void RemoveUnstoredRuns(const RowKey& aRow);
   RowChange MakeChange(const RowKey& aRow) const;
   // Returns the contents of a progress row, without checkpoints if it is too long with them.
   std::string EncodeRow(const Step& aStep, std::optional<std::uint32_t> aRow) const;
@@ -245,6 +253,8 @@
   std::set<std::string> FindServicesWithFreeCores() const;
   void PlaceStep(const ReadyStep& aReady, Duration aAllowInterferenceAfter, Now aNow);
   PlacementRequest MakePlacementRequest(const ReadyStep& aReady) const;
+  // Returns whether the task must not be placed yet.
+  bool IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const;
   bool PlaceTask(const ReadyStep& aReady,
                  std::uint32_t aIndex,
                  PlacementRequest& aRequest,
@@ -310,8 +320,7 @@
   std::map<std::string, std::set<WorkerKey>> loadedWorkersOfAgent;
   // Jobs that have not ended.
   std::set<std::string> activeJobs;
-  std::deque<RowKey> changedRows;
-  std::set<RowKey> changedRowSet;
+  RowQueue changedRows;
   std::vector<DeferredOrder> deferredOrders;
   std::map<std::string, OutgoingOrders> outgoingOrders;
   std::uint64_t lastOrders = 0;
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -26,6 +26,15 @@
     std::string(JobStateName(aJob.state)), " ", aJob.endedUnixMs, " ", aJob.record.policy.queue);
 }
 
+std::vector<RowKey> RowsOf(const StoreBatch& aBatch)
+{
+  std::vector<RowKey> rows;
+  for (const RowChange& change : aBatch.changes) {
+    rows.push_back(change.row);
+  }
+  return rows;
+}
+
 } // namespace
 
 JobScheduler::JobScheduler(SchedulerSettings aSettings, Counters& aCounters, DecisionLog aLog)
@@ -156,13 +165,6 @@
   }
 }
 
-void JobScheduler::MarkChanged(RowKey aRow)
-{
-  if (this->changedRowSet.insert(aRow).second) {
-    this->changedRows.push_back(std::move(aRow));
-  }
-}
-
 RowChange JobScheduler::MakeChange(const RowKey& aRow) const
 {
   // The row is removed if its contents are not needed any more.
@@ -200,20 +202,20 @@
 StoreBatch JobScheduler::TakeBatch(std::size_t aMaxRows)
 {
   StoreBatch batch;
-  std::set<RowKey> rows;
   std::size_t bytes = 0;
-  while (!this->changedRows.empty() && batch.changes.size() < aMaxRows) {
-    RowChange change = this->MakeChange(this->changedRows.front());
+  const std::vector<RowKey> taken = this->changedRows.Take([&](const RowKey& aRow) {
+    if (batch.changes.size() >= aMaxRows) {
+      return false;
+    }
+    RowChange change = this->MakeChange(aRow);
     bytes += change.value.size();
     if (!batch.empty() && bytes > this->settings.maxBatchBytes) {
-      break;
+      return false;
     }
     batch.changes.push_back(std::move(change));
-    RowKey row = std::move(this->changedRows.front());
-    this->changedRows.pop_front();
-    this->changedRowSet.erase(row);
-    rows.insert(std::move(row));
-  }
+    return true;
+  });
+  const std::set<RowKey> rows(taken.begin(), taken.end());
   // Orders whose row is not in this batch stay deferred.
   const auto firstTaken =
     std::stable_partition(this->deferredOrders.begin(),
@@ -227,6 +229,7 @@
 
 void JobScheduler::OnStored(StoreBatch aBatch, Now aNow)
 {
+  this->changedRows.OnApplied(RowsOf(aBatch));
   for (DeferredOrder& order : aBatch.orders) {
     if (order.start.has_value()) {
       if (Run* run = this->FindRun(*order.start); run == nullptr) {
@@ -257,6 +260,42 @@
   }
 }
 
+void JobScheduler::OnRefused(StoreBatch aBatch, Now aNow)
+{
+  // The orders wait until their rows are stored.
+  this->deferredOrders.insert(this->deferredOrders.begin(),
+                              std::make_move_iterator(aBatch.orders.begin()),
+                              std::make_move_iterator(aBatch.orders.end()));
+  const auto withheldFor = this->changedRows.OnRefused(RowsOf(aBatch), aNow.instant);
+  if (!withheldFor.has_value()) {
+    return;
+  }
+  const RowChange& change = aBatch.changes.front();
+  this->counters.Add("rows_refused_total", change.row.table);
+  this->log("row_refused",
+            { { "table", change.row.table },
+              { "key", change.row.key },
+              { "bytes", change.value.size() },
+              { "removed", change.remove },
+              { "retry_ms", ToMilliseconds(*withheldFor) } });
+  this->RemoveUnstoredRuns(change.row);
+}
+
+void JobScheduler::RemoveUnstoredRuns(const RowKey& aRow)
+{
+  std::vector<RunKey> unstored;
+  std::erase_if(this->deferredOrders, [&](const DeferredOrder& aOrder) {
+    const bool isUnstored = aOrder.row == aRow && aOrder.start.has_value();
+    if (isUnstored) {
+      unstored.push_back(*aOrder.start);
+    }
+    return isUnstored;
+  });
+  for (const RunKey& run : unstored) {
+    this->RemoveRun(run);
+  }
+}
+
 void JobScheduler::DropProgress(const Job& aJob)
 {
   if (!aJob.endStored) {
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -22,6 +22,7 @@
 
 void JobScheduler::Decide(Now aNow)
 {
+  this->changedRows.Release(aNow.instant);
   std::vector<WorkerKey> expired;
   for (const auto& [key, worker] : this->workers) {
     if (aNow.instant > worker.latestLeaseExpiry) {
@@ -196,7 +197,7 @@
   bool allPlaced = true;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     const Task& task = tasks[index];
-    if (task.state != TaskState::Waiting || aNow.instant < task.notBefore) {
+    if (task.state != TaskState::Waiting || this->IsPlacementDelayed(aReady, index, aNow)) {
       continue;
     }
     if (!this->PlaceTask(aReady, index, request, aNow)) {
@@ -220,6 +221,15 @@
   }
 }
 
+bool JobScheduler::IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const
+{
+  const Occurrence& occurrence = aReady.job->occurrences.at(aReady.occurrence);
+  return aNow.instant < occurrence.steps[aReady.step].tasks[aIndex].notBefore ||
+         (this->changedRows.WithheldCount() > 0 &&
+          this->changedRows.IsWithheld(this->ProgressRowOf(
+            { aReady.job->record.id, aReady.occurrence, aReady.step, aIndex })));
+}
+
 bool JobScheduler::PlaceTask(const ReadyStep& aReady,
                              std::uint32_t aIndex,
                              PlacementRequest& aRequest,
@@ -256,11 +266,10 @@
     this->StopRestOfGang(aReady);
     return;
   }
-  const bool isDelayed = std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& aTask) {
-    return aNow.instant < aTask.notBefore;
-  });
-  if (isDelayed) {
-    return;
+  for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+    if (this->IsPlacementDelayed(aReady, index, aNow)) {
+      return;
+    }
   }
   PlacementRequest request = this->MakePlacementRequest(aReady);
   std::vector<Worker*> selected;
