Keep one refused row from stopping all removals of rows

If the store refuses to remove one row of `jobs` or `waiting`, up to 95 rows of its part are removed again with it and refused again, without end: `pending` counts jobs that have started, and rows of ended jobs stay.

Cause: LeaderDriver put the rows of a refused transaction back and sent them together again.

Change: the obsolete rows of each part wait in a RowQueue, which isolates the refused row as for changes. The parts take turns. A row waits once, also if it is marked twice.

Evidence: with the answer handled as before, LeaderDriver RemovesOtherRowsWhenTheStoreRefusesToRemoveOne found the rows of all four jobs in `waiting` after 5 s.

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -494,8 +494,12 @@
       this->removalInFlight = false;
       if (aResult.end == CommitEnd::Applied) {
         this->scheduler->OnRemoved(rows, this->CurrentTime());
+        return;
+      }
+      this->counters.Add("removal_retries_total", aResult.reason);
+      if (aResult.end == CommitEnd::Invalid) {
+        this->scheduler->OnRemovalRefused(rows, this->CurrentTime());
       } else {
-        this->counters.Add("removal_retries_total", aResult.reason);
         this->scheduler->OnRemovalFailed(rows);
       }
     });
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -196,6 +196,35 @@
   CHECK(entry.driver->Gauges().at("rows_withheld") == 0);
 }
 
+// Guards against `pending` counting jobs that have started or ended, because of one refused row.
+TEST_CASE("LeaderDriver RemovesOtherRowsWhenTheStoreRefusesToRemoveOne")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  std::vector<std::string> ids{ "odd" };
+  for (int number = 0; ids.size() < 4; ++number) {
+    // Rows of one part are removed together.
+    if (jobs::JobPartOf("j" + std::to_string(number)) == jobs::JobPartOf("odd")) {
+      ids.push_back("j" + std::to_string(number));
+    }
+  }
+  for (const std::string& id : ids) {
+    PutRow(fixture, jobs::WaitingRow("q", id), {});
+    SubmitJob(fixture, id);
+  }
+  REQUIRE(fixture.RunUntil([&] { return entry.JobCount() == 4; }));
+  fixture.store.SetFault(fixture.server, { .refuses = RefuseKeys("q/odd") });
+  for (const std::string& id : ids) {
+    PutRow(fixture, jobs::CancelRow(id), {});
+  }
+  CHECK(fixture.RunUntil([&] { return fixture.store.CountRows("waiting") == 1; }));
+  CHECK(
+    fixture.RunUntil([&] { return fixture.counters.Get("rows_refused_total", "waiting") == 1; }));
+  fixture.store.SetFault(fixture.server, {});
+  CHECK(fixture.RunUntil([&] { return fixture.store.CountRows("waiting") == 0; }));
+}
+
 // Guards against a planned stop that waits for a row that the store refuses.
 TEST_CASE("LeaderDriver IsReleasedWhenTheStoreRefusesARow")
 {
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -100,10 +100,12 @@
 
   // Returns obsolete rows, all of one part and none of the leader's part. They may be removed in a
   // separate transaction, unconditionally and repeatedly. The caller reports the result with
-  // OnRemoved or OnRemovalFailed.
+  // OnRemoved, OnRemovalFailed or, if the store never takes the transaction, OnRemovalRefused.
   std::vector<RowKey> TakeRemovals(std::size_t aMaxRows);
   void OnRemoved(const std::vector<RowKey>& aRows, Now aNow);
   void OnRemovalFailed(std::vector<RowKey> aRows);
+  // The rows are taken again in smaller transactions, and a single row after a while.
+  void OnRemovalRefused(const std::vector<RowKey>& aRows, Now aNow);
 
   // Returns the messages to send, with the agent of each. Those for one agent are in the order of
   // their sequence numbers.
@@ -119,7 +121,7 @@
   std::vector<Duration> TakeStartDelays() { return std::exchange(this->startDelays, {}); }
   std::size_t WaitingTasks() const { return this->waitingTasks; }
   // Returns the number of rows that the store has refused and that are tried again later.
-  std::size_t WithheldRows() const { return this->changedRows.WithheldCount(); }
+  std::size_t WithheldRows() const;
   // Returns the number of workers with runs that have not reported to this leader yet.
   std::size_t AwaitedWorkers() const;
 
@@ -181,6 +183,9 @@
   void StopAllRuns(Job& aJob);
   void StopRun(const TaskKey& aTaskKey, Run& aRun);
   void MarkChanged(RowKey aRow) { this->changedRows.Add(std::move(aRow)); }
+  void MarkRemovable(RowKey aRow);
+  // Counts and logs a row that the store has refused alone.
+  void ReportRefusedRow(const RowChange& aChange, Duration aWithheldFor);
   // Removes the runs whose start is not ordered because the row is not stored, so that they reserve
   // no room on workers.
   void RemoveUnstoredRuns(const RowKey& aRow);
@@ -337,7 +342,10 @@
   std::map<std::string, StoredState> loadedStates;
   std::map<std::string, std::vector<StoredProgress>> loadedProgress;
   std::vector<std::string> loadedCancels;
-  std::vector<RowKey> removableRows;
+  // Obsolete rows outside the leader's part, by their part.
+  std::map<std::string, RowQueue> removableRows;
+  // The part of the last rows that TakeRemovals returned.
+  std::string lastRemovalPart;
   // Stored states without a job row, and when they were loaded.
   std::map<std::string, Instant> orphanedStates;
   Instant nextExpiryCheck{};
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -128,7 +128,7 @@
   this->activeJobs.erase(id);
   if (!aJob.started) {
     aJob.started = true;
-    this->removableRows.push_back(WaitingRow(aJob.record.policy.queue, id));
+    this->MarkRemovable(WaitingRow(aJob.record.policy.queue, id));
   }
   this->MarkChanged(StateRow(id));
   this->counters.Add("jobs_ended_total", JobStateName(aState));
@@ -271,16 +271,21 @@
     return;
   }
   const RowChange& change = aBatch.changes.front();
-  this->counters.Add("rows_refused_total", change.row.table);
-  this->log("row_refused",
-            { { "table", change.row.table },
-              { "key", change.row.key },
-              { "bytes", change.value.size() },
-              { "removed", change.remove },
-              { "retry_ms", ToMilliseconds(*withheldFor) } });
+  this->ReportRefusedRow(change, *withheldFor);
   this->RemoveUnstoredRuns(change.row);
 }
 
+void JobScheduler::ReportRefusedRow(const RowChange& aChange, Duration aWithheldFor)
+{
+  this->counters.Add("rows_refused_total", aChange.row.table);
+  this->log("row_refused",
+            { { "table", aChange.row.table },
+              { "key", aChange.row.key },
+              { "bytes", aChange.value.size() },
+              { "removed", aChange.remove },
+              { "retry_ms", ToMilliseconds(aWithheldFor) } });
+}
+
 void JobScheduler::RemoveUnstoredRuns(const RowKey& aRow)
 {
   std::vector<RunKey> unstored;
@@ -315,26 +320,33 @@
   }
 }
 
+void JobScheduler::MarkRemovable(RowKey aRow)
+{
+  RowQueue& queue = this->removableRows[aRow.part];
+  queue.Add(std::move(aRow));
+}
+
 std::vector<RowKey> JobScheduler::TakeRemovals(std::size_t aMaxRows)
 {
   std::vector<RowKey> rows;
-  if (this->removableRows.empty()) {
-    return rows;
+  auto queue = this->removableRows.upper_bound(this->lastRemovalPart);
+  for (std::size_t tried = 0; tried < this->removableRows.size() && rows.empty(); ++tried) {
+    if (queue == this->removableRows.end()) {
+      queue = this->removableRows.begin();
+    }
+    std::size_t count = 0;
+    rows = queue->second.Take([&](const RowKey& /*aRow*/) { return count++ < aMaxRows; });
+    this->lastRemovalPart = queue->first;
+    ++queue;
   }
-  const std::string part = this->removableRows.front().part;
-  const auto firstTaken =
-    std::stable_partition(this->removableRows.begin(),
-                          this->removableRows.end(),
-                          [&](const RowKey& aRow) { return aRow.part != part; });
-  const auto end = firstTaken + std::min<std::ptrdiff_t>(this->removableRows.end() - firstTaken,
-                                                         static_cast<std::ptrdiff_t>(aMaxRows));
-  rows.assign(std::make_move_iterator(firstTaken), std::make_move_iterator(end));
-  this->removableRows.erase(firstTaken, end);
   return rows;
 }
 
 void JobScheduler::OnRemoved(const std::vector<RowKey>& aRows, Now aNow)
 {
+  if (!aRows.empty()) {
+    this->removableRows[aRows.front().part].OnApplied(aRows);
+  }
   for (const RowKey& row : aRows) {
     if (Job* job = row.table == kJobsTable ? this->FindJob(row.key) : nullptr; job != nullptr) {
       job->rowRemoval = RowRemoval::Removed;
@@ -345,9 +357,25 @@
 
 void JobScheduler::OnRemovalFailed(std::vector<RowKey> aRows)
 {
-  this->removableRows.insert(this->removableRows.end(),
-                             std::make_move_iterator(aRows.begin()),
-                             std::make_move_iterator(aRows.end()));
+  RowQueue& queue = this->removableRows[aRows.front().part];
+  queue.PutBack(std::move(aRows));
+}
+
+void JobScheduler::OnRemovalRefused(const std::vector<RowKey>& aRows, Now aNow)
+{
+  const auto withheldFor = this->removableRows[aRows.front().part].OnRefused(aRows, aNow.instant);
+  if (withheldFor.has_value()) {
+    this->ReportRefusedRow({ aRows.front(), {}, true }, *withheldFor);
+  }
+}
+
+std::size_t JobScheduler::WithheldRows() const
+{
+  std::size_t count = this->changedRows.WithheldCount();
+  for (const auto& [part, queue] : this->removableRows) {
+    count += queue.WithheldCount();
+  }
+  return count;
 }
 
 void JobScheduler::RemoveExpiredJobs(Now aNow)
@@ -378,11 +406,11 @@
       continue;
     }
     job.rowRemoval = RowRemoval::Requested;
-    this->removableRows.push_back(JobRow(id));
-    this->removableRows.push_back(CancelRow(id));
+    this->MarkRemovable(JobRow(id));
+    this->MarkRemovable(CancelRow(id));
     // The row is normally removed when the first task starts, but a job that was loaded in its
     // terminal state may still have it: an earlier leader may have ended before it removed the row.
-    this->removableRows.push_back(WaitingRow(job.record.policy.queue, id));
+    this->MarkRemovable(WaitingRow(job.record.policy.queue, id));
   }
 }
 
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -79,7 +79,7 @@
     job->endedUnixMs = state.mapped().endedUnixMs;
     job->endedAt = aNow.instant;
     // The earlier leader may have ended before it removed the row.
-    this->removableRows.push_back(WaitingRow(job->record.policy.queue, aKey));
+    this->MarkRemovable(WaitingRow(job->record.policy.queue, aKey));
   }
   if (!progress.empty()) {
     for (const StoredProgress& stored : progress.mapped()) {
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -23,6 +23,9 @@
 void JobScheduler::Decide(Now aNow)
 {
   this->changedRows.Release(aNow.instant);
+  for (auto& [part, queue] : this->removableRows) {
+    queue.Release(aNow.instant);
+  }
   std::vector<WorkerKey> expired;
   for (const auto& [key, worker] : this->workers) {
     if (aNow.instant > worker.latestLeaseExpiry) {
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -258,7 +258,7 @@
   job->state = JobState::Running;
   this->startDelays.push_back(aNow.instant - job->firstSeen);
   this->MarkChanged(StateRow(job->record.id));
-  this->removableRows.push_back(WaitingRow(job->record.policy.queue, job->record.id));
+  this->MarkRemovable(WaitingRow(job->record.policy.queue, job->record.id));
 }
 
 // The stored checkpoints are used when the leader fails together with the workers, for example in a
--- a/packages/jobs/tests/SchedulerRemovalTest.cpp
+++ b/packages/jobs/tests/SchedulerRemovalTest.cpp
@@ -53,6 +53,38 @@
   CHECK(fixture.starts.size() == 1);
 }
 
+// Guards against one row that keeps all others from being removed, so that `pending` counts jobs
+// that have started.
+TEST_CASE("JobScheduler RemovesTheOtherRowsWhenTheStoreRefusesToRemoveOne")
+{
+  SchedulerFixture fixture;
+  const RowKey refused = WaitingRow("queue", "j1");
+  std::set<RowKey> removed;
+  for (int job = 0; job < 40; ++job) {
+    const std::string id = "j" + std::to_string(job);
+    fixture.Submit(MakeJob(id, { MakeStep(1) }));
+    fixture.scheduler.OnJobRow(id + ".cancel", {}, fixture.now);
+  }
+  const auto removeRows = [&] {
+    for (int round = 0; round < 30; ++round) {
+      const std::vector<RowKey> rows = fixture.scheduler.TakeRemovals(95);
+      if (std::count(rows.begin(), rows.end(), refused) > 0) {
+        fixture.scheduler.OnRemovalRefused(rows, fixture.now);
+      } else {
+        removed.insert(rows.begin(), rows.end());
+        fixture.scheduler.OnRemoved(rows, fixture.now);
+      }
+    }
+  };
+  removeRows();
+  CHECK(removed.size() == 39);
+  CHECK(fixture.scheduler.WithheldRows() == 1);
+  CHECK(fixture.counters.Get("rows_refused_total", "waiting") == 1);
+  fixture.Advance(std::chrono::seconds(2));
+  fixture.scheduler.Decide(fixture.now);
+  CHECK(fixture.scheduler.TakeRemovals(95) == std::vector<RowKey>{ refused });
+}
+
 // Guards against ended jobs that are removed too early because the wall clock was set forward.
 TEST_CASE("JobScheduler KeepsAnEndedJobWhenTheWallClockJumps")
 {
