Answer at once what the store never takes

What callers saw: a submission or cancellation that the store answers with 400 was repeated until the caller's deadline and answered with 504, so that the caller sent it again.

Change: if no earlier attempt of the request has an unknown end, a submission is answered with 400 and a cancellation with 503, as nothing was stored. After an unanswered attempt, here or at another entry, it is repeated as before, since the attempt may have been applied. A 400 of another entry is passed on only if this entry knows of no such attempt.

--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -133,11 +133,14 @@
     aRequest->http,
     this->DeadlineOf(*aRequest),
     [this, aRequest, otherwise = std::move(aOtherwise)](const ForwardResult& aResult) {
-      if (aResult.response.has_value()) {
+      aRequest->maybeApplied |= aResult.maybeApplied;
+      // The other entry does not know of attempts before its own.
+      const bool isKnown = aResult.response.has_value() &&
+                           (aResult.response->status != kHttpBadRequest || !aRequest->maybeApplied);
+      if (isKnown) {
         this->Respond(aRequest, aResult.response->status, aResult.response->body, "forwarded");
         return;
       }
-      aRequest->maybeApplied |= aResult.maybeApplied;
       otherwise();
     });
 }
@@ -215,6 +218,14 @@
       this->Respond(aRequest, kHttpOk, "{}", "stored_before");
       return;
     case CommitEnd::Invalid:
+      if (!aRequest->maybeApplied) {
+        // A repetition would be refused as well. A cancellation is not at fault itself.
+        const bool isJob = aRequest->http.method == "POST";
+        this->Respond(
+          aRequest, isJob ? kHttpBadRequest : kHttpUnavailable, {}, "store_refuses_content");
+        return;
+      }
+      break;
     case CommitEnd::Unknown:
       aRequest->maybeApplied = true;
       break;
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -214,6 +214,49 @@
   CHECK(fixture.store.CountRows("jobs") == 0);
 }
 
+// Guards against a caller that waits until its timeout for what the store never takes.
+TEST_CASE("JobApi RefusesAtOnceWhatTheStoreNeverTakes")
+{
+  JobApiFixture fixture;
+  REQUIRE(fixture.Call("POST", JobPath("00000000000000b2"), JobBody()).status == kHttpOk);
+  fixture.store.SetFault(
+    fixture.server, { .refuses = [](const std::string&, const std::string&) { return true; } });
+  const Instant requestedAt = BootClock::now();
+  CHECK(fixture.Call("POST", JobPath(), JobBody()).status == kHttpBadRequest);
+  // The job goes on, so the caller may cancel it again.
+  const HttpResponse cancelled = fixture.Call("DELETE", JobPath("00000000000000b2"));
+  CHECK(cancelled.status == kHttpUnavailable);
+  CHECK(FindHeader(cancelled.headers, "Retry-After") == "1");
+  CHECK(BootClock::now() - requestedAt < 700 * kMillisecond);
+  CHECK(fixture.counters.Get("requests_refused_total", "store_refuses_content") == 2);
+}
+
+// Guards against refusing a job that was stored, because its repetition is refused here or at
+// another entry.
+TEST_CASE("JobApi DoesNotRefuseAJobWhoseRepetitionTheStoreNeverTakes")
+{
+  using platformwire_testing::StoreFault;
+  const StoreFault refusal{ .refuses = [](const std::string&, const std::string&) {
+    return true;
+  } };
+  JobApiFixture fixture;
+  std::unique_ptr<OtherEntry> other;
+  const bool atOtherEntry = GENERATE(false, true);
+  if (atOtherEntry) {
+    other = std::make_unique<OtherEntry>(fixture);
+    fixture.store.SetFault(other->storeServer, refusal);
+  }
+  fixture.store.SetFault(fixture.server, { .lost = 1.0 });
+  asio::steady_timer timer(fixture.context, 400 * kMillisecond);
+  timer.async_wait([&](asio::error_code) {
+    fixture.store.SetFault(fixture.server, atOtherEntry ? StoreFault{ .lost = 1.0 } : refusal);
+  });
+  const int status = fixture.Call("POST", JobPath(), JobBody()).status;
+  INFO("at the other entry " << atOtherEntry);
+  CHECK(status == kHttpGatewayTimeout);
+  CHECK(fixture.store.CountRows("jobs") == 1);
+}
+
 // Guards against a response after the caller's timeout.
 TEST_CASE("JobApi AnswersWithinTheTimeoutOfTheCaller")
 {
