--- a/packages/jobs/tests/HandoverTest.cpp
+++ b/packages/jobs/tests/HandoverTest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <cstdlib>
+#include <numeric>
 
 using namespace oriolespread;
 using namespace oriolespread::jobs;
@@ -84,6 +85,21 @@
     this->Run(this->random.Between(100 * kMs, 5000 * kMs));
   }
 
+  // Makes the store refuse a third of the rows of jobs for a while.
+  void RefuseRows(Duration aTime)
+  {
+    const auto refusedThird = static_cast<std::size_t>(++this->refusals % 3);
+    this->cluster.world.store.refuses = [refusedThird](const RowKey& aRow) {
+      return std::accumulate(aRow.key.begin(), aRow.key.end(), std::size_t{ 0 }) % 3 ==
+             refusedThird;
+    };
+    this->cluster.world.time.After(aTime, [this, number = this->refusals] {
+      if (number == this->refusals) {
+        this->cluster.world.store.refuses = nullptr;
+      }
+    });
+  }
+
   const PlayedWorld& World() const { return this->cluster.world; }
 
   // Lets a leader without disturbance work until all jobs have the state that they should have.
@@ -333,6 +349,7 @@
 
   std::uint64_t seed;
   std::uint64_t number = 0;
+  std::uint64_t refusals = 0;
   RandomSource random;
   PlayedCluster cluster;
   std::map<std::string, JobRecord> jobs;
@@ -370,3 +387,29 @@
   CHECK(refusedOrders > 0);
   CHECK(lostClaims > 0);
 }
+
+// Guards against an order for a run that is not stored, an end that is acknowledged before it is,
+// and a job that never ends, because the store refuses some rows for a while.
+TEST_CASE("JobScheduler RunsEachTaskOnceWhenTheStoreRefusesRows")
+{
+  const std::uint64_t first = ReadNumber("ORIOLESPREAD_SEED", 1);
+  const std::uint64_t count = ReadNumber("ORIOLESPREAD_HANDOVERS", kHandovers) / 2;
+  RandomSource random(first);
+  std::uint64_t invalidWrites = 0;
+  std::uint64_t starts = 0;
+  for (std::uint64_t played = 0; played < count; played += kHandoversPerSeed) {
+    HandoverPlay play(first + played / kHandoversPerSeed);
+    for (std::uint64_t number = 1; number <= kHandoversPerSeed; ++number) {
+      if (random.Chance(0.6)) {
+        play.RefuseRows(random.Between(500 * kMs, 15'000 * kMs));
+      }
+      play.HandOver(number);
+    }
+    play.Settle();
+    starts += play.World().starts.size();
+    invalidWrites += play.World().invalidWrites;
+  }
+  INFO("starts " << starts << ", invalid writes " << invalidWrites);
+  CHECK(starts >= count);
+  CHECK(invalidWrites >= count);
+}
--- a/packages/jobs/tests/PlayedLeader.h
+++ b/packages/jobs/tests/PlayedLeader.h
@@ -183,6 +183,7 @@
     this->Note(aReason);
     this->phase = Phase::Ended;
     this->inFlight.reset();
+    this->refused.reset();
     this->inbox.clear();
   }
 
@@ -247,24 +248,36 @@
     this->row.record.released = leads && this->releasing && !this->scheduler->HasChanges();
     const bool renewalDue = this->world.time.Present() - this->renewedAt >= kPlayedTick;
     if (!batch.empty() || renewalDue || this->row.record.released) {
-      ++this->row.record.renewal;
-      this->row.record.earlierLeasesMs = std::max<std::int64_t>(
-        ToMilliseconds(this->earlierLeasesExpiry - this->world.time.Present()), 0);
-      this->inFlight = std::make_shared<PlayedTransaction>(PlayedTransaction{
-        this->row.version, this->row, std::move(batch), this->world.time.Present() });
-      this->SendTransaction(this->inFlight);
+      this->SendBatch(std::move(batch));
     }
   }
 
+  void SendBatch(StoreBatch aBatch)
+  {
+    ++this->row.record.renewal;
+    this->row.record.earlierLeasesMs = std::max<std::int64_t>(
+      ToMilliseconds(this->earlierLeasesExpiry - this->world.time.Present()), 0);
+    this->inFlight = std::make_shared<PlayedTransaction>(PlayedTransaction{
+      this->row.version, this->row, std::move(aBatch), this->world.time.Present() });
+    this->SendTransaction(this->inFlight);
+  }
+
   // Sends the transaction, and again if there is no answer in time.
   void SendTransaction(const std::shared_ptr<PlayedTransaction>& aTransaction)
   {
     const Instant sentAt = this->world.time.Present();
     if (sentAt >= this->requestsCutUntil) {
       this->world.time.After(this->world.StoreDelay(), [=, this] {
+        const bool isAnswered = this->world.time.Present() >= this->answersCutUntil;
+        if (this->world.store.Refuses(*aTransaction)) {
+          if (isAnswered) {
+            this->After(this->world.StoreDelay(), [=, this] { this->OnInvalid(aTransaction); });
+          }
+          return;
+        }
         const bool isConflict = this->world.store.leader.version != aTransaction->condition;
         const auto version = this->world.store.Commit(*aTransaction);
-        if (this->world.time.Present() >= this->answersCutUntil) {
+        if (isAnswered) {
           const Instant renewedAt = isConflict ? aTransaction->startedAt : sentAt;
           this->After(this->world.StoreDelay(),
                       [=, this] { this->OnCommitted(aTransaction, version, renewedAt); });
@@ -285,13 +298,42 @@
     if (this->inFlight != aTransaction) {
       return;
     }
+    const auto refusedBefore = std::exchange(this->refused, nullptr);
+    const PlayedLeaderRow& stored = this->world.store.leader;
+    if (!aVersion.has_value() && refusedBefore != nullptr &&
+        stored.record == refusedBefore->row.record) {
+      this->OnApplied(refusedBefore, stored.version, refusedBefore->startedAt);
+      return;
+    }
     if (!aVersion.has_value()) {
       ++this->world.refusedWrites;
       this->End("superseded");
       return;
     }
+    if (refusedBefore != nullptr) {
+      this->scheduler->OnRefused(std::move(refusedBefore->batch), this->world.time.Current());
+    }
+    this->OnApplied(aTransaction, *aVersion, aRenewedAt);
+  }
+
+  // Renews the leadership alone, which tells whether an unanswered attempt was applied.
+  void OnInvalid(const std::shared_ptr<PlayedTransaction>& aTransaction)
+  {
+    if (this->inFlight == aTransaction) {
+      ++this->world.invalidWrites;
+      this->refused = aTransaction;
+      this->row.record.released = false;
+      this->SendBatch({});
+    }
+  }
+
+  void OnApplied(const std::shared_ptr<PlayedTransaction>& aTransaction,
+                 std::uint64_t aVersion,
+                 Instant aRenewedAt)
+  {
     this->inFlight.reset();
-    this->row.version = *aVersion;
+    this->row.record.released = aTransaction->row.record.released;
+    this->row.version = aVersion;
     this->renewedAt = aRenewedAt;
     if (this->phase != Phase::Leading) {
       return;
@@ -424,6 +466,8 @@
   std::vector<std::function<void()>> inbox;
   std::map<std::size_t, std::shared_ptr<PlayedLink>> links;
   std::shared_ptr<PlayedTransaction> inFlight;
+  // The transaction before the one in flight, if it was refused as invalid.
+  std::shared_ptr<PlayedTransaction> refused;
   Instant requestsCutUntil{};
   Instant answersCutUntil{};
   std::size_t watched = 0;
--- a/packages/jobs/tests/PlayedWorld.h
+++ b/packages/jobs/tests/PlayedWorld.h
@@ -130,12 +130,23 @@
     return this->leader.version;
   }
 
+  // Returns whether the transaction is refused, as it has a row that the store does not take.
+  bool Refuses(const PlayedTransaction& aTransaction) const
+  {
+    const auto& changes = aTransaction.batch.changes;
+    return this->refuses != nullptr &&
+           std::any_of(changes.begin(), changes.end(), [&](const RowChange& aChange) {
+             return this->refuses(aChange.row);
+           });
+  }
+
   void WriteJobRow(const RowKey& aRow, const std::string& aValue)
   {
     this->rows[aRow] = aValue;
     this->jobRows.emplace_back(aRow.key, aValue);
   }
 
+  std::function<bool(const RowKey&)> refuses;
   PlayedLeaderRow leader;
   std::map<RowKey, std::string> rows;
   // All rows of `jobs` in the order in which they were written, for watches.
@@ -345,6 +356,8 @@
   // Writes and orders of earlier leaders that were refused.
   std::uint64_t refusedWrites = 0;
   std::uint64_t refusedOrders = 0;
+  // Transactions that the store refused as invalid.
+  std::uint64_t invalidWrites = 0;
   std::uint64_t lostClaims = 0;
   // Returns whether the leader of the epoch expects the run, or does not lead.
   std::function<bool(Epoch, const RunRef&)> isKnown;
