Test the hand-over from a leader that the store does not serve

No test showed that a leader whose calls are refused, unanswered or answered with 400 gives way to an entry that the store serves. No code changes: the leadership row is not renewed meanwhile, so another entry claims it.

--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -25,7 +25,8 @@
   TestEntry(StoreFixture& aFixture,
             const std::string& aName,
             Duration aWorkerLease = std::chrono::seconds(5),
-            Duration aStoreOutageTolerance = std::chrono::seconds(5))
+            Duration aStoreOutageTolerance = std::chrono::seconds(5),
+            platformwire::StoreClient* aClient = nullptr)
   {
     LeaderDriverOptions options;
     options.entry = aName;
@@ -35,7 +36,7 @@
     options.endedJobRetention = std::chrono::seconds(120);
     this->driver = std::make_unique<LeaderDriver>(
       aFixture.context,
-      *aFixture.client,
+      aClient == nullptr ? *aFixture.client : *aClient,
       options,
       aFixture.counters,
       [this](const std::string& /*aAgent*/, const LinkMessage& aMessage) {
@@ -372,6 +373,43 @@
   CHECK(second.orders.front().starts.size() == 1);
 }
 
+// Guards against a cluster without decisions while the store turns the leader's machine away.
+TEST_CASE("LeaderDriver HandsOverToAnEntryThatTheStoreServes")
+{
+  using platformwire_testing::StoreFault;
+  const std::vector<std::pair<std::string, StoreFault>> faults{
+    { "busy", { .busy = true } },
+    { "silent", { .silent = true } },
+    { "lost", { .lost = 1.0 } },
+    { "refuses", { .refuses = RefuseKeys("") } },
+  };
+  for (const auto& [name, fault] : faults) {
+    INFO(name);
+    StoreFixture fixture;
+    const std::size_t otherServer = fixture.store.Serve("127.0.0.1", 0);
+    const auto otherClient = *platformwire::StoreClient::Create(
+      fixture.context,
+      "127.0.0.1:" + std::to_string(fixture.store.PortOf(otherServer)),
+      fixture.counters);
+    TestEntry first(fixture, "a");
+    first.driver->Start();
+    REQUIRE(fixture.RunUntil([&] { return first.IsLeading(); }));
+    SubmitJob(fixture, "j");
+    TestEntry second(
+      fixture, "b", std::chrono::seconds(5), std::chrono::seconds(5), otherClient.get());
+    second.driver->Start();
+    fixture.RunFor(400 * kMillisecond);
+    REQUIRE_FALSE(second.IsLeading());
+    fixture.store.SetFault(fixture.server, fault);
+    CHECK(fixture.RunUntil([&] { return second.claims.size() >= 2; }, 3000 * kMillisecond));
+    second.SendReport();
+    CHECK(fixture.RunUntil([&] { return second.CountStarts("j") == 1; }, 1000 * kMillisecond));
+    fixture.store.SetFault(fixture.server, {});
+    CHECK(fixture.RunUntil([&] { return !first.IsLeading(); }));
+    CHECK(second.IsLeading());
+  }
+}
+
 // Guards against leases that a leader extends although the next one takes them for expired.
 TEST_CASE("LeaderDriver ExtendsNoLeaseTooLongAfterTheFirstAttemptAtARenewal")
 {
