Cancel jobs that are stored after their cancellation

Callers saw: a cancellation was answered 410 as its job was not stored, and the job ran. The submission had been sent before: a call to the store without an answer is carried out seconds later, an entry repeats it until the caller's time is over, or the caller's next attempt arrives at another entry. A caller that gives up within half a second meets this whenever an entry or the store is slower than that. The same happened when the read that decides the answer was behind and did not show a stored job.

Cause: a cancellation of a job that was not found left nothing behind, and the leader dropped a cancellation without a job.

Fix: the row of the cancellation is written in any case. If no job was read, the write requires that there is none, so that 410 is true; on a conflict the job exists and is cancelled (200). The leader keeps cancellations without a job, ends the job as cancelled when its row arrives, and removes such rows after the retention time of ended jobs.

--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -211,9 +211,19 @@
 {
   switch (aResult.end) {
     case CommitEnd::Applied:
+      if (aRequest->cancelsUnknownJob) {
+        this->Respond(aRequest, kHttpGone, {}, "no_such_job");
+        return;
+      }
       this->Respond(aRequest, kHttpOk, "{}", "stored");
       return;
     case CommitEnd::Conflict:
+      if (aRequest->cancelsUnknownJob) {
+        // The job was stored meanwhile, or the read was behind.
+        aRequest->cancelsUnknownJob = false;
+        this->StoreCancellation(aRequest, {});
+        return;
+      }
       // The row exists: an earlier attempt or an earlier request has written it.
       this->Respond(aRequest, kHttpOk, "{}", "stored_before");
       return;
@@ -322,20 +332,16 @@
 
 void JobApi::ReadJob(const RequestPtr& aRequest,
                      std::function<void()> aRetry,
-                     std::function<void(const cluster::StoredRow&, bool aCancelled)> aOnRead)
+                     std::function<void(const cluster::StoredRow*, bool aCancelled)> aOnRead)
 {
   const std::string id = aRequest->jobId;
-  this->Read(
-    aRequest,
-    { std::string(jobs::kJobsTable), id, id + "~", 2, jobs::JobPartOf(id) },
-    std::move(aRetry),
-    [this, aRequest, onRead = std::move(aOnRead)](const std::vector<cluster::StoredRow>& aRows) {
-      if (aRows.empty()) {
-        this->Respond(aRequest, kHttpGone, {}, "no_such_job");
-        return;
-      }
-      onRead(aRows.front(), aRows.size() > 1);
-    });
+  this->Read(aRequest,
+             { std::string(jobs::kJobsTable), id, id + "~", 2, jobs::JobPartOf(id) },
+             std::move(aRetry),
+             [id, onRead = std::move(aOnRead)](const std::vector<cluster::StoredRow>& aRows) {
+               const bool isStored = !aRows.empty() && aRows.front().row.key == id;
+               onRead(isStored ? &aRows.front() : nullptr, aRows.size() > (isStored ? 1U : 0U));
+             });
 }
 
 void JobApi::GetUnstartedState(const RequestPtr& aRequest)
@@ -343,7 +349,11 @@
   this->ReadJob(
     aRequest,
     [this, aRequest] { this->GetState(aRequest); },
-    [this, aRequest](const cluster::StoredRow& /*aJob*/, bool aCancelled) {
+    [this, aRequest](const cluster::StoredRow* aJob, bool aCancelled) {
+      if (aJob == nullptr) {
+        this->Respond(aRequest, kHttpGone, {}, "no_such_job");
+        return;
+      }
       const JobState state = aCancelled ? JobState::Cancelled : JobState::Queued;
       this->Respond(aRequest, kHttpOk, platformwire::EncodeState(state), "not_started");
     });
@@ -355,18 +365,29 @@
   this->ReadJob(
     aRequest,
     [this, aRequest] { this->Cancel(aRequest); },
-    [this, aRequest](const cluster::StoredRow& aJob, bool aCancelled) {
+    [this, aRequest](const cluster::StoredRow* aJob, bool aCancelled) {
       if (aCancelled) {
-        this->Respond(aRequest, kHttpOk, "{}", "stored_before");
+        this->Respond(aRequest,
+                      aJob == nullptr ? kHttpGone : kHttpOk,
+                      aJob == nullptr ? "" : "{}",
+                      aJob == nullptr ? "no_such_job" : "stored_before");
         return;
       }
-      cluster::StoreTransaction transaction;
-      transaction.conditions.push_back({ aJob.row, aJob.version });
-      transaction.changes.push_back({ jobs::CancelRow(aRequest->jobId), {}, false });
-      this->Commit(aRequest, transaction);
+      aRequest->cancelsUnknownJob = aJob == nullptr;
+      this->StoreCancellation(
+        aRequest, { { jobs::JobRow(aRequest->jobId), aJob == nullptr ? 0 : aJob->version } });
     });
 }
 
+void JobApi::StoreCancellation(const RequestPtr& aRequest,
+                               std::vector<cluster::RowCondition> aConditions)
+{
+  cluster::StoreTransaction transaction;
+  transaction.conditions = std::move(aConditions);
+  transaction.changes.push_back({ jobs::CancelRow(aRequest->jobId), {}, false });
+  this->Commit(aRequest, transaction);
+}
+
 void JobApi::CountPending(const RequestPtr& aRequest, const std::string& aQueue)
 {
   ++aRequest->attempts;
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -58,6 +58,8 @@
     // An earlier attempt may have been applied, so that the response must not say that the request
     // was refused.
     bool maybeApplied = false;
+    // The request cancels a job that was not stored when it was looked for.
+    bool cancelsUnknownJob = false;
     int attempts = 0;
   };
   using RequestPtr = std::shared_ptr<Request>;
@@ -84,14 +86,18 @@
             const cluster::RowRange& aRange,
             std::function<void()> aRetry,
             std::function<void(const std::vector<cluster::StoredRow>&)> aOnRead);
-  // Reads the job's row and whether the job is cancelled. Responds with 410 if there is no such
-  // job.
+  // Reads the job's row, null if there is none, and whether the job is cancelled.
   void ReadJob(const RequestPtr& aRequest,
                std::function<void()> aRetry,
-               std::function<void(const cluster::StoredRow&, bool aCancelled)> aOnRead);
+               std::function<void(const cluster::StoredRow* aJob, bool aCancelled)> aOnRead);
   void GetState(const RequestPtr& aRequest);
   void GetUnstartedState(const RequestPtr& aRequest);
+  // Stores the cancellation also if there is no such job, and then responds with 410: a submission
+  // may be stored later, by an earlier call without an answer or by another entry.
   void Cancel(const RequestPtr& aRequest);
+  // Writes the row of the cancellation on these conditions.
+  void StoreCancellation(const RequestPtr& aRequest,
+                         std::vector<cluster::RowCondition> aConditions);
   void CountPending(const RequestPtr& aRequest, const std::string& aQueue);
   // Passes the request on after its first failed attempt. If no other entry serves it, continues
   // with RetryHere.
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -149,6 +149,39 @@
   CHECK(fixture.store.PartsOf("jobs").size() == 1);
 }
 
+// Guards against a job that runs after its cancellation was answered: a submission without an
+// answer may be stored seconds later, and may be repeated at any entry.
+TEST_CASE("JobApi CancelsAJobThatIsStoredAfterItsCancellation")
+{
+  JobApiFixture fixture;
+  CHECK(fixture.Call("DELETE", JobPath()).status == kHttpGone);
+  CHECK(fixture.Call("DELETE", JobPath()).status == kHttpGone);
+  CHECK(fixture.Call("GET", JobPath()).status == kHttpGone);
+  CHECK(fixture.Call("POST", JobPath(), JobBody()).status == kHttpOk);
+  CHECK(fixture.Call("GET", JobPath()).body ==
+        platformwire::EncodeState(jobs::JobState::Cancelled));
+  CHECK(fixture.Call("DELETE", JobPath()).status == kHttpOk);
+}
+
+// Guards against a job that runs on because its row was not in the read that its cancellation was
+// decided by.
+TEST_CASE("JobApi StoresACancellationWhenItsReadIsBehind")
+{
+  JobApiFixture fixture;
+  OtherEntry other(fixture);
+  fixture.store.FreezeReads();
+  std::optional<int> submitted;
+  other.api.Handle({ "POST", JobPath(), { { "Host", "h" } }, JobBody() },
+                   JobApi::Sender::Caller,
+                   [&](const HttpResponse& aResponse) { submitted = aResponse.status; });
+  REQUIRE(fixture.RunUntil([&] { return submitted.has_value(); }));
+  REQUIRE(submitted == kHttpOk);
+  CHECK(fixture.Call("DELETE", JobPath()).status == kHttpOk);
+  fixture.store.ThawReads();
+  CHECK(fixture.Call("GET", JobPath()).body ==
+        platformwire::EncodeState(jobs::JobState::Cancelled));
+}
+
 // Guards against refusing a job that was stored: a refusal promises that the job does not run.
 TEST_CASE("JobApi DoesNotRefuseAJobThatMayBeStored")
 {
--- a/packages/jobs/include/oriolespread/jobs/JobRows.h
+++ b/packages/jobs/include/oriolespread/jobs/JobRows.h
@@ -1,7 +1,8 @@
 // The rows in which jobs are stored, and their keys:
 //
 //   jobs     <id>                the submitted record, written by the entry that accepted it
-//            <id>.cancel         present once a cancellation was accepted
+//            <id>.cancel         present once a cancellation was accepted, also if the job is not
+//                                stored yet
 //   state    <id>                the job state shown to callers, written by the leader
 //   waiting  <queue>/<id>        present until a worker has started a task of the job, or the job
 //                                has ended
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -348,6 +348,9 @@
   std::string lastRemovalPart;
   // Stored states without a job row, and when they were loaded.
   std::map<std::string, Instant> orphanedStates;
+  // Stored cancellations without a job row, and when they were first read. The job may be stored
+  // later, as a submission without an answer takes effect at any time.
+  std::map<std::string, Instant> orphanedCancels;
   Instant nextExpiryCheck{};
   // When the interference weights are stored next.
   Instant nextWeightsStore{};
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -59,6 +59,9 @@
     return;
   }
   this->AddJob(std::move(record), aNow);
+  if (this->orphanedCancels.erase(aKey) > 0) {
+    this->Cancel(aKey, aNow);
+  }
 }
 
 void JobScheduler::AddJob(JobRecord aRecord, Now aNow)
@@ -113,10 +116,13 @@
 void JobScheduler::Cancel(const std::string& aId, Now aNow)
 {
   Job* job = this->FindJob(aId);
-  if (job == nullptr || IsTerminal(job->state)) {
+  if (job == nullptr || job->rowRemoval != RowRemoval::None) {
+    this->orphanedCancels.try_emplace(aId, aNow.instant);
     return;
   }
-  this->EndJob(*job, JobState::Cancelled, aNow);
+  if (!IsTerminal(job->state)) {
+    this->EndJob(*job, JobState::Cancelled, aNow);
+  }
 }
 
 void JobScheduler::EndJob(Job& aJob, JobState aState, Now aNow)
@@ -400,6 +406,13 @@
     this->MarkChanged(StateRow(aItem.first));
     return true;
   });
+  std::erase_if(this->orphanedCancels, [&](const auto& aItem) {
+    if (aItem.second + this->settings.keepEnded > aNow.instant) {
+      return false;
+    }
+    this->MarkRemovable(CancelRow(aItem.first));
+    return true;
+  });
   for (auto& [id, job] : this->jobs) {
     if (job.rowRemoval != RowRemoval::None || !IsTerminal(job.state) || !job.endStored ||
         job.endedAt + this->settings.keepEnded > aNow.instant || job.HasActiveRuns()) {
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -169,6 +169,24 @@
   CHECK(fixture.starts.empty());
 }
 
+// Guards against a job that runs although its caller has given it up: its submission had no answer
+// and is stored after the cancellation.
+TEST_CASE("JobScheduler StartsNothingOfAJobThatIsStoredAfterItsCancellation")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.rows[CancelRow("j")] = "";
+  fixture.scheduler.OnJobRow(CancelRow("j").key, "", fixture.now);
+  fixture.RunUntilIdle();
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.Submit(MakeJob("k", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  CHECK(fixture.StateOf("j") == JobState::Cancelled);
+  CHECK(fixture.rows.at(StateRow("j")).starts_with("cancelled"));
+  REQUIRE(fixture.starts.size() == 1);
+  CHECK(fixture.starts[0].second.ref.task == "k.0.0.0");
+}
+
 TEST_CASE("JobScheduler LimitsTheTasksOfAStepOnOneWorker")
 {
   SchedulerFixture fixture;
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -260,6 +260,18 @@
   CHECK(second.starts.empty());
 }
 
+// Guards against a job that runs because the leader that read its cancellation was replaced before
+// the job was stored.
+TEST_CASE("JobScheduler StartsNothingOfAJobThatIsStoredAfterItsCancellationWasLoaded")
+{
+  SchedulerFixture fixture({ { CancelRow("j"), "" } });
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.empty());
+  CHECK(fixture.StateOf("j") == JobState::Cancelled);
+}
+
 // Guards against a new leader that removes a cancelled job immediately, because the state stored
 // before the cancellation has no end time. The caller would be told that the job does not exist.
 TEST_CASE("JobScheduler KeepsAJobThatWasCancelledBeforeTheTakeOver")
--- a/packages/jobs/tests/SchedulerRemovalTest.cpp
+++ b/packages/jobs/tests/SchedulerRemovalTest.cpp
@@ -112,6 +112,33 @@
   CHECK(fixture.rows.empty());
 }
 
+// Guards against cancellations that are never removed because no job was stored, or because they
+// arrived after the job's rows were removed.
+TEST_CASE("JobScheduler RemovesACancellationWithoutAJob")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  fixture.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  fixture.RunUntilIdle();
+  fixture.Advance(std::chrono::seconds(300));
+  fixture.RunUntilIdle();
+  REQUIRE_FALSE(fixture.rows.contains(JobRow("j")));
+  for (const char* job : { "j", "k" }) {
+    fixture.rows[CancelRow(job)] = "";
+    fixture.scheduler.OnJobRow(CancelRow(job).key, "", fixture.now);
+  }
+  // A submission may be stored seconds after its cancellation.
+  fixture.Advance(std::chrono::seconds(20));
+  fixture.RunUntilIdle();
+  CHECK(fixture.rows.contains(CancelRow("j")));
+  CHECK(fixture.rows.contains(CancelRow("k")));
+  fixture.Advance(std::chrono::seconds(300));
+  fixture.RunUntilIdle();
+  CHECK(fixture.rows.empty());
+}
+
 // Guards against a transaction over two parts, which the store refuses.
 TEST_CASE("JobScheduler TakesRemovalsOfOnePartAtATime")
 {
