Count how long cancellations take

Callers saw tasks that went on after their cancellation, and nothing told whether the cancellation reached the leader late or the runs ended late: the leader logged only that a job had ended, and the row of a cancellation had no time.

The row's value is now the time at which the entry sent it, by the entry's clock; rows of earlier versions have none, and earlier versions ignore it. The leader counts the time until it applied the cancellation (cancellations_applied_total, job_cancelled), and by its own steady clock the time from then until the last run was gone (cancellations_completed_total). Both counters have ranges as labels, up to 4 s, the users' bound. A job whose runs remain after 2 s is logged with their workers, and again when they are gone.

--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -384,7 +384,8 @@
 {
   cluster::StoreTransaction transaction;
   transaction.conditions = std::move(aConditions);
-  transaction.changes.push_back({ jobs::CancelRow(aRequest->jobId), {}, false });
+  transaction.changes.push_back(
+    { jobs::CancelRow(aRequest->jobId), jobs::EncodeCancellation(CurrentUnixMs()), false });
   this->Commit(aRequest, transaction);
 }
 
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -147,6 +147,20 @@
   CHECK(fixture.Call("GET", JobPath()).body ==
         platformwire::EncodeState(jobs::JobState::Cancelled));
   CHECK(fixture.store.PartsOf("jobs").size() == 1);
+  // The leader tells by the row's time how late a cancellation reaches it.
+  std::string cancellation;
+  fixture.client->Read({ std::string(jobs::kJobsTable),
+                         jobs::CancelRow(kJobId).key,
+                         "",
+                         1,
+                         jobs::CancelRow(kJobId).part },
+                       1000 * kMillisecond,
+                       [&](const cluster::ReadResult& aResult) {
+                         REQUIRE(aResult.rows.size() == 1);
+                         cancellation = aResult.rows.front().value;
+                       });
+  REQUIRE(fixture.RunUntil([&] { return !cancellation.empty(); }));
+  CHECK(jobs::DecodeCancellation(cancellation).has_value());
 }
 
 // Guards against a job that runs after its cancellation was answered: a submission without an
--- a/packages/jobs/include/oriolespread/jobs/JobRows.h
+++ b/packages/jobs/include/oriolespread/jobs/JobRows.h
@@ -126,6 +126,10 @@
                    std::uint32_t aOccurrence,
                    std::uint32_t aStep,
                    std::optional<std::uint32_t> aRow = std::nullopt);
+// Returns the value of a cancellation's row: when it was sent to the store, in Unix milliseconds.
+std::string EncodeCancellation(std::int64_t aUnixMs);
+// Returns that time; none if the value has no valid one, as in the rows of earlier versions.
+std::optional<std::int64_t> DecodeCancellation(const std::string& aValue);
 // Returns the number of the row with this task, or none if one row holds a step of this many tasks.
 std::optional<std::uint32_t> ProgressRowNumber(std::size_t aTaskCount, std::uint32_t aIndex);
 
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -177,7 +177,8 @@
 
   // Defined in JobScheduler.cpp.
   void AddJob(JobRecord aRecord, Now aNow);
-  void Cancel(const std::string& aId, Now aNow);
+  // `aValue` is the value of the cancellation's row.
+  void Cancel(const std::string& aId, const std::string& aValue, Now aNow);
   void StartDueOccurrences(Job& aJob, Now aNow);
   void EndJob(Job& aJob, JobState aState, Now aNow);
   void StopAllRuns(Job& aJob);
@@ -286,6 +287,13 @@
                            std::map<RunKey, Instant>& aSince) const;
   void LogUnconfirmedRun(const RunKey& aRunKey, Instant aSince, Now aNow);
 
+  // Counts and logs how long after it was sent to the store the cancellation takes effect, by the
+  // clocks of the two machines.
+  void LogCancellation(const Job& aJob, const std::string& aValue, Now aNow);
+  // Counts and logs how long after the cancellation of their job the last runs have ended, and logs
+  // runs that take long to end.
+  void LogCancelledRuns(Now aNow);
+
   // Defined in SchedulerOrders.cpp.
   // Returns the message for the next order to the agent, whose payload, checkpoint and image have
   // `aBytes`.
@@ -341,7 +349,8 @@
   bool loading = true;
   std::map<std::string, StoredState> loadedStates;
   std::map<std::string, std::vector<StoredProgress>> loadedProgress;
-  std::vector<std::string> loadedCancels;
+  // The keys and values of cancellations.
+  std::vector<std::pair<std::string, std::string>> loadedCancels;
   // Obsolete rows outside the leader's part, by their part.
   std::map<std::string, RowQueue> removableRows;
   // The part of the last rows that TakeRemovals returned.
@@ -351,6 +360,8 @@
   // Stored cancellations without a job row, and when they were first read. The job may be stored
   // later, as a submission without an answer takes effect at any time.
   std::map<std::string, Instant> orphanedCancels;
+  // Jobs that this leader has cancelled and that have runs, and whether that was logged as late.
+  std::map<std::string, bool> cancelledWithRuns;
   Instant nextExpiryCheck{};
   // When the interference weights are stored next.
   Instant nextWeightsStore{};
--- a/packages/jobs/src/JobRows.cpp
+++ b/packages/jobs/src/JobRows.cpp
@@ -1,7 +1,10 @@
 #include "oriolespread/jobs/JobRows.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
+#include "oriolespread/jobs/JobSpec.h"
+
 #include <array>
 #include <charconv>
 
@@ -146,6 +149,18 @@
   return { std::string(kProgressTable), ToString(ProgressName{ aJob, aOccurrence, aStep, aRow }) };
 }
 
+std::string EncodeCancellation(std::int64_t aUnixMs)
+{
+  return absl::StrCat(aUnixMs);
+}
+
+std::optional<std::int64_t> DecodeCancellation(const std::string& aValue)
+{
+  std::int64_t unixMs = 0;
+  const bool isValid = absl::SimpleAtoi(aValue, &unixMs) && unixMs > 0 && unixMs <= kMaxUnixMs;
+  return isValid ? std::optional(unixMs) : std::nullopt;
+}
+
 std::optional<std::uint32_t> ProgressRowNumber(std::size_t aTaskCount, std::uint32_t aIndex)
 {
   return aTaskCount > kTasksPerProgressRow ? std::optional(aIndex / kTasksPerProgressRow)
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -47,7 +47,7 @@
 void JobScheduler::OnJobRow(const std::string& aKey, const std::string& aValue, Now aNow)
 {
   if (aKey.size() > kCancelSuffix.size() && aKey.ends_with(kCancelSuffix)) {
-    this->Cancel(aKey.substr(0, aKey.size() - kCancelSuffix.size()), aNow);
+    this->Cancel(aKey.substr(0, aKey.size() - kCancelSuffix.size()), aValue, aNow);
     return;
   }
   if (this->jobs.contains(aKey)) {
@@ -60,7 +60,8 @@
   }
   this->AddJob(std::move(record), aNow);
   if (this->orphanedCancels.erase(aKey) > 0) {
-    this->Cancel(aKey, aNow);
+    // The time of the row does not tell how long the cancellation waited, since the job is new.
+    this->Cancel(aKey, {}, aNow);
   }
 }
 
@@ -113,7 +114,7 @@
   }
 }
 
-void JobScheduler::Cancel(const std::string& aId, Now aNow)
+void JobScheduler::Cancel(const std::string& aId, const std::string& aValue, Now aNow)
 {
   Job* job = this->FindJob(aId);
   if (job == nullptr || job->rowRemoval != RowRemoval::None) {
@@ -122,6 +123,7 @@
   }
   if (!IsTerminal(job->state)) {
     this->EndJob(*job, JobState::Cancelled, aNow);
+    this->LogCancellation(*job, aValue, aNow);
   }
 }
 
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -57,7 +57,7 @@
 {
   if (aKey.ends_with(kCancelSuffix)) {
     // FinishLoading applies the cancellation, when the runs of all jobs are known.
-    this->loadedCancels.push_back(aKey);
+    this->loadedCancels.emplace_back(aKey, aValue);
     return;
   }
   const auto state = this->loadedStates.extract(aKey);
@@ -191,8 +191,8 @@
       this->EndJob(job, JobState::Completed, aNow);
     }
   }
-  for (const std::string& key : std::exchange(this->loadedCancels, {})) {
-    this->OnJobRow(key, {}, aNow);
+  for (const auto& [key, value] : std::exchange(this->loadedCancels, {})) {
+    this->OnJobRow(key, value, aNow);
   }
 }
 
--- a/packages/jobs/src/SchedulerLogs.cpp
+++ b/packages/jobs/src/SchedulerLogs.cpp
@@ -3,6 +3,8 @@
 #include "oriolespread/jobs/PlacementChoice.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace oriolespread::jobs {
 
@@ -18,6 +20,26 @@
 constexpr Duration kUnconfirmedLogDelay = std::chrono::milliseconds(2000);
 constexpr Duration kUnconfirmedScanInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t kMaxUnconfirmedLines = 16;
+// Runs of a cancelled job are logged if they have not ended after this time. Reports and stops take
+// less than half of it.
+constexpr Duration kCancelledRunsLogDelay = std::chrono::milliseconds(2000);
+
+// Returns the label of a counter of delays.
+std::string_view DelayRange(Duration aDelay)
+{
+  constexpr std::array<std::pair<Duration, std::string_view>, 4> kRanges{
+    { { std::chrono::milliseconds(500), "under_500_ms" },
+      { std::chrono::milliseconds(1000), "under_1000_ms" },
+      { std::chrono::milliseconds(2000), "under_2000_ms" },
+      { std::chrono::milliseconds(4000), "under_4000_ms" } }
+  };
+  for (const auto& [bound, label] : kRanges) {
+    if (aDelay < bound) {
+      return label;
+    }
+  }
+  return "from_4000_ms";
+}
 
 std::string_view RunStateName(RunState aState)
 {
@@ -34,6 +56,24 @@
   return "unknown";
 }
 
+// Returns the names of the workers with runs of the job, at most kMaxLoggedWorkers.
+nlohmann::ordered_json WorkersOf(const Job& aJob)
+{
+  std::set<std::string> workers;
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (const Step& step : occurrence.steps) {
+      for (const Task& task : step.tasks) {
+        for (const Run& run : task.runs) {
+          if (workers.size() < kMaxLoggedWorkers) {
+            workers.insert(run.worker.id);
+          }
+        }
+      }
+    }
+  }
+  return workers;
+}
+
 } // namespace
 
 void JobScheduler::LogWaitingStep(const ReadyStep& aReady,
@@ -174,4 +214,42 @@
   this->log("run_unconfirmed", fields);
 }
 
+void JobScheduler::LogCancellation(const Job& aJob, const std::string& aValue, Now aNow)
+{
+  nlohmann::ordered_json fields;
+  if (const auto sentUnixMs = DecodeCancellation(aValue); sentUnixMs.has_value()) {
+    const auto delay =
+      std::chrono::milliseconds(std::max<std::int64_t>(aNow.unixMs - *sentUnixMs, 0));
+    fields["delay_ms"] = ToMilliseconds(delay);
+    this->counters.Add("cancellations_applied_total", DelayRange(delay));
+  } else {
+    this->counters.Add("cancellations_applied_total", "unknown");
+  }
+  fields["has_runs"] = aJob.HasActiveRuns();
+  this->LogJob("job_cancelled", aJob, fields);
+  if (aJob.HasActiveRuns()) {
+    this->cancelledWithRuns.emplace(aJob.record.id, false);
+  }
+}
+
+void JobScheduler::LogCancelledRuns(Now aNow)
+{
+  for (auto it = this->cancelledWithRuns.begin(); it != this->cancelledWithRuns.end();) {
+    auto& [id, isLogged] = *it;
+    const Job& job = this->jobs.at(id);
+    const Duration delay = aNow.instant - job.endedAt;
+    const bool hasEnded = !job.HasActiveRuns();
+    if (hasEnded) {
+      this->counters.Add("cancellations_completed_total", DelayRange(delay));
+    }
+    if (delay >= kCancelledRunsLogDelay && (hasEnded || !isLogged)) {
+      isLogged = true;
+      this->LogJob(hasEnded ? "cancelled_runs_ended" : "cancelled_runs_remain",
+                   job,
+                   { { "since_ms", ToMilliseconds(delay) }, { "workers", WorkersOf(job) } });
+    }
+    it = hasEnded ? this->cancelledWithRuns.erase(it) : std::next(it);
+  }
+}
+
 } // namespace oriolespread::jobs
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -43,6 +43,7 @@
   }
   this->LogAwaitedWorkers(aNow);
   this->LogUnconfirmedRuns(aNow);
+  this->LogCancelledRuns(aNow);
   this->PlaceReadySteps(aNow);
   this->RemoveExpiredJobs(aNow);
   if (aNow.instant >= this->nextWeightsStore && !this->interference.IsEmpty()) {
--- a/packages/jobs/tests/JobRowsTest.cpp
+++ b/packages/jobs/tests/JobRowsTest.cpp
@@ -134,6 +134,17 @@
   CHECK(CriticalPathFromMs(spec, 2) == 60);
 }
 
+// Guards against rows of earlier versions, or of other writers, whose time is taken for valid.
+TEST_CASE("JobRows ReadsTheTimeOfACancellation")
+{
+  CHECK(DecodeCancellation(EncodeCancellation(1'796'000'000'000)) == 1'796'000'000'000);
+  for (const char* value :
+       { "", "x", "-1", "0", "1.5", "99999999999999999999", "999999999999999" }) {
+    INFO(value);
+    CHECK_FALSE(DecodeCancellation(value).has_value());
+  }
+}
+
 // Guards against entries of different builds that look for a job in different parts.
 TEST_CASE("JobRows GivesAJobTheSamePartInEveryBuild")
 {
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -169,6 +169,41 @@
   CHECK(fixture.starts.empty());
 }
 
+// Guards against operators who cannot tell whether a cancellation reached the leader late or the
+// runs ended late.
+TEST_CASE("JobScheduler CountsHowLongACancellationTakes")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.Submit(MakeJob("k", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 2);
+  fixture.scheduler.OnJobRow(
+    "j.cancel", EncodeCancellation(fixture.now.unixMs - 1200), fixture.now);
+  // A row of an earlier version has no time.
+  fixture.scheduler.OnJobRow("k.cancel", "", fixture.now);
+  fixture.RunUntilIdle();
+  CHECK(fixture.counters.Get("cancellations_applied_total", "under_2000_ms") == 1);
+  CHECK(fixture.counters.Get("cancellations_applied_total", "unknown") == 1);
+  CHECK(fixture.counters.Total("cancellations_completed_total") == 0);
+  fixture.Advance(700 * kMs);
+  fixture.End("a", { "j.0.0.0", 1 }, RunEnd::Stopped);
+  fixture.RunUntilIdle();
+  CHECK(fixture.counters.Get("cancellations_completed_total", "under_1000_ms") == 1);
+  CHECK(fixture.LastLogged("cancelled_runs_remain").is_null());
+  fixture.Advance(2000 * kMs);
+  fixture.Report("a");
+  fixture.RunUntilIdle();
+  CHECK(fixture.LastLogged("cancelled_runs_remain")["job"] == "k");
+  CHECK(fixture.LastLogged("cancelled_runs_remain")["workers"] == nlohmann::ordered_json{ "w-a" });
+  fixture.Advance(2000 * kMs);
+  fixture.End("a", { "k.0.0.0", 1 }, RunEnd::Stopped);
+  fixture.RunUntilIdle();
+  CHECK(fixture.counters.Get("cancellations_completed_total", "from_4000_ms") == 1);
+  CHECK(fixture.LastLogged("cancelled_runs_ended")["since_ms"] == 4700);
+}
+
 // Guards against a job that runs although its caller has given it up: its submission had no answer
 // and is stored after the cancellation.
 TEST_CASE("JobScheduler StartsNothingOfAJobThatIsStoredAfterItsCancellation")
