Repeat registrations that the store refuses as invalid after a second

Change: an entry repeated the writes of its address and of the link key 10 times a second, also when the store will never take them, though all processes share the rate of calls. It waits 1 s after such an answer, as after a refused claim, which is tested as well.

--- a/packages/daemon/include/oriolespread/daemon/EntryDirectory.h
+++ b/packages/daemon/include/oriolespread/daemon/EntryDirectory.h
@@ -38,7 +38,7 @@
   void Watch();
   void ApplyRow(const cluster::StoredRow& aRow);
   void NotifySubscriber();
-  void RetryLater(std::function<void()> aCall);
+  void RetryLater(std::function<void()> aCall, Duration aDelay);
 
   asio::io_context& context;
   platformwire::StoreClient& store;
--- a/packages/daemon/src/EntryDirectory.cpp
+++ b/packages/daemon/src/EntryDirectory.cpp
@@ -32,6 +32,11 @@
   return absl::BytesToHexString(key);
 }
 
+Duration RetryDelay(const cluster::CommitResult& aResult)
+{
+  return aResult.end == CommitEnd::Invalid ? kInvalidRetryDelay : kStoreRetryDelay;
+}
+
 } // namespace
 
 EntryDirectory::EntryDirectory(asio::io_context& aContext,
@@ -57,7 +62,8 @@
     transaction, kStoreTimeout, [this, aName, aLinkAddress](const cluster::CommitResult& aResult) {
       if (aResult.end != CommitEnd::Applied) {
         this->counters.Add("directory_retries_total", "register");
-        this->RetryLater([this, aName, aLinkAddress] { this->WriteEntry(aName, aLinkAddress); });
+        this->RetryLater([this, aName, aLinkAddress] { this->WriteEntry(aName, aLinkAddress); },
+                         RetryDelay(aResult));
         return;
       }
       Log(
@@ -74,7 +80,7 @@
     // A conflict means that the key already exists, so there is nothing left to do.
     if (aResult.end != CommitEnd::Applied && aResult.end != CommitEnd::Conflict) {
       this->counters.Add("directory_retries_total", "key");
-      this->RetryLater([this] { this->WriteLinkKey(); });
+      this->RetryLater([this] { this->WriteLinkKey(); }, RetryDelay(aResult));
     }
   });
 }
@@ -91,7 +97,7 @@
     { kMembersTable, "", "", 0 }, kStoreTimeout, [this](const cluster::ReadResult& aResult) {
       if (aResult.end != ReadEnd::Done) {
         this->counters.Add("directory_retries_total", "read");
-        this->RetryLater([this] { this->ReadAll(); });
+        this->RetryLater([this] { this->ReadAll(); }, kStoreRetryDelay);
         return;
       }
       this->entries.clear();
@@ -120,7 +126,7 @@
                       }
                       if (aResult.end != ReadEnd::Done) {
                         this->counters.Add("directory_retries_total", "watch");
-                        this->RetryLater([this] { this->Watch(); });
+                        this->RetryLater([this] { this->Watch(); }, kStoreRetryDelay);
                         return;
                       }
                       for (const cluster::StoredRow& row : aResult.rows) {
@@ -159,9 +165,9 @@
   }
 }
 
-void EntryDirectory::RetryLater(std::function<void()> aCall)
+void EntryDirectory::RetryLater(std::function<void()> aCall, Duration aDelay)
 {
-  auto timer = std::make_shared<asio::steady_timer>(this->context, kStoreRetryDelay);
+  auto timer = std::make_shared<asio::steady_timer>(this->context, aDelay);
   timer->async_wait([timer, call = std::move(aCall)](asio::error_code aError) {
     if (!aError) {
       call();
--- a/packages/daemon/tests/EntryDirectoryTest.cpp
+++ b/packages/daemon/tests/EntryDirectoryTest.cpp
@@ -139,3 +139,17 @@
   CHECK(calls >= 3);
   CHECK(fixture.counters.Get("handler_errors_total", "exception") >= 2);
 }
+
+// Guards against entries that use up the store's calls for rows that it never takes.
+TEST_CASE("EntryDirectory RegistersAgainRarelyWhenTheStoreRefusesItsRow")
+{
+  DirectoryFixture fixture;
+  fixture.store.SetFault(
+    fixture.server,
+    { .refuses = [](const std::string&, const std::string& aKey) { return aKey == "b"; } });
+  fixture.directory.Register("b", "10.0.0.2:7000");
+  fixture.RunFor(1500 * kMillisecond);
+  CHECK(fixture.counters.Get("directory_retries_total", "register") == 2);
+  fixture.store.SetFault(fixture.server, {});
+  CHECK(fixture.RunUntil([&] { return fixture.store.CountRows("members") == 3; }));
+}
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -474,6 +474,20 @@
   CHECK(BootClock::now() - servedAt < 800 * kMillisecond);
 }
 
+// Guards against an entry that uses up the store's calls, and the log, for claims that the store
+// never takes.
+TEST_CASE("LeaderDriver ClaimsAgainRarelyWhenItsClaimIsRefusedAsInvalid")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  fixture.store.SetFault(fixture.server, { .refuses = RefuseKeys("") });
+  entry.driver->Start();
+  fixture.RunFor(1500 * kMillisecond);
+  CHECK(fixture.counters.Get("leadership_total", "claim_failed") == 2);
+  fixture.store.SetFault(fixture.server, {});
+  CHECK(fixture.RunUntil([&] { return entry.IsLeading(); }, 1500 * kMillisecond));
+}
+
 // Guards against two leaders: a leader must stop once another entry has claimed the leadership.
 TEST_CASE("LeaderDriver StepsDownWhenAnotherEntryHasClaimedTheLeadership")
 {
