Cancel jobs before they are accepted in the soak

The soak cancelled accepted jobs only, did not take 410 for an acknowledgement and did not look for runs that go on after it, so that it could not see jobs that are stored after their cancellation. Its choices come from a random source of their own.

--- a/packages/soak/src/Main.cpp
+++ b/packages/soak/src/Main.cpp
@@ -79,6 +79,7 @@
   options.workers = aOptions["workers"].as<std::size_t>();
   options.calm = aOptions.count("calm") > 0;
   options.refusals = aOptions.count("refusals") > 0;
+  options.giveUps = aOptions.count("give-ups") > 0;
   options.network = 20 + static_cast<int>(::getpid() % kNetworks);
   options.directory = aOptions["directory"].as<std::string>() + "/" + std::to_string(::getpid()) +
                       "-" + std::to_string(aSeed);
@@ -133,7 +134,10 @@
                                                           "with --stops, a second SIGTERM")(
     "long-timeouts", "with --stops, half of the requests have a time-out of 10 s")(
     "repeat-cancels", "with --stops, cancellations without an answer are sent again")(
-    "balanced", "with --stops, callers leave a stopping entry after 2 s")("help", "this text");
+    "balanced", "with --stops, callers leave a stopping entry after 2 s")(
+    "give-ups",
+    "callers cancel jobs before they are accepted, and processes are stopped as planned")(
+    "help", "this text");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/packages/soak/src/Promises.cpp
+++ b/packages/soak/src/Promises.cpp
@@ -6,6 +6,8 @@
 
 // A cancellation has to reach every worker within this time of its acknowledgement.
 constexpr Duration kCancelTime = std::chrono::milliseconds(3000);
+// Runs have to end within this time of it: 4 s for starts by the users' rules, and 0.9 s for stops.
+constexpr Duration kCancelledRunTime = std::chrono::milliseconds(4900);
 
 struct TaskParts
 {
@@ -89,6 +91,21 @@
   }
 }
 
+void Promises::CheckCancelledRuns()
+{
+  for (auto it = this->running.begin(); it != this->running.end();) {
+    const auto& [task, worker] = *it;
+    const SoakJob& job = this->jobs.at(Split(task).job);
+    if (!job.cancelled || BootClock::now() <= job.cancelledAt + kCancelledRunTime) {
+      ++it;
+      continue;
+    }
+    this->Break("runs on after its cancellation: " + task + " on " + worker);
+    // Reported once.
+    it = this->running.erase(it);
+  }
+}
+
 void Promises::OnAcknowledged(const std::string& aTask, const std::string& aHow)
 {
   if (aHow == "done") {
--- a/packages/soak/src/Promises.h
+++ b/packages/soak/src/Promises.h
@@ -43,6 +43,9 @@
                  const std::string& aPayload);
   void OnEnded(const std::string& aWorker, const std::string& aTask, const std::string& aHow);
   void OnAcknowledged(const std::string& aTask, const std::string& aHow);
+  // Checks that no run goes on for too long after the cancellation of its job was acknowledged.
+  // Holds only while nothing fails.
+  void CheckCancelledRuns();
   // A caller was shown this state of a job.
   void OnShown(const std::string& aJob, const std::string& aState);
   // A caller was told that the job does not exist.
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -32,6 +32,14 @@
 constexpr int kPostTries = 5;
 // A run that is longer than a refusal shows whether its task is started again meanwhile.
 constexpr Duration kRunTimeWithRefusals = std::chrono::milliseconds(1500);
+// A run that is longer than the bound for its end shows whether it was stopped.
+constexpr Duration kRunTimeWithGiveUps = std::chrono::milliseconds(6000);
+constexpr Duration kSubmitInterval = std::chrono::milliseconds(150);
+constexpr Duration kSubmitIntervalWithGiveUps = std::chrono::milliseconds(600);
+// Below the time after which a leader that cannot renew its row is replaced.
+constexpr Duration kMaxStoreLateness = std::chrono::milliseconds(600);
+constexpr double kGiveUpShare = 0.6;
+constexpr Duration kLatestGiveUp = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -39,6 +47,7 @@
   : options(std::move(aOptions))
   , random(this->options.seed)
   , refusalRandom(this->options.seed)
+  , giveUpRandom(this->options.seed)
   , start(BootClock::now())
   , faultsEnd(this->start + kWarmUp + this->options.length)
   , promises(this->start)
@@ -127,6 +136,9 @@
   if (this->options.refusals) {
     options.runTime = kRunTimeWithRefusals;
   }
+  if (this->options.giveUps) {
+    options.runTime = kRunTimeWithGiveUps;
+  }
   platformwire_testing::StandInWorkerObserver observer;
   observer.started = [this, id = options.id](
                        const std::string& aTask, std::uint64_t aRun, const std::string& aPayload) {
@@ -177,6 +189,10 @@
   if (this->options.refusals) {
     this->RefuseSoon();
   }
+  if (this->options.giveUps) {
+    this->StopSoon();
+    this->SlowStoreSoon();
+  }
   this->RunUntil(this->faultsEnd);
   const Instant latest = BootClock::now() + kRecovery;
   while (BootClock::now() < latest && this->promises.OpenJobs() > 0) {
@@ -222,7 +238,8 @@
 
 void Soak::SubmitSoon()
 {
-  this->After(this->random.Exponential(std::chrono::milliseconds(150)), [this] {
+  const Duration interval = this->options.giveUps ? kSubmitIntervalWithGiveUps : kSubmitInterval;
+  this->After(this->random.Exponential(interval), [this] {
     if (BootClock::now() < this->faultsEnd) {
       this->Submit();
       this->SubmitSoon();
@@ -240,6 +257,10 @@
     job.steps.push_back(1 + static_cast<std::uint32_t>(this->random.Below(6)));
   }
   this->Post(id.str(), kPostTries);
+  if (this->options.giveUps && this->giveUpRandom.Chance(kGiveUpShare)) {
+    this->After(this->giveUpRandom.Between({}, kLatestGiveUp),
+                [this, jobId = id.str()] { this->CancelJob(jobId); });
+  }
 }
 
 void Soak::Post(const std::string& aId, int aTries)
@@ -307,7 +328,7 @@
   this->AnyEntry().Call({ "DELETE", kPrefix + aId, { { "Host", kHost } }, {} },
                         kCallTimeout,
                         [this, aId](const HttpResult& aResult) {
-                          if (aResult.IsAnswer(kHttpOk)) {
+                          if (aResult.IsAnswer(kHttpOk) || aResult.IsAnswer(kHttpGone)) {
                             this->promises.jobs.at(aId).cancelledAt = BootClock::now();
                           }
                         });
@@ -334,6 +355,9 @@
       this->processes[index]->Start();
     }
   }
+  if (this->options.calm && this->options.giveUps) {
+    this->promises.CheckCancelledRuns();
+  }
   this->After(std::chrono::milliseconds(50), [this] { this->KeepRunning(); });
 }
 
@@ -364,6 +388,36 @@
   });
 }
 
+void Soak::StopSoon()
+{
+  this->After(this->giveUpRandom.Exponential(std::chrono::milliseconds(1500)), [this] {
+    if (BootClock::now() >= this->faultsEnd) {
+      return;
+    }
+    const std::size_t index = this->giveUpRandom.Below(this->processes.size());
+    this->Note("process " + std::to_string(index) + " is stopped");
+    this->processes[index]->Signal(SIGTERM);
+    this->StopSoon();
+  });
+}
+
+void Soak::SlowStoreSoon()
+{
+  this->After(this->giveUpRandom.Exponential(std::chrono::milliseconds(1500)), [this] {
+    if (BootClock::now() >= this->faultsEnd) {
+      return;
+    }
+    const Duration time =
+      this->giveUpRandom.Between(std::chrono::milliseconds(500), std::chrono::milliseconds(1500));
+    this->Note("the store is slow for " + std::to_string(ToMilliseconds(time)) + " ms");
+    for (std::size_t index = 0; index < this->processes.size(); ++index) {
+      this->store.SetFault(index, { .maxLateness = kMaxStoreLateness });
+      this->After(time, [this, index] { this->store.SetFault(index, {}); });
+    }
+    this->SlowStoreSoon();
+  });
+}
+
 void Soak::Inject()
 {
   switch (this->random.Below(8)) {
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -33,6 +33,9 @@
   // Workers also refuse connections for a while, during which their runs go on. Without it, a seed
   // gives the faults that it gave before.
   bool refusals = false;
+  // Callers cancel some jobs before they are accepted, runs are long, the store is slow for a while
+  // now and then, and entries and agents are stopped as planned and started again.
+  bool giveUps = false;
 };
 
 class Soak
@@ -66,6 +69,8 @@
   void InjectSoon();
   void Inject();
   void RefuseSoon();
+  void StopSoon();
+  void SlowStoreSoon();
   void InjectIntoProcess(std::size_t aIndex);
   void InjectIntoStore(std::size_t aIndex);
   void InjectIntoLink(std::size_t aIndex);
@@ -78,6 +83,8 @@
   RandomSource random;
   // Chooses the refusals.
   RandomSource refusalRandom;
+  // Chooses what `giveUps` adds.
+  RandomSource giveUpRandom;
   asio::io_context context{ 1 };
   Counters counters;
   Instant start;
