--- a/packages/soak/src/StopSoak.cpp
+++ b/packages/soak/src/StopSoak.cpp
@@ -15,6 +15,8 @@
 // From the first request to the first signal.
 constexpr Duration kBeforeFirstStop = std::chrono::milliseconds(1500);
 constexpr Duration kReadyTime = std::chrono::seconds(10);
+// The time in which an agent sets its signal handlers; entries were seen to take up to 30 ms.
+constexpr Duration kAgentStartTime = std::chrono::milliseconds(300);
 constexpr Duration kPollInterval = std::chrono::milliseconds(10);
 // The platform kills a process that runs for this long after SIGTERM.
 constexpr Duration kKillTime = std::chrono::milliseconds(6000);
@@ -337,14 +339,18 @@
     this->random.Between(std::chrono::milliseconds(100), std::chrono::milliseconds(500)));
   for (const std::size_t target : aTargets) {
     this->cluster.ProcessAt(target).Start();
-    this->stopped.erase(target);
   }
   for (const std::size_t index : present) {
     PlannedStop& stop = this->checks.stops[index];
     const bool isEntry = stop.process < this->options.entries;
+    if (!isEntry) {
+      this->RunFor(kAgentStartTime);
+    }
     if (!isEntry || this->WaitUntilReady(stop.process)) {
       stop.readyAt = BootClock::now();
     }
+    // A signal to a process that has not set its handlers yet ends it.
+    this->stopped.erase(stop.process);
     if (isEntry) {
       this->directives.avoided[stop.process] = false;
     }
@@ -419,8 +425,9 @@
 {
   for (std::size_t process = 0; process < this->cluster.Processes(); ++process) {
     if (!this->cluster.ProcessAt(process).IsRunning()) {
-      this->checks.unplannedEnds.push_back(this->cluster.NameOf(process) + " before " +
-                                           this->checks.At(BootClock::now()));
+      this->checks.unplannedEnds.push_back(
+        this->cluster.NameOf(process) + " before " + this->checks.At(BootClock::now()) +
+        ", wait status " + std::to_string(this->cluster.ProcessAt(process).ExitStatus()));
       this->cluster.ProcessAt(process).Start();
     }
   }
