Take rows together again once they are applied

A row that was refused alone was taken alone for 60 s, also after it had been applied. After a spell of refusals over many rows, each of them took a transaction of its own at each change: in a reviewer's trial 95 rows took 95 transactions instead of one, so that starts and acknowledgements of their jobs would wait for one another. An applied row now counts as never refused. No test of its own; the tests of RowQueue pass.

--- a/packages/jobs/src/RowQueue.cpp
+++ b/packages/jobs/src/RowQueue.cpp
@@ -69,6 +69,10 @@
     // What the rows were refused for may be over for the others as well.
     this->nextRelease = {};
   }
+  // Rows that are taken now are taken together with others again.
+  for (const RowKey& row : aRows) {
+    this->refusals.erase(row);
+  }
 }
 
 std::optional<Duration> RowQueue::OnRefused(const std::vector<RowKey>& aRows, Instant aNow)
