Cancel a job that is stored while its cancellation is removed

The leader forgot a cancellation without a job when it chose the row for removal, up to some seconds before the row was removed. A job that was stored in between was started, although it was shown as cancelled to callers who asked to cancel it again. The cancellation is now kept until its row is removed. Found by review; the removal itself has no condition, so that a job that is stored at the moment of the removal and read after it still runs.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -175,6 +175,13 @@
   void CompleteLoadedGang(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aStep);
   void ReportUnreadableRow(std::string_view aTable, const std::string& aKey);
 
+  struct OrphanedCancel
+  {
+    // When the row was first read.
+    Instant readAt{};
+    bool removalRequested = false;
+  };
+
   // Defined in JobScheduler.cpp.
   void AddJob(JobRecord aRecord, Now aNow);
   // `aValue` is the value of the cancellation's row.
@@ -357,9 +364,9 @@
   std::string lastRemovalPart;
   // Stored states without a job row, and when they were loaded.
   std::map<std::string, Instant> orphanedStates;
-  // Stored cancellations without a job row, and when they were first read. The job may be stored
-  // later, as a submission without an answer takes effect at any time.
-  std::map<std::string, Instant> orphanedCancels;
+  // Stored cancellations without a job row. The job may be stored later, as a submission without an
+  // answer takes effect at any time.
+  std::map<std::string, OrphanedCancel> orphanedCancels;
   // Jobs that this leader has cancelled and that have runs, and whether that was logged as late.
   std::map<std::string, bool> cancelledWithRuns;
   Instant nextExpiryCheck{};
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -118,7 +118,7 @@
 {
   Job* job = this->FindJob(aId);
   if (job == nullptr || job->rowRemoval != RowRemoval::None) {
-    this->orphanedCancels.try_emplace(aId, aNow.instant);
+    this->orphanedCancels.try_emplace(aId, OrphanedCancel{ aNow.instant });
     return;
   }
   if (!IsTerminal(job->state)) {
@@ -360,6 +360,10 @@
       job->rowRemoval = RowRemoval::Removed;
       job->removedAt = aNow.instant;
     }
+    // A job that is stored until then is still cancelled.
+    if (row.table == kJobsTable && row.key.ends_with(kCancelSuffix)) {
+      this->orphanedCancels.erase(row.key.substr(0, row.key.size() - kCancelSuffix.size()));
+    }
   }
 }
 
@@ -408,13 +412,12 @@
     this->MarkChanged(StateRow(aItem.first));
     return true;
   });
-  std::erase_if(this->orphanedCancels, [&](const auto& aItem) {
-    if (aItem.second + this->settings.keepEnded > aNow.instant) {
-      return false;
+  for (auto& [id, cancel] : this->orphanedCancels) {
+    if (!cancel.removalRequested && cancel.readAt + this->settings.keepEnded <= aNow.instant) {
+      cancel.removalRequested = true;
+      this->MarkRemovable(CancelRow(id));
     }
-    this->MarkRemovable(CancelRow(aItem.first));
-    return true;
-  });
+  }
   for (auto& [id, job] : this->jobs) {
     if (job.rowRemoval != RowRemoval::None || !IsTerminal(job.state) || !job.endStored ||
         job.endedAt + this->settings.keepEnded > aNow.instant || job.HasActiveRuns()) {
--- a/packages/jobs/tests/SchedulerRemovalTest.cpp
+++ b/packages/jobs/tests/SchedulerRemovalTest.cpp
@@ -139,6 +139,23 @@
   CHECK(fixture.rows.empty());
 }
 
+// Guards against a start of a job that is stored after the row of its cancellation was chosen for
+// removal and before it is removed.
+TEST_CASE("JobScheduler CancelsAJobThatIsStoredWhileItsCancellationIsRemoved")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.rows[CancelRow("k")] = "";
+  fixture.scheduler.OnJobRow(CancelRow("k").key, "", fixture.now);
+  fixture.Advance(std::chrono::seconds(300));
+  fixture.scheduler.Decide(fixture.now);
+  REQUIRE(fixture.scheduler.TakeRemovals(50) == std::vector<RowKey>{ CancelRow("k") });
+  fixture.Submit(MakeJob("k", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  CHECK(fixture.StateOf("k") == JobState::Cancelled);
+  CHECK(fixture.starts.empty());
+}
+
 // Guards against a transaction over two parts, which the store refuses.
 TEST_CASE("JobScheduler TakesRemovalsOfOnePartAtATime")
 {
