Answer what is still handled before a stopping entry ends

The entry also ended while connections lingered, which resets them if bytes still arrive, and did not count requests that another entry had passed on.

100 ms before the end, all requests that are still handled are answered with 504, which is always true: their outcome is unknown. The entry waits until connections are closed by both sides, and entry_stopped counts forwarded requests.

HttpServer AnswersARequestInPlaceOfItsHandlerWhenItRespondsToAll is new.

--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -32,6 +32,8 @@
 // The event loop stops this long before the grace period ends, so that the last responses are sent
 // and the process exits in time.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
+// Requests without a response this long before the event loop stops are given up.
+constexpr Duration kLastResponseTime = std::chrono::milliseconds(100);
 
 std::string GenerateProcessId()
 {
@@ -369,6 +371,13 @@
     Log(LogLevel::Info, "accepting_stopped", { { "open_connections", this->OpenConnections() } });
     this->StopWhenIdle(latest);
   });
+  // Calls that were in flight at the signal may take longer than RespondBy allows for.
+  this->CallAt(std::max(latest - kLastResponseTime, now), [this] {
+    this->apiServer->RespondToAll({ kHttpGatewayTimeout, {}, {} });
+    if (this->forwardServer != nullptr) {
+      this->forwardServer->RespondToAll({ kHttpGatewayTimeout, {}, {} });
+    }
+  });
   // Stops in time whatever the loop of StopWhenIdle waits for.
   this->CallAt(latest, [this] { this->context.stop(); });
 }
@@ -385,15 +394,16 @@
 
 void ClusterEntry::StopWhenIdle(Instant aLatest)
 {
-  if (BootClock::now() >= aLatest || (this->released && this->OpenConnections() == 0)) {
-    this->context.stop();
-    return;
-  }
   this->drainTimer.expires_after(kDrainPollInterval);
   this->drainTimer.async_wait([this, aLatest](asio::error_code aError) {
-    if (!aError) {
-      this->StopWhenIdle(aLatest);
+    if (aError) {
+      return;
+    }
+    if (BootClock::now() >= aLatest || (this->released && this->OpenConnections() == 0)) {
+      this->context.stop();
+      return;
     }
+    this->StopWhenIdle(aLatest);
   });
 }
 
@@ -406,7 +416,9 @@
 void ClusterEntry::Run()
 {
   RunEventLoop(this->context, this->counters);
-  const std::size_t inFlight = this->apiServer->InFlight();
+  const std::size_t inFlight =
+    this->apiServer->InFlight() +
+    (this->forwardServer == nullptr ? 0 : this->forwardServer->InFlight());
   Log(inFlight == 0 ? LogLevel::Info : LogLevel::Warning,
       "entry_stopped",
       { { "in_flight", inFlight }, { "open_connections", this->OpenConnections() } });
--- a/packages/http/include/oriolespread/http/HttpServer.h
+++ b/packages/http/include/oriolespread/http/HttpServer.h
@@ -56,15 +56,20 @@
   // Takes effect for requests that begin later.
   void SetLimits(const HttpServerLimits& aLimits);
 
-  // Closes each connection after its next response; connections are still accepted.
+  // Closes each connection after its next response, or after those to the requests that were read
+  // together; connections are still accepted.
   void Drain();
 
   // Drains, takes the connections that are already established, accepts no more, and closes those
   // on which no request has begun to arrive. Requests that have begun are read and answered.
   void StopAccepting();
 
-  // Returns the number of connections on which a request may still arrive or has no whole response
-  // yet. Once StopAccepting was called, none is added.
+  // Answers all requests that are handled, in place of their handlers, whose replies are then
+  // ignored. For a process that ends.
+  void RespondToAll(const HttpResponse& aResponse);
+
+  // Returns the number of connections that are not closed by both sides. Once the event loop has
+  // run after StopAccepting, none is added.
   std::size_t OpenConnections() const;
 
   // Returns how many requests have been read and not answered.
--- a/packages/http/src/HttpServer.cpp
+++ b/packages/http/src/HttpServer.cpp
@@ -49,6 +49,11 @@
   this->core->StopAccepting();
 }
 
+void HttpServer::RespondToAll(const HttpResponse& aResponse)
+{
+  this->core->RespondToAll(aResponse);
+}
+
 std::size_t HttpServer::OpenConnections() const
 {
   return this->core->OpenConnections();
--- a/packages/http/src/ServerConnection.cpp
+++ b/packages/http/src/ServerConnection.cpp
@@ -155,10 +155,10 @@
     return;
   }
   --this->core->inFlight;
-  const bool asked = !this->parser->get().keep_alive();
+  const bool peerRequestsClose = !this->parser->get().keep_alive();
   // Requests that the peer has sent without awaiting this answer are answered first.
   const bool draining = this->core->draining && this->input.empty();
-  this->Write(aResponse, asked || draining, !asked);
+  this->Write(aResponse, peerRequestsClose || draining, !peerRequestsClose);
 }
 
 void ServerConnection::Refuse(int aStatus)
@@ -235,7 +235,15 @@
     });
 }
 
-void ServerConnection::CloseIfIdle()
+void ServerConnection::GiveUp(const HttpResponse& aResponse)
+{
+  if (this->state == State::Handling) {
+    this->core->counters.Add("http_requests_abandoned_total", "given_up");
+    this->Reply(this->request, aResponse);
+  }
+}
+
+void ServerConnection::CloseSoonIfIdle()
 {
   if (this->state == State::Idle) {
     this->ArmTimer(kLastRequestTime);
--- a/packages/http/src/ServerConnection.h
+++ b/packages/http/src/ServerConnection.h
@@ -18,10 +18,10 @@
 
   void Start();
   void Close();
-  // Returns whether a request may be on its way, is read, handled or answered on this connection.
-  bool IsOpen() const { return this->state != State::Lingering && this->state != State::Closed; }
   // Closes the connection soon unless a request has begun to arrive; see HttpServer::StopAccepting.
-  void CloseIfIdle();
+  void CloseSoonIfIdle();
+  // Answers the request that is handled, if there is one, in place of its handler.
+  void GiveUp(const HttpResponse& aResponse);
 
 private:
   enum class State
@@ -51,7 +51,8 @@
   void Write(const HttpResponse& aResponse, bool aClose, bool aLinger);
   void OnTimeout();
   // Tells the peer that nothing follows, and closes the connection once the peer has closed it. If
-  // it were closed at once, unread bytes would reset it and discard the answer on its way.
+  // it were closed at once, unread bytes would reset it and discard the answer on its way. A
+  // request that arrives meanwhile is not answered, as the peer was told that none will be.
   void Linger();
   void Discard();
   void ArmTimer(Duration aTimeout);
--- a/packages/http/src/ServerCore.cpp
+++ b/packages/http/src/ServerCore.cpp
@@ -3,8 +3,6 @@
 #include "ServerConnection.h"
 #include "absl/strings/str_cat.h"
 
-#include <algorithm>
-
 namespace oriolespread::internal {
 
 namespace {
@@ -117,16 +115,17 @@
   }
   this->acceptor.close(error);
   for (const auto& connection : this->connections) {
-    connection->CloseIfIdle();
+    connection->CloseSoonIfIdle();
   }
 }
 
-std::size_t ServerCore::OpenConnections() const
+void ServerCore::RespondToAll(const HttpResponse& aResponse)
 {
-  return static_cast<std::size_t>(
-    std::count_if(this->connections.begin(), this->connections.end(), [](const auto& aConnection) {
-      return aConnection->IsOpen();
-    }));
+  // An answer may end its connection.
+  const auto open = this->connections;
+  for (const auto& connection : open) {
+    connection->GiveUp(aResponse);
+  }
 }
 
 void ServerCore::Close()
--- a/packages/http/src/ServerCore.h
+++ b/packages/http/src/ServerCore.h
@@ -24,7 +24,8 @@
   std::uint16_t Port() const { return this->port; }
   void Close();
   void StopAccepting();
-  std::size_t OpenConnections() const;
+  void RespondToAll(const HttpResponse& aResponse);
+  std::size_t OpenConnections() const { return this->connections.size(); }
   void Forget(const std::shared_ptr<ServerConnection>& aConnection);
 
   asio::io_context& context;
--- a/packages/http/tests/HttpClientServerTest.cpp
+++ b/packages/http/tests/HttpClientServerTest.cpp
@@ -269,10 +269,12 @@
   REQUIRE(pair.held != nullptr);
   CHECK(pair.server->OpenConnections() == 1);
   pair.held({ kHttpOk, {}, "late" });
-  caller.RunFor(std::chrono::milliseconds(20));
-  CHECK(pair.server->OpenConnections() == 0);
   asio::error_code end;
   CHECK(caller.ReadToEnd(end).ends_with("late"));
+  CHECK(pair.server->OpenConnections() == 1);
+  caller.socket.close();
+  caller.RunFor(std::chrono::milliseconds(20));
+  CHECK(pair.server->OpenConnections() == 0);
 }
 
 // Guards against a request that the server has read and drops because it closes the connection
@@ -320,3 +322,22 @@
   caller.RunFor(std::chrono::milliseconds(20));
   CHECK_FALSE(caller.HasConnectionEnded());
 }
+
+// Guards against requests that end without a response because their handler waits for longer than
+// its process lives.
+TEST_CASE("HttpServer AnswersARequestInPlaceOfItsHandlerWhenItRespondsToAll")
+{
+  Pair pair;
+  PlainCaller caller(pair);
+  caller.Send("GET /held HTTP/1.1\r\n\r\n");
+  caller.RunFor(std::chrono::milliseconds(20));
+  REQUIRE(pair.held != nullptr);
+  pair.server->StopAccepting();
+  pair.server->RespondToAll({ kHttpGatewayTimeout, {}, {} });
+  pair.held({ kHttpOk, {}, "late" });
+  asio::error_code end;
+  const std::string answer = caller.ReadToEnd(end);
+  CHECK(answer.starts_with("HTTP/1.1 504"));
+  CHECK(answer.find("200") == std::string::npos);
+  CHECK(end == asio::error::eof);
+}
