Leave no row without a leader when a claim is stopped or loses its answer

The row named entries that did not lead. An entry that was stopped while it claimed or loaded ended without releasing its row, which others claim after a second of silence and four times their read latency only. And an entry whose claim had been applied without an answer, and whose repetition was refused, claimed anew with the next epoch when it read its own row, so that each claim had to be answered in time.

An entry that is stopped now waits for the end of its claim and releases the row, also while it loads. An entry that reads its last claim in the row takes office; the renewal counts from the read before the claim, as for a repetition that meets a conflict.

Evidence: LeaderDriver ReleasesItsRowWhenItIsStoppedWhileItClaimsOrLoads and TakesItsClaimAsWonWhenItReadsItAfterARefusal fail on the code before (released is false in both phases; epoch 2 instead of 1).

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -116,6 +116,12 @@
         if (!aResult.rows.empty()) {
           storedRow = aResult.rows.front();
         }
+        if (storedRow.has_value() && this->IsLastClaim(storedRow->value)) {
+          // The claim was applied, and what was answered to its repetitions does not matter.
+          this->BeginLeadership(
+            *this->lastClaim, storedRow->version, this->election.LatestRenewal());
+          return;
+        }
         this->election.OnRow(storedRow, requestedAt, now);
         if (this->election.IsLeaderMuchSlower()) {
           // This machine may have become slow as well, so measure again before claiming.
@@ -130,10 +136,16 @@
     });
 }
 
+bool LeaderDriver::IsLastClaim(const std::string& aRowValue) const
+{
+  return this->lastClaim.has_value() && cluster::DecodeLeaderRecord(aRowValue) == this->lastClaim;
+}
+
 void LeaderDriver::ClaimLeadership()
 {
   this->phase = Phase::Claiming;
   const cluster::LeaderRecord claimedRow = this->election.ClaimedRecord();
+  this->lastClaim = claimedRow;
   const auto& current = this->election.Current();
   Log(LogLevel::Info,
       "leadership_claim",
@@ -159,8 +171,7 @@
       // the claimed one.
       if (aResult.end == CommitEnd::Conflict && !aResult.current.empty()) {
         const cluster::StoredRow& storedRow = aResult.current.front();
-        const auto value = cluster::DecodeLeaderRecord(storedRow.value);
-        if (value.has_value() && *value == claimedRow) {
+        if (this->IsLastClaim(storedRow.value)) {
           // Each attempt was sent after the read that showed the row before it.
           this->BeginLeadership(claimedRow, storedRow.version, this->election.LatestRenewal());
           return;
@@ -174,6 +185,10 @@
         this->ClaimLeadership();
         return;
       }
+      if (this->onReleased != nullptr) {
+        this->FinishRelease();
+        return;
+      }
       this->SchedulePoll(aResult.end == CommitEnd::Invalid ? kInvalidRetryDelay : kStoreRetryDelay);
     });
 }
@@ -184,6 +199,7 @@
 {
   ++this->term;
   this->phase = Phase::Loading;
+  this->lastClaim.reset();
   this->earlierLeasesExpiry = this->election.EarlierLeasesExpiry();
   this->leaderRow = aRow;
   this->leaderRowVersion = aVersion;
@@ -204,8 +220,12 @@
   for (const std::string& agent : this->agents) {
     this->sendToAgent(agent, LeaderClaim{ Epoch{ this->leaderRow.epoch } });
   }
-  this->Load();
   this->ScheduleTick();
+  if (this->onReleased != nullptr) {
+    this->RunSchedulingPass();
+    return;
+  }
+  this->Load();
 }
 
 void LeaderDriver::StepDown(std::string_view aReason)
@@ -318,9 +338,11 @@
   const bool renewalDue = BootClock::now() - this->renewedAt >= kLeadershipRenewInterval;
   if (this->phase == Phase::Leading) {
     batch = this->scheduler->TakeBatch(kMaxBatchRows);
-    // The last batch also releases the leadership, which saves a call to the store.
-    this->leaderRow.released = this->onReleased != nullptr && !this->scheduler->HasChanges();
   }
+  // The last batch also releases the leadership, which saves a call to the store. A leader that
+  // loads has nothing to store.
+  this->leaderRow.released = this->onReleased != nullptr &&
+                             (this->phase == Phase::Loading || !this->scheduler->HasChanges());
   if (!batch.empty() || renewalDue || this->leaderRow.released) {
     this->CommitBatch(std::move(batch));
   }
@@ -432,13 +454,13 @@
   if (this->phase == Phase::Leading) {
     this->scheduler->OnStored(std::move(aCommit->batch), this->CurrentTime());
     this->SendOrders();
-    if (this->leaderRow.released) {
-      this->FinishRelease();
-      return;
-    }
-    if (this->scheduler->HasChanges()) {
-      this->RequestSchedulingPass();
-    }
+  }
+  if (this->leaderRow.released) {
+    this->FinishRelease();
+    return;
+  }
+  if (this->phase == Phase::Leading && this->scheduler->HasChanges()) {
+    this->RequestSchedulingPass();
   }
 }
 
@@ -519,7 +541,12 @@
 {
   this->onReleased = std::move(aDone);
   this->pollTimer.cancel();
-  if (this->phase != Phase::Leading) {
+  if (this->phase == Phase::Claiming) {
+    // The claim may be applied, and nobody else claims the row for a while then. It is released
+    // once the claim is decided.
+    return;
+  }
+  if (this->phase == Phase::Standby) {
     this->FinishRelease();
     return;
   }
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -91,6 +91,8 @@
   // Measures the processor speed, passes it to the election and returns it.
   double MeasureSpeed();
   void ClaimLeadership();
+  // Returns whether the value of the leader's row is the one of this process's last claim.
+  bool IsLastClaim(const std::string& aRowValue) const;
   void BeginLeadership(const cluster::LeaderRecord& aRow,
                        std::uint64_t aVersion,
                        Instant aRenewedAt);
@@ -151,6 +153,8 @@
   // are dropped.
   std::uint64_t term = 0;
 
+  // The last claim until the leadership begins.
+  std::optional<cluster::LeaderRecord> lastClaim;
   cluster::LeaderRecord leaderRow;
   std::uint64_t leaderRowVersion = 0;
   // When all leases that earlier leaders have extended have certainly expired.
