Play a mixed load in the soak

The soak's jobs were one to three steps of up to six tasks of one core and 300 ms. It could not see work that goes on after a cancellation, a run from a foreign checkpoint, or an accepted job that waits beside free workers.

A quarter of the jobs is submitted twice; 5% to 40% are cancelled, half of these within 0.4 s, and a cancellation without an answer is repeated. Faults come in phases, so that the bounds in time can be checked in the gaps, in which all machines are in touch. New checks: checkpoints, specs, attempts, starts and runs after a cancellation, cancellations without an acknowledgement, jobs and lasting tasks that wait for 3 s with room for two.

Its bound stays 4.9 s after the acknowledgement in both; it reports each late run once.

The stand-in worker simulates progress, checkpoints, paces, stops that take time, admission by cores and memory, and a second run of a task beside the first.

--- a/packages/soak/src/Main.cpp
+++ b/packages/soak/src/Main.cpp
@@ -80,6 +80,9 @@
   options.calm = aOptions.count("calm") > 0;
   options.refusals = aOptions.count("refusals") > 0;
   options.giveUps = aOptions.count("give-ups") > 0;
+  options.mix = aOptions.count("mix") > 0;
+  options.rate = aOptions["rate"].as<double>();
+  options.keepEnded = std::chrono::seconds(aOptions["keep-ended"].as<int>());
   options.network = 20 + static_cast<int>(::getpid() % kNetworks);
   options.directory = aOptions["directory"].as<std::string>() + "/" + std::to_string(::getpid()) +
                       "-" + std::to_string(aSeed);
@@ -87,7 +90,7 @@
   const std::vector<std::string> broken = soak.Run();
   std::cout << "seed " << aSeed << ": " << soak.Jobs() << " jobs, " << soak.Starts() << " starts, "
             << soak.Faults().size() << " faults, " << broken.size() << " promises broken"
-            << std::endl;
+            << (options.mix ? " (" + soak.MixSummary() + ")" : "") << std::endl;
   if (broken.empty()) {
     std::filesystem::remove_all(options.directory);
     return true;
@@ -137,6 +140,12 @@
     "balanced", "with --stops, callers leave a stopping entry after 2 s")(
     "give-ups",
     "callers cancel jobs before they are accepted, and processes are stopped as planned")(
+    "mix", "jobs of a mixed load: short, long and lasting ones, on workers of 64 cores")(
+    "rate",
+    "jobs a second of the mixed load; 0 for what the workers can carry",
+    cxxopts::value<double>()->default_value("0"))("keep-ended",
+                                                  "seconds for which ended jobs are kept",
+                                                  cxxopts::value<int>()->default_value("120"))(
     "help", "this text");
   try {
     const auto parsed = options.parse(argc, argv);
--- a/packages/soak/src/Promises.cpp
+++ b/packages/soak/src/Promises.cpp
@@ -1,19 +1,18 @@
 #include "Promises.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace oriolespread::soak {
 
 namespace {
 
-// A cancellation has to reach every worker within this time of its acknowledgement.
-constexpr Duration kCancelTime = std::chrono::milliseconds(3000);
-// Runs have to end within this time of it: 4 s for starts by the users' rules, and 0.9 s for stops.
-constexpr Duration kCancelledRunTime = std::chrono::milliseconds(4900);
-
 struct TaskParts
 {
   std::string job;
+  std::string occurrence;
   std::size_t step = 0;
-  std::uint32_t index = 0;
+  std::size_t index = 0;
 };
 
 TaskParts Split(const std::string& aTask)
@@ -22,30 +21,67 @@
   const std::size_t second = aTask.find('.', first + 1);
   const std::size_t third = aTask.find('.', second + 1);
   return { aTask.substr(0, first),
+           aTask.substr(first + 1, second - first - 1),
            std::stoul(aTask.substr(second + 1, third - second - 1)),
-           static_cast<std::uint32_t>(std::stoul(aTask.substr(third + 1))) };
+           std::stoul(aTask.substr(third + 1)) };
 }
 
 } // namespace
 
+Promises::Promises(Instant aStart, PromiseBounds aBounds, InTouchSince aInTouchSince)
+  : start(aStart)
+  , bounds(aBounds)
+  , inTouchSince(std::move(aInTouchSince))
+{
+}
+
+std::string Promises::TimeText(Instant aTime) const
+{
+  return std::to_string(ToMilliseconds(aTime - this->start)) + " ms";
+}
+
 void Promises::Break(const std::string& aText)
 {
-  const std::int64_t at = ToMilliseconds(BootClock::now() - this->start);
-  this->broken.push_back(std::to_string(at) + " ms: " + aText);
+  this->broken.push_back(this->TimeText(BootClock::now()) + ": " + aText);
 }
 
-bool Promises::AllDone(const std::string& aJob, std::size_t aSteps) const
+bool Promises::IsInTouch() const
 {
-  const SoakJob& job = this->jobs.at(aJob);
-  for (std::size_t step = 0; step < aSteps; ++step) {
-    for (std::uint32_t index = 0; index < job.steps[step]; ++index) {
-      const std::string task = aJob + ".0." + std::to_string(step) + "." + std::to_string(index);
-      if (!this->done.contains(task)) {
-        return false;
-      }
-    }
+  return !this->bounds.onlyInTouch || this->inTouchSince() <= BootClock::now();
+}
+
+SoakTask* Promises::FindTask(const std::string& aTask)
+{
+  const TaskParts parts = Split(aTask);
+  const auto it = this->jobs.find(parts.job);
+  if (it == this->jobs.end() || parts.occurrence != "0") {
+    return nullptr;
+  }
+  SoakJob& job = it->second;
+  return parts.step < job.tasks.size() && parts.index < job.tasks[parts.step].size()
+           ? &job.tasks[parts.step][parts.index]
+           : nullptr;
+}
+
+void Promises::OnResumed(const std::string& aWorker,
+                         const std::string& aTask,
+                         std::uint64_t aRun,
+                         const std::string& aCheckpoint)
+{
+  ++this->resumed;
+  const std::string what =
+    aTask + " run " + std::to_string(aRun) + " on " + aWorker + " from checkpoint " + aCheckpoint;
+  const SoakTask* task = this->FindTask(aTask);
+  if (task == nullptr) {
+    this->Break("resumed what nobody submitted: " + what);
+    return;
+  }
+  const auto saved = task->checkpoints.find(aCheckpoint);
+  if (saved == task->checkpoints.end()) {
+    this->Break("resumed from a checkpoint that is not the task's: " + what);
+  } else if (saved->second >= aRun) {
+    this->Break("resumed from a checkpoint of run " + std::to_string(saved->second) + ": " + what);
   }
-  return true;
 }
 
 void Promises::OnStarted(const std::string& aWorker,
@@ -54,84 +90,129 @@
                          const std::string& aPayload)
 {
   ++this->starts;
+  const Instant now = BootClock::now();
   const std::string what = aTask + " run " + std::to_string(aRun) + " on " + aWorker;
-  const TaskParts parts = Split(aTask);
-  const auto job = this->jobs.find(parts.job);
-  if (job == this->jobs.end() || parts.step >= job->second.steps.size() ||
-      parts.index >= job->second.steps[parts.step] || job->second.payload != aPayload) {
+  SoakTask* task = this->FindTask(aTask);
+  if (task == nullptr) {
     this->Break("started what nobody submitted: " + what);
     return;
   }
-  if (const auto other = this->running.find(aTask); other != this->running.end()) {
-    this->Break("runs twice, also on " + other->second + ": " + what);
+  const TaskParts parts = Split(aTask);
+  const SoakJob& job = this->jobs.at(parts.job);
+  if (job.spec.payload != aPayload) {
+    this->Break("started with another spec: " + what + ", spec " + aPayload);
+  }
+  for (const auto& [number, run] : task->running) {
+    this->Break("runs twice, also as run " + std::to_string(number) + " on " + run.worker +
+                " since " + this->TimeText(run.started) + ": " + what);
   }
-  if (this->acknowledgedDone.contains(aTask)) {
+  if (task->acknowledgedDone) {
     this->Break("started after its end was acknowledged: " + what);
   }
-  if (!this->AllDone(parts.job, parts.step)) {
+  if (!job.spec.steps[parts.step].longRunning && job.maxAttempts > 0 &&
+      task->acknowledgedFailures >= job.maxAttempts) {
+    this->Break("started after its last attempt had failed: " + what);
+  }
+  if (!job.HasTurn(parts.step)) {
     this->Break("started before the step ahead was done: " + what);
   }
-  const SoakJob& known = job->second;
-  if (known.cancelled && BootClock::now() > known.cancelledAt + kCancelTime) {
-    this->Break("started after its cancellation: " + what);
+  if (job.cancelled && now > job.cancelledAt + this->bounds.cancelTime && this->IsInTouch()) {
+    this->Break("started after its cancellation, acknowledged at " +
+                this->TimeText(job.cancelledAt) + ": " + what);
+  }
+  task->running[aRun] = { aWorker, now };
+}
+
+void Promises::OnSaved(const std::string& aTask, std::uint64_t aRun, const std::string& aCheckpoint)
+{
+  if (SoakTask* task = this->FindTask(aTask); task != nullptr) {
+    task->checkpoints[aCheckpoint] = aRun;
   }
-  this->running[aTask] = aWorker;
 }
 
 void Promises::OnEnded(const std::string& aWorker,
                        const std::string& aTask,
+                       std::uint64_t aRun,
                        const std::string& aHow)
 {
-  const auto it = this->running.find(aTask);
-  if (it != this->running.end() && it->second == aWorker) {
-    this->running.erase(it);
+  SoakTask* task = this->FindTask(aTask);
+  if (task == nullptr) {
+    return;
   }
-  if (aHow == "done") {
-    this->done.insert(aTask);
+  const Instant now = BootClock::now();
+  const auto it = task->running.find(aRun);
+  if (it != task->running.end() && it->second.worker == aWorker) {
+    task->running.erase(it);
   }
-}
-
-void Promises::CheckCancelledRuns()
-{
-  for (auto it = this->running.begin(); it != this->running.end();) {
-    const auto& [task, worker] = *it;
-    const SoakJob& job = this->jobs.at(Split(task).job);
-    if (!job.cancelled || BootClock::now() <= job.cancelledAt + kCancelledRunTime) {
-      ++it;
-      continue;
-    }
-    this->Break("runs on after its cancellation: " + task + " on " + worker);
-    // Reported once.
-    it = this->running.erase(it);
+  task->lastEnd = now;
+  task->done = task->done || aHow == "done";
+  task->failures += aHow == "failed" ? 1 : 0;
+  SoakJob& job = this->jobs.at(Split(aTask).job);
+  if ((aHow == "done" && job.IsCompleted()) || (aHow == "failed" && job.HasFailed())) {
+    job.mayHaveEndedAt = std::min(job.mayHaveEndedAt, now);
   }
 }
 
 void Promises::OnAcknowledged(const std::string& aTask, const std::string& aHow)
 {
-  if (aHow == "done") {
-    this->acknowledgedDone.insert(aTask);
+  if (SoakTask* task = this->FindTask(aTask); task != nullptr) {
+    task->acknowledgedDone = task->acknowledgedDone || aHow == "done";
+    task->acknowledgedFailures += aHow == "failed" ? 1 : 0;
   }
 }
 
 void Promises::OnShown(const std::string& aJob, const std::string& aState)
 {
   SoakJob& job = this->jobs.at(aJob);
-  if (aState == "completed" && !this->AllDone(aJob, job.steps.size())) {
+  if (aState == "completed" && !job.IsCompleted()) {
     this->Break("shown as completed with tasks that are not done: " + aJob);
   }
   if (aState == "cancelled" && !job.cancelled) {
     this->Break("shown as cancelled without a cancellation: " + aJob);
   }
-  if (aState == "failed") {
-    this->Break("shown as failed without a failed run: " + aJob);
+  if (aState == "failed" && !job.HasFailed()) {
+    this->Break("shown as failed without failed runs: " + aJob);
   }
   job.ended = job.ended || (aState != "queued" && aState != "running");
 }
 
 void Promises::OnUnknown(const std::string& aJob)
 {
-  if (this->jobs.at(aJob).accepted) {
-    this->Break("an accepted job is not known: " + aJob);
+  SoakJob& job = this->jobs.at(aJob);
+  const bool mayBeForgotten = job.mayHaveEndedAt < Instant::max() - this->bounds.keepEnded &&
+                              BootClock::now() >= job.mayHaveEndedAt + this->bounds.keepEnded;
+  if (job.accepted && !mayBeForgotten) {
+    this->Break("an accepted job is not known: " + aJob + ", accepted at " +
+                this->TimeText(job.acceptedAt));
+  }
+  job.ended = job.ended || mayBeForgotten;
+}
+
+void Promises::CheckCancelled()
+{
+  const Instant now = BootClock::now();
+  for (auto& [id, job] : this->jobs) {
+    if (!job.cancelled) {
+      continue;
+    }
+    const Instant from =
+      this->bounds.onlyInTouch ? std::max(job.cancelledAt, this->inTouchSince()) : job.cancelledAt;
+    if (now <= from + this->bounds.cancelledRunTime || !job.HasRunning()) {
+      continue;
+    }
+    for (std::size_t step = 0; step < job.tasks.size(); ++step) {
+      for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
+        for (auto& [number, run] : job.tasks[step][index].running) {
+          if (std::exchange(run.overdueReported, true)) {
+            continue;
+          }
+          this->Break("works on after its cancellation, acknowledged at " +
+                      this->TimeText(job.cancelledAt) + ": " + id + ".0." + std::to_string(step) +
+                      "." + std::to_string(index) + " run " + std::to_string(number) + " on " +
+                      run.worker + " since " + this->TimeText(run.started));
+        }
+      }
+    }
   }
 }
 
@@ -151,11 +232,7 @@
     if (job.accepted && !job.ended) {
       this->Break("an accepted job did not end: " + id);
     }
-    bool ran = false;
-    for (const std::string& task : this->done) {
-      ran = ran || task.starts_with(id + ".");
-    }
-    if (!job.accepted && !job.submitting && job.onlyRefused && ran) {
+    if (!job.accepted && !job.submitting && job.onlyRefused && job.HasStarted()) {
       this->Break("a job ran whose every try was refused: " + id);
     }
   }
--- a/packages/soak/src/Promises.h
+++ b/packages/soak/src/Promises.h
@@ -2,74 +2,87 @@
 // reported with the time and what was seen.
 #pragma once
 
+#include "SoakJob.h"
+
 #include "oriolespread/base/Time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace oriolespread::soak {
 
-// A submitted job: steps of equal tasks, each step after the one before.
-struct SoakJob
+struct PromiseBounds
 {
-  std::string payload;
-  std::vector<std::uint32_t> steps;
-  bool accepted = false;
-  // Every try so far was refused, so that the job must not run.
-  bool onlyRefused = true;
-  // A submission has no answer yet, or is to be tried again.
-  bool submitting = true;
-  bool cancelled = false;
-  Instant cancelledAt{};
-  bool ended = false;
+  // A cancellation has to reach every worker within this time of its acknowledgement.
+  Duration cancelTime = std::chrono::milliseconds(3000);
+  // A run of a cancelled job has to be gone within this time of the acknowledgement: 4 s for starts
+  // by the users' rules, and 0.9 s for stops.
+  Duration cancelledRunTime = std::chrono::milliseconds(4900);
+  // How long callers may ask for an ended job.
+  Duration keepEnded = std::chrono::seconds(120);
+  // Bounds in time hold only while all machines are in touch. Otherwise they always hold.
+  bool onlyInTouch = false;
 };
 
+// The time from which on all machines are in touch; a time ahead while they are not.
+using InTouchSince = std::function<Instant()>;
+
 class Promises
 {
 public:
-  explicit Promises(Instant aStart)
-    : start(aStart)
-  {
-  }
+  Promises(Instant aStart, PromiseBounds aBounds, InTouchSince aInTouchSince);
 
   std::map<std::string, SoakJob> jobs;
 
+  void OnResumed(const std::string& aWorker,
+                 const std::string& aTask,
+                 std::uint64_t aRun,
+                 const std::string& aCheckpoint);
   void OnStarted(const std::string& aWorker,
                  const std::string& aTask,
                  std::uint64_t aRun,
                  const std::string& aPayload);
-  void OnEnded(const std::string& aWorker, const std::string& aTask, const std::string& aHow);
+  void OnSaved(const std::string& aTask, std::uint64_t aRun, const std::string& aCheckpoint);
+  void OnEnded(const std::string& aWorker,
+               const std::string& aTask,
+               std::uint64_t aRun,
+               const std::string& aHow);
   void OnAcknowledged(const std::string& aTask, const std::string& aHow);
-  // Checks that no run goes on for too long after the cancellation of its job was acknowledged.
-  // Holds only while nothing fails.
-  void CheckCancelledRuns();
   // A caller was shown this state of a job.
   void OnShown(const std::string& aJob, const std::string& aState);
   // A caller was told that the job does not exist.
   void OnUnknown(const std::string& aJob);
+  // Checks that no run goes on for too long after the cancellation of its job was acknowledged.
+  // Unless the bounds hold only in touch, call it only while nothing fails.
+  void CheckCancelled();
 
   // After all faults have ended and time was given: every accepted job has to have ended.
   void CheckEnd();
 
+  // Records a broken promise with the present time.
+  void Break(const std::string& aText);
   const std::vector<std::string>& Broken() const { return this->broken; }
   std::size_t Starts() const { return this->starts; }
   // Returns the number of jobs whose end, or the answer to whose submission, is awaited.
   std::size_t OpenJobs() const;
+  // Returns how many runs began from a checkpoint.
+  std::size_t Resumed() const { return this->resumed; }
+  std::string TimeText(Instant aTime) const;
 
 private:
-  void Break(const std::string& aText);
-  bool AllDone(const std::string& aJob, std::size_t aSteps) const;
+  // Returns the task; null if no job has it.
+  SoakTask* FindTask(const std::string& aTask);
+  bool IsInTouch() const;
 
   Instant start;
+  PromiseBounds bounds;
+  InTouchSince inTouchSince;
   std::vector<std::string> broken;
   std::size_t starts = 0;
-  // Task to the worker on which it runs.
-  std::map<std::string, std::string> running;
-  std::set<std::string> done;
-  std::set<std::string> acknowledgedDone;
+  std::size_t resumed = 0;
 };
 
 } // namespace oriolespread::soak
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -3,7 +3,6 @@
 #include "oriolespread/platformwire/StoreClient.h"
 #include "oriolespread/platformwire_testing/TestMessages.h"
 
-#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iomanip>
@@ -36,11 +35,31 @@
 constexpr Duration kRunTimeWithGiveUps = std::chrono::milliseconds(6000);
 constexpr Duration kSubmitInterval = std::chrono::milliseconds(150);
 constexpr Duration kSubmitIntervalWithGiveUps = std::chrono::milliseconds(600);
-// Below the time after which a leader that cannot renew its row is replaced.
-constexpr Duration kMaxStoreLateness = std::chrono::milliseconds(600);
 constexpr double kGiveUpShare = 0.6;
 constexpr Duration kLatestGiveUp = std::chrono::milliseconds(400);
 
+// The workers and bounds of a mixed load.
+constexpr Resources kMixCapacity{ 64000, 256000, 0 };
+constexpr Duration kMixHeartbeat = std::chrono::milliseconds(1500);
+constexpr Duration kMixStopTime = std::chrono::milliseconds(900);
+constexpr Duration kMixCancelTime = std::chrono::seconds(4);
+// Jobs a second that one worker carries.
+constexpr double kMixRatePerWorker = 13.3 / 74;
+constexpr Duration kMixWatchInterval = std::chrono::milliseconds(100);
+// From the end of the load until lasting jobs are cancelled.
+constexpr Duration kMixFinishTime = std::chrono::seconds(16);
+
+PromiseBounds BoundsOf(const SoakOptions& aOptions)
+{
+  PromiseBounds bounds;
+  bounds.keepEnded = aOptions.keepEnded;
+  if (aOptions.mix) {
+    bounds.cancelTime = kMixCancelTime;
+    bounds.onlyInTouch = true;
+  }
+  return bounds;
+}
+
 } // namespace
 
 Soak::Soak(SoakOptions aOptions)
@@ -50,7 +69,7 @@
   , giveUpRandom(this->options.seed)
   , start(BootClock::now())
   , faultsEnd(this->start + kWarmUp + this->options.length)
-  , promises(this->start)
+  , promises(this->start, BoundsOf(this->options), [this] { return this->InTouchSince(); })
   , store(this->context, this->options.seed)
 {
   std::filesystem::create_directories(this->options.directory);
@@ -63,6 +82,23 @@
     }
     return shown;
   };
+  if (this->options.mix) {
+    this->mixTraffic = std::make_unique<MixTraffic>(
+      this->context,
+      this->clients,
+      this->promises,
+      [this] { return this->InTouchSince(); },
+      MixTrafficOptions{ this->options.seed,
+                         kHost,
+                         this->options.workers,
+                         this->options.rate > 0
+                           ? this->options.rate
+                           : kMixRatePerWorker * static_cast<double>(this->options.workers),
+                         this->faultsEnd,
+                         this->options.keepEnded });
+    this->waitCheck =
+      std::make_unique<WaitCheck>(this->promises, [this] { return this->InTouchSince(); });
+  }
   this->PutConfig();
   for (std::size_t index = 0; index < this->options.entries; ++index) {
     this->AddEntry(index);
@@ -86,7 +122,7 @@
   aSettings.internalPort = kLinkPort;
   aSettings.maxWorkerLease = std::chrono::seconds(6);
   aSettings.stopGrace = std::chrono::seconds(6);
-  aSettings.keepEnded = std::chrono::seconds(120);
+  aSettings.keepEnded = this->options.keepEnded;
   aSettings.drainTime = std::chrono::seconds(2);
   aSettings.storeAddress = ToString(SocketAddress{ storeIp, kStorePort });
   const std::string path = this->options.directory + "/" + aSettings.machine + ".toml";
@@ -139,15 +175,32 @@
   if (this->options.giveUps) {
     options.runTime = kRunTimeWithGiveUps;
   }
+  if (this->options.mix) {
+    options.heartbeatInterval = kMixHeartbeat;
+    options.capacity = kMixCapacity;
+    options.maxStopTime = kMixStopTime;
+    options.profile = [this](const std::string& aTask, std::uint64_t aRun) {
+      return this->mixTraffic->Profile(aTask, aRun);
+    };
+  }
   platformwire_testing::StandInWorkerObserver observer;
   observer.started = [this, id = options.id](
                        const std::string& aTask, std::uint64_t aRun, const std::string& aPayload) {
     this->promises.OnStarted(id, aTask, aRun, aPayload);
   };
-  observer.ended = [this, id = options.id](
-                     const std::string& aTask, std::uint64_t /*aRun*/, const std::string& aHow) {
-    this->promises.OnEnded(id, aTask, aHow);
+  observer.ended =
+    [this, id = options.id](const std::string& aTask, std::uint64_t aRun, const std::string& aHow) {
+      this->promises.OnEnded(id, aTask, aRun, aHow);
+    };
+  observer.resumed = [this, id = options.id](const std::string& aTask,
+                                             std::uint64_t aRun,
+                                             const std::string& aCheckpoint) {
+    this->promises.OnResumed(id, aTask, aRun, aCheckpoint);
   };
+  observer.saved =
+    [this](const std::string& aTask, std::uint64_t aRun, const std::string& aCheckpoint) {
+      this->promises.OnSaved(aTask, aRun, aCheckpoint);
+    };
   observer.acknowledged =
     [this](const std::string& aTask, std::uint64_t /*aRun*/, const std::string& aHow) {
       this->promises.OnAcknowledged(aTask, aHow);
@@ -161,15 +214,20 @@
   cluster::ClusterConfig config;
   config.version = ++this->configVersion;
   config.services[kService] = {};
-  cluster::QueueConfig& queue = config.queues.emplace_back();
-  queue.host = kHost;
-  queue.pathPrefix = kPrefix;
-  queue.timeoutMs = 3000;
-  queue.policy.queue = "q";
-  queue.policy.service = kService;
-  queue.policy.maxAttempts = 3;
-  queue.policy.stretch = 2.0;
-  queue.policy.targetLatencyMs = 500;
+  if (this->options.mix) {
+    config.services[kService].checksAdmission = true;
+    config.queues = MixTraffic::Queues(kHost, kService);
+  } else {
+    cluster::QueueConfig& queue = config.queues.emplace_back();
+    queue.host = kHost;
+    queue.pathPrefix = kPrefix;
+    queue.timeoutMs = 3000;
+    queue.policy.queue = "q";
+    queue.policy.service = kService;
+    queue.policy.maxAttempts = 3;
+    queue.policy.stretch = 2.0;
+    queue.policy.targetLatencyMs = 500;
+  }
   this->store.Put(std::string(platformwire::kOperatorTable),
                   std::string(platformwire::kConfigKey),
                   platformwire_testing::EncodeConfig(config));
@@ -182,7 +240,12 @@
   }
   this->RunFor(kWarmUp);
   this->KeepRunning();
-  this->SubmitSoon();
+  if (this->options.mix) {
+    this->mixTraffic->Start();
+    this->WatchMixSoon();
+  } else {
+    this->SubmitSoon();
+  }
   if (!this->options.calm) {
     this->InjectSoon();
   }
@@ -194,6 +257,17 @@
     this->SlowStoreSoon();
   }
   this->RunUntil(this->faultsEnd);
+  if (this->options.mix) {
+    this->RecoverMix();
+  } else {
+    this->Recover();
+  }
+  this->promises.CheckEnd();
+  return this->promises.Broken();
+}
+
+void Soak::Recover()
+{
   const Instant latest = BootClock::now() + kRecovery;
   while (BootClock::now() < latest && this->promises.OpenJobs() > 0) {
     for (const auto& [id, job] : this->promises.jobs) {
@@ -203,8 +277,51 @@
     }
     this->RunFor(std::chrono::milliseconds(500));
   }
-  this->promises.CheckEnd();
-  return this->promises.Broken();
+}
+
+void Soak::RecoverMix()
+{
+  this->RunFor(kMixFinishTime);
+  const Instant latest = BootClock::now() + kRecovery;
+  while (BootClock::now() < latest && this->promises.OpenJobs() > 0) {
+    this->mixTraffic->CancelLasting();
+    this->RunFor(std::chrono::milliseconds(500));
+  }
+}
+
+void Soak::WatchMixSoon()
+{
+  const Instant due = BootClock::now() + kMixWatchInterval;
+  this->After(kMixWatchInterval, [this, due] {
+    this->latestTurn = std::max(this->latestTurn, BootClock::now() - due);
+    this->promises.CheckCancelled();
+    this->waitCheck->Check(this->Rooms());
+    this->WatchMixSoon();
+  });
+}
+
+std::vector<WorkerRoom> Soak::Rooms() const
+{
+  std::vector<WorkerRoom> rooms;
+  for (const auto& worker : this->workers) {
+    if (worker->IsSound()) {
+      rooms.push_back({ worker->Id(), worker->Capacity(), worker->Reserved() });
+    }
+  }
+  return rooms;
+}
+
+std::string Soak::MixSummary() const
+{
+  const MixTrafficCounts& counts = this->mixTraffic->Counts();
+  return std::to_string(counts.accepted) + " accepted, " + std::to_string(counts.repeated) +
+         " twice, " + std::to_string(counts.cancellations) + " cancelled, " +
+         std::to_string(counts.unanswered) + " calls unanswered, slowest answer " +
+         std::to_string(ToMilliseconds(counts.slowestAnswer)) + " ms, " +
+         std::to_string(this->promises.Resumed()) + " resumed, " +
+         std::to_string(this->waitCheck->WaitsOnFullWorkers()) +
+         " waits on full workers, latest turn " + std::to_string(ToMilliseconds(this->latestTurn)) +
+         " ms";
 }
 
 void Soak::RunFor(Duration aTime)
@@ -252,10 +369,18 @@
   std::ostringstream id;
   id << std::hex << std::setfill('0') << std::setw(16) << ++this->lastJob;
   SoakJob& job = this->promises.jobs[id.str()];
-  job.payload = "payload of " + id.str();
-  for (std::uint64_t step = 0; step <= this->random.Below(3); ++step) {
-    job.steps.push_back(1 + static_cast<std::uint32_t>(this->random.Below(6)));
+  jobs::JobSpec spec;
+  spec.payload = "payload of " + id.str();
+  for (std::uint32_t index = 0; index <= this->random.Below(3); ++index) {
+    jobs::StepSpec& step = spec.steps.emplace_back();
+    step.count = 1 + static_cast<std::uint32_t>(this->random.Below(6));
+    step.demand = { 1000, 100, 0 };
+    step.estimateMs = 300;
+    if (index > 0) {
+      step.after = { index - 1 };
+    }
   }
+  job.SetSpec(std::move(spec));
   this->Post(id.str(), kPostTries);
   if (this->options.giveUps && this->giveUpRandom.Chance(kGiveUpShare)) {
     this->After(this->giveUpRandom.Between({}, kLatestGiveUp),
@@ -265,26 +390,16 @@
 
 void Soak::Post(const std::string& aId, int aTries)
 {
-  const SoakJob& job = this->promises.jobs.at(aId);
-  jobs::JobSpec spec;
-  spec.payload = job.payload;
-  for (std::uint32_t index = 0; index < job.steps.size(); ++index) {
-    jobs::StepSpec& step = spec.steps.emplace_back();
-    step.count = job.steps[index];
-    step.demand = { 1000, 100, 0 };
-    step.estimateMs = 300;
-    if (index > 0) {
-      step.after = { index - 1 };
-    }
-  }
-  HttpRequest request{
-    "POST", kPrefix + aId, { { "Host", kHost } }, platformwire_testing::EncodeJob(spec)
-  };
+  HttpRequest request{ "POST",
+                       kPrefix + aId,
+                       { { "Host", kHost } },
+                       platformwire_testing::EncodeJob(this->promises.jobs.at(aId).spec) };
   this->AnyEntry().Call(
     std::move(request), kCallTimeout, [this, aId, aTries](const HttpResult& aResult) {
       SoakJob& known = this->promises.jobs.at(aId);
       if (aResult.IsAnswer(kHttpOk)) {
         known.accepted = true;
+        known.acceptedAt = BootClock::now();
         known.submitting = false;
         known.onlyRefused = false;
         if (this->random.Chance(0.1)) {
@@ -324,7 +439,8 @@
   // From its sending on the job may be shown as cancelled; the bound counts from its answer.
   SoakJob& job = this->promises.jobs.at(aId);
   job.cancelled = true;
-  job.cancelledAt = BootClock::now() + std::chrono::hours(1);
+  job.cancelSentAt = BootClock::now();
+  job.cancelledAt = job.cancelSentAt + std::chrono::hours(1);
   this->AnyEntry().Call({ "DELETE", kPrefix + aId, { { "Host", kHost } }, {} },
                         kCallTimeout,
                         [this, aId](const HttpResult& aResult) {
@@ -334,209 +450,4 @@
                         });
 }
 
-// ---- faults
-
-void Soak::Note(const std::string& aFault)
-{
-  this->faults.push_back(std::to_string(ToMilliseconds(BootClock::now() - this->start)) +
-                         " ms: " + aFault);
-}
-
-void Soak::KeepRunning()
-{
-  const Instant now = BootClock::now();
-  for (std::size_t index = 0; index < this->processes.size(); ++index) {
-    if (this->processes[index]->IsRunning()) {
-      this->restarts[index] = {};
-    } else if (this->restarts[index] == Instant{}) {
-      this->restarts[index] =
-        now + this->random.Between(std::chrono::milliseconds(100), std::chrono::milliseconds(1200));
-    } else if (now >= this->restarts[index]) {
-      this->processes[index]->Start();
-    }
-  }
-  if (this->options.calm && this->options.giveUps) {
-    this->promises.CheckCancelledRuns();
-  }
-  this->After(std::chrono::milliseconds(50), [this] { this->KeepRunning(); });
-}
-
-void Soak::InjectSoon()
-{
-  this->After(this->random.Exponential(std::chrono::milliseconds(500)), [this] {
-    if (BootClock::now() < this->faultsEnd) {
-      this->Inject();
-      this->InjectSoon();
-    }
-  });
-}
-
-void Soak::RefuseSoon()
-{
-  this->After(this->refusalRandom.Exponential(std::chrono::milliseconds(500)), [this] {
-    if (BootClock::now() >= this->faultsEnd) {
-      return;
-    }
-    const std::size_t index = this->refusalRandom.Below(this->workers.size());
-    const Duration time =
-      this->refusalRandom.Between(std::chrono::milliseconds(400), std::chrono::milliseconds(1500));
-    this->Note("worker " + std::to_string(index) + " refuses connections for " +
-               std::to_string(ToMilliseconds(time)) + " ms");
-    this->workers[index]->SetListening(false);
-    this->After(time, [this, index] { this->workers[index]->SetListening(true); });
-    this->RefuseSoon();
-  });
-}
-
-void Soak::StopSoon()
-{
-  this->After(this->giveUpRandom.Exponential(std::chrono::milliseconds(1500)), [this] {
-    if (BootClock::now() >= this->faultsEnd) {
-      return;
-    }
-    const std::size_t index = this->giveUpRandom.Below(this->processes.size());
-    this->Note("process " + std::to_string(index) + " is stopped");
-    this->processes[index]->Signal(SIGTERM);
-    this->StopSoon();
-  });
-}
-
-void Soak::SlowStoreSoon()
-{
-  this->After(this->giveUpRandom.Exponential(std::chrono::milliseconds(1500)), [this] {
-    if (BootClock::now() >= this->faultsEnd) {
-      return;
-    }
-    const Duration time =
-      this->giveUpRandom.Between(std::chrono::milliseconds(500), std::chrono::milliseconds(1500));
-    this->Note("the store is slow for " + std::to_string(ToMilliseconds(time)) + " ms");
-    for (std::size_t index = 0; index < this->processes.size(); ++index) {
-      this->store.SetFault(index, { .maxLateness = kMaxStoreLateness });
-      this->After(time, [this, index] { this->store.SetFault(index, {}); });
-    }
-    this->SlowStoreSoon();
-  });
-}
-
-void Soak::Inject()
-{
-  switch (this->random.Below(8)) {
-    case 0:
-    case 1:
-    case 2:
-      this->InjectIntoProcess(this->random.Below(this->processes.size()));
-      break;
-    case 3:
-    case 4:
-      this->InjectIntoStore(this->random.Below(this->processes.size()));
-      break;
-    case 5:
-      this->InjectIntoLink(this->random.Below(this->proxies.size()));
-      break;
-    case 6:
-      this->InjectIntoWorker(this->random.Below(this->workers.size()));
-      break;
-    default:
-      this->Note("configuration changes and history is forgotten");
-      this->PutConfig();
-      this->store.ForgetHistory();
-      break;
-  }
-}
-
-void Soak::InjectIntoProcess(std::size_t aIndex)
-{
-  const std::string name = "process " + std::to_string(aIndex);
-  switch (this->random.Below(4)) {
-    case 0:
-      this->Note(name + " is killed");
-      this->processes[aIndex]->Signal(SIGKILL);
-      break;
-    case 1:
-      this->Note(name + " is stopped");
-      this->processes[aIndex]->Signal(SIGTERM);
-      break;
-    case 2:
-      this->Note("all processes are killed");
-      for (const auto& process : this->processes) {
-        process->Signal(SIGKILL);
-      }
-      break;
-    default:
-      const Duration time =
-        this->random.Between(std::chrono::milliseconds(300), std::chrono::milliseconds(4000));
-      this->Note(name + " is paused for " + std::to_string(ToMilliseconds(time)) + " ms");
-      this->processes[aIndex]->Signal(SIGSTOP);
-      this->After(time, [this, aIndex] { this->processes[aIndex]->Signal(SIGCONT); });
-      break;
-  }
-}
-
-void Soak::InjectIntoStore(std::size_t aIndex)
-{
-  platformwire_testing::StoreFault fault;
-  const std::uint64_t kind = this->random.Below(4);
-  fault.busy = kind == 0;
-  fault.silent = kind == 1;
-  fault.lost = kind == 2 ? 0.4 : 0;
-  fault.delay = kind == 3 ? std::chrono::milliseconds(250) : Duration{};
-  const bool all = this->random.Chance(0.4);
-  const Duration time =
-    this->random.Between(std::chrono::milliseconds(500), std::chrono::milliseconds(4000));
-  this->Note("store fault " + std::to_string(kind) + " for " +
-             (all ? std::string("all") : std::to_string(aIndex)) + ", " +
-             std::to_string(ToMilliseconds(time)) + " ms");
-  for (std::size_t index = 0; index < this->processes.size(); ++index) {
-    if (all || index == aIndex) {
-      this->store.SetFault(index, fault);
-      this->After(time, [this, index] { this->store.SetFault(index, {}); });
-    }
-  }
-}
-
-void Soak::InjectIntoLink(std::size_t aIndex)
-{
-  LinkFault fault;
-  const std::uint64_t kind = this->random.Below(4);
-  if (kind == 3) {
-    this->Note("links of entry " + std::to_string(aIndex) + " are reset");
-    this->proxies[aIndex]->ResetAll();
-    return;
-  }
-  fault.cutToServer = kind == 0 || kind == 1;
-  fault.cutToClient = kind == 1;
-  fault.delay = kind == 2 ? std::chrono::milliseconds(200) : Duration{};
-  const Duration time =
-    this->random.Between(std::chrono::milliseconds(500), std::chrono::milliseconds(6000));
-  this->Note("link fault " + std::to_string(kind) + " at entry " + std::to_string(aIndex) + ", " +
-             std::to_string(ToMilliseconds(time)) + " ms");
-  this->proxies[aIndex]->SetFault(fault);
-  this->After(time, [this, aIndex] { this->proxies[aIndex]->SetFault({}); });
-}
-
-void Soak::InjectIntoWorker(std::size_t aIndex)
-{
-  const std::uint64_t kind = this->random.Below(3);
-  if (kind == 0) {
-    this->Note("worker " + std::to_string(aIndex) + " restarts");
-    this->workers[aIndex]->Restart();
-    return;
-  }
-  if (kind == 1) {
-    this->Note("worker " + std::to_string(aIndex) + " leaves orders unanswered");
-    this->workers[aIndex]->SetUnansweredCallShare(0.5);
-    this->After(std::chrono::milliseconds(3000),
-                [this, aIndex] { this->workers[aIndex]->SetUnansweredCallShare(0); });
-    return;
-  }
-  this->Note("worker " + std::to_string(aIndex) + " carries out orders late and refuses others");
-  this->workers[aIndex]->SetDelayedCallShare(0.3);
-  this->After(std::chrono::milliseconds(700),
-              [this, aIndex] { this->workers[aIndex]->SetOverloaded(true); });
-  this->After(std::chrono::milliseconds(1400),
-              [this, aIndex] { this->workers[aIndex]->SetOverloaded(false); });
-  this->After(std::chrono::milliseconds(2000),
-              [this, aIndex] { this->workers[aIndex]->SetDelayedCallShare(0); });
-}
-
 } // namespace oriolespread::soak
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "LinkProxy.h"
+#include "MixTraffic.h"
 #include "Process.h"
 #include "Promises.h"
+#include "WaitCheck.h"
 
 #include "oriolespread/base/RandomSource.h"
 #include "oriolespread/platformwire/DaemonSettings.h"
@@ -34,8 +36,15 @@
   // gives the faults that it gave before.
   bool refusals = false;
   // Callers cancel some jobs before they are accepted, runs are long, the store is slow for a while
-  // now and then, and entries and agents are stopped as planned and started again.
+  // now and then, and entries and agents are stopped as planned and started again. With `mix`, no
+  // job is cancelled before it is accepted.
   bool giveUps = false;
+  // Jobs of a mixed load instead of small ones, on workers of the size that it needs.
+  bool mix = false;
+  // Submitted jobs a second of the mixed load; 0 for a rate that the workers can carry.
+  double rate = 0;
+  // How long callers may ask for an ended job.
+  Duration keepEnded = std::chrono::seconds(120);
 };
 
 class Soak
@@ -48,6 +57,8 @@
   std::size_t Starts() const { return this->promises.Starts(); }
   std::size_t Jobs() const { return this->promises.jobs.size(); }
   const std::vector<std::string>& Faults() const { return this->faults; }
+  // Returns what the mixed load did, and how late the soak's own loop was at most.
+  std::string MixSummary() const;
 
 private:
   std::string Ip(int aKind, std::size_t aIndex) const;
@@ -59,6 +70,14 @@
   void RunFor(Duration aTime);
   void RunUntil(Instant aTime);
 
+  void Recover();
+  void RecoverMix();
+  void WatchMixSoon();
+  std::vector<WorkerRoom> Rooms() const;
+  Instant InTouchSince() const;
+  // Sets that machines are disturbed until then.
+  void Disturb(Duration aTime);
+
   void SubmitSoon();
   void Submit();
   void Post(const std::string& aId, int aTries);
@@ -75,7 +94,8 @@
   void InjectIntoStore(std::size_t aIndex);
   void InjectIntoLink(std::size_t aIndex);
   void InjectIntoWorker(std::size_t aIndex);
-  void Note(const std::string& aFault);
+  // Notes a fault that lasts for this time.
+  void Note(const std::string& aFault, Duration aTime = {});
   void KeepRunning();
   void After(Duration aTime, std::function<void()> aCall);
 
@@ -97,7 +117,15 @@
   std::vector<std::unique_ptr<LinkProxy>> proxies;
   std::vector<std::unique_ptr<platformwire_testing::StandInWorker>> workers;
   std::vector<std::unique_ptr<HttpClient>> clients;
+  std::unique_ptr<MixTraffic> mixTraffic;
+  std::unique_ptr<WaitCheck> waitCheck;
   std::vector<std::string> faults;
+  // The end of the last disturbance of a machine.
+  Instant disturbedUntil{};
+  // The present or next phase of faults in a mixed load.
+  Instant faultPhaseStart{};
+  Instant faultPhaseEnd{};
+  Duration latestTurn{};
   std::uint64_t configVersion = 0;
   std::uint64_t lastJob = 0;
 };
--- /dev/null
+++ b/packages/soak/src/WaitCheck.h
@@ -0,0 +1,66 @@
+// Checks that no accepted work waits while workers have room for it.
+#pragma once
+
+#include "Promises.h"
+
+#include "oriolespread/base/Time.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace oriolespread::soak {
+
+// The room of a worker: what it has and what its runs have reserved.
+struct WorkerRoom
+{
+  std::string id;
+  Resources capacity;
+  Resources reserved;
+};
+
+class WaitCheck
+{
+public:
+  // The references must outlive the check.
+  WaitCheck(Promises& aPromises, InTouchSince aInTouchSince);
+
+  // Looks at all jobs; to be called several times a second. `aWorkers` are the sound workers.
+  void Check(const std::vector<WorkerRoom>& aWorkers);
+  // Returns how many jobs waited as long although half of the cores were reserved, which is
+  // allowed.
+  std::size_t WaitsOnFullWorkers() const { return this->waitsOnFullWorkers; }
+
+private:
+  struct Wait
+  {
+    Instant since{};
+    // The largest share of reserved cores while it waited.
+    double highestUse = 0;
+    bool reported = false;
+  };
+
+  void CheckJob(const std::string& aId, const SoakJob& aJob);
+  void CheckLastingTasks(const std::string& aId, const SoakJob& aJob);
+  // Notes that `aWhat` waits, or not, and reports a wait that is too long. `aFrom` is when the wait
+  // began to count at the earliest; a wait that counts only below half of the cores is otherwise
+  // counted in `waitsOnFullWorkers`.
+  void Note(const std::string& aWhat,
+            bool aWaits,
+            Instant aFrom,
+            bool aOnlyBelowHalf,
+            const std::string& aText);
+  // Returns whether the workers have room for two tasks of the step.
+  bool HasRoomTwice(const SoakJob& aJob, std::size_t aStep) const;
+
+  Promises& promises;
+  InTouchSince inTouchSince;
+  std::vector<WorkerRoom> workers;
+  double use = 0;
+  std::size_t waitsOnFullWorkers = 0;
+  Instant now{};
+  std::map<std::string, Wait> waits;
+};
+
+} // namespace oriolespread::soak
