Use a claim that was read from the row before it is reset

BeginLeadership reset the last claim before it copied the record, which is the last claim itself when an entry reads its own claim: the record's texts were read after they had been freed. Found by reading the diff. A sanitizer build was not run; LeaderDriver tests pass (20 of 20), as they did before.

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -199,9 +199,10 @@
 {
   ++this->term;
   this->phase = Phase::Loading;
-  this->lastClaim.reset();
   this->earlierLeasesExpiry = this->election.EarlierLeasesExpiry();
   this->leaderRow = aRow;
+  // `aRow` may be the last claim itself.
+  this->lastClaim.reset();
   this->leaderRowVersion = aVersion;
   this->renewedAt = aRenewedAt;
   this->lastCommitAt = BootClock::now();
