Measure how late the event loop of a process runs

Entries and agents now measure each half second how late a timer of their event loop is (histogram loop_lateness_seconds). More than 0.3 s is counted (loop_late_total) and logged (loop_late) with the processor time that the process used meanwhile, which tells whether it was computing or not running.

Shown by LoopMonitor CountsALateLoopWhenAHandlerComputesForLong and CountsALateLoopWhenTheProcessDoesNotRun.

--- a/packages/daemon/src/ClusterAgent.cpp
+++ b/packages/daemon/src/ClusterAgent.cpp
@@ -1,6 +1,7 @@
 #include "oriolespread/daemon/ClusterAgent.h"
 
 #include "EventLoop.h"
+#include "LoopMonitor.h"
 #include "MetricsServer.h"
 #include "WorkerDriver.h"
 
@@ -53,6 +54,7 @@
   Counters counters;
   asio::io_context context{ 1 };
   asio::signal_set signals;
+  LoopMonitor loopMonitor{ this->context, this->counters };
   std::unique_ptr<HttpServer> controlServer;
   std::unique_ptr<MetricsServer> metrics;
   std::unique_ptr<platformwire::StoreClient> store;
@@ -100,6 +102,7 @@
       MetricsServer::Values values;
       values.gauges["leader_epoch"] = static_cast<double>(this->leaderEpoch.Value());
       values.histograms["run_start"] = &this->workerDriver->StartLatency();
+      values.histograms["loop_lateness"] = &this->loopMonitor.Lateness();
       return values;
     });
   this->directory = std::make_unique<EntryDirectory>(this->context, *this->store, this->counters);
--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -4,6 +4,7 @@
 #include "EventLoop.h"
 #include "JobApi.h"
 #include "LeaderDriver.h"
+#include "LoopMonitor.h"
 #include "MetricsServer.h"
 #include "absl/strings/str_cat.h"
 
@@ -77,6 +78,7 @@
   asio::io_context context{ 1 };
   asio::signal_set signals;
   asio::steady_timer drainTimer;
+  LoopMonitor loopMonitor{ this->context, this->counters };
   std::unique_ptr<platformwire::StoreClient> store;
   std::unique_ptr<ConfigWatcher> configWatcher;
   RequestForwarder forwarder{ this->context, this->counters };
@@ -190,7 +192,8 @@
       return MetricsServer::Values{ this->leader->Gauges(),
                                     { { "request", &this->jobApi->Latency() },
                                       { "commit", &this->leader->CommitLatency() },
-                                      { "job_start", &this->leader->JobStartLatency() } } };
+                                      { "job_start", &this->leader->JobStartLatency() },
+                                      { "loop_lateness", &this->loopMonitor.Lateness() } } };
     });
   return absl::OkStatus();
 }
