Assess no worker for tasks that fit nowhere

A pass now first takes the largest room that any single worker of a service has in each dimension. A step that needs more is known to fit nowhere; what is placed does not change.

It is a part of the cost of a leader, not shown to be what the users saw.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -14,6 +14,7 @@
 #include "oriolespread/base/Counters.h"
 #include "oriolespread/jobs/InterferenceModel.h"
 #include "oriolespread/jobs/JobModel.h"
+#include "oriolespread/jobs/LargestRoom.h"
 #include "oriolespread/jobs/RowQueue.h"
 #include "oriolespread/jobs/SchedulerSettings.h"
 
@@ -120,6 +121,8 @@
   // counts from when this leader first read the job's row to the report of the start.
   std::vector<Duration> TakeStartDelays() { return std::exchange(this->startDelays, {}); }
   std::size_t WaitingTasks() const { return this->waitingTasks; }
+  // Returns how many workers have been assessed for tasks, which is what decisions cost most.
+  std::uint64_t AssessedWorkers() const { return this->assessedWorkers; }
   // Returns the number of rows that the store has refused and that are tried again later.
   std::size_t WithheldRows() const;
   // Returns the number of workers with runs that have not reported to this leader yet.
@@ -264,6 +267,7 @@
   std::vector<ReadyStep> FindReadySteps(Now aNow);
   // Returns the services of which at most `lowReservedShare` of the cores is reserved.
   std::set<std::string> FindServicesWithFreeCores() const;
+  void UpdateLargestRooms();
   void PlaceStep(const ReadyStep& aReady, Duration aAllowInterferenceAfter, Now aNow);
   PlacementRequest MakePlacementRequest(const ReadyStep& aReady) const;
   // Returns whether the task must not be placed yet.
@@ -345,6 +349,9 @@
   std::map<std::string, OutgoingOrders> outgoingOrders;
   std::uint64_t lastOrders = 0;
   std::size_t waitingTasks = 0;
+  std::uint64_t assessedWorkers = 0;
+  // By service, as of the begin of a scheduling pass, in which rooms only become smaller.
+  std::map<std::string, LargestRoom> largestRooms;
   // When the next line about a step that waits may be logged.
   Instant nextWaitingLog{};
   // When the workers that have not reported are logged; zero once they were.
--- /dev/null
+++ b/packages/jobs/include/oriolespread/jobs/LargestRoom.h
@@ -0,0 +1,28 @@
+// The most room that any single worker of a service has, in each dimension of its capacity.
+//
+// A task that needs more fits on no worker. With a backlog this is known without a look at each
+// worker, so that a decision does not become slower the more steps wait.
+#pragma once
+
+#include "oriolespread/jobs/JobModel.h"
+
+namespace oriolespread::jobs {
+
+class LargestRoom
+{
+public:
+  // Counts a worker that may take tasks.
+  void Add(const Worker& aWorker);
+
+  // Returns false only if no counted worker has room for a task of the step. Rooms of different
+  // workers are not told apart, so that true does not mean that one has room.
+  bool MayFit(const StepSpec& aStep) const;
+
+private:
+  // The milli-cores are those that are not reserved.
+  Resources room;
+  // The milli-cores that best-effort tasks may use.
+  std::int64_t bestEffortMilliCores = 0;
+};
+
+} // namespace oriolespread::jobs
--- a/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
+++ b/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
@@ -49,6 +49,9 @@
   std::set<std::string> excludedWorkers;
 };
 
+// Returns the milli-cores that all runs on the worker are expected to use.
+std::int64_t ExpectedMilliCores(const Worker& aWorker);
+
 // Returns the share of the worker's cores that a best-effort task of the step is expected to use.
 double BestEffortCoreShare(const Worker& aWorker, const StepSpec& aStep);
 
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -39,14 +39,6 @@
 // Serving runs are sized for their peak load and on average use about half of their cores.
 constexpr double kServingUtilisation = 0.5;
 
-// Returns the milli-cores that all runs on the worker are expected to use.
-std::int64_t ExpectedMilliCores(const Worker& aWorker)
-{
-  return aWorker.demanded.milliCores -
-         static_cast<std::int64_t>((1.0 - kServingUtilisation) *
-                                   static_cast<double>(aWorker.servingMilliCores));
-}
-
 // Returns the load of the worker's cores or memory with one more task, whichever is higher. Memory
 // counts half.
 double LoadWithTask(const Worker& aWorker, const StepSpec& aStep)
@@ -225,6 +217,13 @@
   return "invalid";
 }
 
+std::int64_t ExpectedMilliCores(const Worker& aWorker)
+{
+  return aWorker.demanded.milliCores -
+         static_cast<std::int64_t>((1.0 - kServingUtilisation) *
+                                   static_cast<double>(aWorker.servingMilliCores));
+}
+
 double BestEffortCoreShare(const Worker& aWorker, const StepSpec& aStep)
 {
   return kBestEffortUtilisation * static_cast<double>(aStep.demand.milliCores) /
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -59,6 +59,7 @@
     return;
   }
   const std::set<std::string> servicesWithFreeCores = this->FindServicesWithFreeCores();
+  this->UpdateLargestRooms();
   for (const ReadyStep& item : ready) {
     const bool hasFreeCores = servicesWithFreeCores.contains(item.job->record.policy.service);
     this->PlaceStep(item,
@@ -186,6 +187,16 @@
   return services;
 }
 
+void JobScheduler::UpdateLargestRooms()
+{
+  this->largestRooms.clear();
+  for (const auto& [key, worker] : this->workers) {
+    if (worker.connected && worker.reported && worker.reconciled && !worker.state.draining) {
+      this->largestRooms[worker.state.service].Add(worker);
+    }
+  }
+}
+
 void JobScheduler::PlaceStep(const ReadyStep& aReady, Duration aAllowInterferenceAfter, Now aNow)
 {
   const bool allowInterference = aNow.instant - aReady.job->lastActive > aAllowInterferenceAfter;
@@ -250,7 +261,12 @@
 
 Worker* JobScheduler::SelectWorker(const Task& aTask, PlacementRequest& aRequest, Now aNow)
 {
+  const auto room = this->largestRooms.find(aRequest.service);
+  if (room == this->largestRooms.end() || !room->second.MayFit(*aRequest.step)) {
+    return nullptr;
+  }
   aRequest.lastFailedWorker = aTask.lastFailedWorker;
+  this->assessedWorkers += this->workers.size();
   Worker* worker = ChooseWorker(this->workers, aRequest, aNow.instant);
   if (worker == nullptr) {
     return nullptr;
