Stop runs of cancelled jobs while the release of a leader is not stored

Cause: a leader that releases its row applies cancellations, but sends no orders until the release is stored, which took 5.3 s; the next leader had to send the stops.

Orders that do not depend on a row are now sent in each pass until then. Only stops can be among them: starts and acknowledgements wait for their rows.

LeaderDriver StopsRunsOfACancelledJobWhileItsReleaseIsNotStored failed before (no stop within 2 s).

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -326,11 +326,14 @@
 void LeaderDriver::RunSchedulingPass()
 {
   jobs::StoreBatch batch;
-  if (this->phase == Phase::Leading && this->onReleased == nullptr) {
-    this->scheduler->Decide(this->CurrentTime());
-    for (const Duration delay : this->scheduler->TakeStartDelays()) {
-      this->jobStartLatency.Add(delay);
+  if (this->phase == Phase::Leading) {
+    if (this->onReleased == nullptr) {
+      this->scheduler->Decide(this->CurrentTime());
+      for (const Duration delay : this->scheduler->TakeStartDelays()) {
+        this->jobStartLatency.Add(delay);
+      }
     }
+    // The release may take seconds to be stored. Stops of cancelled runs do not wait for it.
     this->SendOrders();
   }
   if (this->commitInFlight) {
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -363,6 +363,27 @@
   }
 }
 
+// Guards against runs of cancelled jobs that go on until the next leader stops them.
+TEST_CASE("LeaderDriver StopsRunsOfACancelledJobWhileItsReleaseIsNotStored")
+{
+  StoreFixture fixture;
+  const std::size_t server = fixture.store.Serve("127.0.0.1", 0);
+  const auto client = *platformwire::StoreClient::Create(
+    fixture.context, "127.0.0.1:" + std::to_string(fixture.store.PortOf(server)), fixture.counters);
+  TestEntry entry(fixture, "a", std::chrono::seconds(5), std::chrono::seconds(5), client.get());
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  entry.SendReport();
+  SubmitJob(fixture, "j");
+  REQUIRE(fixture.RunUntil([&] { return entry.CountStarts("j") == 1; }));
+  fixture.store.SetFault(server, { .lost = 1.0 });
+  bool released = false;
+  entry.driver->Release([&] { released = true; });
+  PutRow(fixture, jobs::CancelRow("j"), "");
+  CHECK(fixture.RunUntil([&] { return entry.CountStops() > 0; }, 2000 * kMillisecond));
+  CHECK_FALSE(released);
+}
+
 // Guards against tasks that wait for leases which no leader extends any more (issue 33).
 TEST_CASE("LeaderDriver ReplacesRunsOfASilentWorkerAfterOneLeaseWhenTheLeaderWasReleased")
 {
