Limit the processor time of processes in the soak

Users run entries and agents under a quota of a core.

A thread reads the processor clocks of the soak's own children each millisecond and stops a process with SIGSTOP until its next window of 100 ms once it has used its share; an excess is taken from the next window. Pauses that are injected as faults are kept apart from these stops. The settings file of a process gets its share as cpu_share of the table limits, which the present programs ignore. The line of a run of a mixed load adds the number of leaders, the longest time without a start while a task waits with room for it twice, the processor time of each entry, and how late the stops were.

--- a/packages/soak/src/Main.cpp
+++ b/packages/soak/src/Main.cpp
@@ -83,6 +83,10 @@
   options.mix = aOptions.count("mix") > 0;
   options.rate = aOptions["rate"].as<double>();
   options.keepEnded = std::chrono::seconds(aOptions["keep-ended"].as<int>());
+  if (aOptions.count("quota") > 0) {
+    options.entryQuotas = aOptions["quota"].as<std::vector<double>>();
+  }
+  options.agentQuota = aOptions["agent-quota"].as<double>();
   options.network = 20 + static_cast<int>(::getpid() % kNetworks);
   options.directory = aOptions["directory"].as<std::string>() + "/" + std::to_string(::getpid()) +
                       "-" + std::to_string(aSeed);
@@ -146,6 +150,12 @@
     cxxopts::value<double>()->default_value("0"))("keep-ended",
                                                   "seconds for which ended jobs are kept",
                                                   cxxopts::value<int>()->default_value("120"))(
+    "quota",
+    "shares of a core for entries in turn, such as 0.5,0.12: a process is stopped for the rest of "
+    "each 100 ms once it has used its share",
+    cxxopts::value<std::vector<double>>())("agent-quota",
+                                           "share of a core for each agent; 0 for no limit",
+                                           cxxopts::value<double>()->default_value("0"))(
     "help", "this text");
   try {
     const auto parsed = options.parse(argc, argv);
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -1,5 +1,7 @@
 #include "Soak.h"
 
+#include "oriolespread/cluster/LeaderElection.h"
+#include "oriolespread/jobs/JobRows.h"
 #include "oriolespread/platformwire/StoreClient.h"
 #include "oriolespread/platformwire_testing/TestMessages.h"
 
@@ -75,6 +77,11 @@
   std::filesystem::create_directories(this->options.directory);
   // Agents find entries by their proxies.
   this->store.onRead = [this](const std::string& aTable, const std::string& aValue) {
+    if (aTable == jobs::LeaderRow().table) {
+      if (const auto record = cluster::DecodeLeaderRecord(aValue); record.has_value()) {
+        this->epochs.insert(record->epoch);
+      }
+    }
     std::string shown = aValue;
     const std::string direct = "127." + std::to_string(this->options.network) + ".1.";
     if (aTable == "members" && shown.starts_with(direct)) {
@@ -114,7 +121,7 @@
          std::to_string(aIndex + 1);
 }
 
-std::string Soak::WriteSettings(platformwire::DaemonSettings aSettings)
+std::string Soak::WriteSettings(platformwire::DaemonSettings aSettings, double aQuota)
 {
   const std::string storeIp = this->Ip(3, this->processes.size());
   this->store.Serve(storeIp, kStorePort);
@@ -126,10 +133,20 @@
   aSettings.drainTime = std::chrono::seconds(2);
   aSettings.storeAddress = ToString(SocketAddress{ storeIp, kStorePort });
   const std::string path = this->options.directory + "/" + aSettings.machine + ".toml";
-  std::ofstream(path) << platformwire_testing::EncodeSettings(aSettings);
+  std::ofstream file(path);
+  file << platformwire_testing::EncodeSettings(aSettings);
+  if (aQuota > 0) {
+    file << "[limits]\ncpu_share = " << aQuota << "\n";
+  }
   return path;
 }
 
+double Soak::EntryQuota(std::size_t aIndex) const
+{
+  const std::vector<double>& shares = this->options.entryQuotas;
+  return shares.empty() ? 0 : shares[aIndex % shares.size()];
+}
+
 void Soak::AddEntry(std::size_t aIndex)
 {
   platformwire::DaemonSettings settings;
@@ -137,13 +154,17 @@
   settings.ip = this->Ip(1, aIndex);
   settings.front = { settings.ip, kFrontPort };
   settings.ready = { settings.ip, kReadyPort };
-  const std::string path = this->WriteSettings(settings);
+  const double share = this->EntryQuota(aIndex);
+  const std::string path = this->WriteSettings(settings, share);
   this->proxies.push_back(
     std::make_unique<LinkProxy>(this->context, this->Ip(4, aIndex), settings.ip, kLinkPort));
   this->processes.push_back(std::make_unique<Process>(
     std::vector<std::string>{ this->options.programs + "/oriolespread", "serve-cluster" },
     path,
     this->options.directory + "/" + settings.machine + ".log"));
+  if (share > 0) {
+    this->quota.Add(*this->processes.back(), share);
+  }
   this->restarts.push_back({});
   this->clients.push_back(
     *HttpClient::Create(this->context, ToString(settings.front), {}, this->counters));
@@ -157,11 +178,14 @@
   settings.control = { settings.ip, kControlPort };
   settings.workerAddress = ToString(SocketAddress{ settings.ip, kWorkerPort });
   settings.workerService = kService;
-  const std::string path = this->WriteSettings(settings);
+  const std::string path = this->WriteSettings(settings, this->options.agentQuota);
   this->processes.push_back(std::make_unique<Process>(
     std::vector<std::string>{ this->options.programs + "/oriolespread-agent", "--cluster" },
     path,
     this->options.directory + "/" + settings.machine + ".log"));
+  if (this->options.agentQuota > 0) {
+    this->quota.Add(*this->processes.back(), this->options.agentQuota);
+  }
   this->restarts.push_back({});
   platformwire_testing::StandInWorkerOptions options;
   options.id = "w-" + std::to_string(aIndex + 1);
@@ -238,6 +262,7 @@
   for (const auto& process : this->processes) {
     process->Start();
   }
+  this->quota.Start();
   this->RunFor(kWarmUp);
   this->KeepRunning();
   if (this->options.mix) {
@@ -321,7 +346,20 @@
          std::to_string(this->promises.Resumed()) + " resumed, " +
          std::to_string(this->waitCheck->WaitsOnFullWorkers()) +
          " waits on full workers, latest turn " + std::to_string(ToMilliseconds(this->latestTurn)) +
-         " ms";
+         " ms, latest look at quotas " + std::to_string(ToMilliseconds(this->quota.LongestGap())) +
+         " ms, " + std::to_string(this->epochs.size()) + " leaders, longest time without a start " +
+         std::to_string(ToMilliseconds(this->waitCheck->LongestStandstill())) +
+         " ms, processor ms of entries " + this->EntryTimes();
+}
+
+std::string Soak::EntryTimes() const
+{
+  std::string text;
+  for (std::size_t index = 0; index < this->options.entries; ++index) {
+    text += (index == 0 ? "" : " ") +
+            std::to_string(ToMilliseconds(this->processes[index]->ProcessorTime()));
+  }
+  return text;
 }
 
 void Soak::RunFor(Duration aTime)
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -5,6 +5,7 @@
 #include "LinkProxy.h"
 #include "MixTraffic.h"
 #include "Process.h"
+#include "ProcessorQuota.h"
 #include "Promises.h"
 #include "WaitCheck.h"
 
@@ -16,6 +17,7 @@
 #include <asio/io_context.hpp>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +47,10 @@
   double rate = 0;
   // How long callers may ask for an ended job.
   Duration keepEnded = std::chrono::seconds(120);
+  // The shares of a core of entries, in turn, and of each agent; without a limit if empty or 0.
+  // The settings file of a process names its share.
+  std::vector<double> entryQuotas;
+  double agentQuota = 0;
 };
 
 class Soak
@@ -65,13 +71,18 @@
   void AddEntry(std::size_t aIndex);
   void AddWorker(std::size_t aIndex);
   // Fills in what all machines have in common, and returns the path of the file.
-  std::string WriteSettings(platformwire::DaemonSettings aSettings);
+  // `aQuota` is the share of a core of the process, 0 for no limit.
+  std::string WriteSettings(platformwire::DaemonSettings aSettings, double aQuota);
   void PutConfig();
   void RunFor(Duration aTime);
   void RunUntil(Instant aTime);
 
+  // Returns the share of a core of the entry, 0 for no limit.
+  double EntryQuota(std::size_t aIndex) const;
   void Recover();
   void RecoverMix();
+  // Returns the processor times of all entries in milliseconds.
+  std::string EntryTimes() const;
   void WatchMixSoon();
   std::vector<WorkerRoom> Rooms() const;
   Instant InTouchSince() const;
@@ -114,6 +125,7 @@
   std::vector<std::unique_ptr<Process>> processes;
   // When a process that has ended is started again.
   std::vector<Instant> restarts;
+  ProcessorQuota quota;
   std::vector<std::unique_ptr<LinkProxy>> proxies;
   std::vector<std::unique_ptr<platformwire_testing::StandInWorker>> workers;
   std::vector<std::unique_ptr<HttpClient>> clients;
@@ -126,6 +138,8 @@
   Instant faultPhaseStart{};
   Instant faultPhaseEnd{};
   Duration latestTurn{};
+  // The epochs of all leaders that entries have read of.
+  std::set<std::uint64_t> epochs;
   std::uint64_t configVersion = 0;
   std::uint64_t lastJob = 0;
 };
--- a/packages/soak/src/SoakFaults.cpp
+++ b/packages/soak/src/SoakFaults.cpp
@@ -187,8 +187,8 @@
       const Duration time =
         this->random.Between(std::chrono::milliseconds(300), std::chrono::milliseconds(4000));
       this->Note(name + " is paused for " + std::to_string(ToMilliseconds(time)) + " ms", time);
-      this->processes[aIndex]->Signal(SIGSTOP);
-      this->After(time, [this, aIndex] { this->processes[aIndex]->Signal(SIGCONT); });
+      this->processes[aIndex]->SetPaused(true);
+      this->After(time, [this, aIndex] { this->processes[aIndex]->SetPaused(false); });
       break;
   }
 }
--- a/packages/soak/src/WaitCheck.cpp
+++ b/packages/soak/src/WaitCheck.cpp
@@ -1,6 +1,7 @@
 #include "WaitCheck.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolespread::soak {
 
@@ -13,6 +14,12 @@
 // Below this share of reserved cores, nothing else is a reason to wait.
 constexpr double kHalf = 0.5;
 
+bool IsOpen(const SoakJob& aJob)
+{
+  return !aJob.cancelled && !aJob.ended && aJob.mayHaveEndedAt == Instant::max() &&
+         !aJob.IsCompleted();
+}
+
 } // namespace
 
 WaitCheck::WaitCheck(Promises& aPromises, InTouchSince aInTouchSince)
@@ -39,13 +46,44 @@
       this->CheckJob(id, job);
     }
   }
+  this->CheckStandstill();
+}
+
+void WaitCheck::CheckStandstill()
+{
+  const std::size_t starts = this->promises.Starts();
+  const bool started = std::exchange(this->starts, starts) != starts;
+  const auto& jobs = this->promises.jobs;
+  const bool waits = std::any_of(jobs.begin(), jobs.end(), [this](const auto& aJob) {
+    return aJob.second.accepted && IsOpen(aJob.second) && this->HasWaitingTask(aJob.second);
+  });
+  if (this->standsSince != Instant{}) {
+    this->longestStandstill = std::max(this->longestStandstill, this->now - this->standsSince);
+  }
+  if (!waits) {
+    this->standsSince = {};
+  } else if (started || this->standsSince == Instant{}) {
+    this->standsSince = this->now;
+  }
+}
+
+bool WaitCheck::HasWaitingTask(const SoakJob& aJob) const
+{
+  for (std::size_t step = 0; step < aJob.tasks.size(); ++step) {
+    const auto& tasks = aJob.tasks[step];
+    const bool waits = std::any_of(tasks.begin(), tasks.end(), [](const SoakTask& aTask) {
+      return !aTask.done && aTask.running.empty();
+    });
+    if (waits && aJob.HasTurn(step) && this->HasRoomTwice(aJob, step)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 void WaitCheck::CheckJob(const std::string& aId, const SoakJob& aJob)
 {
-  const bool isOpen =
-    !aJob.cancelled && !aJob.ended && aJob.mayHaveEndedAt == Instant::max() && !aJob.IsCompleted();
-  if (!isOpen) {
+  if (!IsOpen(aJob)) {
     this->waits.erase(aId);
     return;
   }
--- a/packages/soak/src/WaitCheck.h
+++ b/packages/soak/src/WaitCheck.h
@@ -32,6 +32,10 @@
   // allowed.
   std::size_t WaitsOnFullWorkers() const { return this->waitsOnFullWorkers; }
 
+  // Returns the longest time in which no run started although there was room for a task twice and
+  // nothing else for it to wait for.
+  Duration LongestStandstill() const { return this->longestStandstill; }
+
 private:
   struct Wait
   {
@@ -41,6 +45,8 @@
     bool reported = false;
   };
 
+  void CheckStandstill();
+  bool HasWaitingTask(const SoakJob& aJob) const;
   void CheckJob(const std::string& aId, const SoakJob& aJob);
   void CheckLastingTasks(const std::string& aId, const SoakJob& aJob);
   // Notes that `aWhat` waits, or not, and reports a wait that is too long. `aFrom` is when the wait
@@ -60,6 +66,10 @@
   double use = 0;
   std::size_t waitsOnFullWorkers = 0;
   Instant now{};
+  // Since when a task has waited and no run has started; the epoch if none waits.
+  Instant standsSince{};
+  std::size_t starts = 0;
+  Duration longestStandstill{};
   std::map<std::string, Wait> waits;
 };
 
