Let a mixed soak end with the loss of all processes

Users' runs end with all machines without power or all processes killed while work is accepted, after which traffic goes on, and their store is slow or loses answers.

--end kill|power kills all processes at the end of the load and starts them again 1 to 2 s later while callers go on for 20 s.

Two checks follow from the users' rules. From 14 s after the end of the load on, a wait of 3 s with room for it twice is a broken promise whatever was disturbed before; lasting jobs are therefore cancelled 24 s instead of 16 s after the end. Of the requests that are sent later than 15 s after all processes are back, at least a quarter has to be served if a quarter was before the loss; a refusal or an error is not counted as served.

--- a/packages/soak/src/LinkProxy.cpp
+++ b/packages/soak/src/LinkProxy.cpp
@@ -83,6 +83,9 @@
         this->Close(aPair);
         return;
       }
+      if (!this->pairs.contains(aPair)) {
+        return;
+      }
       this->Forward(aPair, aToServer, aSize);
     });
 }
@@ -130,11 +133,19 @@
 
 void LinkProxy::Close(const std::shared_ptr<Pair>& aPair)
 {
+  if (this->pairs.erase(aPair) == 0) {
+    return;
+  }
   asio::error_code ignored;
   aPair->client.set_option(asio::socket_base::linger(true, 0), ignored);
   aPair->client.close(ignored);
   aPair->server.close(ignored);
-  this->pairs.erase(aPair);
+}
+
+void LinkProxy::Abandon()
+{
+  this->abandoned.insert(this->abandoned.end(), this->pairs.begin(), this->pairs.end());
+  this->pairs.clear();
 }
 
 void LinkProxy::ResetAll()
--- a/packages/soak/src/LinkProxy.h
+++ b/packages/soak/src/LinkProxy.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace oriolespread::soak {
 
@@ -33,6 +34,9 @@
 
   void SetFault(const LinkFault& aFault) { this->fault = aFault; }
   void ResetAll();
+  // Leaves the present connections open without forwarding anything more, not even their end, as
+  // the loss of a machine's power does.
+  void Abandon();
 
 private:
   struct Pair;
@@ -41,6 +45,7 @@
   void Pump(const std::shared_ptr<Pair>& aPair, bool aToServer);
   void Forward(const std::shared_ptr<Pair>& aPair, bool aToServer, std::size_t aSize);
   void Send(const std::shared_ptr<Pair>& aPair, bool aToServer, std::size_t aSize);
+  // Closes a pair unless it was abandoned.
   void Close(const std::shared_ptr<Pair>& aPair);
 
   asio::io_context& context;
@@ -48,6 +53,8 @@
   asio::ip::tcp::endpoint server;
   LinkFault fault;
   std::set<std::shared_ptr<Pair>> pairs;
+  // Open until the proxy is destroyed.
+  std::vector<std::shared_ptr<Pair>> abandoned;
   std::shared_ptr<bool> alive;
 };
 
--- a/packages/soak/src/Main.cpp
+++ b/packages/soak/src/Main.cpp
@@ -87,6 +87,17 @@
     options.entryQuotas = aOptions["quota"].as<std::vector<double>>();
   }
   options.agentQuota = aOptions["agent-quota"].as<double>();
+  options.storeDelay = std::chrono::milliseconds(aOptions["store-delay"].as<int>());
+  options.linkDelay = std::chrono::milliseconds(aOptions["link-delay"].as<int>());
+  options.lostAnswers = aOptions["lose-answers"].as<double>();
+  const auto end = ParseSoakEnd(aOptions["end"].as<std::string>());
+  if (!end.has_value()) {
+    throw std::runtime_error("no such end");
+  }
+  if (!options.mix && (*end != SoakEnd::None || options.lostAnswers > 0)) {
+    throw std::runtime_error("--end and --lose-answers need --mix");
+  }
+  options.end = *end;
   options.network = 20 + static_cast<int>(::getpid() % kNetworks);
   options.directory = aOptions["directory"].as<std::string>() + "/" + std::to_string(::getpid()) +
                       "-" + std::to_string(aSeed);
@@ -156,7 +167,18 @@
     cxxopts::value<std::vector<double>>())("agent-quota",
                                            "share of a core for each agent; 0 for no limit",
                                            cxxopts::value<double>()->default_value("0"))(
-    "help", "this text");
+    "store-delay",
+    "milliseconds by which each answer of the store is late",
+    cxxopts::value<int>()->default_value("0"))(
+    "link-delay",
+    "milliseconds by which bytes on connections to entries are late, one way",
+    cxxopts::value<int>()->default_value("0"))(
+    "lose-answers",
+    "with --mix, share of transactions of the store without an answer in phases of faults",
+    cxxopts::value<double>()->default_value("0"))(
+    "end",
+    "with --mix, what happens to all processes at the end of the load: none, kill, power",
+    cxxopts::value<std::string>()->default_value("none"))("help", "this text");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/packages/soak/src/MixTraffic.cpp
+++ b/packages/soak/src/MixTraffic.cpp
@@ -111,9 +111,10 @@
   const auto& client = this->clients[this->random.Below(this->clients.size())];
   const std::string target = this->promises.jobs.at(aId).prefix + aId;
   const Instant sent = BootClock::now();
+  const auto record = this->served.emplace(sent, false);
   client->Call({ aMethod, target, { { "Host", this->options.host } }, std::move(aBody) },
                kCallTimeout,
-               [this, sent, stillAlive = this->alive, answered = std::move(aAnswered)](
+               [this, sent, record, stillAlive = this->alive, answered = std::move(aAnswered)](
                  const HttpResult& aResult) {
                  if (!*stillAlive) {
                    return;
@@ -121,6 +122,8 @@
                  if (aResult.end == HttpEnd::Answered) {
                    this->counts.slowestAnswer =
                      std::max(this->counts.slowestAnswer, BootClock::now() - sent);
+                   const int status = aResult.response.status;
+                   record->second = status < kHttpBadRequest || status == kHttpGone;
                  } else {
                    ++this->counts.unanswered;
                  }
@@ -139,6 +142,17 @@
   this->CancelManySoon();
 }
 
+ServedCount MixTraffic::CountServed(Instant aFrom, Instant aUntil) const
+{
+  ServedCount count;
+  for (auto it = this->served.lower_bound(aFrom); it != this->served.end() && it->first < aUntil;
+       ++it) {
+    ++count.sent;
+    count.served += it->second ? 1 : 0;
+  }
+  return count;
+}
+
 void MixTraffic::CancelManySoon()
 {
   this->After(this->random.Exponential(kCancelManyInterval), [this] {
--- a/packages/soak/src/MixTraffic.h
+++ b/packages/soak/src/MixTraffic.h
@@ -11,6 +11,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -39,6 +40,13 @@
   Duration slowestAnswer{};
 };
 
+// The requests of a time, and those that were answered other than by a refusal or an error.
+struct ServedCount
+{
+  std::size_t sent = 0;
+  std::size_t served = 0;
+};
+
 class MixTraffic
 {
 public:
@@ -65,6 +73,8 @@
   platformwire_testing::StandInRunProfile Profile(const std::string& aTask,
                                                   std::uint64_t aRun) const;
   const MixTrafficCounts& Counts() const { return this->counts; }
+  // Counts the requests that were sent at such a time; one without an answer so far is not served.
+  ServedCount CountServed(Instant aFrom, Instant aUntil) const;
 
 private:
   using Answered = std::function<void(const HttpResult&)>;
@@ -92,6 +102,8 @@
   // The share of jobs that are cancelled in this run.
   double cancelledShare;
   MixTrafficCounts counts;
+  // Whether each request was served, by when it was sent.
+  std::multimap<Instant, bool> served;
   std::uint64_t lastJob = 0;
   std::shared_ptr<bool> alive;
 };
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -48,8 +48,17 @@
 // Jobs a second that one worker carries.
 constexpr double kMixRatePerWorker = 13.3 / 74;
 constexpr Duration kMixWatchInterval = std::chrono::milliseconds(100);
-// From the end of the load until lasting jobs are cancelled.
-constexpr Duration kMixFinishTime = std::chrono::seconds(16);
+// From the end of the load until all waits count again, whatever was disturbed.
+constexpr Duration kMixSettleTime = std::chrono::seconds(14);
+// From the end of the load until lasting jobs are cancelled at the earliest: the time above, and
+// the longest time without a run that a lasting task may have.
+constexpr Duration kMixFinishTime = kMixSettleTime + std::chrono::seconds(10);
+// After the loss of all processes, they are back within the first time, requests are served within
+// the second one, and callers go on for the third one from their return.
+constexpr Duration kMixReturnTime = std::chrono::seconds(2);
+constexpr Duration kMixServeTime = std::chrono::seconds(15);
+constexpr Duration kMixGoOnTime = std::chrono::seconds(20);
+constexpr double kMinServedShare = 0.25;
 
 PromiseBounds BoundsOf(const SoakOptions& aOptions)
 {
@@ -64,15 +73,30 @@
 
 } // namespace
 
+std::optional<SoakEnd> ParseSoakEnd(const std::string& aName)
+{
+  if (aName == "none") {
+    return SoakEnd::None;
+  }
+  if (aName == "kill") {
+    return SoakEnd::Kill;
+  }
+  return aName == "power" ? std::optional(SoakEnd::Power) : std::nullopt;
+}
+
 Soak::Soak(SoakOptions aOptions)
   : options(std::move(aOptions))
   , random(this->options.seed)
   , refusalRandom(this->options.seed)
   , giveUpRandom(this->options.seed)
+  , endRandom(this->options.seed)
   , start(BootClock::now())
   , faultsEnd(this->start + kWarmUp + this->options.length)
   , promises(this->start, BoundsOf(this->options), [this] { return this->InTouchSince(); })
   , store(this->context, this->options.seed)
+  , trafficEnd(this->faultsEnd + (this->options.end == SoakEnd::None
+                                    ? Duration::zero()
+                                    : kMixReturnTime + kMixGoOnTime))
 {
   std::filesystem::create_directories(this->options.directory);
   // Agents find entries by their proxies.
@@ -101,7 +125,7 @@
                          this->options.rate > 0
                            ? this->options.rate
                            : kMixRatePerWorker * static_cast<double>(this->options.workers),
-                         this->faultsEnd,
+                         this->trafficEnd,
                          this->options.keepEnded });
     this->waitCheck =
       std::make_unique<WaitCheck>(this->promises, [this] { return this->InTouchSince(); });
@@ -124,7 +148,7 @@
 std::string Soak::WriteSettings(platformwire::DaemonSettings aSettings, double aQuota)
 {
   const std::string storeIp = this->Ip(3, this->processes.size());
-  this->store.Serve(storeIp, kStorePort);
+  this->store.SetFault(this->store.Serve(storeIp, kStorePort), this->CalmStore());
   aSettings.dataCentre = "z";
   aSettings.internalPort = kLinkPort;
   aSettings.maxWorkerLease = std::chrono::seconds(6);
@@ -158,6 +182,7 @@
   const std::string path = this->WriteSettings(settings, share);
   this->proxies.push_back(
     std::make_unique<LinkProxy>(this->context, this->Ip(4, aIndex), settings.ip, kLinkPort));
+  this->proxies.back()->SetFault({ .delay = this->options.linkDelay });
   this->processes.push_back(std::make_unique<Process>(
     std::vector<std::string>{ this->options.programs + "/oriolespread", "serve-cluster" },
     path,
@@ -166,8 +191,13 @@
     this->quota.Add(*this->processes.back(), share);
   }
   this->restarts.push_back({});
-  this->clients.push_back(
-    *HttpClient::Create(this->context, ToString(settings.front), {}, this->counters));
+  SocketAddress front = settings.front;
+  if (this->options.end == SoakEnd::Power) {
+    front.ip = this->Ip(5, aIndex);
+    this->frontProxies.push_back(
+      std::make_unique<LinkProxy>(this->context, front.ip, settings.ip, kFrontPort));
+  }
+  this->clients.push_back(*HttpClient::Create(this->context, ToString(front), {}, this->counters));
 }
 
 void Soak::AddWorker(std::size_t aIndex)
@@ -271,7 +301,7 @@
   } else {
     this->SubmitSoon();
   }
-  if (!this->options.calm) {
+  if (!this->options.calm || this->options.lostAnswers > 0) {
     this->InjectSoon();
   }
   if (this->options.refusals) {
@@ -306,12 +336,35 @@
 
 void Soak::RecoverMix()
 {
-  this->RunFor(kMixFinishTime);
+  this->waitCheck->SetSettledFrom(this->faultsEnd + kMixSettleTime);
+  if (this->options.end != SoakEnd::None) {
+    this->LoseAll();
+  }
+  this->RunUntil(std::max(this->trafficEnd, this->faultsEnd + kMixFinishTime));
   const Instant latest = BootClock::now() + kRecovery;
   while (BootClock::now() < latest && this->promises.OpenJobs() > 0) {
     this->mixTraffic->CancelLasting();
     this->RunFor(std::chrono::milliseconds(500));
   }
+  if (this->options.end != SoakEnd::None) {
+    this->CheckReturn();
+  }
+}
+
+void Soak::CheckReturn()
+{
+  const ServedCount before = this->mixTraffic->CountServed(this->start + kWarmUp, this->faultsEnd);
+  const Instant from = this->faultsEnd + kMixReturnTime + kMixServeTime;
+  const ServedCount after = this->mixTraffic->CountServed(from, this->trafficEnd);
+  const auto isServed = [](const ServedCount& aCount) {
+    return static_cast<double>(aCount.served) >= kMinServedShare * static_cast<double>(aCount.sent);
+  };
+  this->returned = std::to_string(before.served) + " of " + std::to_string(before.sent) +
+                   " requests served before the loss of all, " + std::to_string(after.served) +
+                   " of " + std::to_string(after.sent) + " later than 15 s after it";
+  if (isServed(before) && !isServed(after)) {
+    this->promises.Break("service does not return: " + this->returned);
+  }
 }
 
 void Soak::WatchMixSoon()
@@ -349,7 +402,8 @@
          " ms, latest look at quotas " + std::to_string(ToMilliseconds(this->quota.LongestGap())) +
          " ms, " + std::to_string(this->epochs.size()) + " leaders, longest time without a start " +
          std::to_string(ToMilliseconds(this->waitCheck->LongestStandstill())) +
-         " ms, processor ms of entries " + this->EntryTimes();
+         " ms, processor ms of entries " + this->EntryTimes() +
+         (this->returned.empty() ? "" : ", " + this->returned);
 }
 
 std::string Soak::EntryTimes() const
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -17,12 +17,26 @@
 #include <asio/io_context.hpp>
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace oriolespread::soak {
 
+// What happens to all processes at the end of the load of a mixed load.
+enum class SoakEnd
+{
+  None,
+  // They are killed.
+  Kill,
+  // They are killed, workers lose their runs, and the connections to entries stay half-open.
+  Power,
+};
+
+// Returns nothing for an unknown name.
+std::optional<SoakEnd> ParseSoakEnd(const std::string& aName);
+
 struct SoakOptions
 {
   std::string programs;
@@ -51,6 +65,15 @@
   // The settings file of a process names its share.
   std::vector<double> entryQuotas;
   double agentQuota = 0;
+  // The delay of each answer of the store outside of faults.
+  Duration storeDelay{};
+  // The share of transactions without an answer in phases of faults of a mixed load, which a calm
+  // run has as well then.
+  double lostAnswers = 0;
+  // The delay on connections to entries outside of faults, one way.
+  Duration linkDelay{};
+  // Only for a mixed load. All processes start again 1 to 2 s later, and callers go on.
+  SoakEnd end = SoakEnd::None;
 };
 
 class Soak
@@ -81,6 +104,10 @@
   double EntryQuota(std::size_t aIndex) const;
   void Recover();
   void RecoverMix();
+  // Ends all processes at once.
+  void LoseAll();
+  // Checks that requests are served again after all processes were lost.
+  void CheckReturn();
   // Returns the processor times of all entries in milliseconds.
   std::string EntryTimes() const;
   void WatchMixSoon();
@@ -98,6 +125,8 @@
 
   void InjectSoon();
   void Inject();
+  void LoseAnswers();
+  platformwire_testing::StoreFault CalmStore() const;
   void RefuseSoon();
   void StopSoon();
   void SlowStoreSoon();
@@ -116,6 +145,8 @@
   RandomSource refusalRandom;
   // Chooses what `giveUps` adds.
   RandomSource giveUpRandom;
+  // Chooses when processes start again after the loss of all.
+  RandomSource endRandom;
   asio::io_context context{ 1 };
   Counters counters;
   Instant start;
@@ -127,6 +158,8 @@
   std::vector<Instant> restarts;
   ProcessorQuota quota;
   std::vector<std::unique_ptr<LinkProxy>> proxies;
+  // Between callers and entries, only for SoakEnd::Power.
+  std::vector<std::unique_ptr<LinkProxy>> frontProxies;
   std::vector<std::unique_ptr<platformwire_testing::StandInWorker>> workers;
   std::vector<std::unique_ptr<HttpClient>> clients;
   std::unique_ptr<MixTraffic> mixTraffic;
@@ -137,6 +170,13 @@
   // The present or next phase of faults in a mixed load.
   Instant faultPhaseStart{};
   Instant faultPhaseEnd{};
+  // Answers of the store are lost at present.
+  bool losesAnswers = false;
+  // Processes that have ended are not started before then.
+  Instant downUntil{};
+  std::string returned;
+  // When the callers' load ends.
+  Instant trafficEnd;
   Duration latestTurn{};
   // The epochs of all leaders that entries have read of.
   std::set<std::uint64_t> epochs;
--- a/packages/soak/src/SoakFaults.cpp
+++ b/packages/soak/src/SoakFaults.cpp
@@ -23,12 +23,16 @@
 constexpr Duration kProcessStopTime = std::chrono::seconds(4);
 // Below the time after which a leader that cannot renew its row is replaced.
 constexpr Duration kMaxStoreLateness = std::chrono::milliseconds(600);
+// After the loss of all processes, each starts again at a time of its own within the spread.
+constexpr Duration kLossTime = std::chrono::seconds(1);
+constexpr Duration kLossSpread = std::chrono::seconds(1);
 
 } // namespace
 
 Instant Soak::InTouchSince() const
 {
-  return this->options.calm && !this->options.refusals && !this->options.giveUps
+  return this->options.calm && !this->options.refusals && !this->options.giveUps &&
+             this->options.lostAnswers == 0 && this->options.end == SoakEnd::None
            ? this->start
            : this->disturbedUntil + kContactTime;
 }
@@ -54,7 +58,9 @@
       continue;
     }
     this->Disturb(kProcessStartTime);
-    if (this->restarts[index] == Instant{}) {
+    if (now < this->downUntil) {
+      this->restarts[index] = this->downUntil + this->endRandom.Between({}, kLossSpread);
+    } else if (this->restarts[index] == Instant{}) {
       this->restarts[index] =
         now + this->random.Between(std::chrono::milliseconds(100), std::chrono::milliseconds(1200));
     } else if (now >= this->restarts[index]) {
@@ -76,17 +82,74 @@
     this->faultPhaseStart = BootClock::now() + gap;
     this->faultPhaseEnd =
       this->faultPhaseStart + this->random.Between(kMinFaultPhase, kMaxFaultPhase);
-    this->After(gap, [this] { this->InjectSoon(); });
+    this->After(gap, [this] {
+      if (this->options.lostAnswers > 0 && BootClock::now() < this->faultsEnd) {
+        this->LoseAnswers();
+      }
+      this->InjectSoon();
+    });
     return;
   }
   this->After(this->random.Exponential(std::chrono::milliseconds(500)), [this] {
     if (BootClock::now() < this->faultsEnd) {
-      this->Inject();
+      if (!this->options.calm) {
+        this->Inject();
+      }
       this->InjectSoon();
     }
   });
 }
 
+void Soak::LoseAnswers()
+{
+  const Instant end = std::min(this->faultPhaseEnd, this->faultsEnd);
+  const Duration time = end - BootClock::now();
+  this->Note("answers of the store are lost for " + std::to_string(ToMilliseconds(time)) + " ms",
+             time);
+  this->losesAnswers = true;
+  const auto setAll = [this] {
+    for (std::size_t index = 0; index < this->processes.size(); ++index) {
+      this->store.SetFault(index, this->CalmStore());
+    }
+  };
+  setAll();
+  this->After(time, [this, setAll] {
+    this->losesAnswers = false;
+    setAll();
+  });
+}
+
+platformwire_testing::StoreFault Soak::CalmStore() const
+{
+  platformwire_testing::StoreFault fault;
+  fault.delay = this->options.storeDelay;
+  fault.lost = this->losesAnswers ? this->options.lostAnswers : 0;
+  return fault;
+}
+
+void Soak::LoseAll()
+{
+  const bool power = this->options.end == SoakEnd::Power;
+  this->Note(power ? "all machines lose power" : "all processes are killed at the end",
+             kLossTime + kLossSpread);
+  this->downUntil = BootClock::now() + kLossTime;
+  if (power) {
+    for (const auto* group : { &this->proxies, &this->frontProxies }) {
+      for (const auto& proxy : *group) {
+        proxy->Abandon();
+      }
+    }
+  }
+  for (const auto& process : this->processes) {
+    process->Signal(SIGKILL);
+  }
+  if (power) {
+    for (const auto& worker : this->workers) {
+      worker->Restart();
+    }
+  }
+}
+
 void Soak::RefuseSoon()
 {
   this->After(this->refusalRandom.Exponential(std::chrono::milliseconds(500)), [this] {
@@ -132,8 +195,10 @@
       this->giveUpRandom.Between(std::chrono::milliseconds(500), std::chrono::milliseconds(1500));
     this->Note("the store is slow for " + std::to_string(ToMilliseconds(time)) + " ms", time);
     for (std::size_t index = 0; index < this->processes.size(); ++index) {
-      this->store.SetFault(index, { .maxLateness = kMaxStoreLateness });
-      this->After(time, [this, index] { this->store.SetFault(index, {}); });
+      platformwire_testing::StoreFault fault = this->CalmStore();
+      fault.maxLateness = kMaxStoreLateness;
+      this->store.SetFault(index, fault);
+      this->After(time, [this, index] { this->store.SetFault(index, this->CalmStore()); });
     }
     this->SlowStoreSoon();
   });
@@ -211,7 +276,7 @@
   for (std::size_t index = 0; index < this->processes.size(); ++index) {
     if (all || index == aIndex) {
       this->store.SetFault(index, fault);
-      this->After(time, [this, index] { this->store.SetFault(index, {}); });
+      this->After(time, [this, index] { this->store.SetFault(index, this->CalmStore()); });
     }
   }
 }
@@ -234,7 +299,9 @@
                std::to_string(ToMilliseconds(time)) + " ms",
              time);
   this->proxies[aIndex]->SetFault(fault);
-  this->After(time, [this, aIndex] { this->proxies[aIndex]->SetFault({}); });
+  this->After(time, [this, aIndex] {
+    this->proxies[aIndex]->SetFault({ .delay = this->options.linkDelay });
+  });
 }
 
 void Soak::InjectIntoWorker(std::size_t aIndex)
--- a/packages/soak/src/WaitCheck.cpp
+++ b/packages/soak/src/WaitCheck.cpp
@@ -132,7 +132,7 @@
   }
   Wait& wait = this->waits.try_emplace(aWhat, Wait{ std::max(this->now, aFrom) }).first->second;
   wait.highestUse = std::max(wait.highestUse, this->use);
-  const Instant since = std::max(wait.since, this->inTouchSince());
+  const Instant since = std::max(wait.since, std::min(this->inTouchSince(), this->settledFrom));
   if (wait.reported || this->now <= since + kMaxWait) {
     return;
   }
--- a/packages/soak/src/WaitCheck.h
+++ b/packages/soak/src/WaitCheck.h
@@ -26,6 +26,8 @@
   // The references must outlive the check.
   WaitCheck(Promises& aPromises, InTouchSince aInTouchSince);
 
+  // From then on, each wait that is too long is reported, whatever was disturbed.
+  void SetSettledFrom(Instant aTime) { this->settledFrom = aTime; }
   // Looks at all jobs; to be called several times a second. `aWorkers` are the sound workers.
   void Check(const std::vector<WorkerRoom>& aWorkers);
   // Returns how many jobs waited as long although half of the cores were reserved, which is
@@ -62,6 +64,7 @@
 
   Promises& promises;
   InTouchSince inTouchSince;
+  Instant settledFrom = Instant::max();
   std::vector<WorkerRoom> workers;
   double use = 0;
   std::size_t waitsOnFullWorkers = 0;
