--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -1,5 +1,7 @@
 #include "Soak.h"
 
+#include "oriolespread/cluster/LeaderElection.h"
+#include "oriolespread/jobs/JobRows.h"
 #include "oriolespread/platformwire/StoreClient.h"
 #include "oriolespread/platformwire_testing/TestMessages.h"
 
@@ -46,8 +48,17 @@
 // Jobs a second that one worker carries.
 constexpr double kMixRatePerWorker = 13.3 / 74;
 constexpr Duration kMixWatchInterval = std::chrono::milliseconds(100);
-// From the end of the load until lasting jobs are cancelled.
-constexpr Duration kMixFinishTime = std::chrono::seconds(16);
+// From the end of the load until all waits count again, whatever was disturbed.
+constexpr Duration kMixSettleTime = std::chrono::seconds(14);
+// From the end of the load until lasting jobs are cancelled at the earliest: the time above, and
+// the longest time without a run that a lasting task may have.
+constexpr Duration kMixFinishTime = kMixSettleTime + std::chrono::seconds(10);
+// After the loss of all processes, they are back within the first time, requests are served within
+// the second one, and callers go on for the third one from their return.
+constexpr Duration kMixReturnTime = std::chrono::seconds(2);
+constexpr Duration kMixServeTime = std::chrono::seconds(15);
+constexpr Duration kMixGoOnTime = std::chrono::seconds(20);
+constexpr double kMinServedShare = 0.25;
 
 PromiseBounds BoundsOf(const SoakOptions& aOptions)
 {
@@ -62,19 +73,39 @@
 
 } // namespace
 
+std::optional<SoakEnd> ParseSoakEnd(const std::string& aName)
+{
+  if (aName == "none") {
+    return SoakEnd::None;
+  }
+  if (aName == "kill") {
+    return SoakEnd::Kill;
+  }
+  return aName == "power" ? std::optional(SoakEnd::Power) : std::nullopt;
+}
+
 Soak::Soak(SoakOptions aOptions)
   : options(std::move(aOptions))
   , random(this->options.seed)
   , refusalRandom(this->options.seed)
   , giveUpRandom(this->options.seed)
+  , endRandom(this->options.seed)
   , start(BootClock::now())
   , faultsEnd(this->start + kWarmUp + this->options.length)
   , promises(this->start, BoundsOf(this->options), [this] { return this->InTouchSince(); })
   , store(this->context, this->options.seed)
+  , trafficEnd(this->faultsEnd + (this->options.end == SoakEnd::None
+                                    ? Duration::zero()
+                                    : kMixReturnTime + kMixGoOnTime))
 {
   std::filesystem::create_directories(this->options.directory);
   // Agents find entries by their proxies.
   this->store.onRead = [this](const std::string& aTable, const std::string& aValue) {
+    if (aTable == jobs::LeaderRow().table) {
+      if (const auto record = cluster::DecodeLeaderRecord(aValue); record.has_value()) {
+        this->epochs.insert(record->epoch);
+      }
+    }
     std::string shown = aValue;
     const std::string direct = "127." + std::to_string(this->options.network) + ".1.";
     if (aTable == "members" && shown.starts_with(direct)) {
@@ -94,7 +125,7 @@
                          this->options.rate > 0
                            ? this->options.rate
                            : kMixRatePerWorker * static_cast<double>(this->options.workers),
-                         this->faultsEnd,
+                         this->trafficEnd,
                          this->options.keepEnded });
     this->waitCheck =
       std::make_unique<WaitCheck>(this->promises, [this] { return this->InTouchSince(); });
@@ -114,10 +145,10 @@
          std::to_string(aIndex + 1);
 }
 
-std::string Soak::WriteSettings(platformwire::DaemonSettings aSettings)
+std::string Soak::WriteSettings(platformwire::DaemonSettings aSettings, double aQuota)
 {
   const std::string storeIp = this->Ip(3, this->processes.size());
-  this->store.Serve(storeIp, kStorePort);
+  this->store.SetFault(this->store.Serve(storeIp, kStorePort), this->CalmStore());
   aSettings.dataCentre = "z";
   aSettings.internalPort = kLinkPort;
   aSettings.maxWorkerLease = std::chrono::seconds(6);
@@ -126,10 +157,20 @@
   aSettings.drainTime = std::chrono::seconds(2);
   aSettings.storeAddress = ToString(SocketAddress{ storeIp, kStorePort });
   const std::string path = this->options.directory + "/" + aSettings.machine + ".toml";
-  std::ofstream(path) << platformwire_testing::EncodeSettings(aSettings);
+  std::ofstream file(path);
+  file << platformwire_testing::EncodeSettings(aSettings);
+  if (aQuota > 0) {
+    file << "[limits]\ncpu_share = " << aQuota << "\n";
+  }
   return path;
 }
 
+double Soak::EntryQuota(std::size_t aIndex) const
+{
+  const std::vector<double>& shares = this->options.entryQuotas;
+  return shares.empty() ? 0 : shares[aIndex % shares.size()];
+}
+
 void Soak::AddEntry(std::size_t aIndex)
 {
   platformwire::DaemonSettings settings;
@@ -137,16 +178,26 @@
   settings.ip = this->Ip(1, aIndex);
   settings.front = { settings.ip, kFrontPort };
   settings.ready = { settings.ip, kReadyPort };
-  const std::string path = this->WriteSettings(settings);
+  const double share = this->EntryQuota(aIndex);
+  const std::string path = this->WriteSettings(settings, share);
   this->proxies.push_back(
     std::make_unique<LinkProxy>(this->context, this->Ip(4, aIndex), settings.ip, kLinkPort));
+  this->proxies.back()->SetFault({ .delay = this->options.linkDelay });
   this->processes.push_back(std::make_unique<Process>(
     std::vector<std::string>{ this->options.programs + "/oriolespread", "serve-cluster" },
     path,
     this->options.directory + "/" + settings.machine + ".log"));
+  if (share > 0) {
+    this->quota.Add(*this->processes.back(), share);
+  }
   this->restarts.push_back({});
-  this->clients.push_back(
-    *HttpClient::Create(this->context, ToString(settings.front), {}, this->counters));
+  SocketAddress front = settings.front;
+  if (this->options.end == SoakEnd::Power) {
+    front.ip = this->Ip(5, aIndex);
+    this->frontProxies.push_back(
+      std::make_unique<LinkProxy>(this->context, front.ip, settings.ip, kFrontPort));
+  }
+  this->clients.push_back(*HttpClient::Create(this->context, ToString(front), {}, this->counters));
 }
 
 void Soak::AddWorker(std::size_t aIndex)
@@ -157,11 +208,14 @@
   settings.control = { settings.ip, kControlPort };
   settings.workerAddress = ToString(SocketAddress{ settings.ip, kWorkerPort });
   settings.workerService = kService;
-  const std::string path = this->WriteSettings(settings);
+  const std::string path = this->WriteSettings(settings, this->options.agentQuota);
   this->processes.push_back(std::make_unique<Process>(
     std::vector<std::string>{ this->options.programs + "/oriolespread-agent", "--cluster" },
     path,
     this->options.directory + "/" + settings.machine + ".log"));
+  if (this->options.agentQuota > 0) {
+    this->quota.Add(*this->processes.back(), this->options.agentQuota);
+  }
   this->restarts.push_back({});
   platformwire_testing::StandInWorkerOptions options;
   options.id = "w-" + std::to_string(aIndex + 1);
@@ -238,6 +292,7 @@
   for (const auto& process : this->processes) {
     process->Start();
   }
+  this->quota.Start();
   this->RunFor(kWarmUp);
   this->KeepRunning();
   if (this->options.mix) {
@@ -246,7 +301,7 @@
   } else {
     this->SubmitSoon();
   }
-  if (!this->options.calm) {
+  if (!this->options.calm || this->options.lostAnswers > 0) {
     this->InjectSoon();
   }
   if (this->options.refusals) {
@@ -281,12 +336,35 @@
 
 void Soak::RecoverMix()
 {
-  this->RunFor(kMixFinishTime);
+  this->waitCheck->SetSettledFrom(this->faultsEnd + kMixSettleTime);
+  if (this->options.end != SoakEnd::None) {
+    this->LoseAll();
+  }
+  this->RunUntil(std::max(this->trafficEnd, this->faultsEnd + kMixFinishTime));
   const Instant latest = BootClock::now() + kRecovery;
   while (BootClock::now() < latest && this->promises.OpenJobs() > 0) {
     this->mixTraffic->CancelLasting();
     this->RunFor(std::chrono::milliseconds(500));
   }
+  if (this->options.end != SoakEnd::None) {
+    this->CheckReturn();
+  }
+}
+
+void Soak::CheckReturn()
+{
+  const ServedCount before = this->mixTraffic->CountServed(this->start + kWarmUp, this->faultsEnd);
+  const Instant from = this->faultsEnd + kMixReturnTime + kMixServeTime;
+  const ServedCount after = this->mixTraffic->CountServed(from, this->trafficEnd);
+  const auto isServed = [](const ServedCount& aCount) {
+    return static_cast<double>(aCount.served) >= kMinServedShare * static_cast<double>(aCount.sent);
+  };
+  this->returned = std::to_string(before.served) + " of " + std::to_string(before.sent) +
+                   " requests served before the loss of all, " + std::to_string(after.served) +
+                   " of " + std::to_string(after.sent) + " later than 15 s after it";
+  if (isServed(before) && !isServed(after)) {
+    this->promises.Break("service does not return: " + this->returned);
+  }
 }
 
 void Soak::WatchMixSoon()
@@ -321,7 +399,21 @@
          std::to_string(this->promises.Resumed()) + " resumed, " +
          std::to_string(this->waitCheck->WaitsOnFullWorkers()) +
          " waits on full workers, latest turn " + std::to_string(ToMilliseconds(this->latestTurn)) +
-         " ms";
+         " ms, latest look at quotas " + std::to_string(ToMilliseconds(this->quota.LongestGap())) +
+         " ms, " + std::to_string(this->epochs.size()) + " leaders, longest time without a start " +
+         std::to_string(ToMilliseconds(this->waitCheck->LongestStandstill())) +
+         " ms, processor ms of entries " + this->EntryTimes() +
+         (this->returned.empty() ? "" : ", " + this->returned);
+}
+
+std::string Soak::EntryTimes() const
+{
+  std::string text;
+  for (std::size_t index = 0; index < this->options.entries; ++index) {
+    text += (index == 0 ? "" : " ") +
+            std::to_string(ToMilliseconds(this->processes[index]->ProcessorTime()));
+  }
+  return text;
 }
 
 void Soak::RunFor(Duration aTime)
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -5,6 +5,7 @@
 #include "LinkProxy.h"
 #include "MixTraffic.h"
 #include "Process.h"
+#include "ProcessorQuota.h"
 #include "Promises.h"
 #include "WaitCheck.h"
 
@@ -16,11 +17,26 @@
 #include <asio/io_context.hpp>
 
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace oriolespread::soak {
 
+// What happens to all processes at the end of the load of a mixed load.
+enum class SoakEnd
+{
+  None,
+  // They are killed.
+  Kill,
+  // They are killed, workers lose their runs, and the connections to entries stay half-open.
+  Power,
+};
+
+// Returns nothing for an unknown name.
+std::optional<SoakEnd> ParseSoakEnd(const std::string& aName);
+
 struct SoakOptions
 {
   std::string programs;
@@ -45,6 +61,19 @@
   double rate = 0;
   // How long callers may ask for an ended job.
   Duration keepEnded = std::chrono::seconds(120);
+  // The shares of a core of entries, in turn, and of each agent; without a limit if empty or 0.
+  // The settings file of a process names its share.
+  std::vector<double> entryQuotas;
+  double agentQuota = 0;
+  // The delay of each answer of the store outside of faults.
+  Duration storeDelay{};
+  // The share of transactions without an answer in phases of faults of a mixed load, which a calm
+  // run has as well then.
+  double lostAnswers = 0;
+  // The delay on connections to entries outside of faults, one way.
+  Duration linkDelay{};
+  // Only for a mixed load. All processes start again 1 to 2 s later, and callers go on.
+  SoakEnd end = SoakEnd::None;
 };
 
 class Soak
@@ -65,13 +94,22 @@
   void AddEntry(std::size_t aIndex);
   void AddWorker(std::size_t aIndex);
   // Fills in what all machines have in common, and returns the path of the file.
-  std::string WriteSettings(platformwire::DaemonSettings aSettings);
+  // `aQuota` is the share of a core of the process, 0 for no limit.
+  std::string WriteSettings(platformwire::DaemonSettings aSettings, double aQuota);
   void PutConfig();
   void RunFor(Duration aTime);
   void RunUntil(Instant aTime);
 
+  // Returns the share of a core of the entry, 0 for no limit.
+  double EntryQuota(std::size_t aIndex) const;
   void Recover();
   void RecoverMix();
+  // Ends all processes at once.
+  void LoseAll();
+  // Checks that requests are served again after all processes were lost.
+  void CheckReturn();
+  // Returns the processor times of all entries in milliseconds.
+  std::string EntryTimes() const;
   void WatchMixSoon();
   std::vector<WorkerRoom> Rooms() const;
   Instant InTouchSince() const;
@@ -87,6 +125,8 @@
 
   void InjectSoon();
   void Inject();
+  void LoseAnswers();
+  platformwire_testing::StoreFault CalmStore() const;
   void RefuseSoon();
   void StopSoon();
   void SlowStoreSoon();
@@ -105,6 +145,8 @@
   RandomSource refusalRandom;
   // Chooses what `giveUps` adds.
   RandomSource giveUpRandom;
+  // Chooses when processes start again after the loss of all.
+  RandomSource endRandom;
   asio::io_context context{ 1 };
   Counters counters;
   Instant start;
@@ -114,7 +156,10 @@
   std::vector<std::unique_ptr<Process>> processes;
   // When a process that has ended is started again.
   std::vector<Instant> restarts;
+  ProcessorQuota quota;
   std::vector<std::unique_ptr<LinkProxy>> proxies;
+  // Between callers and entries, only for SoakEnd::Power.
+  std::vector<std::unique_ptr<LinkProxy>> frontProxies;
   std::vector<std::unique_ptr<platformwire_testing::StandInWorker>> workers;
   std::vector<std::unique_ptr<HttpClient>> clients;
   std::unique_ptr<MixTraffic> mixTraffic;
@@ -125,7 +170,16 @@
   // The present or next phase of faults in a mixed load.
   Instant faultPhaseStart{};
   Instant faultPhaseEnd{};
+  // Answers of the store are lost at present.
+  bool losesAnswers = false;
+  // Processes that have ended are not started before then.
+  Instant downUntil{};
+  std::string returned;
+  // When the callers' load ends.
+  Instant trafficEnd;
   Duration latestTurn{};
+  // The epochs of all leaders that entries have read of.
+  std::set<std::uint64_t> epochs;
   std::uint64_t configVersion = 0;
   std::uint64_t lastJob = 0;
 };
--- a/packages/soak/src/WaitCheck.h
+++ b/packages/soak/src/WaitCheck.h
@@ -26,12 +26,18 @@
   // The references must outlive the check.
   WaitCheck(Promises& aPromises, InTouchSince aInTouchSince);
 
+  // From then on, each wait that is too long is reported, whatever was disturbed.
+  void SetSettledFrom(Instant aTime) { this->settledFrom = aTime; }
   // Looks at all jobs; to be called several times a second. `aWorkers` are the sound workers.
   void Check(const std::vector<WorkerRoom>& aWorkers);
   // Returns how many jobs waited as long although half of the cores were reserved, which is
   // allowed.
   std::size_t WaitsOnFullWorkers() const { return this->waitsOnFullWorkers; }
 
+  // Returns the longest time in which no run started although there was room for a task twice and
+  // nothing else for it to wait for.
+  Duration LongestStandstill() const { return this->longestStandstill; }
+
 private:
   struct Wait
   {
@@ -41,6 +47,8 @@
     bool reported = false;
   };
 
+  void CheckStandstill();
+  bool HasWaitingTask(const SoakJob& aJob) const;
   void CheckJob(const std::string& aId, const SoakJob& aJob);
   void CheckLastingTasks(const std::string& aId, const SoakJob& aJob);
   // Notes that `aWhat` waits, or not, and reports a wait that is too long. `aFrom` is when the wait
@@ -56,10 +64,15 @@
 
   Promises& promises;
   InTouchSince inTouchSince;
+  Instant settledFrom = Instant::max();
   std::vector<WorkerRoom> workers;
   double use = 0;
   std::size_t waitsOnFullWorkers = 0;
   Instant now{};
+  // Since when a task has waited and no run has started; the epoch if none waits.
+  Instant standsSince{};
+  std::size_t starts = 0;
+  Duration longestStandstill{};
   std::map<std::string, Wait> waits;
 };
 
