Tell from the applied batch whether the end of a job is stored

Callers saw tasks that were started again after their end was noted (TWICE).

When a batch with a job's state row was applied, the scheduler took the end of the job for stored if the job had ended in memory by then. The batch may have been formed earlier and hold "running". From then on the progress row was written as a removal and ends were acknowledged without a row, while "completed" waited for a later batch. A leader that was lost in between left "running" without progress, and the next one started all tasks from run 1.

OnStored now reads the state that the batch wrote.

The new play takes one or two rows at a time, with a slow store and short runs.

--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -26,6 +26,15 @@
     std::string(JobStateName(aJob.state)), " ", aJob.endedUnixMs, " ", aJob.record.policy.queue);
 }
 
+// Returns whether the change writes the state of a job that has ended.
+bool StoresEnd(const RowChange& aChange)
+{
+  JobState state{};
+  return aChange.row.table == kStateTable && !aChange.remove &&
+         ParseJobState(std::string_view(aChange.value).substr(0, aChange.value.find(' ')), state) &&
+         IsTerminal(state);
+}
+
 std::vector<RowKey> RowsOf(const StoreBatch& aBatch)
 {
   std::vector<RowKey> rows;
@@ -259,12 +268,12 @@
     }
   }
   for (const RowChange& change : aBatch.changes) {
-    Job* job = change.row.table == kStateTable ? this->FindJob(change.row.key) : nullptr;
-    if (job == nullptr || !IsTerminal(job->state) || change.remove) {
-      continue;
+    // The job may have ended after the batch was formed, so its present state may not be stored.
+    Job* job = StoresEnd(change) ? this->FindJob(change.row.key) : nullptr;
+    if (job != nullptr) {
+      job->endStored = true;
+      this->DropProgress(*job);
     }
-    job->endStored = true;
-    this->DropProgress(*job);
   }
 }
 
--- a/packages/jobs/tests/HandoverTest.cpp
+++ b/packages/jobs/tests/HandoverTest.cpp
@@ -63,7 +63,7 @@
     this->DisturbWorkers();
     const Duration maxLatency = this->random.Chance(0.5) ? 1400 * kMs : 4 * kMs;
     this->cluster.DisturbLinks(earlier, maxLatency, {}, {});
-    if (this->random.Chance(0.3)) {
+    if (this->random.Chance(this->slowStoreShare)) {
       this->cluster.world.storeSlowUntil =
         this->cluster.world.time.Present() + this->random.Between(1000 * kMs, 4000 * kMs);
     }
@@ -100,6 +100,16 @@
     });
   }
 
+  // Stores at most this many rows in a transaction, while the store is slow and runs are short, so
+  // that rows which change together are stored apart and change again meanwhile.
+  void StoreChangesApart(std::size_t aRows)
+  {
+    this->cluster.world.batchRows = aRows;
+    this->slowStoreShare = 1;
+    this->shortestRunMs = 20;
+    this->longestRunMs = 120;
+  }
+
   const PlayedWorld& World() const { return this->cluster.world; }
 
   // Lets a leader without disturbance work until all jobs have the state that they should have.
@@ -265,7 +275,8 @@
       lasting += this->cluster.world.cancelledAt.contains(job) ? 0 : 1;
     }
     StepSpec step = MakeStep(static_cast<std::uint32_t>(1 + this->random.Below(4)));
-    step.estimateMs = static_cast<std::int64_t>(200 + this->random.Below(2800));
+    step.estimateMs = static_cast<std::int64_t>(
+      this->shortestRunMs + this->random.Below(this->longestRunMs - this->shortestRunMs));
     std::vector<StepSpec> steps{ step };
     if (lasting < kMaxLongRunningJobs && this->random.Chance(0.25)) {
       steps[0].longRunning = true;
@@ -350,6 +361,9 @@
   std::uint64_t seed;
   std::uint64_t number = 0;
   std::uint64_t refusals = 0;
+  double slowStoreShare = 0.3;
+  std::uint64_t shortestRunMs = 200;
+  std::uint64_t longestRunMs = 3000;
   RandomSource random;
   PlayedCluster cluster;
   std::map<std::string, JobRecord> jobs;
@@ -413,3 +427,24 @@
   CHECK(starts >= count);
   CHECK(invalidWrites >= count);
 }
+
+// Guards against a task that runs again after its end, because the leader is lost between two
+// transactions that together store what changed at once.
+TEST_CASE("JobScheduler RunsEachTaskOnceWhenChangesAreStoredInSeveralTransactions")
+{
+  const std::uint64_t first = ReadNumber("ORIOLESPREAD_SEED", 1);
+  const std::uint64_t count = ReadNumber("ORIOLESPREAD_HANDOVERS", 3 * kHandovers);
+  RandomSource random(first);
+  std::uint64_t starts = 0;
+  for (std::uint64_t played = 0; played < count; played += kHandoversPerSeed) {
+    HandoverPlay play(first + played / kHandoversPerSeed);
+    for (std::uint64_t number = 1; number <= kHandoversPerSeed; ++number) {
+      play.StoreChangesApart(1 + random.Below(2));
+      play.HandOver(number);
+    }
+    play.Settle();
+    starts += play.World().starts.size();
+  }
+  INFO("starts " << starts);
+  CHECK(starts >= count);
+}
--- a/packages/jobs/tests/PlayedLeader.h
+++ b/packages/jobs/tests/PlayedLeader.h
@@ -244,7 +244,7 @@
     if (this->inFlight != nullptr) {
       return;
     }
-    StoreBatch batch = leads ? this->scheduler->TakeBatch(kPlayedBatchRows) : StoreBatch{};
+    StoreBatch batch = leads ? this->scheduler->TakeBatch(this->world.batchRows) : StoreBatch{};
     this->row.record.released = leads && this->releasing && !this->scheduler->HasChanges();
     const bool renewalDue = this->world.time.Present() - this->renewedAt >= kPlayedTick;
     if (!batch.empty() || renewalDue || this->row.record.released) {
--- a/packages/jobs/tests/PlayedWorld.h
+++ b/packages/jobs/tests/PlayedWorld.h
@@ -353,6 +353,8 @@
   Epoch readyEpoch;
   Instant undisturbedSince{};
   Instant storeSlowUntil{};
+  // The most rows in one transaction of a leader.
+  std::size_t batchRows = kPlayedBatchRows;
   // Writes and orders of earlier leaders that were refused.
   std::uint64_t refusedWrites = 0;
   std::uint64_t refusedOrders = 0;
--- /dev/null
+++ b/packages/jobs/tests/StoredEndsTest.cpp
@@ -0,0 +1,85 @@
+// Changes of a job while a transaction is in flight: what is stored is what the transaction wrote,
+// not what the leader knows when it is applied.
+#include "SchedulerFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oriolespread;
+using namespace oriolespread::jobs;
+
+namespace {
+
+// Starts a job of `aTasks` tasks on agent "a", and returns the batch, not applied yet, that stores
+// the job as running.
+StoreBatch TakeRunningBatch(SchedulerFixture& aFixture, std::uint32_t aTasks)
+{
+  aFixture.AddAgent("a");
+  aFixture.Submit(MakeJob("j", { MakeStep(aTasks) }));
+  aFixture.RunUntilIdle();
+  aFixture.Report("a");
+  StoreBatch batch = aFixture.scheduler.TakeBatch(50);
+  REQUIRE(batch.changes.size() == 1);
+  REQUIRE(batch.changes[0].row == StateRow("j"));
+  REQUIRE(batch.changes[0].value.starts_with("running"));
+  return batch;
+}
+
+void Store(SchedulerFixture& aFixture, StoreBatch aBatch)
+{
+  aFixture.Apply(aBatch);
+  aFixture.scheduler.OnStored(std::move(aBatch), aFixture.now);
+  aFixture.TakeOrders();
+}
+
+// Loads the stored rows in another leader, whose agent reports what the first one's reports.
+// Returns the number of runs that the leader starts.
+std::size_t StartsOfNextLeader(const SchedulerFixture& aFirst)
+{
+  SchedulerFixture next(aFirst.rows);
+  next.agents = aFirst.agents;
+  next.scheduler.OnAgentUp("a", next.now);
+  next.Report("a");
+  next.RunUntilIdle();
+  next.Advance(std::chrono::seconds(1));
+  next.Report("a");
+  next.RunUntilIdle();
+  return next.starts.size();
+}
+
+} // namespace
+
+// Guards against a task that runs again after it was done: its progress is removed although the
+// stored state of its job is still "running", and the leader is lost.
+TEST_CASE("JobScheduler KeepsTheProgressWhenAJobEndsWhileItsStartIsBeingStored")
+{
+  SchedulerFixture fixture;
+  StoreBatch running = TakeRunningBatch(fixture, 1);
+  fixture.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  REQUIRE(fixture.StateOf("j") == JobState::Completed);
+  Store(fixture, std::move(running));
+  CHECK_FALSE(fixture.scheduler.Jobs().at("j").endStored);
+  // The next transaction has room for one row.
+  Store(fixture, fixture.scheduler.TakeBatch(1));
+  CHECK(fixture.rows.at(StateRow("j")).starts_with("running"));
+  REQUIRE(fixture.rows.contains(ProgressRow("j", 0, 0)));
+  CHECK(StartsOfNextLeader(fixture) == 0);
+  fixture.RunUntilIdle();
+  CHECK(fixture.rows.at(StateRow("j")).starts_with("completed"));
+  CHECK_FALSE(fixture.rows.contains(ProgressRow("j", 0, 0)));
+}
+
+// Guards against a task that runs again after its end was acknowledged without a stored row.
+TEST_CASE("JobScheduler AcknowledgesNoEndBecauseAnEarlierStateOfTheJobIsStored")
+{
+  SchedulerFixture fixture;
+  StoreBatch running = TakeRunningBatch(fixture, 2);
+  fixture.scheduler.OnJobRow("j.cancel", {}, fixture.now);
+  REQUIRE(fixture.StateOf("j") == JobState::Cancelled);
+  Store(fixture, std::move(running));
+  fixture.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  fixture.TakeOrders();
+  CHECK(fixture.acknowledgedEnds.empty());
+  fixture.RunUntilIdle();
+  CHECK(fixture.rows.at(StateRow("j")).starts_with("cancelled"));
+  CHECK(fixture.acknowledgedEnds.size() == 1);
+}
