Log why a worker is avoided and which batch runs are not confirmed

Users saw jobs that stood still for 3 s beside free cores. Neither logs nor metrics told how many workers were avoided, an avoidance after a stalled run was neither logged nor counted, and run_unconfirmed left out all tasks but long-running ones, although a run that is ordered, being stopped or on a silent worker keeps its task from being placed.

worker_avoided has the reason slow, stalled or failing and the numbers of avoided and usable workers of the service. The gauges workers_avoided and runs_unconfirmed show both at any time. run_unconfirmed covers all tasks, long-running ones first, still at most 16 lines a second; steps without active tasks are skipped, so that the scan costs what is at work.

No decision changes. LogsABatchTaskWhoseRunIsNotConfirmed failed before with "REQUIRE( line.is_object() )" false, LogsThatAWorkerIsAvoidedForAStalledRun with a count of 0 (both run on the code before with the tests of this commit). jobs_tests pass.

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -576,6 +576,9 @@
     gauges["workers_known"] = static_cast<double>(this->scheduler->Workers().size());
     gauges["tasks_waiting"] = static_cast<double>(this->scheduler->WaitingTasks());
     gauges["workers_awaited"] = static_cast<double>(this->scheduler->AwaitedWorkers());
+    gauges["workers_avoided"] =
+      static_cast<double>(this->scheduler->AvoidedWorkers(this->CurrentTime()));
+    gauges["runs_unconfirmed"] = static_cast<double>(this->scheduler->UnconfirmedRuns());
   }
   return gauges;
 }
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -199,6 +199,17 @@
   double headroomCost = 0;
 };
 
+// Why a worker gets no new runs for a while.
+enum class AvoidReason
+{
+  // Runs of several jobs failed.
+  Failing,
+  // A run made no progress.
+  Stalled,
+  // Runs of several jobs were slow.
+  Slow,
+};
+
 struct Worker
 {
   WorkerKey key;
@@ -239,4 +250,11 @@
   std::set<std::uint64_t> pendingEnds;
 };
 
+// Returns whether the worker can be given runs: it reports, its report was compared with the
+// expected runs, and it is not draining.
+inline bool IsUsable(const Worker& aWorker)
+{
+  return aWorker.connected && aWorker.reported && aWorker.reconciled && !aWorker.state.draining;
+}
+
 } // namespace oriolespread::jobs
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -122,6 +122,11 @@
   std::size_t WaitingTasks() const { return this->waitingTasks; }
   // Returns the number of rows that the store has refused and that are tried again later.
   std::size_t WithheldRows() const;
+  // Returns the number of usable workers that get no new runs because runs failed, stalled or were
+  // slow there.
+  std::size_t AvoidedWorkers(Now aNow) const;
+  // Returns the number of runs that were not known to be running for a while, as of the last scan.
+  std::size_t UnconfirmedRuns() const { return this->lateUnconfirmedRuns; }
   // Returns the number of workers with runs that have not reported to this leader yet.
   std::size_t AwaitedWorkers() const;
 
@@ -146,6 +151,13 @@
     Faster,
   };
 
+  // The usable workers of a service.
+  struct AvoidedCount
+  {
+    std::size_t avoided = 0;
+    std::size_t usable = 0;
+  };
+
   // Messages to one agent that are not sent yet.
   struct OutgoingOrders
   {
@@ -252,6 +264,8 @@
   void StopIfSlow(Worker& aWorker, const RunKey& aRunKey, Now aNow);
   PeerSpeed ComparePeers(const RunKey& aRunKey, double aSpeed);
   void AvoidIfSlow(Worker& aWorker, const std::string& aJob, Now aNow);
+  void AvoidWorker(Worker& aWorker, AvoidReason aReason, Now aNow);
+  AvoidedCount CountAvoidedWorkers(const std::string& aService, Instant aNow) const;
 
   // Defined in SchedulerPlacement.cpp.
   void PlaceReadySteps(Now aNow);
@@ -285,8 +299,8 @@
   void LogWaitingStep(const ReadyStep& aReady, const PlacementRequest& aRequest, Now aNow);
   // Logs once, some time after loading, which workers have not reported yet.
   void LogAwaitedWorkers(Now aNow);
-  // Logs the runs of long-running tasks that are not known to be running for a while, and what this
-  // leader believes of them.
+  // Logs the runs that are not known to be running for a while, and what this leader believes of
+  // them.
   void LogUnconfirmedRuns(Now aNow);
   void FindUnconfirmedRuns(const Job& aJob,
                            const std::set<WorkerKey>& aSilent,
@@ -350,8 +364,10 @@
   // When the workers that have not reported are logged; zero once they were.
   Instant awaitedLogAt{};
   Instant nextUnconfirmedScan{};
-  // Since when runs of long-running tasks were not known to be running, as of the last scan.
+  // Since when runs were not known to be running, as of the last scan.
   std::map<RunKey, Instant> unconfirmedSince;
+  // How many of them for long enough to be logged.
+  std::size_t lateUnconfirmedRuns = 0;
   std::vector<Duration> startDelays;
   bool loading = true;
   std::map<std::string, StoredState> loadedStates;
--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -131,10 +131,8 @@
     aWorker.failedJobs.insert(aTaskKey.job);
   }
   if (aWorker.failedJobs.size() >= this->settings.failingJobLimit) {
-    aWorker.avoidUntil = aNow.instant + this->settings.failingWorkerBackoff;
     aWorker.failedJobs.clear();
-    this->counters.Add("workers_avoided_total", "failing");
-    this->log("worker_avoided", { { "worker", aWorker.key.id }, { "reason", "failing" } });
+    this->AvoidWorker(aWorker, AvoidReason::Failing, aNow);
   }
   if (spec.longRunning) {
     const bool failedSoon = aNow.instant < task.notBefore + this->settings.failingWorkerBackoff;
--- a/packages/jobs/src/SchedulerLogs.cpp
+++ b/packages/jobs/src/SchedulerLogs.cpp
@@ -15,8 +15,8 @@
 constexpr Duration kWaitingLogDelay = std::chrono::milliseconds(2000);
 constexpr Duration kWaitingLogInterval = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxLoggedWorkers = 10;
-// Runs of long-running tasks that are not known to be running for longer than this are logged at
-// each scan.
+// Runs that are not known to be running for longer than this are logged at each scan, those of
+// long-running tasks first.
 constexpr Duration kUnconfirmedLogDelay = std::chrono::milliseconds(2000);
 constexpr Duration kUnconfirmedScanInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t kMaxUnconfirmedLines = 16;
@@ -163,13 +163,20 @@
     this->FindUnconfirmedRuns(this->jobs.at(id), silent, aNow, since);
   }
   this->unconfirmedSince = std::move(since);
-  std::size_t lines = 0;
-  for (const auto& [key, first] : this->unconfirmedSince) {
-    if (aNow.instant - first >= kUnconfirmedLogDelay && lines < kMaxUnconfirmedLines) {
-      ++lines;
-      this->LogUnconfirmedRun(key, first, aNow);
+  std::vector<std::pair<RunKey, Instant>> late;
+  for (const auto& item : this->unconfirmedSince) {
+    if (aNow.instant - item.second >= kUnconfirmedLogDelay) {
+      late.push_back(item);
     }
   }
+  this->lateUnconfirmedRuns = late.size();
+  std::stable_partition(late.begin(), late.end(), [this](const auto& aItem) {
+    return this->SpecOf(aItem.first.task).longRunning;
+  });
+  late.resize(std::min(late.size(), kMaxUnconfirmedLines));
+  for (const auto& [key, first] : late) {
+    this->LogUnconfirmedRun(key, first, aNow);
+  }
 }
 
 void JobScheduler::FindUnconfirmedRuns(const Job& aJob,
@@ -179,7 +186,7 @@
 {
   for (const auto& [occurrence, state] : aJob.occurrences) {
     for (std::uint32_t step = 0; step < state.steps.size(); ++step) {
-      if (!aJob.record.spec.steps[step].longRunning) {
+      if (state.steps[step].active == 0) {
         continue;
       }
       const std::vector<Task>& tasks = state.steps[step].tasks;
--- a/packages/jobs/src/SchedulerStragglers.cpp
+++ b/packages/jobs/src/SchedulerStragglers.cpp
@@ -27,6 +27,19 @@
   return std::max<Duration>(aSettings.speedWindow, std::chrono::milliseconds(estimateShareMs));
 }
 
+std::string_view AvoidReasonName(AvoidReason aReason)
+{
+  switch (aReason) {
+    case AvoidReason::Failing:
+      return "failing";
+    case AvoidReason::Stalled:
+      return "stalled";
+    case AvoidReason::Slow:
+      return "slow";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 // After a gap in the full reports, unchanged progress only shows that the worker was silent, so the
@@ -74,8 +87,7 @@
               { "still_ms", ToMilliseconds(aNow.instant - run.percentChangedAt) } });
   this->FindTask(aRunKey.task)->lastFailedWorker = aWorker.key.id;
   if (!maybePaused) {
-    aWorker.avoidUntil =
-      std::max(aWorker.avoidUntil, aNow.instant + this->settings.failingWorkerBackoff);
+    this->AvoidWorker(aWorker, AvoidReason::Stalled, aNow);
   }
   this->StopRun(aRunKey.task, run);
 }
@@ -151,12 +163,47 @@
   if (aWorker.slowJobs.size() < this->settings.slowJobLimit) {
     return;
   }
-  if (aNow.instant >= aWorker.avoidUntil) {
-    this->counters.Add("workers_avoided_total", "slow");
-    this->log("worker_avoided", { { "worker", aWorker.key.id }, { "reason", "slow" } });
-  }
+  this->AvoidWorker(aWorker, AvoidReason::Slow, aNow);
+}
+
+void JobScheduler::AvoidWorker(Worker& aWorker, AvoidReason aReason, Now aNow)
+{
+  const bool isRenewed = aNow.instant < aWorker.avoidUntil;
   aWorker.avoidUntil =
-    std::max(aWorker.avoidUntil, aNow.instant + this->settings.slowWorkerBackoff);
+    std::max(aWorker.avoidUntil,
+             aNow.instant + (aReason == AvoidReason::Slow ? this->settings.slowWorkerBackoff
+                                                          : this->settings.failingWorkerBackoff));
+  if (isRenewed && aReason != AvoidReason::Failing) {
+    return;
+  }
+  const auto [avoided, usable] = this->CountAvoidedWorkers(aWorker.state.service, aNow.instant);
+  this->counters.Add("workers_avoided_total", AvoidReasonName(aReason));
+  this->log("worker_avoided",
+            { { "worker", aWorker.key.id },
+              { "reason", AvoidReasonName(aReason) },
+              { "avoided", avoided },
+              { "usable", usable } });
+}
+
+JobScheduler::AvoidedCount JobScheduler::CountAvoidedWorkers(const std::string& aService,
+                                                             Instant aNow) const
+{
+  AvoidedCount count;
+  for (const auto& [key, worker] : this->workers) {
+    if (worker.state.service == aService && IsUsable(worker)) {
+      ++count.usable;
+      count.avoided += aNow < worker.avoidUntil ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+std::size_t JobScheduler::AvoidedWorkers(Now aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->workers.begin(), this->workers.end(), [&](const auto& aItem) {
+      return IsUsable(aItem.second) && aNow.instant < aItem.second.avoidUntil;
+    }));
 }
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/tests/JobSchedulerTest.cpp
+++ b/packages/jobs/tests/JobSchedulerTest.cpp
@@ -542,3 +542,22 @@
   CHECK(line.at("unconfirmed_ms") >= 2000);
   CHECK(line.at("lease_ends_in_ms") > 0);
 }
+
+// Guards against a job that stands still without a line: its run was ordered and never confirmed.
+TEST_CASE("JobScheduler LogsABatchTaskWhoseRunIsNotConfirmed")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(40) }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 8);
+  for (int round = 0; round < 6; ++round) {
+    fixture.Advance(600 * kMs);
+    fixture.RunUntilIdle();
+  }
+  const nlohmann::ordered_json line = fixture.LastLogged("run_unconfirmed");
+  REQUIRE(line.is_object());
+  CHECK(line.at("state") == "ordered");
+  CHECK(line.at("unconfirmed_ms") >= 2000);
+  CHECK(fixture.scheduler.UnconfirmedRuns() == 8);
+}
--- a/packages/jobs/tests/SchedulerStragglersTest.cpp
+++ b/packages/jobs/tests/SchedulerStragglersTest.cpp
@@ -131,3 +131,25 @@
   ReportProgress(fixture, "slow", 2, 15);
   CHECK(fixture.stops.empty());
 }
+
+// Guards against workers that get no runs while neither a line nor a counter tells why.
+TEST_CASE("JobScheduler LogsThatAWorkerIsAvoidedForAStalledRun")
+{
+  SchedulerFixture fixture;
+  AddAgents(fixture);
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  const std::string agent = fixture.starts[0].first;
+  for (int round = 0; round < 2; ++round) {
+    ReportProgress(fixture, agent, 0, 0);
+  }
+  CHECK(fixture.counters.Get("workers_avoided_total", "stalled") == 1);
+  CHECK(fixture.scheduler.AvoidedWorkers(fixture.now) == 1);
+  const nlohmann::ordered_json line = fixture.LastLogged("worker_avoided");
+  REQUIRE(line.is_object());
+  CHECK(line.at("worker") == "w-" + agent);
+  CHECK(line.at("reason") == "stalled");
+  CHECK(line.at("avoided") == 1);
+  CHECK(line.at("usable") == 3);
+}
