--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -42,6 +42,27 @@
   CHECK(reports >= 4);
 }
 
+// Guards against soaks in which the scheduler sees runs advance at speeds that no worker has.
+TEST_CASE("WorkerDriver ReportsTheProgressOfARunOfTheStandInWorker")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), 2000 * kMillisecond);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.ended.empty(); }));
+  std::vector<int> percents;
+  for (const WorkerReport& report : fixture.reports) {
+    for (const RunningRun& running : report.running) {
+      percents.push_back(running.percent);
+    }
+  }
+  INFO("reported percents: " << Catch::Detail::stringify(percents));
+  REQUIRE(percents.size() >= 3);
+  CHECK(std::is_sorted(percents.begin(), percents.end()));
+  CHECK(percents.back() >= percents.front() + 25);
+  CHECK(percents.back() <= 99);
+}
+
 // Guards against a start whose deadline has passed before it is sent: until the leader has extended
 // the lease of this incarnation of the worker, there is no lease to grant, and the worker rejects
 // the start.
