Take no speed from progress that goes back

A worker was avoided for runs with a measured speed of -0.48. A run whose reported progress goes back has lost work or reports a wrong figure, which tells nothing about the speed of its worker, also if the progress rises again within the measurement.

RunSpeed begins a new measurement at such a report. RunSpeed MeasuresAnewWhenProgressGoesBack failed before: the update with 10% after 60% completed a measurement. jobs_tests pass.

--- a/packages/jobs/include/oriolespread/jobs/RunSpeed.h
+++ b/packages/jobs/include/oriolespread/jobs/RunSpeed.h
@@ -22,7 +22,7 @@
   void RestartAfter(int aPercent);
 
   // Takes the reported progress. Returns whether a measurement of at least `aWindow` was completed;
-  // the next one then begins.
+  // the next one then begins. Progress that goes back begins a measurement without a result.
   bool Update(int aPercent, std::int64_t aEstimateMs, Duration aWindow, Instant aNow);
 
   // Returns the last measured speed, 1 if the run works as fast as its estimate says; empty before
@@ -34,6 +34,8 @@
   // The begin of the measurement; empty until it begins.
   std::optional<Instant> since;
   int percentAtSince = 0;
+  // The progress at the last update.
+  int lastPercent = 0;
 };
 
 // What decides whether a slow run is stopped and its task started on another worker.
--- a/packages/jobs/src/RunSpeed.cpp
+++ b/packages/jobs/src/RunSpeed.cpp
@@ -16,6 +16,7 @@
 {
   this->since = aNow;
   this->percentAtSince = aPercent;
+  this->lastPercent = aPercent;
 }
 
 void RunSpeed::RestartAfter(int aPercent)
@@ -32,6 +33,12 @@
     }
     return false;
   }
+  if (aPercent < this->lastPercent) {
+    // The run has lost progress or reports a wrong one, which tells nothing about its speed.
+    this->Restart(aPercent, aNow);
+    return false;
+  }
+  this->lastPercent = aPercent;
   const Duration elapsed = aNow - *this->since;
   if (elapsed < aWindow) {
     return false;
--- a/packages/jobs/tests/RunSpeedTest.cpp
+++ b/packages/jobs/tests/RunSpeedTest.cpp
@@ -38,6 +38,21 @@
   CHECK(*speed.Last() == Approx(1.0));
 }
 
+// Guards against a worker that is avoided for a negative speed.
+TEST_CASE("RunSpeed MeasuresAnewWhenProgressGoesBack")
+{
+  RunSpeed speed;
+  speed.Restart(40, kStart);
+  CHECK_FALSE(speed.Update(60, 2000, kWindow, kStart + 300 * kMs));
+  CHECK_FALSE(speed.Update(10, 2000, kWindow, kStart + 600 * kMs));
+  CHECK_FALSE(speed.Last().has_value());
+  CHECK_FALSE(speed.Update(25, 2000, kWindow, kStart + 900 * kMs));
+  CHECK_FALSE(speed.Update(20, 2000, kWindow, kStart + 1100 * kMs));
+  CHECK_FALSE(speed.Update(35, 2000, kWindow, kStart + 1400 * kMs));
+  REQUIRE(speed.Update(50, 2000, kWindow, kStart + 1700 * kMs));
+  CHECK(*speed.Last() == Approx(1.0));
+}
+
 // Guards against a run that is stopped shortly before its end, or whose work would be repeated for
 // longer than it still takes.
 TEST_CASE("MoveGain IsHighOnlyForASlowRunWithMuchWorkLeft")
