Bound how many workers are avoided and how long jobs wait for others

Users saw accepted jobs without a run for 3 s and more although workers had room. Nothing bounded how many workers were avoided at once or for how long in a row, and a task waited for as long as they were.

Avoidance is a preference now: - At most half of the usable workers of a service are avoided, and one may always be; failures displace slowness. - While runs are slow on most of at least three workers, none is avoided for slowness. Slow runs of the same jobs keep a worker avoided for at most 8 s. - A job without active runs for 1 s places one task on an avoided worker, rather a slow one than a failing one; ends take up to 0.6 s to be reported, so that this stays below 3 s. A gang is placed there as a whole. - A failing worker gets at most one such run in 0.5 s, and none for the last attempt of a task while the service has a worker that does not fail. A job that fails for good is worse than one that waits, so such a task may wait longer than 3 s; it does not hold the other tasks of its step.

avoidances_skipped_total and runs_on_avoided_workers_total count both. excludedWorkers of PlacementRequest had no user and is removed.

AvoidsAWorkerNoLongerBecauseServicesFailThereMeanwhile relied on a batch job that waits for the whole 5 s.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -9,6 +9,7 @@
 #include "oriolespread/messages/WorkerMessages.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -228,12 +229,24 @@
   // No new runs are placed before this time, after a rejected start.
   Instant rejectsUntil{};
   // Set after a stalled run, slow runs or repeated failures. Until then, only long-running tasks
-  // are placed, and only if no other worker has room.
+  // and jobs that have waited for a while are placed, and only if no other worker has room.
   Instant avoidUntil{};
+  // Since when the worker is avoided without a pause.
+  Instant avoidedSince{};
+  // Until when the worker is avoided because runs of several jobs failed there.
+  Instant failingUntil{};
+  // While the worker is avoided for failures, no run but long-running ones is placed before this
+  // time.
+  Instant nextRunWhileFailing{};
   // Jobs with a failed run on this worker since its last successful run.
   std::set<std::string> failedJobs;
   // Jobs with a slow run on this worker since a run was last measured to be fast enough.
   std::set<std::string> slowJobs;
+  // Jobs whose slow runs have kept the worker avoided for the longest time, and no longer count.
+  std::set<std::string> ignoredSlowJobs;
+  // The last speed of a run that was measured here, without best-effort runs.
+  std::optional<double> lastRunSpeed;
+  Instant lastRunSpeedAt{};
   std::uint32_t stalledRuns = 0;
   Resources reserved;
   // `reserved` plus the cores that best-effort runs request, which are not reserved.
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -264,7 +264,14 @@
   void StopIfSlow(Worker& aWorker, const RunKey& aRunKey, Now aNow);
   PeerSpeed ComparePeers(const RunKey& aRunKey, double aSpeed);
   void AvoidIfSlow(Worker& aWorker, const std::string& aJob, Now aNow);
+  // Returns whether the runs that were measured last are slow on most workers of the service.
+  bool AreMostWorkersSlow(const std::string& aService, Instant aNow) const;
+  // Avoids the worker for a while, unless as many workers of its service are avoided as may be.
   void AvoidWorker(Worker& aWorker, AvoidReason aReason, Now aNow);
+  // Ends the avoidance of the worker of the service that is slow or stalled and would be avoided
+  // for the shortest time. Returns whether there is one.
+  bool EndOneAvoidance(const std::string& aService, Instant aNow);
+  void SkipAvoidance(const Worker& aWorker, AvoidReason aReason, std::string_view aWhy, Now aNow);
   AvoidedCount CountAvoidedWorkers(const std::string& aService, Instant aNow) const;
 
   // Defined in SchedulerPlacement.cpp.
@@ -282,6 +289,9 @@
   PlacementRequest MakePlacementRequest(const ReadyStep& aReady) const;
   // Returns whether the task must not be placed yet.
   bool IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const;
+  bool MayUseFailingWorkers(const Job& aJob, const Task& aTask, Instant aNow) const;
+  // Returns whether a worker of the service can be given runs and is not avoided for failures.
+  bool HasSoundWorker(const std::string& aService, Instant aNow) const;
   bool PlaceTask(const ReadyStep& aReady,
                  std::uint32_t aIndex,
                  PlacementRequest& aRequest,
@@ -292,7 +302,7 @@
   // Stops the runs of a gang of which other members have none. It is placed again as a whole once
   // they are gone.
   void StopRestOfGang(const ReadyStep& aReady);
-  void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker);
+  void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker, Now aNow);
 
   // Defined in SchedulerLogs.cpp.
   // Logs why no worker can take a task of the step, if it has waited for a while.
@@ -359,6 +369,8 @@
   std::map<std::string, OutgoingOrders> outgoingOrders;
   std::uint64_t lastOrders = 0;
   std::size_t waitingTasks = 0;
+  // When the next line about a worker that is not avoided may be logged.
+  Instant nextSkippedAvoidanceLog{};
   // When the next line about a step that waits may be logged.
   Instant nextWaitingLog{};
   // When the workers that have not reported are logged; zero once they were.
--- a/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
+++ b/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
@@ -45,8 +45,10 @@
   // whether a worker may be chosen although its serving runs would miss their latency targets.
   std::vector<double> weights;
   bool allowInterference = false;
-  // Ids of workers that must not be chosen.
-  std::set<std::string> excludedWorkers;
+  // Whether an avoided worker may be chosen if no other has room. Long-running tasks always may.
+  bool allowAvoided = false;
+  // Whether a worker that is avoided for failures may be chosen as well.
+  bool allowFailing = false;
 };
 
 // Returns the share of the worker's cores that a best-effort task of the step is expected to use.
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -45,6 +45,22 @@
   // one job may be wrong altogether.
   std::size_t slowJobLimit = 2;
   Duration slowWorkerBackoff = std::chrono::milliseconds(2000);
+  // How long slow runs may keep a worker avoided without a pause. After that, they count for
+  // nothing until other jobs are slow there too: the estimate of a long run may be wrong.
+  Duration maxSlowAvoidance = std::chrono::milliseconds(6000);
+  // If runs are slow on most of at least this many workers that were measured within the last
+  // while, estimates or machines are slow altogether, and no worker is avoided for it.
+  std::size_t minComparedWorkers = 3;
+  Duration workerSpeedMemory = std::chrono::seconds(5);
+  // At most this share of a service's usable workers is avoided at once, but always one. What holds
+  // for more than half of them is no fault of single workers.
+  double maxAvoidedShare = 0.5;
+  // A job without active runs for this long may place a task on an avoided worker. Together with
+  // the 0.6 s in which ends are reported and two transactions it stays well below 3 s.
+  Duration allowAvoidedAfter = std::chrono::milliseconds(1000);
+  // A worker that is avoided for failures is given at most one run in this time, so that it cannot
+  // fail all jobs that wait.
+  Duration failingWorkerRunInterval = std::chrono::milliseconds(500);
   // A job without active runs for this long is placed wherever it fits, regardless of interference.
   // It bounds the wait of a job that disturbs every worker; a backlog of a few seconds should not
   // make serving runs miss their targets.
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -13,6 +13,8 @@
 constexpr double kFailedWorkerCost = 4.0;
 // Higher than all other costs together.
 constexpr double kAvoidedWorkerCost = 1000.0;
+// A slow worker gets a task done, a failing one does not.
+constexpr double kFailingWorkerCost = 1000.0;
 constexpr double kSameStepCost = 0.05;
 // Cost of a serving task per best-effort run on the worker, of which at most four count.
 constexpr double kBestEffortRunCost = 0.1;
@@ -130,6 +132,16 @@
   double cost = 0;
 };
 
+bool IsAvoided(const Worker& aWorker, const PlacementRequest& aRequest, Instant aNow)
+{
+  if (aNow >= aWorker.avoidUntil || aRequest.step->longRunning) {
+    return false;
+  }
+  const bool failing = aNow < aWorker.failingUntil;
+  return !aRequest.allowAvoided ||
+         (failing && (!aRequest.allowFailing || aNow < aWorker.nextRunWhileFailing));
+}
+
 PlacementObstacle FindWorkerObstacle(const Worker& aWorker,
                                      const PlacementRequest& aRequest,
                                      Instant aNow)
@@ -143,9 +155,7 @@
   if (aWorker.state.draining) {
     return PlacementObstacle::Draining;
   }
-  const bool isAvoided = aNow < aWorker.avoidUntil && !aRequest.step->longRunning;
-  if (isAvoided || aNow < aWorker.rejectsUntil ||
-      aRequest.excludedWorkers.contains(aWorker.key.id)) {
+  if (aNow < aWorker.rejectsUntil || IsAvoided(aWorker, aRequest, aNow)) {
     return PlacementObstacle::Avoided;
   }
   if (!HasLabel(aWorker, aRequest.step->requiredLabel)) {
@@ -180,7 +190,7 @@
     result.cost += kFailedWorkerCost;
   }
   if (aNow < aWorker.avoidUntil) {
-    result.cost += kAvoidedWorkerCost;
+    result.cost += kAvoidedWorkerCost + (aNow < aWorker.failingUntil ? kFailingWorkerCost : 0);
   }
   if (step.longRunning) {
     result.cost += ServingMixCost(aWorker, step);
--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -125,8 +125,8 @@
   }
   const StepSpec& spec = this->SpecOf(aTaskKey);
   task.lastFailedWorker = aWorker.key.id;
-  // Only long-running tasks are placed on an avoided worker. Their failures must not keep the
-  // others away for longer.
+  // Long-running tasks are placed on an avoided worker at any time. Their failures must not keep
+  // the others away for longer.
   if (!spec.longRunning || aNow.instant >= aWorker.avoidUntil) {
     aWorker.failedJobs.insert(aTaskKey.job);
   }
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -197,6 +197,8 @@
   const auto& tasks = step.tasks;
   PlacementRequest request = this->MakePlacementRequest(aReady);
   request.allowInterference = allowInterference;
+  request.allowAvoided = aNow.instant - aReady.job->lastActive > this->settings.allowAvoidedAfter;
+  bool lastAttemptWaits = false;
   nlohmann::ordered_json placed = nlohmann::ordered_json::array();
   bool allPlaced = true;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
@@ -204,10 +206,19 @@
     if (task.state != TaskState::Waiting || this->IsPlacementDelayed(aReady, index, aNow)) {
       continue;
     }
+    // The tasks of a step differ only in the workers that their last attempt may use.
+    request.allowFailing = this->MayUseFailingWorkers(*aReady.job, task, aNow.instant);
+    if (lastAttemptWaits && !request.allowFailing) {
+      continue;
+    }
     if (!this->PlaceTask(aReady, index, request, aNow)) {
       allPlaced = false;
       this->LogWaitingStep(aReady, request, aNow);
-      break;
+      if (request.allowFailing || !request.allowAvoided) {
+        break;
+      }
+      lastAttemptWaits = true;
+      continue;
     }
     const Run& run = task.runs.back();
     placed.push_back(nlohmann::ordered_json::array({ index, run.number, run.worker.id }));
@@ -234,6 +245,21 @@
             { aReady.job->record.id, aReady.occurrence, aReady.step, aIndex })));
 }
 
+// A task that fails on its last attempt ends its job, so it rather waits for a sound worker.
+bool JobScheduler::MayUseFailingWorkers(const Job& aJob, const Task& aTask, Instant aNow) const
+{
+  return aTask.failedRuns + 1 < aJob.record.policy.maxAttempts ||
+         !this->HasSoundWorker(aJob.record.policy.service, aNow);
+}
+
+bool JobScheduler::HasSoundWorker(const std::string& aService, Instant aNow) const
+{
+  return std::any_of(this->workers.begin(), this->workers.end(), [&](const auto& aItem) {
+    const Worker& worker = aItem.second;
+    return worker.state.service == aService && IsUsable(worker) && aNow >= worker.failingUntil;
+  });
+}
+
 bool JobScheduler::PlaceTask(const ReadyStep& aReady,
                              std::uint32_t aIndex,
                              PlacementRequest& aRequest,
@@ -244,7 +270,7 @@
   if (worker == nullptr) {
     return false;
   }
-  this->BeginRun(aReady, aIndex, *worker);
+  this->BeginRun(aReady, aIndex, *worker, aNow);
   return true;
 }
 
@@ -260,6 +286,10 @@
     this->AddHeadroomCost(*worker, *aRequest.step);
     aRequest.allowInterference = false;
   }
+  if (aNow.instant < worker->avoidUntil && !aRequest.step->gang) {
+    // One run suffices for the job not to stand still. The others wait for better workers.
+    aRequest.allowAvoided = false;
+  }
   return worker;
 }
 
@@ -276,9 +306,11 @@
     }
   }
   PlacementRequest request = this->MakePlacementRequest(aReady);
+  request.allowAvoided = aNow.instant - aReady.job->lastActive > this->settings.allowAvoidedAfter;
   std::vector<Worker*> selected;
   for (const Task& task : step.tasks) {
     request.allowInterference = aAllowInterference;
+    request.allowFailing = this->MayUseFailingWorkers(*aReady.job, task, aNow.instant);
     Worker* worker = this->SelectWorker(task, request, aNow);
     if (worker == nullptr) {
       break;
@@ -303,7 +335,7 @@
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     step.tasks[index].nextRunNumber = runNumber;
     step.tasks[index].checkpoint = checkpoint;
-    this->BeginRun(aReady, index, *selected[index]);
+    this->BeginRun(aReady, index, *selected[index], aNow);
     this->RecomputeHeadroomCosts(*selected[index]);
   }
   step.waitingSince = {};
@@ -328,8 +360,18 @@
   }
 }
 
-void JobScheduler::BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker)
+void JobScheduler::BeginRun(const ReadyStep& aReady,
+                            std::uint32_t aIndex,
+                            Worker& aWorker,
+                            Now aNow)
 {
+  const bool failing = aNow.instant < aWorker.failingUntil;
+  if (aNow.instant < aWorker.avoidUntil) {
+    this->counters.Add("runs_on_avoided_workers_total", failing ? "failing" : "slow_or_stalled");
+  }
+  if (failing && !aReady.job->record.spec.steps[aReady.step].longRunning) {
+    aWorker.nextRunWhileFailing = aNow.instant + this->settings.failingWorkerRunInterval;
+  }
   Job& job = *aReady.job;
   Task& task = job.occurrences.at(aReady.occurrence).steps[aReady.step].tasks[aIndex];
   const TaskKey taskKey{ job.record.id, aReady.occurrence, aReady.step, aIndex };
--- a/packages/jobs/src/SchedulerStragglers.cpp
+++ b/packages/jobs/src/SchedulerStragglers.cpp
@@ -3,6 +3,7 @@
 #include "oriolespread/jobs/JobScheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolespread::jobs {
 
@@ -12,6 +13,9 @@
 // rather than one worker slow.
 constexpr double kAlikeSpeedFactor = 2.0;
 
+// The least time between two lines about workers that are not avoided.
+constexpr Duration kSkippedAvoidanceLogInterval = std::chrono::milliseconds(1000);
+
 // Computed in milliseconds, because the estimate is the caller's and may be any number.
 std::int64_t StallTimeoutMs(const SchedulerSettings& aSettings, const StepSpec& aStep)
 {
@@ -104,20 +108,33 @@
         run.percent, spec.estimateMs, SpeedWindow(this->settings, spec), aNow.instant)) {
     return;
   }
+  const double speed = *run.speed.Last();
+  if (!spec.fillsUnused) {
+    aWorker.lastRunSpeed = speed;
+    aWorker.lastRunSpeedAt = aNow.instant;
+  }
   const bool knownSlow = aWorker.slowJobs.size() >= this->settings.slowJobLimit;
   if (spec.fillsUnused && !knownSlow) {
     return;
   }
-  const double speed = *run.speed.Last();
   if (speed >= this->settings.slowRunSpeed) {
     aWorker.slowJobs.clear();
+    aWorker.ignoredSlowJobs.clear();
     return;
   }
-  const PeerSpeed peers = knownSlow ? PeerSpeed::Faster : this->ComparePeers(aRunKey, speed);
+  const bool mostSlow = this->AreMostWorkersSlow(aWorker.state.service, aNow.instant);
+  if (mostSlow && !aWorker.slowJobs.empty()) {
+    this->SkipAvoidance(aWorker, AvoidReason::Slow, "most_slow", aNow);
+    aWorker.slowJobs.clear();
+  }
+  const PeerSpeed peers =
+    knownSlow && !mostSlow ? PeerSpeed::Faster : this->ComparePeers(aRunKey, speed);
   if (peers == PeerSpeed::Alike) {
     return;
   }
-  this->AvoidIfSlow(aWorker, aRunKey.task.job, aNow);
+  if (!mostSlow) {
+    this->AvoidIfSlow(aWorker, aRunKey.task.job, aNow);
+  }
   if (peers == PeerSpeed::Unknown) {
     return;
   }
@@ -157,23 +174,61 @@
   return peers;
 }
 
+bool JobScheduler::AreMostWorkersSlow(const std::string& aService, Instant aNow) const
+{
+  std::size_t measured = 0;
+  std::size_t slow = 0;
+  for (const auto& [key, worker] : this->workers) {
+    if (worker.lastRunSpeed.has_value() && worker.state.service == aService &&
+        aNow - worker.lastRunSpeedAt <= this->settings.workerSpeedMemory) {
+      ++measured;
+      slow += *worker.lastRunSpeed < this->settings.slowRunSpeed ? 1 : 0;
+    }
+  }
+  return measured >= this->settings.minComparedWorkers && 2 * slow > measured;
+}
+
 void JobScheduler::AvoidIfSlow(Worker& aWorker, const std::string& aJob, Now aNow)
 {
+  if (aWorker.ignoredSlowJobs.contains(aJob)) {
+    return;
+  }
   aWorker.slowJobs.insert(aJob);
   if (aWorker.slowJobs.size() < this->settings.slowJobLimit) {
     return;
   }
+  const bool isAvoided = aNow.instant < aWorker.avoidUntil;
+  if (isAvoided && aNow.instant - aWorker.avoidedSince >= this->settings.maxSlowAvoidance) {
+    aWorker.ignoredSlowJobs = std::exchange(aWorker.slowJobs, {});
+    this->SkipAvoidance(aWorker, AvoidReason::Slow, "avoided_long", aNow);
+    return;
+  }
   this->AvoidWorker(aWorker, AvoidReason::Slow, aNow);
 }
 
 void JobScheduler::AvoidWorker(Worker& aWorker, AvoidReason aReason, Now aNow)
 {
   const bool isRenewed = aNow.instant < aWorker.avoidUntil;
-  aWorker.avoidUntil =
-    std::max(aWorker.avoidUntil,
-             aNow.instant + (aReason == AvoidReason::Slow ? this->settings.slowWorkerBackoff
-                                                          : this->settings.failingWorkerBackoff));
-  if (isRenewed && aReason != AvoidReason::Failing) {
+  if (!isRenewed) {
+    const std::string& service = aWorker.state.service;
+    const auto [avoided, usable] = this->CountAvoidedWorkers(service, aNow.instant);
+    const auto limit = std::max<std::size_t>(
+      static_cast<std::size_t>(this->settings.maxAvoidedShare * static_cast<double>(usable)), 1);
+    // Failures count more than slowness, because they use up the attempts of tasks.
+    const bool hasPlace = avoided < limit || (aReason == AvoidReason::Failing &&
+                                              this->EndOneAvoidance(service, aNow.instant));
+    if (!hasPlace) {
+      this->SkipAvoidance(aWorker, aReason, "limit", aNow);
+      return;
+    }
+    aWorker.avoidedSince = aNow.instant;
+  }
+  const Duration backoff = aReason == AvoidReason::Slow ? this->settings.slowWorkerBackoff
+                                                        : this->settings.failingWorkerBackoff;
+  aWorker.avoidUntil = std::max(aWorker.avoidUntil, aNow.instant + backoff);
+  if (aReason == AvoidReason::Failing) {
+    aWorker.failingUntil = aWorker.avoidUntil;
+  } else if (isRenewed) {
     return;
   }
   const auto [avoided, usable] = this->CountAvoidedWorkers(aWorker.state.service, aNow.instant);
@@ -185,6 +240,38 @@
               { "usable", usable } });
 }
 
+bool JobScheduler::EndOneAvoidance(const std::string& aService, Instant aNow)
+{
+  Worker* first = nullptr;
+  for (auto& [key, worker] : this->workers) {
+    if (worker.state.service == aService && IsUsable(worker) && aNow < worker.avoidUntil &&
+        aNow >= worker.failingUntil &&
+        (first == nullptr || worker.avoidUntil < first->avoidUntil)) {
+      first = &worker;
+    }
+  }
+  if (first != nullptr) {
+    first->avoidUntil = aNow;
+  }
+  return first != nullptr;
+}
+
+void JobScheduler::SkipAvoidance(const Worker& aWorker,
+                                 AvoidReason aReason,
+                                 std::string_view aWhy,
+                                 Now aNow)
+{
+  this->counters.Add("avoidances_skipped_total", aWhy);
+  if (aNow.instant < this->nextSkippedAvoidanceLog) {
+    return;
+  }
+  this->nextSkippedAvoidanceLog = aNow.instant + kSkippedAvoidanceLogInterval;
+  this->log("avoidance_skipped",
+            { { "worker", aWorker.key.id },
+              { "reason", AvoidReasonName(aReason) },
+              { "why", std::string(aWhy) } });
+}
+
 JobScheduler::AvoidedCount JobScheduler::CountAvoidedWorkers(const std::string& aService,
                                                              Instant aNow) const
 {
--- a/packages/jobs/tests/SchedulerFailureTest.cpp
+++ b/packages/jobs/tests/SchedulerFailureTest.cpp
@@ -142,6 +142,7 @@
 {
   SchedulerFixture fixture;
   fixture.AddAgent("a");
+  fixture.AddAgent("full", 500);
   StepSpec service = MakeStep(1);
   service.longRunning = true;
   for (const char* job : { "first", "second", "third" }) {
@@ -154,7 +155,9 @@
     }
   };
   failAll();
-  fixture.Submit(MakeJob("batch", { MakeStep(1) }));
+  JobRecord batch = MakeJob("batch", { MakeStep(1) });
+  batch.policy.maxAttempts = 1;
+  fixture.Submit(batch);
   for (int time = 0; time < 4900; time += 100) {
     fixture.Advance(100 * kMs);
     failAll();
--- a/packages/jobs/tests/SchedulerStragglersTest.cpp
+++ b/packages/jobs/tests/SchedulerStragglersTest.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <utility>
+
 using namespace oriolespread;
 using namespace oriolespread::jobs;
 
@@ -153,3 +156,66 @@
   CHECK(line.at("avoided") == 1);
   CHECK(line.at("usable") == 3);
 }
+
+// Guards against jobs that wait beside free cores because most workers are avoided.
+TEST_CASE("JobScheduler AvoidsAtMostHalfOfTheWorkersOfAService")
+{
+  SchedulerFixture fixture;
+  const std::vector<std::string> agents{ "a", "b", "c", "d", "e" };
+  for (const std::string& agent : agents) {
+    fixture.AddAgent(agent, 1000);
+  }
+  // Single runs of five jobs stall one after the other, each on a worker of its own.
+  for (std::size_t index = 0; index < agents.size(); ++index) {
+    fixture.Submit(MakeJob("j" + std::to_string(index), { MakeStep(1) }));
+  }
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 5);
+  ReportProgress(fixture, "none", 0, 0);
+  ReportProgress(fixture, "none", 0, 0);
+  CHECK(fixture.scheduler.AvoidedWorkers(fixture.now) == 2);
+  CHECK(fixture.counters.Get("workers_avoided_total", "stalled") == 2);
+  CHECK(fixture.counters.Get("avoidances_skipped_total", "limit") == 3);
+}
+
+// Guards against a worker that is left out although runs are as slow on all others.
+TEST_CASE("JobScheduler AvoidsNoWorkerWhileRunsAreSlowOnMostWorkers")
+{
+  SchedulerFixture fixture;
+  AddAgents(fixture);
+  for (int job = 0; job < 12; ++job) {
+    fixture.Submit(MakeJob("j" + std::to_string(job), { MakeStep(1) }));
+  }
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 12);
+  for (int round = 0; round < 4; ++round) {
+    ReportProgress(fixture, "none", 0, 2);
+  }
+  CHECK(fixture.scheduler.AvoidedWorkers(fixture.now) == 0);
+  CHECK(fixture.counters.Get("workers_avoided_total", "slow") <= 1);
+}
+
+// Guards against a worker that is avoided for as long as runs with wrong estimates are at work.
+TEST_CASE("JobScheduler AvoidsASlowWorkerOnlyForAWhileInARow")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  StepSpec step = MakeStep(1);
+  step.estimateMs = 5000;
+  fixture.Submit(MakeJob("j1", { step }));
+  fixture.Submit(MakeJob("j2", { step }));
+  fixture.RunUntilIdle();
+  // Each round takes 900 ms. The runs are moved once and are as slow again.
+  std::vector<bool> avoided;
+  for (int round = 0; round < 25; ++round) {
+    ReportProgress(fixture, "a", 1, 1);
+    for (const RunRef& stopped : std::exchange(fixture.stops, {})) {
+      fixture.End("a", stopped, RunEnd::Stopped);
+    }
+    avoided.push_back(fixture.scheduler.AvoidedWorkers(fixture.now) > 0);
+  }
+  INFO("avoided in rounds: " << Catch::Detail::stringify(avoided));
+  CHECK(std::find(avoided.begin(), avoided.end(), true) != avoided.end());
+  const auto last = std::find(avoided.rbegin(), avoided.rend(), true);
+  CHECK(last - avoided.rbegin() >= 12);
+}
