Count refused starts as waiting before avoided workers are used

A worker with room that refuses each start is left out for 0.3 s at a time. A job that finds room only there and on an avoided worker counted as active while a start was on its way, so that it never waited long enough to be placed on the avoided worker.

The wait is counted from the last report of a run at work instead, and only while the job has no run.

PlacesAJobOnAnAvoidedWorkerWhileAnotherRefusesItsStarts failed before: 0 == 1 starts on the avoided worker after 7 refused ones. jobs_tests pass.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -289,6 +289,8 @@
   PlacementRequest MakePlacementRequest(const ReadyStep& aReady) const;
   // Returns whether the task must not be placed yet.
   bool IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const;
+  // Returns whether the job has waited for long enough to be placed on avoided workers.
+  bool MayUseAvoidedWorkers(const Job& aJob, Instant aNow) const;
   bool MayUseFailingWorkers(const Job& aJob, const Task& aTask, Instant aNow) const;
   // Returns whether a worker of the service can be given runs and is not avoided for failures.
   bool HasSoundWorker(const std::string& aService, Instant aNow) const;
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -55,8 +55,9 @@
   // At most this share of a service's usable workers is avoided at once, but always one. What holds
   // for more than half of them is no fault of single workers.
   double maxAvoidedShare = 0.5;
-  // A job without active runs for this long may place a task on an avoided worker. Together with
-  // the 0.6 s in which ends are reported and two transactions it stays well below 3 s.
+  // A job of which no run was reported at work for this long may place a task on an avoided worker.
+  // Together with the 0.6 s in which ends are reported and two transactions it stays well below 3
+  // s.
   Duration allowAvoidedAfter = std::chrono::milliseconds(1000);
   // A worker that is avoided for failures is given at most one run in this time, so that it cannot
   // fail all jobs that wait.
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -119,6 +119,9 @@
   std::vector<ReadyStep> ready;
   for (const std::string& id : this->activeJobs) {
     Job& job = this->jobs.at(id);
+    if (job.lastRunning == Instant{}) {
+      job.lastRunning = aNow.instant;
+    }
     if (job.lastActive == Instant{} || job.HasActiveRuns()) {
       job.lastActive = aNow.instant;
     }
@@ -197,7 +200,7 @@
   const auto& tasks = step.tasks;
   PlacementRequest request = this->MakePlacementRequest(aReady);
   request.allowInterference = allowInterference;
-  request.allowAvoided = aNow.instant - aReady.job->lastActive > this->settings.allowAvoidedAfter;
+  request.allowAvoided = this->MayUseAvoidedWorkers(*aReady.job, aNow.instant);
   bool lastAttemptWaits = false;
   nlohmann::ordered_json placed = nlohmann::ordered_json::array();
   bool allPlaced = true;
@@ -245,6 +248,11 @@
             { aReady.job->record.id, aReady.occurrence, aReady.step, aIndex })));
 }
 
+bool JobScheduler::MayUseAvoidedWorkers(const Job& aJob, Instant aNow) const
+{
+  return !aJob.HasActiveRuns() && aNow - aJob.lastRunning > this->settings.allowAvoidedAfter;
+}
+
 // A task that fails on its last attempt ends its job, so it rather waits for a sound worker.
 bool JobScheduler::MayUseFailingWorkers(const Job& aJob, const Task& aTask, Instant aNow) const
 {
@@ -306,7 +314,7 @@
     }
   }
   PlacementRequest request = this->MakePlacementRequest(aReady);
-  request.allowAvoided = aNow.instant - aReady.job->lastActive > this->settings.allowAvoidedAfter;
+  request.allowAvoided = this->MayUseAvoidedWorkers(*aReady.job, aNow.instant);
   std::vector<Worker*> selected;
   for (const Task& task : step.tasks) {
     request.allowInterference = aAllowInterference;
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -228,6 +228,7 @@
         run->speed.RestartAfter(running.percent);
       }
     }
+    this->jobs.at(runKey.task.job).lastRunning = aNow.instant;
     if (run->percent != running.percent) {
       run->percent = running.percent;
       run->percentChangedAt = aNow.instant;
--- a/packages/jobs/tests/AvoidedWorkersTest.cpp
+++ b/packages/jobs/tests/AvoidedWorkersTest.cpp
@@ -188,3 +188,25 @@
   REQUIRE(fixture.starts.size() == 1);
   CHECK(fixture.starts[0].second.ref.task == "j.0.0.1");
 }
+
+// Guards against a job that counts as active because a worker refuses one start after the other.
+TEST_CASE("JobScheduler PlacesAJobOnAnAvoidedWorkerWhileAnotherRefusesItsStarts")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  FailRunsOfThreeJobs(fixture, 1);
+  fixture.AddAgent("refuses");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  WorkerReport& refusing = fixture.agents["refuses"];
+  for (int round = 0; round < 25 && StartsOn(fixture, "a") == 0; ++round) {
+    refusing.rejected.clear();
+    for (const RunningRun& running : std::exchange(refusing.running, {})) {
+      refusing.rejected.push_back({ running.ref, "room" });
+    }
+    Pass(fixture, 100 * kMs);
+  }
+  INFO("starts refused: " << fixture.counters.Get("starts_rejected_total", "room"));
+  CHECK(StartsOn(fixture, "refuses") >= 2);
+  CHECK(StartsOn(fixture, "a") == 1);
+}
