--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -9,6 +9,7 @@
 #include "oriolespread/messages/WorkerMessages.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -139,6 +140,9 @@
   // When a run of the job was last seen active; before its first run, when the job was first
   // considered.
   Instant lastActive{};
+  // When a worker last reported a run of the job at work; before that, when the job was first
+  // considered. Unlike `lastActive`, placed runs that are refused do not change it.
+  Instant lastRunning{};
   // The terminal state is stored, so the progress rows are no longer needed.
   bool endStored = false;
 
@@ -199,6 +203,17 @@
   double headroomCost = 0;
 };
 
+// Why a worker gets no new runs for a while.
+enum class AvoidReason
+{
+  // Runs of several jobs failed.
+  Failing,
+  // A run made no progress.
+  Stalled,
+  // Runs of several jobs were slow.
+  Slow,
+};
+
 struct Worker
 {
   WorkerKey key;
@@ -217,12 +232,24 @@
   // No new runs are placed before this time, after a rejected start.
   Instant rejectsUntil{};
   // Set after a stalled run, slow runs or repeated failures. Until then, only long-running tasks
-  // are placed, and only if no other worker has room.
+  // and jobs that have waited for a while are placed, and only if no other worker has room.
   Instant avoidUntil{};
+  // Since when the worker is avoided without a pause.
+  Instant avoidedSince{};
+  // Until when the worker is avoided because runs of several jobs failed there.
+  Instant failingUntil{};
+  // While the worker is avoided for failures, no run but long-running ones is placed before this
+  // time.
+  Instant nextRunWhileFailing{};
   // Jobs with a failed run on this worker since its last successful run.
   std::set<std::string> failedJobs;
   // Jobs with a slow run on this worker since a run was last measured to be fast enough.
   std::set<std::string> slowJobs;
+  // Jobs whose slow runs have kept the worker avoided for the longest time, and no longer count.
+  std::set<std::string> ignoredSlowJobs;
+  // The last speed of a run that was measured here, without best-effort runs.
+  std::optional<double> lastRunSpeed;
+  Instant lastRunSpeedAt{};
   std::uint32_t stalledRuns = 0;
   Resources reserved;
   // `reserved` plus the cores that best-effort runs request, which are not reserved.
@@ -239,4 +266,11 @@
   std::set<std::uint64_t> pendingEnds;
 };
 
+// Returns whether the worker can be given runs: it reports, its report was compared with the
+// expected runs, and it is not draining.
+inline bool IsUsable(const Worker& aWorker)
+{
+  return aWorker.connected && aWorker.reported && aWorker.reconciled && !aWorker.state.draining;
+}
+
 } // namespace oriolespread::jobs
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -125,6 +125,11 @@
   std::uint64_t AssessedWorkers() const { return this->assessedWorkers; }
   // Returns the number of rows that the store has refused and that are tried again later.
   std::size_t WithheldRows() const;
+  // Returns the number of usable workers that get no new runs because runs failed, stalled or were
+  // slow there.
+  std::size_t AvoidedWorkers(Now aNow) const;
+  // Returns the number of runs that were not known to be running for a while, as of the last scan.
+  std::size_t UnconfirmedRuns() const { return this->lateUnconfirmedRuns; }
   // Returns the number of workers with runs that have not reported to this leader yet.
   std::size_t AwaitedWorkers() const;
 
@@ -149,6 +154,13 @@
     Faster,
   };
 
+  // The usable workers of a service.
+  struct AvoidedCount
+  {
+    std::size_t avoided = 0;
+    std::size_t usable = 0;
+  };
+
   // Messages to one agent that are not sent yet.
   struct OutgoingOrders
   {
@@ -255,6 +267,15 @@
   void StopIfSlow(Worker& aWorker, const RunKey& aRunKey, Now aNow);
   PeerSpeed ComparePeers(const RunKey& aRunKey, double aSpeed);
   void AvoidIfSlow(Worker& aWorker, const std::string& aJob, Now aNow);
+  // Returns whether the runs that were measured last are slow on most workers of the service.
+  bool AreMostWorkersSlow(const std::string& aService, Instant aNow) const;
+  // Avoids the worker for a while, unless as many workers of its service are avoided as may be.
+  void AvoidWorker(Worker& aWorker, AvoidReason aReason, Now aNow);
+  // Ends the avoidance of the worker of the service that is slow or stalled and would be avoided
+  // for the shortest time. Returns whether there is one.
+  bool EndOneAvoidance(const std::string& aService, Instant aNow);
+  void SkipAvoidance(const Worker& aWorker, AvoidReason aReason, std::string_view aWhy, Now aNow);
+  AvoidedCount CountAvoidedWorkers(const std::string& aService, Instant aNow) const;
 
   // Defined in SchedulerPlacement.cpp.
   void PlaceReadySteps(Now aNow);
@@ -272,6 +293,11 @@
   PlacementRequest MakePlacementRequest(const ReadyStep& aReady) const;
   // Returns whether the task must not be placed yet.
   bool IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const;
+  // Returns whether the job has waited for long enough to be placed on avoided workers.
+  bool MayUseAvoidedWorkers(const Job& aJob, Instant aNow) const;
+  bool MayUseFailingWorkers(const Job& aJob, const Task& aTask, Instant aNow) const;
+  // Returns whether a worker of the service can be given runs and is not avoided for failures.
+  bool HasSoundWorker(const std::string& aService, Instant aNow) const;
   bool PlaceTask(const ReadyStep& aReady,
                  std::uint32_t aIndex,
                  PlacementRequest& aRequest,
@@ -282,15 +308,15 @@
   // Stops the runs of a gang of which other members have none. It is placed again as a whole once
   // they are gone.
   void StopRestOfGang(const ReadyStep& aReady);
-  void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker);
+  void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker, Now aNow);
 
   // Defined in SchedulerLogs.cpp.
   // Logs why no worker can take a task of the step, if it has waited for a while.
   void LogWaitingStep(const ReadyStep& aReady, const PlacementRequest& aRequest, Now aNow);
   // Logs once, some time after loading, which workers have not reported yet.
   void LogAwaitedWorkers(Now aNow);
-  // Logs the runs of long-running tasks that are not known to be running for a while, and what this
-  // leader believes of them.
+  // Logs the runs that are not known to be running for a while, and what this leader believes of
+  // them.
   void LogUnconfirmedRuns(Now aNow);
   void FindUnconfirmedRuns(const Job& aJob,
                            const std::set<WorkerKey>& aSilent,
@@ -352,13 +378,17 @@
   std::uint64_t assessedWorkers = 0;
   // By service, as of the begin of a scheduling pass, in which rooms only become smaller.
   std::map<std::string, LargestRoom> largestRooms;
+  // When the next line about a worker that is not avoided may be logged.
+  Instant nextSkippedAvoidanceLog{};
   // When the next line about a step that waits may be logged.
   Instant nextWaitingLog{};
   // When the workers that have not reported are logged; zero once they were.
   Instant awaitedLogAt{};
   Instant nextUnconfirmedScan{};
-  // Since when runs of long-running tasks were not known to be running, as of the last scan.
+  // Since when runs were not known to be running, as of the last scan.
   std::map<RunKey, Instant> unconfirmedSince;
+  // How many of them for long enough to be logged.
+  std::size_t lateUnconfirmedRuns = 0;
   std::vector<Duration> startDelays;
   bool loading = true;
   std::map<std::string, StoredState> loadedStates;
--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -125,16 +125,14 @@
   }
   const StepSpec& spec = this->SpecOf(aTaskKey);
   task.lastFailedWorker = aWorker.key.id;
-  // Only long-running tasks are placed on an avoided worker. Their failures must not keep the
-  // others away for longer.
+  // Long-running tasks are placed on an avoided worker at any time. Their failures must not keep
+  // the others away for longer.
   if (!spec.longRunning || aNow.instant >= aWorker.avoidUntil) {
     aWorker.failedJobs.insert(aTaskKey.job);
   }
   if (aWorker.failedJobs.size() >= this->settings.failingJobLimit) {
-    aWorker.avoidUntil = aNow.instant + this->settings.failingWorkerBackoff;
     aWorker.failedJobs.clear();
-    this->counters.Add("workers_avoided_total", "failing");
-    this->log("worker_avoided", { { "worker", aWorker.key.id }, { "reason", "failing" } });
+    this->AvoidWorker(aWorker, AvoidReason::Failing, aNow);
   }
   if (spec.longRunning) {
     const bool failedSoon = aNow.instant < task.notBefore + this->settings.failingWorkerBackoff;
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -120,6 +120,9 @@
   std::vector<ReadyStep> ready;
   for (const std::string& id : this->activeJobs) {
     Job& job = this->jobs.at(id);
+    if (job.lastRunning == Instant{}) {
+      job.lastRunning = aNow.instant;
+    }
     if (job.lastActive == Instant{} || job.HasActiveRuns()) {
       job.lastActive = aNow.instant;
     }
@@ -208,6 +211,8 @@
   const auto& tasks = step.tasks;
   PlacementRequest request = this->MakePlacementRequest(aReady);
   request.allowInterference = allowInterference;
+  request.allowAvoided = this->MayUseAvoidedWorkers(*aReady.job, aNow.instant);
+  bool lastAttemptWaits = false;
   nlohmann::ordered_json placed = nlohmann::ordered_json::array();
   bool allPlaced = true;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
@@ -215,10 +220,19 @@
     if (task.state != TaskState::Waiting || this->IsPlacementDelayed(aReady, index, aNow)) {
       continue;
     }
+    // The tasks of a step differ only in the workers that their last attempt may use.
+    request.allowFailing = this->MayUseFailingWorkers(*aReady.job, task, aNow.instant);
+    if (lastAttemptWaits && !request.allowFailing) {
+      continue;
+    }
     if (!this->PlaceTask(aReady, index, request, aNow)) {
       allPlaced = false;
       this->LogWaitingStep(aReady, request, aNow);
-      break;
+      if (request.allowFailing || !request.allowAvoided) {
+        break;
+      }
+      lastAttemptWaits = true;
+      continue;
     }
     const Run& run = task.runs.back();
     placed.push_back(nlohmann::ordered_json::array({ index, run.number, run.worker.id }));
@@ -245,6 +259,26 @@
             { aReady.job->record.id, aReady.occurrence, aReady.step, aIndex })));
 }
 
+bool JobScheduler::MayUseAvoidedWorkers(const Job& aJob, Instant aNow) const
+{
+  return !aJob.HasActiveRuns() && aNow - aJob.lastRunning > this->settings.allowAvoidedAfter;
+}
+
+// A task that fails on its last attempt ends its job, so it rather waits for a sound worker.
+bool JobScheduler::MayUseFailingWorkers(const Job& aJob, const Task& aTask, Instant aNow) const
+{
+  return aTask.failedRuns + 1 < aJob.record.policy.maxAttempts ||
+         !this->HasSoundWorker(aJob.record.policy.service, aNow);
+}
+
+bool JobScheduler::HasSoundWorker(const std::string& aService, Instant aNow) const
+{
+  return std::any_of(this->workers.begin(), this->workers.end(), [&](const auto& aItem) {
+    const Worker& worker = aItem.second;
+    return worker.state.service == aService && IsUsable(worker) && aNow >= worker.failingUntil;
+  });
+}
+
 bool JobScheduler::PlaceTask(const ReadyStep& aReady,
                              std::uint32_t aIndex,
                              PlacementRequest& aRequest,
@@ -255,7 +289,7 @@
   if (worker == nullptr) {
     return false;
   }
-  this->BeginRun(aReady, aIndex, *worker);
+  this->BeginRun(aReady, aIndex, *worker, aNow);
   return true;
 }
 
@@ -276,6 +310,10 @@
     this->AddHeadroomCost(*worker, *aRequest.step);
     aRequest.allowInterference = false;
   }
+  if (aNow.instant < worker->avoidUntil && !aRequest.step->gang) {
+    // One run suffices for the job not to stand still. The others wait for better workers.
+    aRequest.allowAvoided = false;
+  }
   return worker;
 }
 
@@ -292,9 +330,11 @@
     }
   }
   PlacementRequest request = this->MakePlacementRequest(aReady);
+  request.allowAvoided = this->MayUseAvoidedWorkers(*aReady.job, aNow.instant);
   std::vector<Worker*> selected;
   for (const Task& task : step.tasks) {
     request.allowInterference = aAllowInterference;
+    request.allowFailing = this->MayUseFailingWorkers(*aReady.job, task, aNow.instant);
     Worker* worker = this->SelectWorker(task, request, aNow);
     if (worker == nullptr) {
       break;
@@ -319,7 +359,7 @@
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     step.tasks[index].nextRunNumber = runNumber;
     step.tasks[index].checkpoint = checkpoint;
-    this->BeginRun(aReady, index, *selected[index]);
+    this->BeginRun(aReady, index, *selected[index], aNow);
     this->RecomputeHeadroomCosts(*selected[index]);
   }
   step.waitingSince = {};
@@ -344,8 +384,18 @@
   }
 }
 
-void JobScheduler::BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker)
+void JobScheduler::BeginRun(const ReadyStep& aReady,
+                            std::uint32_t aIndex,
+                            Worker& aWorker,
+                            Now aNow)
 {
+  const bool failing = aNow.instant < aWorker.failingUntil;
+  if (aNow.instant < aWorker.avoidUntil) {
+    this->counters.Add("runs_on_avoided_workers_total", failing ? "failing" : "slow_or_stalled");
+  }
+  if (failing && !aReady.job->record.spec.steps[aReady.step].longRunning) {
+    aWorker.nextRunWhileFailing = aNow.instant + this->settings.failingWorkerRunInterval;
+  }
   Job& job = *aReady.job;
   Task& task = job.occurrences.at(aReady.occurrence).steps[aReady.step].tasks[aIndex];
   const TaskKey taskKey{ job.record.id, aReady.occurrence, aReady.step, aIndex };
