Log writes of the leader that wait for their fate

A write that is in flight for more than a second is logged once a second (commit_waiting with epoch, claim, attempts, rows and waited_ms), and the gauge commit_in_flight_seconds shows its age.

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Duration kInvalidLogInterval = std::chrono::seconds(1);
+// The store answers within half a second unless it is in trouble.
+constexpr Duration kWaitingLogInterval = std::chrono::seconds(1);
 // Rows of a refused transaction that its line names.
 constexpr std::size_t kMaxLoggedRows = 3;
 
@@ -55,6 +57,7 @@
              this->options.process)
   , pollTimer(aContext)
   , tickTimer(aContext)
+  , waitingLogTimer(aContext)
 {
 }
 
@@ -155,8 +158,11 @@
         { "silent_ms", ToMilliseconds(BootClock::now() - this->election.UnchangedSince()) },
         { "speed", claimedRow.speed },
         { "earlier_speed", current.has_value() ? current->speed : 0.0 } });
+  const cluster::StoreTransaction claim = this->election.MakeClaim();
+  this->BeginPendingWrite(claim, true);
+  ++this->pendingWrite->attempts;
   this->store.Commit(
-    this->election.MakeClaim(),
+    claim,
     kStoreTimeout,
     [this, claimedRow, term = this->term, sentAt = BootClock::now()](
       const cluster::CommitResult& aResult) {
@@ -185,6 +191,7 @@
         this->ClaimLeadership();
         return;
       }
+      this->pendingWrite.reset();
       if (this->onReleased != nullptr) {
         this->FinishRelease();
         return;
@@ -207,6 +214,7 @@
   this->renewedAt = aRenewedAt;
   this->lastCommitAt = BootClock::now();
   this->commitInFlight = false;
+  this->pendingWrite.reset();
   this->refusedCommit = nullptr;
   this->removalInFlight = false;
   this->jobsVersion = 0;
@@ -238,6 +246,7 @@
         { "renewed_ms_ago", ToMilliseconds(BootClock::now() - this->renewedAt) } });
   this->counters.Add("leadership_total", "lost");
   ++this->term;
+  this->pendingWrite.reset();
   this->scheduler.reset();
   this->tickTimer.cancel();
   this->phase = Phase::Standby;
@@ -368,11 +377,14 @@
   transaction.changes.insert(
     transaction.changes.end(), aBatch.changes.begin(), aBatch.changes.end());
   commit->batch = std::move(aBatch);
+  this->pendingWrite.reset();
+  this->BeginPendingWrite(transaction, false);
   this->SendTransaction(commit);
 }
 
 void LeaderDriver::SendTransaction(const CommitPtr& aCommit)
 {
+  ++this->pendingWrite->attempts;
   this->store.Commit(aCommit->transaction,
                      this->commitTimeout.Timeout(),
                      [this, aCommit, term = this->term, sentAt = BootClock::now()](
@@ -450,6 +462,7 @@
   this->leaderRowVersion = aVersion;
   this->renewedAt = aRenewedAt;
   this->commitInFlight = false;
+  this->pendingWrite.reset();
   this->lastCommitAt = BootClock::now();
   this->commitLatency.Add(this->lastCommitAt - aCommit->startedAt);
   if (this->phase == Phase::Leading) {
@@ -493,6 +506,42 @@
         { "refused", std::exchange(this->unloggedInvalid, 0) } });
 }
 
+void LeaderDriver::BeginPendingWrite(const cluster::StoreTransaction& aTransaction, bool aIsClaim)
+{
+  if (!this->pendingWrite.has_value()) {
+    this->pendingWrite = PendingWrite{ BootClock::now(), 0, aTransaction.changes.size(), aIsClaim };
+  }
+  // One timer runs for all writes, as most are answered within some milliseconds.
+  if (!this->waitingLogScheduled) {
+    this->ScheduleWaitingLog(kWaitingLogInterval);
+  }
+}
+
+void LeaderDriver::ScheduleWaitingLog(Duration aDelay)
+{
+  this->waitingLogScheduled = true;
+  this->waitingLogTimer.expires_after(aDelay);
+  this->waitingLogTimer.async_wait([this](asio::error_code aError) {
+    this->waitingLogScheduled = false;
+    if (aError || !this->pendingWrite.has_value()) {
+      return;
+    }
+    const Duration waited = BootClock::now() - this->pendingWrite->startedAt;
+    if (waited < kWaitingLogInterval) {
+      this->ScheduleWaitingLog(kWaitingLogInterval - waited);
+      return;
+    }
+    Log(LogLevel::Warning,
+        "commit_waiting",
+        { { "epoch", this->pendingWrite->isClaim ? this->lastClaim->epoch : this->leaderRow.epoch },
+          { "claim", this->pendingWrite->isClaim },
+          { "attempts", this->pendingWrite->attempts },
+          { "rows", this->pendingWrite->rows },
+          { "waited_ms", ToMilliseconds(waited) } });
+    this->ScheduleWaitingLog(kWaitingLogInterval);
+  });
+}
+
 void LeaderDriver::RemoveRows()
 {
   if (this->removalInFlight || this->phase != Phase::Leading) {
@@ -559,6 +608,8 @@
 {
   ++this->term;
   this->phase = Phase::Stopped;
+  this->pendingWrite.reset();
+  this->waitingLogTimer.cancel();
   this->tickTimer.cancel();
   this->scheduler.reset();
   std::exchange(this->onReleased, nullptr)();
@@ -568,6 +619,10 @@
 {
   std::map<std::string, double> gauges{ { "leader_epoch",
                                           static_cast<double>(this->leaderRow.epoch) } };
+  gauges["commit_in_flight_seconds"] =
+    this->pendingWrite.has_value()
+      ? std::chrono::duration<double>(BootClock::now() - this->pendingWrite->startedAt).count()
+      : 0;
   if (this->scheduler != nullptr) {
     gauges["last_commit_age_seconds"] =
       std::chrono::duration<double>(BootClock::now() - this->lastCommitAt).count();
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -86,6 +86,16 @@
   };
   using CommitPtr = std::shared_ptr<Commit>;
 
+  // A transaction of the leader, or a claim, whose fate is not known yet.
+  struct PendingWrite
+  {
+    // When the first attempt was sent.
+    Instant startedAt{};
+    std::uint64_t attempts = 0;
+    std::size_t rows = 0;
+    bool isClaim = false;
+  };
+
   void PollLeaderRow();
   void SchedulePoll(Duration aDelay);
   // Measures the processor speed, passes it to the election and returns it.
@@ -131,6 +141,10 @@
   // Counts the refused transaction, and logs it unless one was logged within the last second.
   void ReportInvalid(const cluster::StoreTransaction& aTransaction,
                      const cluster::CommitResult& aResult);
+  // Notes the write and logs each second from then on for as long as it waits for its fate. Kept
+  // as it is if a claim is repeated.
+  void BeginPendingWrite(const cluster::StoreTransaction& aTransaction, bool aIsClaim);
+  void ScheduleWaitingLog(Duration aDelay);
   void SendOrders();
   void RemoveRows();
   void FinishRelease();
@@ -148,6 +162,7 @@
   cluster::LeaderElection election;
   asio::steady_timer pollTimer;
   asio::steady_timer tickTimer;
+  asio::steady_timer waitingLogTimer;
   Phase phase = Phase::Standby;
   // Incremented when the leadership begins, is lost or is released; callbacks of an earlier term
   // are dropped.
@@ -163,6 +178,8 @@
   // The earliest time at which the store can have carried out the last applied renewal.
   Instant renewedAt{};
   bool commitInFlight = false;
+  std::optional<PendingWrite> pendingWrite;
+  bool waitingLogScheduled = false;
   // The transaction before the one in flight, if it was refused as invalid. Only the end of the one
   // in flight tells that no unanswered attempt at it was applied.
   CommitPtr refusedCommit;
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -293,6 +293,28 @@
   CHECK(fixture.counters.Get("commits_invalid_total", "status 400") > 2);
 }
 
+// Guards against a store in trouble that cannot be told from a late event loop.
+TEST_CASE("LeaderDriver ShowsHowLongAWriteHasWaitedForItsFate")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  const auto inFlight = [&] { return entry.driver->Gauges().at("commit_in_flight_seconds"); };
+  CHECK(inFlight() == 0);
+  for (const bool isClaim : { true, false }) {
+    INFO((isClaim ? "claim" : "transaction of the leader"));
+    if (isClaim) {
+      entry.driver->Start();
+      REQUIRE(fixture.RunUntil([&] { return inFlight() > 0; }));
+    }
+    fixture.store.SetFault(fixture.server, { .silent = true });
+    fixture.RunFor(1400 * kMillisecond);
+    CHECK(inFlight() > 0.9);
+    CHECK(inFlight() < 1.6);
+    fixture.store.SetFault(fixture.server, {});
+    CHECK(fixture.RunUntil([&] { return entry.IsLeading() && inFlight() == 0; }));
+  }
+}
+
 // Guards against a lost answer of the store that stops all decisions for 0.9 s, the time that a
 // slow store may take.
 TEST_CASE("LeaderDriver RepeatsATransactionSoonWhenItsAnswerIsLost")
