Find out at once whether a write without an answer was applied

A claim without an answer was repeated after 0.9 s without a look at the row, for up to 9 s by entries that others had superseded long before. A leader gave each unanswered transaction up after 0.25, 0.5 and 0.9 s and was superseded after three lost answers. With every answer lost, nobody led at all.

LeaderWrite sends a transaction or claim unchanged again beside the attempts without an answer, after 0.15 s or as earlier answers suggest, and reads the row. The first answer decides; later ones only teach the estimator. The condition on the row's version lets the store carry out one attempt at most, and a row with another version tells whether it was this one. An applied attempt counts from when it was sent, and one that a conflict or a read shows from the first attempt, as before, so that no lease is extended for longer. At most four attempts are in flight; calls of which none is answered are spaced up to 0.9 s apart. A claim that was refused is repeated instead of read first.

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -113,6 +113,10 @@
         return;
       }
       const Instant now = BootClock::now();
+      if (aResult.end == ReadEnd::Done) {
+        // So that a lost answer to the first claim is noticed soon.
+        this->commitTimeout.OnAnswer(now - requestedAt);
+      }
       // A row that is not readable exists, so it must not be taken for an absent one.
       if (aResult.end == ReadEnd::Done && aResult.unreadableRows == 0) {
         std::optional<cluster::StoredRow> storedRow;
@@ -158,48 +162,49 @@
         { "silent_ms", ToMilliseconds(BootClock::now() - this->election.UnchangedSince()) },
         { "speed", claimedRow.speed },
         { "earlier_speed", current.has_value() ? current->speed : 0.0 } });
-  const cluster::StoreTransaction claim = this->election.MakeClaim();
-  this->BeginPendingWrite(claim, true);
-  ++this->pendingWrite->attempts;
-  this->store.Commit(
-    claim,
-    kStoreTimeout,
-    [this, claimedRow, term = this->term, sentAt = BootClock::now()](
-      const cluster::CommitResult& aResult) {
-      if (term != this->term || this->phase != Phase::Claiming) {
-        return;
-      }
-      if (aResult.end == CommitEnd::Applied) {
-        this->BeginLeadership(claimedRow, aResult.version, sentAt);
-        return;
-      }
-      // If the claim was applied and its answer was lost, the stored row equals
-      // the claimed one.
-      if (aResult.end == CommitEnd::Conflict && !aResult.current.empty()) {
-        const cluster::StoredRow& storedRow = aResult.current.front();
-        if (this->IsLastClaim(storedRow.value)) {
-          // Each attempt was sent after the read that showed the row before it.
-          this->BeginLeadership(claimedRow, storedRow.version, this->election.LatestRenewal());
-          return;
-        }
-      }
-      this->counters.Add("leadership_total", "claim_failed");
-      this->phase = Phase::Standby;
-      // Retry an unanswered claim with the same row: whichever attempt was
-      // applied, the stored row names this process as the leader.
-      if (aResult.end == CommitEnd::Unknown) {
-        this->ClaimLeadership();
-        return;
-      }
-      this->pendingWrite.reset();
-      if (this->onReleased != nullptr) {
-        this->FinishRelease();
-        return;
-      }
-      this->SchedulePoll(aResult.end == CommitEnd::Invalid ? kInvalidRetryDelay : kStoreRetryDelay);
+  this->SendWrite(
+    this->election.MakeClaim(),
+    [this](const std::string& /*aReason*/) { this->OnClaimRetry(); },
+    [this, claimedRow](const cluster::CommitResult& aResult, Instant aSentAt) {
+      this->OnClaimed(claimedRow, aResult, aSentAt);
     });
 }
 
+void LeaderDriver::OnClaimRetry()
+{
+  this->counters.Add("leadership_total", "claim_failed");
+  if (this->onReleased != nullptr && !this->pendingWrite->MayBeApplied()) {
+    this->FinishRelease();
+  }
+}
+
+void LeaderDriver::OnClaimed(const cluster::LeaderRecord& aClaim,
+                             const cluster::CommitResult& aResult,
+                             Instant aSentAt)
+{
+  if (aResult.end == CommitEnd::Applied) {
+    this->BeginLeadership(aClaim, aResult.version, aSentAt);
+    return;
+  }
+  if (aResult.end == CommitEnd::Conflict && !aResult.current.empty()) {
+    const cluster::StoredRow& storedRow = aResult.current.front();
+    // If the claim was applied and its answer was lost, the stored row equals the claimed one.
+    if (this->IsLastClaim(storedRow.value)) {
+      // Each attempt was sent after the read that showed the row before it.
+      this->BeginLeadership(aClaim, storedRow.version, this->election.LatestRenewal());
+      return;
+    }
+  }
+  this->counters.Add("leadership_total", "claim_failed");
+  this->CancelWrite();
+  this->phase = Phase::Standby;
+  if (this->onReleased != nullptr) {
+    this->FinishRelease();
+    return;
+  }
+  this->SchedulePoll(aResult.end == CommitEnd::Invalid ? kInvalidRetryDelay : kStoreRetryDelay);
+}
+
 void LeaderDriver::BeginLeadership(const cluster::LeaderRecord& aRow,
                                    std::uint64_t aVersion,
                                    Instant aRenewedAt)
@@ -214,7 +219,7 @@
   this->renewedAt = aRenewedAt;
   this->lastCommitAt = BootClock::now();
   this->commitInFlight = false;
-  this->pendingWrite.reset();
+  this->CancelWrite();
   this->refusedCommit = nullptr;
   this->removalInFlight = false;
   this->jobsVersion = 0;
@@ -246,7 +251,7 @@
         { "renewed_ms_ago", ToMilliseconds(BootClock::now() - this->renewedAt) } });
   this->counters.Add("leadership_total", "lost");
   ++this->term;
-  this->pendingWrite.reset();
+  this->CancelWrite();
   this->scheduler.reset();
   this->tickTimer.cancel();
   this->phase = Phase::Standby;
@@ -377,34 +382,23 @@
   transaction.changes.insert(
     transaction.changes.end(), aBatch.changes.begin(), aBatch.changes.end());
   commit->batch = std::move(aBatch);
-  this->pendingWrite.reset();
-  this->BeginPendingWrite(transaction, false);
-  this->SendTransaction(commit);
+  this->SendCommit(commit);
 }
 
-void LeaderDriver::SendTransaction(const CommitPtr& aCommit)
+void LeaderDriver::SendCommit(const CommitPtr& aCommit)
 {
-  ++this->pendingWrite->attempts;
-  this->store.Commit(aCommit->transaction,
-                     this->commitTimeout.Timeout(),
-                     [this, aCommit, term = this->term, sentAt = BootClock::now()](
-                       const cluster::CommitResult& aResult) {
-                       if (term == this->term) {
-                         this->OnCommitted(aCommit, aResult, sentAt);
-                       }
-                     });
+  this->SendWrite(
+    aCommit->transaction,
+    [this](const std::string& aReason) { this->counters.Add("commit_retries_total", aReason); },
+    [this, aCommit](const cluster::CommitResult& aResult, Instant aSentAt) {
+      this->OnCommitted(aCommit, aResult, aSentAt);
+    });
 }
 
 void LeaderDriver::OnCommitted(const CommitPtr& aCommit,
                                const cluster::CommitResult& aResult,
                                Instant aSentAt)
 {
-  const Duration latency = BootClock::now() - aSentAt;
-  if (aResult.end == CommitEnd::Unknown) {
-    this->commitTimeout.OnTimeout();
-  } else if (aResult.end != CommitEnd::Refused) {
-    this->commitTimeout.OnAnswer(latency);
-  }
   if (aResult.end == CommitEnd::Applied) {
     if (const CommitPtr refused = std::exchange(this->refusedCommit, nullptr); refused != nullptr) {
       this->scheduler->OnRefused(std::move(refused->batch), this->CurrentTime());
@@ -416,20 +410,17 @@
     this->OnConflict(aCommit, aResult);
     return;
   }
-  if (aResult.end == CommitEnd::Invalid) {
-    this->ReportInvalid(aCommit->transaction, aResult);
-    if (!aCommit->batch.empty()) {
-      // Renews the leadership without the rows. If this is refused as well, the rows are not the
-      // reason.
-      this->refusedCommit = aCommit;
-      this->leaderRow.released = false;
-      this->CommitBatch({});
-      return;
-    }
+  this->ReportInvalid(aCommit->transaction, aResult);
+  if (!aCommit->batch.empty()) {
+    // Renews the leadership without the rows. If this is refused as well, the rows are not the
+    // reason.
+    this->refusedCommit = aCommit;
+    this->leaderRow.released = false;
+    this->CommitBatch({});
+    return;
   }
   this->counters.Add("commit_retries_total", aResult.reason);
-  this->CallAfter(std::max(Duration::zero(), kStoreRetryDelay - latency),
-                  [this, aCommit] { this->SendTransaction(aCommit); });
+  this->CallAfter(kStoreRetryDelay, [this, aCommit] { this->SendCommit(aCommit); });
 }
 
 void LeaderDriver::OnConflict(const CommitPtr& aCommit, const cluster::CommitResult& aResult)
@@ -462,7 +453,7 @@
   this->leaderRowVersion = aVersion;
   this->renewedAt = aRenewedAt;
   this->commitInFlight = false;
-  this->pendingWrite.reset();
+  this->CancelWrite();
   this->lastCommitAt = BootClock::now();
   this->commitLatency.Add(this->lastCommitAt - aCommit->startedAt);
   if (this->phase == Phase::Leading) {
@@ -506,37 +497,52 @@
         { "refused", std::exchange(this->unloggedInvalid, 0) } });
 }
 
-void LeaderDriver::BeginPendingWrite(const cluster::StoreTransaction& aTransaction, bool aIsClaim)
+void LeaderDriver::SendWrite(cluster::StoreTransaction aTransaction,
+                             LeaderWrite::RetryCallback aOnRetry,
+                             LeaderWrite::Callback aOnFate)
 {
-  if (!this->pendingWrite.has_value()) {
-    this->pendingWrite = PendingWrite{ BootClock::now(), 0, aTransaction.changes.size(), aIsClaim };
-  }
+  this->CancelWrite();
+  this->pendingWrite = LeaderWrite::Send(this->context,
+                                         this->store,
+                                         this->commitTimeout,
+                                         std::move(aTransaction),
+                                         std::move(aOnRetry),
+                                         std::move(aOnFate));
   // One timer runs for all writes, as most are answered within some milliseconds.
   if (!this->waitingLogScheduled) {
     this->ScheduleWaitingLog(kWaitingLogInterval);
   }
 }
 
+void LeaderDriver::CancelWrite()
+{
+  if (this->pendingWrite != nullptr) {
+    this->pendingWrite->Cancel();
+    this->pendingWrite = nullptr;
+  }
+}
+
 void LeaderDriver::ScheduleWaitingLog(Duration aDelay)
 {
   this->waitingLogScheduled = true;
   this->waitingLogTimer.expires_after(aDelay);
   this->waitingLogTimer.async_wait([this](asio::error_code aError) {
     this->waitingLogScheduled = false;
-    if (aError || !this->pendingWrite.has_value()) {
+    if (aError || this->pendingWrite == nullptr) {
       return;
     }
-    const Duration waited = BootClock::now() - this->pendingWrite->startedAt;
+    const Duration waited = BootClock::now() - this->pendingWrite->StartedAt();
     if (waited < kWaitingLogInterval) {
       this->ScheduleWaitingLog(kWaitingLogInterval - waited);
       return;
     }
+    const bool isClaim = this->phase == Phase::Claiming;
     Log(LogLevel::Warning,
         "commit_waiting",
-        { { "epoch", this->pendingWrite->isClaim ? this->lastClaim->epoch : this->leaderRow.epoch },
-          { "claim", this->pendingWrite->isClaim },
-          { "attempts", this->pendingWrite->attempts },
-          { "rows", this->pendingWrite->rows },
+        { { "epoch", isClaim ? this->lastClaim->epoch : this->leaderRow.epoch },
+          { "claim", isClaim },
+          { "attempts", this->pendingWrite->Attempts() },
+          { "rows", this->pendingWrite->RowCount() },
           { "waited_ms", ToMilliseconds(waited) } });
     this->ScheduleWaitingLog(kWaitingLogInterval);
   });
@@ -608,7 +614,7 @@
 {
   ++this->term;
   this->phase = Phase::Stopped;
-  this->pendingWrite.reset();
+  this->CancelWrite();
   this->waitingLogTimer.cancel();
   this->tickTimer.cancel();
   this->scheduler.reset();
@@ -620,8 +626,8 @@
   std::map<std::string, double> gauges{ { "leader_epoch",
                                           static_cast<double>(this->leaderRow.epoch) } };
   gauges["commit_in_flight_seconds"] =
-    this->pendingWrite.has_value()
-      ? std::chrono::duration<double>(BootClock::now() - this->pendingWrite->startedAt).count()
+    this->pendingWrite != nullptr
+      ? std::chrono::duration<double>(BootClock::now() - this->pendingWrite->StartedAt()).count()
       : 0;
   if (this->scheduler != nullptr) {
     gauges["last_commit_age_seconds"] =
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -2,6 +2,7 @@
 // stored state, watches for new jobs, stores decisions and sends orders to agents.
 #pragma once
 
+#include "LeaderWrite.h"
 #include "MultiRangeReader.h"
 
 #include "oriolespread/cluster/LeaderElection.h"
@@ -86,21 +87,16 @@
   };
   using CommitPtr = std::shared_ptr<Commit>;
 
-  // A transaction of the leader, or a claim, whose fate is not known yet.
-  struct PendingWrite
-  {
-    // When the first attempt was sent.
-    Instant startedAt{};
-    std::uint64_t attempts = 0;
-    std::size_t rows = 0;
-    bool isClaim = false;
-  };
-
   void PollLeaderRow();
   void SchedulePoll(Duration aDelay);
   // Measures the processor speed, passes it to the election and returns it.
   double MeasureSpeed();
   void ClaimLeadership();
+  // Counts that an attempt at the claim has failed.
+  void OnClaimRetry();
+  void OnClaimed(const cluster::LeaderRecord& aClaim,
+                 const cluster::CommitResult& aResult,
+                 Instant aSentAt);
   // Returns whether the value of the leader's row is the one of this process's last claim.
   bool IsLastClaim(const std::string& aRowValue) const;
   void BeginLeadership(const cluster::LeaderRecord& aRow,
@@ -131,7 +127,7 @@
   // Runs a scheduling pass and removes old rows every kIdleSchedulingInterval.
   void ScheduleTick();
   void CommitBatch(jobs::StoreBatch aBatch);
-  void SendTransaction(const CommitPtr& aCommit);
+  void SendCommit(const CommitPtr& aCommit);
   void OnCommitted(const CommitPtr& aCommit, const cluster::CommitResult& aResult, Instant aSentAt);
   // Handles that the leadership row has another version than expected: the transaction or the
   // refused one before it was applied by an unanswered attempt, or another entry leads.
@@ -141,9 +137,12 @@
   // Counts the refused transaction, and logs it unless one was logged within the last second.
   void ReportInvalid(const cluster::StoreTransaction& aTransaction,
                      const cluster::CommitResult& aResult);
-  // Notes the write and logs each second from then on for as long as it waits for its fate. Kept
-  // as it is if a claim is repeated.
-  void BeginPendingWrite(const cluster::StoreTransaction& aTransaction, bool aIsClaim);
+  // Sends the transaction and logs each second from then on for as long as its fate is not known.
+  void SendWrite(cluster::StoreTransaction aTransaction,
+                 LeaderWrite::RetryCallback aOnRetry,
+                 LeaderWrite::Callback aOnFate);
+  // Forgets the write, whose fate does not matter any more.
+  void CancelWrite();
   void ScheduleWaitingLog(Duration aDelay);
   void SendOrders();
   void RemoveRows();
@@ -178,7 +177,8 @@
   // The earliest time at which the store can have carried out the last applied renewal.
   Instant renewedAt{};
   bool commitInFlight = false;
-  std::optional<PendingWrite> pendingWrite;
+  // The transaction or claim in flight.
+  std::shared_ptr<LeaderWrite> pendingWrite;
   bool waitingLogScheduled = false;
   // The transaction before the one in flight, if it was refused as invalid. Only the end of the one
   // in flight tells that no unanswered attempt at it was applied.
