Compare the shares of a core when entries take the leadership over

Where the share is a quota, a process runs at full speed until the quota is used up, so that all entries measure the same speed and the first to claim leads for good.

An entry takes over if its speed or its share is at least twice the leader's, and its speed x sqrt(share) at least 1.25 times the leader's. The same relation decides which entries let others claim first. With equal or unknown shares the decisions are those of before. Rows without a share, and with a malformed one, are read as before; earlier versions ignore the field.

Speed and share do not tell whether a share is a quota or a slowdown, which the speed contains. The product is the mean of both on a logarithmic scale, so that no pair of entries is misjudged by more than 1.25 x sqrt(ratio of shares). It rises with each take-over, so that entries cannot take over in a circle. A rule that compared pairs by degradation first and then by share did so with three entries: LeaderElection DoesNotPassTheLeadershipInACircle failed with it in both modes.

Evidence: on the decisions of before, with only the field and the setter added, 4 of 27 tests of LeaderElection failed: TakesOverFromALeaderWithAMuchSmallerShareAtTheSameSpeed, LetsOthersClaimFirstWhenItsShareIsMuchSmallerThanTheLastLeaders, EndsWithALeaderThatGetsEnoughProcessorTimeInBothModes (13 checks) and ReadsTheRowWhenItsShareIsAbsentOrMalformed. The unit tests of cluster, daemon, jobs and platform pass.

--- a/packages/cluster/include/oriolespread/cluster/LeaderElection.h
+++ b/packages/cluster/include/oriolespread/cluster/LeaderElection.h
@@ -32,6 +32,8 @@
   // Time after this renewal in which leases that earlier leaders extended may still last, in
   // milliseconds; negative if unknown, as in rows that earlier versions wrote.
   std::int64_t earlierLeasesMs = -1;
+  // Share of a core that the leader may use; 0 if unknown, as in rows that earlier versions wrote.
+  double coreShare = 0;
 
   friend bool operator==(const LeaderRecord&, const LeaderRecord&) = default;
 };
@@ -49,10 +51,15 @@
   double latencyFactor = 4.0;
   // Maximum delay that spreads the claims of several entries.
   Duration claimJitter = std::chrono::milliseconds(100);
-  // An entry whose processor is this many times faster than the leader's takes over the leadership:
-  // a slow leader places tasks late and takes seconds to load at a take-over. The ratio is well
-  // above the difference between two measurements on one machine.
-  double takeoverSpeedRatio = 2.0;
+  // An entry whose processor is this many times faster than the leader's, or whose share of a core
+  // is this many times larger, takes over the leadership: a slow leader places tasks late and takes
+  // seconds to load at a take-over. The ratio is well above the difference between two measurements
+  // on one machine.
+  double takeoverRatio = 2.0;
+  // Such an entry must also have this many times the processor time, see IsMuchFaster. Above 1, so
+  // that no group of entries takes the leadership over in a circle; well above the difference
+  // between two measurements, and below the square root of takeoverRatio.
+  double minTakeoverGain = 1.25;
   // Minimum time between such take-overs.
   Duration minTakeoverInterval = std::chrono::milliseconds(1500);
   // How long an entry that is much slower than the last leader lets others claim first; time for
@@ -72,9 +79,11 @@
   // Handles the row as read from the store between the two times; empty if it does not exist.
   void OnRow(const std::optional<StoredRow>& aRow, Instant aRequestedAt, Instant aAnsweredAt);
 
-  // Sets the processor speed of this entry, in the unit of LeaderRecord.
+  // Set the processor speed of this entry, in the unit of LeaderRecord, and its share of a core; 0
+  // if unknown.
   void SetSpeed(double aSpeed) { this->speed = aSpeed; }
-  // Returns whether the leader's processor is much slower than this entry's.
+  void SetCoreShare(double aShare) { this->coreShare = aShare; }
+  // Returns whether the leader gets much less processor time than this entry.
   bool IsLeaderMuchSlower() const;
 
   bool ShouldClaim(Instant aNow) const;
@@ -120,6 +129,7 @@
   // When the current epoch was first seen.
   Instant epochFirstSeen{};
   double speed = 0;
+  double coreShare = 0;
 };
 
 } // namespace oriolespread::cluster
--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -3,6 +3,7 @@
 #include "oriolespread/base/ExternalJson.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 
 namespace oriolespread::cluster {
@@ -20,6 +21,48 @@
   return aValue.is_number_unsigned() && aValue.get<std::uint64_t>() <= kMaxEarlierLeasesMs;
 }
 
+bool IsShare(const nlohmann::json& aValue)
+{
+  return aValue.is_number() && std::isfinite(aValue.get<double>()) && aValue.get<double>() >= 0;
+}
+
+// Removes the field if its value is not valid, so that it counts as unknown.
+template<typename IsValid>
+void RemoveIfInvalid(nlohmann::json& aObject, const char* aField, const IsValid& aIsValid)
+{
+  const auto field = aObject.find(aField);
+  if (field != aObject.end() && !aIsValid(*field)) {
+    aObject.erase(field);
+  }
+}
+
+// What an entry tells of its processor; 0 stands for an unknown value.
+struct Processor
+{
+  double speed = 0;
+  double coreShare = 0;
+};
+
+// Returns whether the first processor gets so much more time that its entry should lead in place of
+// the other's. A share of a core may slow a process down, so that the speed contains it, or limit
+// it to a quota, which the speed does not show. The values do not tell which of both is the case,
+// so the processor time counts as the mean of both on a logarithmic scale: speed x sqrt(share).
+// Since each take-over multiplies it by at least minTakeoverGain, entries cannot take over in a
+// circle.
+bool IsMuchFaster(const Processor& aFirst,
+                  const Processor& aSecond,
+                  const ElectionSettings& aSettings)
+{
+  if (!(aFirst.speed > 0 && aSecond.speed > 0)) {
+    return false;
+  }
+  const bool areSharesKnown = aFirst.coreShare > 0 && aSecond.coreShare > 0;
+  const double shareRatio = areSharesKnown ? aFirst.coreShare / aSecond.coreShare : 1.0;
+  return (aFirst.speed >= aSettings.takeoverRatio * aSecond.speed ||
+          shareRatio >= aSettings.takeoverRatio) &&
+         aFirst.speed * std::sqrt(shareRatio) >= aSettings.minTakeoverGain * aSecond.speed;
+}
+
 } // namespace
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LeaderRecord,
@@ -29,7 +72,8 @@
                                                 renewal,
                                                 released,
                                                 speed,
-                                                earlierLeasesMs)
+                                                earlierLeasesMs,
+                                                coreShare)
 
 std::string EncodeLeaderRecord(const LeaderRecord& aRecord)
 {
@@ -47,10 +91,8 @@
     return std::nullopt;
   }
   try {
-    const auto leases = parsed->find("earlierLeasesMs");
-    if (leases != parsed->end() && !IsLeaseTime(*leases)) {
-      parsed->erase(leases);
-    }
+    RemoveIfInvalid(*parsed, "earlierLeasesMs", IsLeaseTime);
+    RemoveIfInvalid(*parsed, "coreShare", IsShare);
     auto record = parsed->get<LeaderRecord>();
     // The next leader needs a higher epoch.
     const bool isValid = parsed->at("epoch").is_number_unsigned() && record.epoch <= kMaxEpoch;
@@ -107,8 +149,9 @@
 
 bool LeaderElection::IsLeaderMuchSlower() const
 {
-  return this->record.has_value() && this->record->speed > 0 &&
-         this->speed >= this->settings.takeoverSpeedRatio * this->record->speed;
+  return this->record.has_value() && IsMuchFaster({ this->speed, this->coreShare },
+                                                  { this->record->speed, this->record->coreShare },
+                                                  this->settings);
 }
 
 bool LeaderElection::ShouldClaim(Instant aNow) const
@@ -122,10 +165,11 @@
   if (this->IsOwnEarlierProcess() || this->IsOwnClaim()) {
     return true;
   }
-  const bool isThisEntryMuchSlower =
-    this->record->speed >= this->settings.takeoverSpeedRatio * this->speed;
+  const bool isThisEntryMuchSlower = IsMuchFaster({ this->record->speed, this->record->coreShare },
+                                                  { this->speed, this->coreShare },
+                                                  this->settings);
   const Duration slowEntryDelay =
-    isThisEntryMuchSlower && this->speed > 0 ? this->settings.slowEntryDelay : Duration::zero();
+    isThisEntryMuchSlower ? this->settings.slowEntryDelay : Duration::zero();
   const Duration unchangedFor = aNow - this->unchangedSince;
   if (this->record->released) {
     return unchangedFor >= slowEntryDelay;
@@ -178,6 +222,7 @@
   claimed.epoch = this->highestEpoch + 1;
   claimed.renewal = 1;
   claimed.speed = this->speed;
+  claimed.coreShare = this->coreShare;
   claimed.earlierLeasesMs =
     std::max<std::int64_t>(ToMilliseconds(this->EarlierLeasesExpiry() - this->latestRenewal), 0);
   return claimed;
--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -3,6 +3,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <vector>
 
 using namespace oriolespread;
 using namespace oriolespread::cluster;
@@ -293,6 +296,212 @@
   CHECK(election.ShouldClaim(kStart + 450 * kMs));
 }
 
+namespace {
+
+// What an entry tells of its processor, and the processor time that it really gets, as a multiple
+// of a core of a machine that is not slowed down.
+struct PlayedProcessor
+{
+  double speed = 0;
+  double coreShare = 0;
+  double processorTime = 0;
+
+  LeaderRecord Record(const std::string& aEntry) const
+  {
+    LeaderRecord record = MakeRecord(aEntry);
+    record.speed = this->speed;
+    record.coreShare = this->coreShare;
+    return record;
+  }
+
+  std::string ToString() const
+  {
+    return "speed " + std::to_string(this->speed) + " share " + std::to_string(this->coreShare);
+  }
+};
+
+enum class ShareMode
+{
+  // The measured speed contains the share.
+  Slowdown,
+  // The measured speed is that of a whole core, until the share of a time slice is used up.
+  Quota,
+};
+
+std::vector<PlayedProcessor> ProcessorsIn(ShareMode aMode, const std::vector<double>& aSlowdowns)
+{
+  constexpr double kFullSpeed = 1050;
+  std::vector<PlayedProcessor> processors;
+  for (const double share : { 0.1, 0.12, 0.25, 0.5 }) {
+    for (const double slowdown : aSlowdowns) {
+      const double speed = kFullSpeed * (aMode == ShareMode::Slowdown ? share : 1) / slowdown;
+      processors.push_back({ speed, share, share / slowdown });
+    }
+  }
+  return processors;
+}
+
+LeaderElection MakeStandby(const PlayedProcessor& aProcessor)
+{
+  LeaderElection standby({}, "a", "p-a");
+  standby.SetSpeed(aProcessor.speed);
+  standby.SetCoreShare(aProcessor.coreShare);
+  return standby;
+}
+
+// Returns whether the entry takes over from a leader that renews its row.
+bool TakesOver(const PlayedProcessor& aEntry, const PlayedProcessor& aLeader)
+{
+  LeaderElection standby = MakeStandby(aEntry);
+  for (int ms = 0; ms < 4000; ms += 300) {
+    const Instant now = kStart + ms * kMs;
+    standby.OnRow(RowOf(aLeader.Record("b"), 10 + static_cast<std::uint64_t>(ms)), now, now);
+    if (standby.ShouldClaim(now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Returns whether the entry lets others claim first when the leader has released its row.
+bool LetsOthersClaimFirst(const PlayedProcessor& aEntry, const PlayedProcessor& aLeader)
+{
+  LeaderElection standby = MakeStandby(aEntry);
+  LeaderRecord released = aLeader.Record("b");
+  released.released = true;
+  standby.OnRow(RowOf(released, 10), kStart, kStart);
+  CHECK(standby.ShouldClaim(kStart + 450 * kMs));
+  return !standby.ShouldClaim(kStart);
+}
+
+} // namespace
+
+// Guards against a leader whose quota is used up while entries with a larger quota stand by.
+TEST_CASE("LeaderElection TakesOverFromALeaderWithAMuchSmallerShareAtTheSameSpeed")
+{
+  for (const double leaderSpeed : { 1048.0, 1060.0 }) {
+    INFO("speed of the leader " << leaderSpeed);
+    const PlayedProcessor small{ leaderSpeed, 0.12 };
+    CHECK(TakesOver({ 1054, 0.5 }, small));
+    CHECK(TakesOver({ 1054, 0.25 }, small));
+    CHECK_FALSE(TakesOver({ 1054, 0.2 }, small));
+    CHECK_FALSE(TakesOver(small, { 1054, 0.5 }));
+  }
+}
+
+TEST_CASE("LeaderElection LetsOthersClaimFirstWhenItsShareIsMuchSmallerThanTheLastLeaders")
+{
+  CHECK(LetsOthersClaimFirst({ 1060, 0.12 }, { 1048, 0.5 }));
+  CHECK_FALSE(LetsOthersClaimFirst({ 1048, 0.5 }, { 1060, 0.12 }));
+  CHECK_FALSE(LetsOthersClaimFirst({ 1060, 0.4 }, { 1048, 0.5 }));
+}
+
+// Guards against other decisions on platforms that tell no shares, and beside earlier versions.
+TEST_CASE("LeaderElection DecidesBySpeedAloneWhenSharesAreEqualOrUnknown")
+{
+  struct Shares
+  {
+    double entry;
+    double leader;
+  };
+  for (const auto& [entry, leader] : { Shares{ 0.3, 0.3 }, { 0, 0.1 }, { 0.1, 0 }, { 0, 0 } }) {
+    for (const double ratio : { 0.1, 0.4, 0.5, 0.51, 0.9, 1.0, 1.1, 1.9, 1.99, 2.0, 7.0 }) {
+      INFO("shares " << entry << " and " << leader << ", ratio " << ratio);
+      CHECK(TakesOver({ 1000 * ratio, entry }, { 1000, leader }) == (ratio >= 2.0));
+      CHECK(LetsOthersClaimFirst({ 1000 * ratio, entry }, { 1000, leader }) == (ratio <= 0.5));
+    }
+    CHECK_FALSE(TakesOver({ 1000, entry }, { 0, leader }));
+    CHECK_FALSE(TakesOver({ 0, entry }, { 1000, leader }));
+    CHECK_FALSE(LetsOthersClaimFirst({ 0, entry }, { 1000, leader }));
+  }
+}
+
+// Guards against a leader that keeps the leadership for its share when its machine is slow.
+TEST_CASE("LeaderElection TakesOverFromALeaderWhoseMachineHasBecomeMuchSlower")
+{
+  for (const double slowdown : { 5.5, 10.0 }) {
+    INFO("slowdown " << slowdown);
+    CHECK(TakesOver({ 1050, 0.5 }, { 1050 / slowdown, 0.5 }));
+    CHECK(TakesOver({ 1050, 0.25 }, { 1050 / slowdown, 0.5 }));
+    CHECK(TakesOver({ 1050, 0.12 }, { 1050 / slowdown, 0.25 }));
+    CHECK_FALSE(TakesOver({ 1050 / slowdown, 0.5 }, { 1050, 0.5 }));
+  }
+}
+
+// Guards against entries that take the leadership from one another for ever, and a starved leader.
+TEST_CASE("LeaderElection EndsWithALeaderThatGetsEnoughProcessorTimeInBothModes")
+{
+  // The values do not tell the mode, so no rule does better than the root of the ratio of shares.
+  const double maxLoss = ElectionSettings().minTakeoverGain * std::sqrt(0.5 / 0.1) + 1e-9;
+  for (const ShareMode mode : { ShareMode::Slowdown, ShareMode::Quota }) {
+    const auto processors = ProcessorsIn(mode, { 1, 2, 5.5, 10 });
+    for (const PlayedProcessor& first : processors) {
+      for (const PlayedProcessor& second : processors) {
+        INFO((mode == ShareMode::Quota ? "quota: " : "slowdown: ")
+             << first.ToString() << " leads, " << second.ToString() << " stands by");
+        if (TakesOver(second, first)) {
+          CHECK_FALSE(TakesOver(first, second));
+          CHECK(first.processorTime <= maxLoss * second.processorTime);
+        } else {
+          CHECK(second.processorTime <= maxLoss * first.processorTime);
+        }
+      }
+    }
+  }
+}
+
+// Guards against three or more entries that take the leadership over in a circle.
+TEST_CASE("LeaderElection DoesNotPassTheLeadershipInACircle")
+{
+  for (const ShareMode mode : { ShareMode::Slowdown, ShareMode::Quota }) {
+    const auto processors = ProcessorsIn(mode, { 1, 1.3, 1.6, 2, 2.6, 4, 5.5, 7, 10 });
+    // Removes entries from which no remaining one takes over, until those in circles are left.
+    std::vector<std::size_t> remaining(processors.size());
+    std::iota(remaining.begin(), remaining.end(), std::size_t{ 0 });
+    std::vector<std::vector<bool>> takesOver(processors.size(),
+                                             std::vector<bool>(processors.size()));
+    for (const std::size_t entry : remaining) {
+      for (const std::size_t leader : remaining) {
+        takesOver[entry][leader] = TakesOver(processors[entry], processors[leader]);
+      }
+    }
+    std::size_t before = 0;
+    while (remaining.size() != before) {
+      before = remaining.size();
+      std::erase_if(remaining, [&](std::size_t aLeader) {
+        return std::none_of(remaining.begin(), remaining.end(), [&](std::size_t aEntry) {
+          return takesOver[aEntry][aLeader];
+        });
+      });
+    }
+    INFO((mode == ShareMode::Quota ? "quota" : "slowdown"));
+    CHECK(remaining.empty());
+  }
+}
+
+// Guards against taking a row of another version for malformed, which is claimed at once.
+TEST_CASE("LeaderElection ReadsTheRowWhenItsShareIsAbsentOrMalformed")
+{
+  for (const char* field : { "",
+                             R"(,"coreShare":null)",
+                             R"(,"coreShare":"0.5")",
+                             R"(,"coreShare":-0.5)",
+                             R"(,"fieldOfALaterVersion":{"a":[1]})" }) {
+    INFO(field);
+    const auto record = DecodeLeaderRecord(
+      std::string(R"({"entry":"b","process":"p","epoch":3,"renewal":1,"speed":2.5)") + field + "}");
+    REQUIRE(record.has_value());
+    CHECK(record->epoch == 3);
+    CHECK(record->speed == 2.5);
+    CHECK(record->coreShare == 0);
+  }
+  LeaderElection election = MakeStandby({ 1050, 0.12 });
+  election.OnRow(std::nullopt, kStart, kStart);
+  const LeaderRecord claimed = election.ClaimedRecord();
+  CHECK(claimed.coreShare == 0.12);
+  CHECK(DecodeLeaderRecord(EncodeLeaderRecord(claimed)) == claimed);
+}
+
 // Guards against failing to read a row that an earlier version of the program wrote.
 TEST_CASE("LeaderElection ReadsARowWithoutASpeed")
 {
--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -16,6 +16,7 @@
 
 #include <asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <map>
 #include <random>
@@ -116,6 +117,8 @@
   options.process = GenerateProcessId();
   options.workerLease = WorkerLease(this->settings.maxWorkerLease);
   options.endedJobRetention = this->settings.keepEnded;
+  // The event loop runs on one thread, which uses no more than one core.
+  options.coreShare = std::min(this->settings.cpuShare, 1.0);
   this->leader =
     std::make_unique<LeaderDriver>(this->context,
                                    *this->store,
@@ -147,7 +150,9 @@
       "entry_started",
       { { "machine", this->settings.machine },
         { "process", options.process },
-        { "front", ToString(this->settings.front) } });
+        { "front", ToString(this->settings.front) },
+        { "cpu_share", this->settings.cpuShare },
+        { "cpu_cores", this->settings.cpuCores } });
   return absl::OkStatus();
 }
 
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -56,6 +56,7 @@
   , pollTimer(aContext)
   , tickTimer(aContext)
 {
+  this->election.SetCoreShare(this->options.coreShare);
 }
 
 void LeaderDriver::Start()
@@ -154,7 +155,9 @@
         { "released", current.has_value() && current->released },
         { "silent_ms", ToMilliseconds(BootClock::now() - this->election.UnchangedSince()) },
         { "speed", claimedRow.speed },
-        { "earlier_speed", current.has_value() ? current->speed : 0.0 } });
+        { "earlier_speed", current.has_value() ? current->speed : 0.0 },
+        { "core_share", claimedRow.coreShare },
+        { "earlier_core_share", current.has_value() ? current->coreShare : 0.0 } });
   this->store.Commit(
     this->election.MakeClaim(),
     kStoreTimeout,
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -32,6 +32,8 @@
   Duration storeOutageTolerance = jobs::SchedulerSettings().storeOutageTolerance;
   // How long callers are promised that the state of an ended job can be read.
   Duration endedJobRetention{};
+  // The share of a core that the event loop may use; 0 if unknown.
+  double coreShare = 0;
 };
 
 class LeaderDriver
--- a/packages/daemon/src/ProcessorSpeed.h
+++ b/packages/daemon/src/ProcessorSpeed.h
@@ -1,5 +1,6 @@
 // Measures how fast this machine's processor is for this process, which may have only a small share
-// of a core.
+// of a core. A share that is a quota does not show, as the process runs at full speed until the
+// quota is used up; see LeaderRecord::coreShare.
 #pragma once
 
 namespace oriolespread::daemon {
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 
 using namespace oriolespread;
 using namespace oriolespread::daemon;
@@ -659,3 +660,38 @@
   entry.driver->Start();
   CHECK(fixture.RunUntil([&] { return entry.IsLeading() && entry.JobCount() == 1; }));
 }
+
+// Guards against a row that does not tell the leader's share, so that nobody takes over from it.
+TEST_CASE("LeaderDriver WritesItsShareOfACoreIntoEachRow")
+{
+  StoreFixture fixture;
+  LeaderDriverOptions options;
+  options.entry = "a";
+  options.process = "process of a";
+  options.workerLease = std::chrono::seconds(5);
+  options.coreShare = 0.12;
+  LeaderDriver driver(fixture.context,
+                      *fixture.client,
+                      options,
+                      fixture.counters,
+                      [](const std::string&, const LinkMessage&) { return true; });
+  driver.Start();
+  const jobs::RowKey key = jobs::LeaderRow();
+  std::set<std::uint64_t> renewals;
+  const Instant startedAt = BootClock::now();
+  while (renewals.size() < 3 && BootClock::now() - startedAt < 5000 * kMillisecond) {
+    std::optional<cluster::ReadResult> read;
+    fixture.client->Read({ key.table, key.key, key.key + "~", 1, key.part },
+                         1000 * kMillisecond,
+                         [&](const cluster::ReadResult& aResult) { read = aResult; });
+    REQUIRE(fixture.RunUntil([&] { return read.has_value(); }));
+    for (const cluster::StoredRow& row : read->rows) {
+      const auto record = cluster::DecodeLeaderRecord(row.value);
+      REQUIRE(record.has_value());
+      CHECK(record->coreShare == 0.12);
+      renewals.insert(record->renewal);
+    }
+    fixture.RunFor(20 * kMillisecond);
+  }
+  CHECK(renewals.size() == 3);
+}
