--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -3,7 +3,9 @@
 #include "oriolespread/base/ExternalJson.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
+#include <utility>
 
 namespace oriolespread::cluster {
 
@@ -20,6 +22,56 @@
   return aValue.is_number_unsigned() && aValue.get<std::uint64_t>() <= kMaxEarlierLeasesMs;
 }
 
+// Further short terms do not change the delay any more.
+constexpr std::uint64_t kMaxShortTerms = 16;
+
+bool IsShare(const nlohmann::json& aValue)
+{
+  return aValue.is_number() && std::isfinite(aValue.get<double>()) && aValue.get<double>() >= 0;
+}
+
+bool IsCountOfTerms(const nlohmann::json& aValue)
+{
+  return aValue.is_number_unsigned() && aValue.get<std::uint64_t>() <= kMaxShortTerms;
+}
+
+// Removes the field if its value is not valid, so that it counts as unknown.
+template<typename IsValid>
+void RemoveIfInvalid(nlohmann::json& aObject, const char* aField, const IsValid& aIsValid)
+{
+  const auto field = aObject.find(aField);
+  if (field != aObject.end() && !aIsValid(*field)) {
+    aObject.erase(field);
+  }
+}
+
+// What an entry tells of its processor; 0 stands for an unknown value.
+struct Processor
+{
+  double speed = 0;
+  double coreShare = 0;
+};
+
+// Returns whether the first processor gets so much more time that its entry should lead in place of
+// the other's. A share of a core may slow a process down, so that the speed contains it, or limit
+// it to a quota, which the speed does not show. The values do not tell which of both is the case,
+// so the processor time counts as the mean of both on a logarithmic scale: speed x sqrt(share).
+// Since each take-over multiplies it by at least minTakeoverGain, entries cannot take over in a
+// circle.
+bool IsMuchFaster(const Processor& aFirst,
+                  const Processor& aSecond,
+                  const ElectionSettings& aSettings)
+{
+  if (!(aFirst.speed > 0 && aSecond.speed > 0)) {
+    return false;
+  }
+  const bool areSharesKnown = aFirst.coreShare > 0 && aSecond.coreShare > 0;
+  const double shareRatio = areSharesKnown ? aFirst.coreShare / aSecond.coreShare : 1.0;
+  return (aFirst.speed >= aSettings.takeoverRatio * aSecond.speed ||
+          shareRatio >= aSettings.takeoverRatio) &&
+         aFirst.speed * std::sqrt(shareRatio) >= aSettings.minTakeoverGain * aSecond.speed;
+}
+
 } // namespace
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LeaderRecord,
@@ -29,7 +81,9 @@
                                                 renewal,
                                                 released,
                                                 speed,
-                                                earlierLeasesMs)
+                                                earlierLeasesMs,
+                                                coreShare,
+                                                shortTerms)
 
 std::string EncodeLeaderRecord(const LeaderRecord& aRecord)
 {
@@ -47,10 +101,9 @@
     return std::nullopt;
   }
   try {
-    const auto leases = parsed->find("earlierLeasesMs");
-    if (leases != parsed->end() && !IsLeaseTime(*leases)) {
-      parsed->erase(leases);
-    }
+    RemoveIfInvalid(*parsed, "earlierLeasesMs", IsLeaseTime);
+    RemoveIfInvalid(*parsed, "coreShare", IsShare);
+    RemoveIfInvalid(*parsed, "shortTerms", IsCountOfTerms);
     auto record = parsed->get<LeaderRecord>();
     // The next leader needs a higher epoch.
     const bool isValid = parsed->at("epoch").is_number_unsigned() && record.epoch <= kMaxEpoch;
@@ -81,24 +134,35 @@
   // Ignores reads that return the known version or an older one. Version 0 stands for a row that
   // does not exist; its disappearance is a change.
   const std::uint64_t foundVersion = aRow.has_value() ? aRow->version : 0;
-  if (this->rowRead && foundVersion <= this->version && foundVersion != 0) {
+  if (this->rowRead && foundVersion < this->version && foundVersion != 0) {
     return;
   }
-  if (this->rowRead && foundVersion == 0 && this->version == 0) {
+  if (this->rowRead && foundVersion == this->version) {
+    this->lastReadAt = std::max(this->lastReadAt, aRequestedAt);
     return;
   }
   // A claim of this process has replaced the row that was read before it.
   const std::optional<Instant> expiryBefore = this->rowRead && !this->IsOwnClaim()
                                                 ? std::optional(this->EarlierLeasesExpiry())
                                                 : this->expiryBeforeOwnClaims;
+  // Counts only the time in which reads showed that the row was unchanged: this process may not
+  // have read it for a while.
+  const bool endsGap =
+    this->rowRead && this->lastReadAt - this->unchangedSince >= this->SilenceLimit();
+  const bool isFirstRead = !this->rowRead;
   this->rowRead = true;
   this->version = foundVersion;
   this->unchangedSince = aRequestedAt;
   this->latestRenewal = aAnsweredAt;
   const std::uint64_t epochBefore = this->record.has_value() ? this->record->epoch : 0;
+  const Instant readBefore = std::exchange(this->lastReadAt, aRequestedAt);
   this->record = aRow.has_value() ? DecodeLeaderRecord(aRow->value) : std::nullopt;
   if (this->record.has_value() && this->record->epoch != epochBefore) {
     this->epochFirstSeen = aRequestedAt;
+    this->steadySince = aRequestedAt;
+    this->begunAfter = isFirstRead ? std::nullopt : std::optional(readBefore);
+  } else if (endsGap) {
+    this->steadySince = aRequestedAt;
   }
   this->expiryBeforeOwnClaims = this->IsOwnClaim() ? expiryBefore : std::nullopt;
   this->highestEpoch =
@@ -107,8 +171,9 @@
 
 bool LeaderElection::IsLeaderMuchSlower() const
 {
-  return this->record.has_value() && this->record->speed > 0 &&
-         this->speed >= this->settings.takeoverSpeedRatio * this->record->speed;
+  return this->record.has_value() && IsMuchFaster({ this->speed, this->coreShare },
+                                                  { this->record->speed, this->record->coreShare },
+                                                  this->settings);
 }
 
 bool LeaderElection::ShouldClaim(Instant aNow) const
@@ -122,10 +187,11 @@
   if (this->IsOwnEarlierProcess() || this->IsOwnClaim()) {
     return true;
   }
-  const bool isThisEntryMuchSlower =
-    this->record->speed >= this->settings.takeoverSpeedRatio * this->speed;
+  const bool isThisEntryMuchSlower = IsMuchFaster({ this->record->speed, this->record->coreShare },
+                                                  { this->speed, this->coreShare },
+                                                  this->settings);
   const Duration slowEntryDelay =
-    isThisEntryMuchSlower && this->speed > 0 ? this->settings.slowEntryDelay : Duration::zero();
+    isThisEntryMuchSlower ? this->settings.slowEntryDelay : Duration::zero();
   const Duration unchangedFor = aNow - this->unchangedSince;
   if (this->record->released) {
     return unchangedFor >= slowEntryDelay;
@@ -134,9 +200,45 @@
       aNow - this->epochFirstSeen >= this->settings.minTakeoverInterval) {
     return true;
   }
-  const auto latencyDelay =
-    std::chrono::duration_cast<Duration>(this->settings.latencyFactor * this->readLatency);
-  return unchangedFor >= this->claimDelay + latencyDelay + slowEntryDelay;
+  return unchangedFor >= this->SilenceLimit() + this->ShortTermDelay() + slowEntryDelay;
+}
+
+Duration LeaderElection::SilenceLimit() const
+{
+  return this->claimDelay +
+         std::chrono::duration_cast<Duration>(this->settings.latencyFactor * this->readLatency);
+}
+
+Duration LeaderElection::ShortTermDelay() const
+{
+  if (!this->record.has_value() || this->record->shortTerms == 0 || this->IsLeaderSteady()) {
+    return Duration::zero();
+  }
+  // The shift is at most kMaxShortTerms, which DecodeLeaderRecord checks.
+  const std::int64_t factor = std::int64_t{ 1 } << (this->record->shortTerms - 1);
+  return std::min(this->settings.shortTermDelay * factor, this->settings.maxShortTermDelay);
+}
+
+bool LeaderElection::IsLeaderSteady() const
+{
+  return this->unchangedSince - this->steadySince >= this->settings.steadyTime;
+}
+
+std::uint64_t LeaderElection::ClaimedShortTerms() const
+{
+  if (!this->record.has_value() || this->IsLeaderSteady()) {
+    return 0;
+  }
+  const bool hadGap = this->steadySince != this->epochFirstSeen;
+  const bool hasLastedShortly =
+    this->begunAfter.has_value() &&
+    this->unchangedSince - *this->begunAfter < this->settings.steadyTime;
+  // A leader that was released, restarted or too slow does not count.
+  const bool isShort = (hadGap || hasLastedShortly) && !this->record->released &&
+                       !this->IsOwnEarlierProcess() && !this->IsOwnClaim() &&
+                       !this->IsLeaderMuchSlower();
+  return isShort ? std::min(this->record->shortTerms + 1, kMaxShortTerms)
+                 : this->record->shortTerms;
 }
 
 bool LeaderElection::IsOwnEarlierProcess() const
@@ -178,6 +280,8 @@
   claimed.epoch = this->highestEpoch + 1;
   claimed.renewal = 1;
   claimed.speed = this->speed;
+  claimed.coreShare = this->coreShare;
+  claimed.shortTerms = this->ClaimedShortTerms();
   claimed.earlierLeasesMs =
     std::max<std::int64_t>(ToMilliseconds(this->EarlierLeasesExpiry() - this->latestRenewal), 0);
   return claimed;
