Let the soak kill the leading entry once

The soak reads the leader's row as the entries do and kills the leader after a third of the load (--kill-leader).

--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -104,6 +104,9 @@
     if (aTable == jobs::LeaderRow().table) {
       if (const auto record = cluster::DecodeLeaderRecord(aValue); record.has_value()) {
         this->epochs.insert(record->epoch);
+        if (record->epoch == *this->epochs.rbegin()) {
+          this->leader = record->entry;
+        }
       }
     }
     std::string shown = aValue;
@@ -174,7 +177,7 @@
 void Soak::AddEntry(std::size_t aIndex)
 {
   platformwire::DaemonSettings settings;
-  settings.machine = "edge-" + std::to_string(aIndex + 1);
+  settings.machine = kEntryName + std::to_string(aIndex + 1);
   settings.ip = this->Ip(1, aIndex);
   settings.front = { settings.ip, kFrontPort };
   settings.ready = { settings.ip, kReadyPort };
@@ -311,6 +314,9 @@
     this->StopSoon();
     this->SlowStoreSoon();
   }
+  if (this->options.killLeader) {
+    this->After(this->options.length / 3, [this] { this->KillLeader(); });
+  }
   this->RunUntil(this->faultsEnd);
   if (this->options.mix) {
     this->RecoverMix();
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -37,6 +37,9 @@
 // Returns nothing for an unknown name.
 std::optional<SoakEnd> ParseSoakEnd(const std::string& aName);
 
+// The names of entries, before their number from 1 on.
+inline constexpr const char* kEntryName = "edge-";
+
 struct SoakOptions
 {
   std::string programs;
@@ -72,6 +75,8 @@
   double lostAnswers = 0;
   // The delay on connections to entries outside of faults, one way.
   Duration linkDelay{};
+  // The leading entry is killed once, after a third of the load.
+  bool killLeader = false;
   // Only for a mixed load. All processes start again 1 to 2 s later, and callers go on.
   SoakEnd end = SoakEnd::None;
 };
@@ -104,6 +109,7 @@
   double EntryQuota(std::size_t aIndex) const;
   void Recover();
   void RecoverMix();
+  void KillLeader();
   // Ends all processes at once.
   void LoseAll();
   // Checks that requests are served again after all processes were lost.
@@ -180,6 +186,8 @@
   Duration latestTurn{};
   // The epochs of all leaders that entries have read of.
   std::set<std::uint64_t> epochs;
+  // The name of the entry of the newest epoch; empty before the first one.
+  std::string leader;
   std::uint64_t configVersion = 0;
   std::uint64_t lastJob = 0;
 };
--- a/packages/soak/src/SoakFaults.cpp
+++ b/packages/soak/src/SoakFaults.cpp
@@ -32,7 +32,8 @@
 Instant Soak::InTouchSince() const
 {
   return this->options.calm && !this->options.refusals && !this->options.giveUps &&
-             this->options.lostAnswers == 0 && this->options.end == SoakEnd::None
+             this->options.lostAnswers == 0 && !this->options.killLeader &&
+             this->options.end == SoakEnd::None
            ? this->start
            : this->disturbedUntil + kContactTime;
 }
@@ -127,6 +128,16 @@
   return fault;
 }
 
+void Soak::KillLeader()
+{
+  for (std::size_t index = 0; index < this->options.entries; ++index) {
+    if (this->leader == kEntryName + std::to_string(index + 1)) {
+      this->Note("process " + std::to_string(index) + ", the leader, is killed");
+      this->processes[index]->Signal(SIGKILL);
+    }
+  }
+}
+
 void Soak::LoseAll()
 {
   const bool power = this->options.end == SoakEnd::Power;
