Fail a loaded job that has no attempts left

A task ran beyond the attempts of its queue: the progress with the last failure and the state "failed" may be stored by different transactions. A leader that was lost in between left "running", and the next one started the task again, with a new number of attempts only after its next failure.

FinishLoading ends such a job as failed, as it completes one whose tasks are all done.

FailsAJobWithoutFurtherAttemptsWhenItTakesOver failed on the code before: CHECK( second.starts.empty() ) with false, state 1 instead of 3.

--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -13,6 +13,28 @@
 // Time in which agents follow a new leader and send their first reports.
 constexpr Duration kAwaitedLogDelay = std::chrono::milliseconds(1500);
 
+template<typename Predicate>
+bool HasTask(const Job& aJob, const Predicate& aPredicate)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (const Step& step : occurrence.steps) {
+      if (std::any_of(step.tasks.begin(), step.tasks.end(), aPredicate)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+// Returns whether a task has failed as often as its queue's policy allows.
+bool HasFailed(const Job& aJob)
+{
+  return HasTask(aJob, [&](const Task& aTask) {
+    return aTask.state != TaskState::Done && aTask.failedRuns > 0 &&
+           aTask.failedRuns >= aJob.record.policy.maxAttempts;
+  });
+}
+
 } // namespace
 
 void JobScheduler::ReportUnreadableRow(std::string_view aTable, const std::string& aKey)
@@ -189,6 +211,8 @@
     } else if (job.completedOccurrences >= std::max(job.record.spec.repeats, 1U)) {
       // The earlier leader has stored the last progress, but not the end of the job.
       this->EndJob(job, JobState::Completed, aNow);
+    } else if (HasFailed(job)) {
+      this->EndJob(job, JobState::Failed, aNow);
     }
   }
   for (const auto& [key, value] : std::exchange(this->loadedCancels, {})) {
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -425,3 +425,37 @@
   CHECK(line.at("first") == std::vector<std::string>{ "w-b" });
   CHECK(line.at("lease_ends_in_ms") > 0);
 }
+
+// Guards against a failed job whose task runs beyond its attempts: the progress with the last
+// failure is stored, the state is not.
+TEST_CASE("JobScheduler FailsAJobWithoutFurtherAttemptsWhenItTakesOver")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(2) }));
+  first.RunUntilIdle();
+  first.Report("a");
+  first.RunUntilIdle();
+  first.End("a", { "j.0.0.0", 1 }, RunEnd::Failed);
+  first.RunUntilIdle();
+  REQUIRE(first.starts.size() == 3);
+  first.Report("a");
+  first.RunUntilIdle();
+  first.End("a", { "j.0.0.0", 2 }, RunEnd::Failed);
+  REQUIRE(first.StateOf("j") == JobState::Failed);
+  const StoreBatch batch = first.scheduler.TakeBatch(1);
+  REQUIRE(batch.changes.size() == 1);
+  REQUIRE(batch.changes[0].row == ProgressRow("j", 0, 0));
+  first.Apply(batch);
+  REQUIRE(first.rows.at(StateRow("j")).starts_with("running"));
+
+  SchedulerFixture second(first.rows);
+  second.agents = first.agents;
+  second.scheduler.OnAgentUp("a", second.now);
+  second.Report("a");
+  second.RunUntilIdle();
+  CHECK(second.starts.empty());
+  CHECK(second.StateOf("j") == JobState::Failed);
+  CHECK(second.rows.at(StateRow("j")).starts_with("failed"));
+  CHECK(std::count(second.stops.begin(), second.stops.end(), RunRef{ "j.0.0.1", 1 }) > 0);
+}
