Take a loaded job for started if its progress shows an end

A job whose task had ended counted in `pending`, and callers were told that it is queued, until the next of its tasks started: the progress and the state "running" may be stored by different transactions, and a leader may be lost in between.

A done or failed task or a checkpoint proves a start, so the next leader stores "running" and removes the row of `waiting`. The number of the next run proves nothing, as a placed run may be rejected.

TakesAJobForStartedWhenItsStoredProgressHasAnEnd failed on the code before: CHECK( second.StateOf("j") == JobState::Running ) with 0 == 1.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -226,6 +226,7 @@
   // Handles that a worker has started the run. The first run of a job starts the job; a run that is
   // only placed does not, since it may be rejected or lost before it starts.
   void OnRunStarted(const RunKey& aRunKey, Now aNow);
+  void MarkStarted(Job& aJob);
   void UpdateCheckpoint(const TaskKey& aTaskKey, const std::string& aCheckpoint, Now aNow);
   void UpdateInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   // `aLastOrders` is the last of the orders that the agent had received when it rejected the run.
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -26,6 +26,14 @@
   return false;
 }
 
+// Returns whether the progress shows that a worker has started a run.
+bool HasStarted(const Job& aJob)
+{
+  return HasTask(aJob, [](const Task& aTask) {
+    return aTask.state == TaskState::Done || aTask.failedRuns > 0 || !aTask.checkpoint.empty();
+  });
+}
+
 // Returns whether a task has failed as often as its queue's policy allows.
 bool HasFailed(const Job& aJob)
 {
@@ -108,6 +116,10 @@
       this->ApplyProgress(*job, stored);
     }
   }
+  if (!job->started && HasStarted(*job)) {
+    // The earlier leader has stored the progress, but not the state.
+    this->MarkStarted(*job);
+  }
 }
 
 void JobScheduler::LoadEndedJob(const std::string& aId, StoredState aStored, Now aNow)
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -254,11 +254,16 @@
   if (task == nullptr || job->started || aRunKey.number >= task->nextRunNumber) {
     return;
   }
-  job->started = true;
-  job->state = JobState::Running;
   this->startDelays.push_back(aNow.instant - job->firstSeen);
-  this->MarkChanged(StateRow(job->record.id));
-  this->MarkRemovable(WaitingRow(job->record.policy.queue, job->record.id));
+  this->MarkStarted(*job);
+}
+
+void JobScheduler::MarkStarted(Job& aJob)
+{
+  aJob.started = true;
+  aJob.state = JobState::Running;
+  this->MarkChanged(StateRow(aJob.record.id));
+  this->MarkRemovable(WaitingRow(aJob.record.policy.queue, aJob.record.id));
 }
 
 // The stored checkpoints are used when the leader fails together with the workers, for example in a
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -459,3 +459,30 @@
   CHECK(second.rows.at(StateRow("j")).starts_with("failed"));
   CHECK(std::count(second.stops.begin(), second.stops.end(), RunRef{ "j.0.0.1", 1 }) > 0);
 }
+
+// Guards against a job that counts in `pending` although a task has ended: the progress is stored,
+// the state is not.
+TEST_CASE("JobScheduler TakesAJobForStartedWhenItsStoredProgressHasAnEnd")
+{
+  for (const RunEnd end : { RunEnd::Done, RunEnd::Failed }) {
+    SchedulerFixture first;
+    first.AddAgent("a");
+    first.Submit(MakeJob("j", { MakeStep(1), MakeStep(1, { 0 }) }));
+    first.RunUntilIdle();
+    first.rows[WaitingRow("queue", "j")] = "";
+    first.End("a", { "j.0.0.0", 1 }, end);
+    for (const RowChange& change : first.scheduler.TakeBatch(50).changes) {
+      if (change.row.table == kProgressTable) {
+        first.rows[change.row] = change.value;
+      }
+    }
+    REQUIRE_FALSE(first.rows.contains(StateRow("j")));
+
+    // No worker has room for another run.
+    SchedulerFixture second(first.rows);
+    second.RunUntilIdle();
+    CHECK(second.StateOf("j") == JobState::Running);
+    CHECK(second.rows.contains(StateRow("j")));
+    CHECK_FALSE(second.rows.contains(WaitingRow("queue", "j")));
+  }
+}
