Keep a job ended if only its state was loaded

A job that had ended ran again when its row was delivered to a leader that had loaded the state without the row. The leader before had removed the row, and the state stays 10 s longer just for late rows; but only the leader that had removed the row itself looked at it.

OnJobRow now applies the state that was loaded without a row.

StartsNothingOfAJobWhoseStateIsStoredWithoutItsRow failed on the code before: CHECK( fixture.starts.empty() ) with false.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -161,6 +161,11 @@
     std::int64_t endedUnixMs = 0;
     std::string queue;
   };
+  struct OrphanedState
+  {
+    StoredState state;
+    Instant loadedAt{};
+  };
   struct StoredProgress
   {
     ProgressName name;
@@ -363,8 +368,8 @@
   std::map<std::string, RowQueue> removableRows;
   // The part of the last rows that TakeRemovals returned.
   std::string lastRemovalPart;
-  // Stored states without a job row, and when they were loaded.
-  std::map<std::string, Instant> orphanedStates;
+  // Stored states without a job row. A job that is delivered late has the state.
+  std::map<std::string, OrphanedState> orphanedStates;
   // Stored cancellations without a job row. The job may be stored later, as a submission without an
   // answer takes effect at any time.
   std::map<std::string, OrphanedCancel> orphanedCancels;
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -62,6 +62,12 @@
   if (this->jobs.contains(aKey)) {
     return;
   }
+  if (auto orphaned = this->orphanedStates.extract(aKey); !orphaned.empty()) {
+    // An earlier leader knew the job, and has removed its row unless the read is stale.
+    this->loadedStates.emplace(aKey, std::move(orphaned.mapped().state));
+    this->LoadJob(aKey, aValue, aNow);
+    return;
+  }
   JobRecord record;
   if (!DecodeJobRecord(aValue, record) || record.id != aKey) {
     this->ReportUnreadableRow(kJobsTable, aKey);
@@ -415,7 +421,7 @@
     return true;
   });
   std::erase_if(this->orphanedStates, [&](const auto& aItem) {
-    if (aItem.second + kStaleReadWindow > aNow.instant) {
+    if (aItem.second.loadedAt + kStaleReadWindow > aNow.instant) {
       return false;
     }
     this->MarkChanged(StateRow(aItem.first));
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -176,9 +176,9 @@
   this->epoch = aEpoch;
   this->loading = false;
   this->awaitedLogAt = aNow.instant + kAwaitedLogDelay;
-  for (const auto& [id, stored] : std::exchange(this->loadedStates, {})) {
+  for (auto& [id, stored] : std::exchange(this->loadedStates, {})) {
     // An earlier leader removed the job's row, but ended before it removed the state row.
-    this->orphanedStates.emplace(id, aNow.instant);
+    this->orphanedStates.emplace(id, OrphanedState{ std::move(stored), aNow.instant });
   }
   for (const auto& [id, stored] : std::exchange(this->loadedProgress, {})) {
     this->ReportUnreadableRow(kProgressTable, id);
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -460,6 +460,19 @@
   CHECK(std::count(second.stops.begin(), second.stops.end(), RunRef{ "j.0.0.1", 1 }) > 0);
 }
 
+// Guards against an ended job that runs again: the earlier leader has removed the job's row, and a
+// read from before the removal delivers it late.
+TEST_CASE("JobScheduler StartsNothingOfAJobWhoseStateIsStoredWithoutItsRow")
+{
+  SchedulerFixture fixture({ { StateRow("j"), "completed 0 queue" } });
+  fixture.AddAgent("a");
+  fixture.RunUntilIdle();
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.empty());
+  CHECK(fixture.rows.at(StateRow("j")) == "completed 0 queue");
+}
+
 // Guards against a job that counts in `pending` although a task has ended: the progress is stored,
 // the state is not.
 TEST_CASE("JobScheduler TakesAJobForStartedWhenItsStoredProgressHasAnEnd")
