Keep the progress of an ended job while it has runs

The progress of a job was removed as soon as its end was stored, though runs were still being stopped. A leader that took over then did not know them: it ordered no stop until the agent reported the run, which an agent does not do while its worker does not answer.

A progress row is now removed when none of its tasks has a run any more. A cancelled job costs one more write of its rows.

KeepsTheProgressOfAnEndedJobUntilItsRunsHaveEnded failed on the code before: no stop of j.0.0.1 run 1 is ordered (0 > 0).

--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -35,6 +35,19 @@
          IsTerminal(state);
 }
 
+// Returns whether a task of the progress row has a run. A row that holds a whole wide step is
+// replaced by the rows of its parts.
+bool HasRuns(const Step& aStep, std::optional<std::uint32_t> aRow)
+{
+  if (!aRow.has_value() && aStep.tasks.size() > kTasksPerProgressRow) {
+    return false;
+  }
+  const auto [first, end] = internal::TasksOfRow(aStep, aRow);
+  return std::any_of(aStep.tasks.begin() + static_cast<std::ptrdiff_t>(first),
+                     aStep.tasks.begin() + static_cast<std::ptrdiff_t>(end),
+                     [](const Task& aTask) { return !aTask.runs.empty(); });
+}
+
 std::vector<RowKey> RowsOf(const StoreBatch& aBatch)
 {
   std::vector<RowKey> rows;
@@ -202,10 +215,12 @@
     ProgressName name;
     ProgressName::Parse(aRow.key, name);
     const auto job = this->jobs.find(name.job);
-    if (job != this->jobs.end() && !job->second.endStored &&
-        job->second.occurrences.contains(name.occurrence)) {
+    if (job != this->jobs.end() && job->second.occurrences.contains(name.occurrence)) {
       const Step& step = job->second.occurrences.at(name.occurrence).steps[name.step];
-      change = { aRow, this->EncodeRow(step, name.row), false };
+      // Once the end is stored, only runs that are not known to have ended are needed.
+      if (!job->second.endStored || HasRuns(step, name.row)) {
+        change = { aRow, this->EncodeRow(step, name.row), false };
+      }
     }
   }
   return change;
--- a/packages/jobs/tests/StoredEndsTest.cpp
+++ b/packages/jobs/tests/StoredEndsTest.cpp
@@ -83,3 +83,29 @@
   CHECK(fixture.rows.at(StateRow("j")).starts_with("cancelled"));
   CHECK(fixture.acknowledgedEnds.size() == 1);
 }
+
+// Guards against a run of a cancelled job that the next leader does not stop while its agent sends
+// no report, since the progress is removed before the run has ended.
+TEST_CASE("JobScheduler KeepsTheProgressOfAnEndedJobUntilItsRunsHaveEnded")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(2) }));
+  first.RunUntilIdle();
+  first.Report("a");
+  first.RunUntilIdle();
+  first.scheduler.OnJobRow("j.cancel", {}, first.now);
+  first.RunUntilIdle();
+  REQUIRE(first.rows.at(StateRow("j")).starts_with("cancelled"));
+  first.End("a", { "j.0.0.0", 1 }, RunEnd::Stopped);
+  first.RunUntilIdle();
+
+  SchedulerFixture next(first.rows);
+  next.scheduler.OnAgentUp("a", next.now);
+  next.TakeOrders();
+  CHECK(std::count(next.stops.begin(), next.stops.end(), RunRef{ "j.0.0.1", 1 }) > 0);
+
+  first.End("a", { "j.0.0.1", 1 }, RunEnd::Stopped);
+  first.RunUntilIdle();
+  CHECK_FALSE(first.rows.contains(ProgressRow("j", 0, 0)));
+}
