Acknowledge no end of an ended job while its task has a run

An end of a cancelled task was acknowledged while another run of the task was being stopped. That run may still start by an order under way, so that the task would start after its end was noted. The rule was kept for done tasks only.

The end now waits for the runs of its task if the job has ended as well; the agent reports it again.

AcknowledgesTheEndOfACancelledTaskOnceItsOtherRunIsStopped failed on the code before: CHECK( fixture.acknowledgedEnds.empty() ) with false. AcknowledgesAnEndOnlyWithABatchThatHoldsIt passed before: an acknowledgement is tied to the batch that holds its end.

--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -60,7 +60,9 @@
                                          std::uint64_t aEndNumber)
 {
   const Task* task = this->FindTask(aTaskKey);
-  if (task != nullptr && task->state == TaskState::Done && !task->runs.empty()) {
+  const bool isSettled = task != nullptr && (task->state == TaskState::Done ||
+                                             IsTerminal(this->jobs.at(aTaskKey.job).state));
+  if (isSettled && !task->runs.empty()) {
     // Another run of the task is being stopped, and may start until then. The agent reports the end
     // again.
     return;
--- a/packages/jobs/tests/StoredEndsTest.cpp
+++ b/packages/jobs/tests/StoredEndsTest.cpp
@@ -84,6 +84,26 @@
   CHECK(fixture.acknowledgedEnds.size() == 1);
 }
 
+// Guards against an end that is acknowledged with a batch that was formed before it was reported.
+TEST_CASE("JobScheduler AcknowledgesAnEndOnlyWithABatchThatHoldsIt")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(2) }));
+  fixture.RunUntilIdle();
+  fixture.Report("a");
+  fixture.RunUntilIdle();
+  fixture.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  StoreBatch firstEnd = fixture.scheduler.TakeBatch(1);
+  REQUIRE(firstEnd.changes.size() == 1);
+  REQUIRE(firstEnd.changes[0].row == ProgressRow("j", 0, 0));
+  fixture.End("a", { "j.0.0.1", 1 }, RunEnd::Done);
+  Store(fixture, std::move(firstEnd));
+  CHECK(fixture.acknowledgedEnds == std::vector<std::uint64_t>{ 1 });
+  Store(fixture, fixture.scheduler.TakeBatch(1));
+  CHECK(fixture.acknowledgedEnds == std::vector<std::uint64_t>{ 1, 2 });
+}
+
 // Guards against a run of a cancelled job that the next leader does not stop while its agent sends
 // no report, since the progress is removed before the run has ended.
 TEST_CASE("JobScheduler KeepsTheProgressOfAnEndedJobUntilItsRunsHaveEnded")
@@ -109,3 +129,30 @@
   first.RunUntilIdle();
   CHECK_FALSE(first.rows.contains(ProgressRow("j", 0, 0)));
 }
+
+// Guards against a start of a cancelled task after one of its ends was acknowledged: the start of
+// its other run is under way, and the stop is not carried out yet.
+TEST_CASE("JobScheduler AcknowledgesTheEndOfACancelledTaskOnceItsOtherRunIsStopped")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  fixture.Advance(std::chrono::seconds(20));
+  fixture.RunUntilIdle();
+  REQUIRE_FALSE(fixture.scheduler.Jobs().at("j").HasActiveRuns());
+  fixture.AddAgent("b");
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 2);
+  REQUIRE(fixture.starts[1].first == "b");
+  fixture.scheduler.OnJobRow("j.cancel", {}, fixture.now);
+  fixture.RunUntilIdle();
+  // The worker was silent, and its run had ended as done meanwhile.
+  fixture.End("a", { "j.0.0.0", 1 }, RunEnd::Done);
+  fixture.RunUntilIdle();
+  CHECK(fixture.acknowledgedEnds.empty());
+  fixture.End("b", { "j.0.0.0", 2 }, RunEnd::Stopped);
+  fixture.Report("a");
+  fixture.RunUntilIdle();
+  CHECK(fixture.acknowledgedEnds.size() == 2);
+}
