--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -176,6 +176,11 @@
     std::int64_t endedUnixMs = 0;
     std::string queue;
   };
+  struct OrphanedState
+  {
+    StoredState state;
+    Instant loadedAt{};
+  };
   struct StoredProgress
   {
     ProgressName name;
@@ -241,6 +246,7 @@
   // Handles that a worker has started the run. The first run of a job starts the job; a run that is
   // only placed does not, since it may be rejected or lost before it starts.
   void OnRunStarted(const RunKey& aRunKey, Now aNow);
+  void MarkStarted(Job& aJob);
   void UpdateCheckpoint(const TaskKey& aTaskKey, const std::string& aCheckpoint, Now aNow);
   void UpdateInterference(Worker& aWorker, const WorkerReport& aReport, Now aNow);
   // `aLastOrders` is the last of the orders that the agent had received when it rejected the run.
@@ -399,8 +405,8 @@
   std::map<std::string, RowQueue> removableRows;
   // The part of the last rows that TakeRemovals returned.
   std::string lastRemovalPart;
-  // Stored states without a job row, and when they were loaded.
-  std::map<std::string, Instant> orphanedStates;
+  // Stored states without a job row. A job that is delivered late has the state.
+  std::map<std::string, OrphanedState> orphanedStates;
   // Stored cancellations without a job row. The job may be stored later, as a submission without an
   // answer takes effect at any time.
   std::map<std::string, OrphanedCancel> orphanedCancels;
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -35,6 +35,19 @@
          IsTerminal(state);
 }
 
+// Returns whether a task of the progress row has a run. A row that holds a whole wide step is
+// replaced by the rows of its parts.
+bool HasRuns(const Step& aStep, std::optional<std::uint32_t> aRow)
+{
+  if (!aRow.has_value() && aStep.tasks.size() > kTasksPerProgressRow) {
+    return false;
+  }
+  const auto [first, end] = internal::TasksOfRow(aStep, aRow);
+  return std::any_of(aStep.tasks.begin() + static_cast<std::ptrdiff_t>(first),
+                     aStep.tasks.begin() + static_cast<std::ptrdiff_t>(end),
+                     [](const Task& aTask) { return !aTask.runs.empty(); });
+}
+
 std::vector<RowKey> RowsOf(const StoreBatch& aBatch)
 {
   std::vector<RowKey> rows;
@@ -62,6 +75,12 @@
   if (this->jobs.contains(aKey)) {
     return;
   }
+  if (auto orphaned = this->orphanedStates.extract(aKey); !orphaned.empty()) {
+    // An earlier leader knew the job, and has removed its row unless the read is stale.
+    this->loadedStates.emplace(aKey, std::move(orphaned.mapped().state));
+    this->LoadJob(aKey, aValue, aNow);
+    return;
+  }
   JobRecord record;
   if (!DecodeJobRecord(aValue, record) || record.id != aKey) {
     this->ReportUnreadableRow(kJobsTable, aKey);
@@ -196,10 +215,12 @@
     ProgressName name;
     ProgressName::Parse(aRow.key, name);
     const auto job = this->jobs.find(name.job);
-    if (job != this->jobs.end() && !job->second.endStored &&
-        job->second.occurrences.contains(name.occurrence)) {
+    if (job != this->jobs.end() && job->second.occurrences.contains(name.occurrence)) {
       const Step& step = job->second.occurrences.at(name.occurrence).steps[name.step];
-      change = { aRow, this->EncodeRow(step, name.row), false };
+      // Once the end is stored, only runs that are not known to have ended are needed.
+      if (!job->second.endStored || HasRuns(step, name.row)) {
+        change = { aRow, this->EncodeRow(step, name.row), false };
+      }
     }
   }
   return change;
@@ -415,7 +436,7 @@
     return true;
   });
   std::erase_if(this->orphanedStates, [&](const auto& aItem) {
-    if (aItem.second + kStaleReadWindow > aNow.instant) {
+    if (aItem.second.loadedAt + kStaleReadWindow > aNow.instant) {
       return false;
     }
     this->MarkChanged(StateRow(aItem.first));
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -13,6 +13,36 @@
 // Time in which agents follow a new leader and send their first reports.
 constexpr Duration kAwaitedLogDelay = std::chrono::milliseconds(1500);
 
+template<typename Predicate>
+bool HasTask(const Job& aJob, const Predicate& aPredicate)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (const Step& step : occurrence.steps) {
+      if (std::any_of(step.tasks.begin(), step.tasks.end(), aPredicate)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+// Returns whether the progress shows that a worker has started a run.
+bool HasStarted(const Job& aJob)
+{
+  return HasTask(aJob, [](const Task& aTask) {
+    return aTask.state == TaskState::Done || aTask.failedRuns > 0 || !aTask.checkpoint.empty();
+  });
+}
+
+// Returns whether a task has failed as often as its queue's policy allows.
+bool HasFailed(const Job& aJob)
+{
+  return HasTask(aJob, [&](const Task& aTask) {
+    return aTask.state != TaskState::Done && aTask.failedRuns > 0 &&
+           aTask.failedRuns >= aJob.record.policy.maxAttempts;
+  });
+}
+
 } // namespace
 
 void JobScheduler::ReportUnreadableRow(std::string_view aTable, const std::string& aKey)
@@ -86,6 +116,10 @@
       this->ApplyProgress(*job, stored);
     }
   }
+  if (!job->started && HasStarted(*job)) {
+    // The earlier leader has stored the progress, but not the state.
+    this->MarkStarted(*job);
+  }
 }
 
 void JobScheduler::LoadEndedJob(const std::string& aId, StoredState aStored, Now aNow)
@@ -142,9 +176,9 @@
   this->epoch = aEpoch;
   this->loading = false;
   this->awaitedLogAt = aNow.instant + kAwaitedLogDelay;
-  for (const auto& [id, stored] : std::exchange(this->loadedStates, {})) {
+  for (auto& [id, stored] : std::exchange(this->loadedStates, {})) {
     // An earlier leader removed the job's row, but ended before it removed the state row.
-    this->orphanedStates.emplace(id, aNow.instant);
+    this->orphanedStates.emplace(id, OrphanedState{ std::move(stored), aNow.instant });
   }
   for (const auto& [id, stored] : std::exchange(this->loadedProgress, {})) {
     this->ReportUnreadableRow(kProgressTable, id);
@@ -189,6 +223,8 @@
     } else if (job.completedOccurrences >= std::max(job.record.spec.repeats, 1U)) {
       // The earlier leader has stored the last progress, but not the end of the job.
       this->EndJob(job, JobState::Completed, aNow);
+    } else if (HasFailed(job)) {
+      this->EndJob(job, JobState::Failed, aNow);
     }
   }
   for (const auto& [key, value] : std::exchange(this->loadedCancels, {})) {
--- a/packages/jobs/tests/SchedulerLoadingTest.cpp
+++ b/packages/jobs/tests/SchedulerLoadingTest.cpp
@@ -425,3 +425,77 @@
   CHECK(line.at("first") == std::vector<std::string>{ "w-b" });
   CHECK(line.at("lease_ends_in_ms") > 0);
 }
+
+// Guards against a failed job whose task runs beyond its attempts: the progress with the last
+// failure is stored, the state is not.
+TEST_CASE("JobScheduler FailsAJobWithoutFurtherAttemptsWhenItTakesOver")
+{
+  SchedulerFixture first;
+  first.AddAgent("a");
+  first.Submit(MakeJob("j", { MakeStep(2) }));
+  first.RunUntilIdle();
+  first.Report("a");
+  first.RunUntilIdle();
+  first.End("a", { "j.0.0.0", 1 }, RunEnd::Failed);
+  first.RunUntilIdle();
+  REQUIRE(first.starts.size() == 3);
+  first.Report("a");
+  first.RunUntilIdle();
+  first.End("a", { "j.0.0.0", 2 }, RunEnd::Failed);
+  REQUIRE(first.StateOf("j") == JobState::Failed);
+  const StoreBatch batch = first.scheduler.TakeBatch(1);
+  REQUIRE(batch.changes.size() == 1);
+  REQUIRE(batch.changes[0].row == ProgressRow("j", 0, 0));
+  first.Apply(batch);
+  REQUIRE(first.rows.at(StateRow("j")).starts_with("running"));
+
+  SchedulerFixture second(first.rows);
+  second.agents = first.agents;
+  second.scheduler.OnAgentUp("a", second.now);
+  second.Report("a");
+  second.RunUntilIdle();
+  CHECK(second.starts.empty());
+  CHECK(second.StateOf("j") == JobState::Failed);
+  CHECK(second.rows.at(StateRow("j")).starts_with("failed"));
+  CHECK(std::count(second.stops.begin(), second.stops.end(), RunRef{ "j.0.0.1", 1 }) > 0);
+}
+
+// Guards against an ended job that runs again: the earlier leader has removed the job's row, and a
+// read from before the removal delivers it late.
+TEST_CASE("JobScheduler StartsNothingOfAJobWhoseStateIsStoredWithoutItsRow")
+{
+  SchedulerFixture fixture({ { StateRow("j"), "completed 0 queue" } });
+  fixture.AddAgent("a");
+  fixture.RunUntilIdle();
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.empty());
+  CHECK(fixture.rows.at(StateRow("j")) == "completed 0 queue");
+}
+
+// Guards against a job that counts in `pending` although a task has ended: the progress is stored,
+// the state is not.
+TEST_CASE("JobScheduler TakesAJobForStartedWhenItsStoredProgressHasAnEnd")
+{
+  for (const RunEnd end : { RunEnd::Done, RunEnd::Failed }) {
+    SchedulerFixture first;
+    first.AddAgent("a");
+    first.Submit(MakeJob("j", { MakeStep(1), MakeStep(1, { 0 }) }));
+    first.RunUntilIdle();
+    first.rows[WaitingRow("queue", "j")] = "";
+    first.End("a", { "j.0.0.0", 1 }, end);
+    for (const RowChange& change : first.scheduler.TakeBatch(50).changes) {
+      if (change.row.table == kProgressTable) {
+        first.rows[change.row] = change.value;
+      }
+    }
+    REQUIRE_FALSE(first.rows.contains(StateRow("j")));
+
+    // No worker has room for another run.
+    SchedulerFixture second(first.rows);
+    second.RunUntilIdle();
+    CHECK(second.StateOf("j") == JobState::Running);
+    CHECK(second.rows.contains(StateRow("j")));
+    CHECK_FALSE(second.rows.contains(WaitingRow("queue", "j")));
+  }
+}
