Repeat reads of the leadership and of a new leader beside unanswered ones

A page, and the read of the leadership row, that is not answered within half of its time-out, in which also a slowed store answers, is requested once more beside it; the first answer counts. Reads change nothing, and versions order them.

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -104,6 +104,8 @@
 void LeaderDriver::PollLeaderRow()
 {
   const cluster::RowKey rowKey = jobs::LeaderRow();
+  // Reads again beside a read whose answer may be lost.
+  this->SchedulePoll(kStoreTimeout / 2);
   // Requests at most one row, beginning at the key.
   this->store.Read(
     { rowKey.table, rowKey.key, rowKey.key + "~", 1, rowKey.part },
@@ -125,6 +127,7 @@
         }
         if (storedRow.has_value() && this->IsLastClaim(storedRow->value)) {
           // The claim was applied, and what was answered to its repetitions does not matter.
+          this->pollTimer.cancel();
           this->BeginLeadership(
             *this->lastClaim, storedRow->version, this->election.LatestRenewal());
           return;
@@ -151,6 +154,7 @@
 void LeaderDriver::ClaimLeadership()
 {
   this->phase = Phase::Claiming;
+  this->pollTimer.cancel();
   const cluster::LeaderRecord claimedRow = this->election.ClaimedRecord();
   this->lastClaim = claimedRow;
   const auto& current = this->election.Current();
--- a/packages/daemon/src/MultiRangeReader.cpp
+++ b/packages/daemon/src/MultiRangeReader.cpp
@@ -25,6 +25,23 @@
   }
 }
 
+// A page that is being read.
+struct MultiRangeReader::Page
+{
+  std::size_t index;
+  cluster::RowRange range;
+  asio::steady_timer repetitionTimer;
+  int readsInFlight = 0;
+  bool done = false;
+
+  Page(asio::io_context& aContext, std::size_t aIndex, const cluster::RowRange& aRange)
+    : index(aIndex)
+    , range(aRange)
+    , repetitionTimer(aContext)
+  {
+  }
+};
+
 MultiRangeReader::MultiRangeReader(asio::io_context& aContext,
                                    platformwire::StoreClient& aStore,
                                    TimeoutPolicy aNextTimeout,
@@ -40,11 +57,36 @@
 
 void MultiRangeReader::ReadPage(std::size_t aIndex, const cluster::RowRange& aRange)
 {
-  this->store.Read(
-    aRange,
-    this->nextTimeout(),
-    [self = this->shared_from_this(), aIndex, aRange](const cluster::ReadResult& aResult) {
-      self->OnPage(aIndex, aRange, aResult);
+  auto page = std::make_shared<Page>(this->context, aIndex, aRange);
+  this->SendRead(page);
+}
+
+void MultiRangeReader::SendRead(const PagePtr& aPage)
+{
+  const Duration timeout = this->nextTimeout();
+  ++aPage->readsInFlight;
+  this->store.Read(aPage->range,
+                   timeout,
+                   [self = this->shared_from_this(), aPage](const cluster::ReadResult& aResult) {
+                     --aPage->readsInFlight;
+                     // While another read of the page is in flight, its answer may still arrive.
+                     if (aPage->done ||
+                         (aResult.end != cluster::ReadEnd::Done && aPage->readsInFlight > 0)) {
+                       return;
+                     }
+                     aPage->done = true;
+                     aPage->repetitionTimer.cancel();
+                     self->OnPage(aPage->index, aPage->range, aResult);
+                   });
+  if (aPage->readsInFlight > 1) {
+    return;
+  }
+  aPage->repetitionTimer.expires_after(timeout / 2);
+  aPage->repetitionTimer.async_wait(
+    [self = this->shared_from_this(), aPage](asio::error_code aError) {
+      if (!aError && !aPage->done && self->callback != nullptr) {
+        self->SendRead(aPage);
+      }
     });
 }
 
--- a/packages/daemon/src/MultiRangeReader.h
+++ b/packages/daemon/src/MultiRangeReader.h
@@ -1,4 +1,6 @@
-// Reads several ranges of the store completely, in parallel and each page by page.
+// Reads several ranges of the store completely, in parallel and each page by page. A page that is
+// not answered within half of its time-out, in which also a slowed store answers, is requested once
+// more beside it, so that a lost answer does not cost a whole time-out.
 #pragma once
 
 #include "oriolespread/base/Time.h"
@@ -43,6 +45,9 @@
                    Callback aCallback);
 
 private:
+  struct Page;
+  using PagePtr = std::shared_ptr<Page>;
+
   MultiRangeReader(asio::io_context& aContext,
                    platformwire::StoreClient& aStore,
                    TimeoutPolicy aNextTimeout,
@@ -50,6 +55,7 @@
                    Callback aCallback);
 
   void ReadPage(std::size_t aIndex, const cluster::RowRange& aRange);
+  void SendRead(const PagePtr& aPage);
   void OnPage(std::size_t aIndex,
               const cluster::RowRange& aRange,
               const cluster::ReadResult& aResult);
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -2,6 +2,8 @@
 
 #include "StoreFixture.h"
 
+#include "oriolespread/daemon/ClusterSettings.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -619,6 +621,45 @@
   }
 }
 
+// Guards against a new leader that places nothing for a whole time-out because an answer is lost.
+TEST_CASE("LeaderDriver LoadsWithinATimeoutWhenAReadIsLost")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() == 1; }));
+  const Instant claimedAt = BootClock::now();
+  fixture.store.SetFault(fixture.server, { .lostReads = 1.0 });
+  fixture.RunFor(100 * kMillisecond);
+  fixture.store.SetFault(fixture.server, {});
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  const Duration time = BootClock::now() - claimedAt;
+  INFO("loaded after " << ToMilliseconds(time) << " ms");
+  CHECK(time < kStoreTimeout);
+}
+
+// Guards against an ended leader that stays in place because a read of its row is not answered.
+TEST_CASE("LeaderDriver ReplacesAnEndedLeaderInTimeWhenAReadIsLost")
+{
+  StoreFixture fixture;
+  cluster::LeaderRecord ended;
+  ended.entry = "z";
+  ended.process = "p";
+  ended.epoch = 3;
+  PutLeaderRow(fixture, ended);
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  const Instant startedAt = BootClock::now();
+  fixture.RunFor(800 * kMillisecond);
+  fixture.store.SetFault(fixture.server, { .lostReads = 1.0 });
+  fixture.RunFor(300 * kMillisecond);
+  fixture.store.SetFault(fixture.server, {});
+  REQUIRE(fixture.RunUntil([&] { return !entry.claims.empty(); }));
+  const Duration time = BootClock::now() - startedAt;
+  INFO("replaced after " << ToMilliseconds(time) << " ms");
+  CHECK(time < 2000 * kMillisecond);
+}
+
 // Guards against leases that a leader extends although the next one takes them for expired.
 TEST_CASE("LeaderDriver ExtendsNoLeaseTooLongAfterTheFirstAttemptAtARenewal")
 {
