Replace an ended leader while reads of the store are behind

While reads are some seconds behind, an entry that has seen a newer version rejects them, never asked whether to claim, and a claim that expected a version that was behind conflicted without a use of the row in the answer.

The row of a conflict is passed to the election like a read row, between the sending and the answer of the call. The claim is safe: it conflicts unless the leader has not renewed the expected version, and then the conflict tells the present one.

--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -141,6 +141,13 @@
           this->ClaimLeadership();
           return;
         }
+      } else if (aResult.reason == platformwire::kStaleRead &&
+                 now - this->election.UnchangedSince() >= kStoreTimeout &&
+                 this->election.ShouldClaim(now)) {
+        // The store serves this entry, and a claim that expects a version that is behind conflicts
+        // and tells the present row. The time bounds how often a leader that goes on is claimed.
+        this->ClaimLeadership();
+        return;
       }
       this->SchedulePoll(kElectionPollInterval);
     });
@@ -198,6 +205,8 @@
       this->BeginLeadership(aClaim, storedRow.version, this->election.LatestRenewal());
       return;
     }
+    // Reads may be behind, and then only conflicts show for how long the row is unchanged.
+    this->election.OnRow(storedRow, aSentAt, BootClock::now());
   }
   this->counters.Add("leadership_total", "claim_failed");
   this->CancelWrite();
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -660,6 +660,32 @@
   CHECK(time < 2000 * kMillisecond);
 }
 
+// Guards against an ended leader that is not replaced until reads have caught up, and a leader that
+// is superseded because its renewals do not show in reads.
+TEST_CASE("LeaderDriver ReplacesOnlyAnEndedLeaderWhenReadsAreBehind")
+{
+  TestCluster cluster(3);
+  REQUIRE(cluster.RunUntil([&] { return cluster.HasLeader(); }, std::chrono::seconds(5)));
+  cluster.RunUntil([] { return false; }, 1000 * kMillisecond);
+  const std::uint64_t leaders = cluster.LeadershipCount();
+  cluster.fixture.store.FreezeReads();
+  cluster.RunUntil([] { return false; }, 4000 * kMillisecond);
+  CHECK(cluster.LeadershipCount() == leaders);
+  for (const TestCluster::Member& member : cluster.members) {
+    if (member.entry->IsLeading()) {
+      cluster.fixture.store.SetFault(member.server, { .silent = true });
+    }
+  }
+  const Instant endedAt = BootClock::now();
+  const bool isReplaced =
+    cluster.RunUntil([&] { return cluster.LeadershipCount() > leaders; }, std::chrono::seconds(8));
+  const Duration time = BootClock::now() - endedAt;
+  INFO("replaced after " << ToMilliseconds(time) << " ms");
+  CHECK(isReplaced);
+  // Twice the time in which a silent leader is claimed: a conflict shows its last renewal.
+  CHECK(time < 3000 * kMillisecond);
+}
+
 // Guards against leases that a leader extends although the next one takes them for expired.
 TEST_CASE("LeaderDriver ExtendsNoLeaseTooLongAfterTheFirstAttemptAtARenewal")
 {
