--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -107,6 +107,8 @@
 void LeaderDriver::PollLeaderRow()
 {
   const cluster::RowKey rowKey = jobs::LeaderRow();
+  // Reads again beside a read whose answer may be lost.
+  this->SchedulePoll(kStoreTimeout / 2);
   // Requests at most one row, beginning at the key.
   this->store.Read(
     { rowKey.table, rowKey.key, rowKey.key + "~", 1, rowKey.part },
@@ -128,6 +130,7 @@
         }
         if (storedRow.has_value() && this->IsLastClaim(storedRow->value)) {
           // The claim was applied, and what was answered to its repetitions does not matter.
+          this->pollTimer.cancel();
           this->BeginLeadership(
             *this->lastClaim, storedRow->version, this->election.LatestRenewal());
           return;
@@ -141,6 +144,13 @@
           this->ClaimLeadership();
           return;
         }
+      } else if (aResult.reason == platformwire::kStaleRead &&
+                 now - this->election.UnchangedSince() >= kStoreTimeout &&
+                 this->election.ShouldClaim(now)) {
+        // The store serves this entry, and a claim that expects a version that is behind conflicts
+        // and tells the present row. The time bounds how often a leader that goes on is claimed.
+        this->ClaimLeadership();
+        return;
       }
       this->SchedulePoll(kElectionPollInterval);
     });
@@ -154,6 +164,7 @@
 void LeaderDriver::ClaimLeadership()
 {
   this->phase = Phase::Claiming;
+  this->pollTimer.cancel();
   const cluster::LeaderRecord claimedRow = this->election.ClaimedRecord();
   this->lastClaim = claimedRow;
   const auto& current = this->election.Current();
@@ -200,6 +211,8 @@
       this->BeginLeadership(aClaim, storedRow.version, this->election.LatestRenewal());
       return;
     }
+    // Reads may be behind, and then only conflicts show for how long the row is unchanged.
+    this->election.OnRow(storedRow, aSentAt, BootClock::now());
   }
   this->counters.Add("leadership_total", "claim_failed");
   this->CancelWrite();
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -2,6 +2,8 @@
 
 #include "StoreFixture.h"
 
+#include "oriolespread/daemon/ClusterSettings.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -641,6 +643,71 @@
   }
 }
 
+// Guards against a new leader that places nothing for a whole time-out because an answer is lost.
+TEST_CASE("LeaderDriver LoadsWithinATimeoutWhenAReadIsLost")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() == 1; }));
+  const Instant claimedAt = BootClock::now();
+  fixture.store.SetFault(fixture.server, { .lostReads = 1.0 });
+  fixture.RunFor(100 * kMillisecond);
+  fixture.store.SetFault(fixture.server, {});
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  const Duration time = BootClock::now() - claimedAt;
+  INFO("loaded after " << ToMilliseconds(time) << " ms");
+  CHECK(time < kStoreTimeout);
+}
+
+// Guards against an ended leader that stays in place because a read of its row is not answered.
+TEST_CASE("LeaderDriver ReplacesAnEndedLeaderInTimeWhenAReadIsLost")
+{
+  StoreFixture fixture;
+  cluster::LeaderRecord ended;
+  ended.entry = "z";
+  ended.process = "p";
+  ended.epoch = 3;
+  PutLeaderRow(fixture, ended);
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  const Instant startedAt = BootClock::now();
+  fixture.RunFor(800 * kMillisecond);
+  fixture.store.SetFault(fixture.server, { .lostReads = 1.0 });
+  fixture.RunFor(300 * kMillisecond);
+  fixture.store.SetFault(fixture.server, {});
+  REQUIRE(fixture.RunUntil([&] { return !entry.claims.empty(); }));
+  const Duration time = BootClock::now() - startedAt;
+  INFO("replaced after " << ToMilliseconds(time) << " ms");
+  CHECK(time < 2000 * kMillisecond);
+}
+
+// Guards against an ended leader that is not replaced until reads have caught up, and a leader that
+// is superseded because its renewals do not show in reads.
+TEST_CASE("LeaderDriver ReplacesOnlyAnEndedLeaderWhenReadsAreBehind")
+{
+  TestCluster cluster(3);
+  REQUIRE(cluster.RunUntil([&] { return cluster.HasLeader(); }, std::chrono::seconds(5)));
+  cluster.RunUntil([] { return false; }, 1000 * kMillisecond);
+  const std::uint64_t leaders = cluster.LeadershipCount();
+  cluster.fixture.store.FreezeReads();
+  cluster.RunUntil([] { return false; }, 4000 * kMillisecond);
+  CHECK(cluster.LeadershipCount() == leaders);
+  for (const TestCluster::Member& member : cluster.members) {
+    if (member.entry->IsLeading()) {
+      cluster.fixture.store.SetFault(member.server, { .silent = true });
+    }
+  }
+  const Instant endedAt = BootClock::now();
+  const bool isReplaced =
+    cluster.RunUntil([&] { return cluster.LeadershipCount() > leaders; }, std::chrono::seconds(8));
+  const Duration time = BootClock::now() - endedAt;
+  INFO("replaced after " << ToMilliseconds(time) << " ms");
+  CHECK(isReplaced);
+  // Twice the time in which a silent leader is claimed: a conflict shows its last renewal.
+  CHECK(time < 3000 * kMillisecond);
+}
+
 // Guards against leases that a leader extends although the next one takes them for expired.
 TEST_CASE("LeaderDriver ExtendsNoLeaseTooLongAfterTheFirstAttemptAtARenewal")
 {
