Avoid every failing worker, and half of them at most for slowness only

The bound of a half on avoided workers held for failing ones as well.

A failing worker is avoided whatever the number. No job stands still for it: one that has waited for 1 s is still placed there, one run in 0.5 s on each worker. The bound stays for slow and stalled runs.

AvoidsAllFailingWorkersAndGivesEachARunAtATime replaces AvoidsAFailingWorkerInPlaceOfAStalledOne, whose rule is gone; it failed before: 1 == 3 workers avoided. jobs_tests pass.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -266,11 +266,9 @@
   void AvoidIfSlow(Worker& aWorker, const std::string& aJob, Now aNow);
   // Returns whether the runs that were measured last are slow on most workers of the service.
   bool AreMostWorkersSlow(const std::string& aService, Instant aNow) const;
-  // Avoids the worker for a while, unless as many workers of its service are avoided as may be.
+  // Avoids the worker for a while, unless it is slow or stalled and as many workers of its service
+  // are avoided as may be.
   void AvoidWorker(Worker& aWorker, AvoidReason aReason, Now aNow);
-  // Ends the avoidance of the worker of the service that is slow or stalled and would be avoided
-  // for the shortest time. Returns whether there is one.
-  bool EndOneAvoidance(const std::string& aService, Instant aNow);
   void SkipAvoidance(const Worker& aWorker, AvoidReason aReason, std::string_view aWhy, Now aNow);
   AvoidedCount CountAvoidedWorkers(const std::string& aService, Instant aNow) const;
 
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -52,8 +52,9 @@
   // while, estimates or machines are slow altogether, and no worker is avoided for it.
   std::size_t minComparedWorkers = 3;
   Duration workerSpeedMemory = std::chrono::seconds(5);
-  // At most this share of a service's usable workers is avoided at once, but always one. What holds
-  // for more than half of them is no fault of single workers.
+  // No worker is avoided for slow or stalled runs while this share of its service's usable workers
+  // is avoided, but one always may be. What holds for more than half of them is no fault of single
+  // workers. Failing workers are always avoided: with a share for them, more jobs failed for good.
   double maxAvoidedShare = 0.5;
   // A job of which no run was reported at work for this long may place a task on an avoided worker.
   // Together with the 0.6 s in which ends are reported and two transactions it stays well below 3
--- a/packages/jobs/src/SchedulerStragglers.cpp
+++ b/packages/jobs/src/SchedulerStragglers.cpp
@@ -210,14 +210,10 @@
 {
   const bool isRenewed = aNow.instant < aWorker.avoidUntil;
   if (!isRenewed) {
-    const std::string& service = aWorker.state.service;
-    const auto [avoided, usable] = this->CountAvoidedWorkers(service, aNow.instant);
+    const auto [avoided, usable] = this->CountAvoidedWorkers(aWorker.state.service, aNow.instant);
     const auto limit = std::max<std::size_t>(
       static_cast<std::size_t>(this->settings.maxAvoidedShare * static_cast<double>(usable)), 1);
-    // Failures count more than slowness, because they use up the attempts of tasks.
-    const bool hasPlace = avoided < limit || (aReason == AvoidReason::Failing &&
-                                              this->EndOneAvoidance(service, aNow.instant));
-    if (!hasPlace) {
+    if (avoided >= limit && aReason != AvoidReason::Failing) {
       this->SkipAvoidance(aWorker, aReason, "limit", aNow);
       return;
     }
@@ -240,22 +236,6 @@
               { "usable", usable } });
 }
 
-bool JobScheduler::EndOneAvoidance(const std::string& aService, Instant aNow)
-{
-  Worker* first = nullptr;
-  for (auto& [key, worker] : this->workers) {
-    if (worker.state.service == aService && IsUsable(worker) && aNow < worker.avoidUntil &&
-        aNow >= worker.failingUntil &&
-        (first == nullptr || worker.avoidUntil < first->avoidUntil)) {
-      first = &worker;
-    }
-  }
-  if (first != nullptr) {
-    first->avoidUntil = aNow;
-  }
-  return first != nullptr;
-}
-
 void JobScheduler::SkipAvoidance(const Worker& aWorker,
                                  AvoidReason aReason,
                                  std::string_view aWhy,
--- a/packages/jobs/tests/AvoidedWorkersTest.cpp
+++ b/packages/jobs/tests/AvoidedWorkersTest.cpp
@@ -148,27 +148,34 @@
   }));
 }
 
-// Guards against a failing worker that is given all jobs because slow ones are avoided already.
-TEST_CASE("JobScheduler AvoidsAFailingWorkerInPlaceOfAStalledOne")
+// Guards against jobs that use up their attempts on workers that fail all runs, or stand still
+// there.
+TEST_CASE("JobScheduler AvoidsAllFailingWorkersAndGivesEachARunAtATime")
 {
   SchedulerFixture fixture;
-  fixture.AddAgent("a", 1000);
-  fixture.Submit(MakeJob("stalls", { MakeStep(1) }));
-  fixture.RunUntilIdle();
-  for (int round = 0; round < 6; ++round) {
-    fixture.Advance(300 * kMs);
-    fixture.Report("a");
+  for (const char* agent : { "a", "b", "c" }) {
+    fixture.AddAgent(agent);
+  }
+  for (int job = 0; job < 9; ++job) {
+    JobRecord record = MakeJob("fails-" + std::to_string(job), { MakeStep(1) });
+    record.policy.maxAttempts = 1;
+    fixture.Submit(record);
+    fixture.RunUntilIdle();
+  }
+  REQUIRE(fixture.starts.size() == 9);
+  for (const auto& [agent, start] : std::exchange(fixture.starts, {})) {
+    fixture.End(agent, start.ref, RunEnd::Failed);
+  }
+  CHECK(fixture.counters.Get("workers_avoided_total", "failing") == 3);
+  CHECK(fixture.scheduler.AvoidedWorkers(fixture.now) == 3);
+  for (int job = 0; job < 6; ++job) {
+    fixture.Submit(MakeJob("waits-" + std::to_string(job), { MakeStep(1) }));
   }
-  REQUIRE(fixture.scheduler.AvoidedWorkers(fixture.now) == 1);
-  fixture.starts.clear();
-  fixture.AddAgent("b");
-  FailRunsOfThreeJobs(fixture, 1);
-  CHECK(fixture.counters.Get("workers_avoided_total", "failing") == 1);
-  CHECK(fixture.scheduler.AvoidedWorkers(fixture.now) == 1);
-  fixture.End("a", fixture.stops.at(0), RunEnd::Stopped);
   fixture.RunUntilIdle();
-  REQUIRE(fixture.starts.size() == 1);
-  CHECK(fixture.starts[0].first == "a");
+  Pass(fixture, 1300 * kMs);
+  CHECK(fixture.starts.size() == 3);
+  Pass(fixture, 700 * kMs);
+  CHECK(fixture.starts.size() == 6);
 }
 
 // Guards against tasks that wait behind one of their step that is started later after a rejection.
