--- a/packages/soak/src/Main.cpp
+++ b/packages/soak/src/Main.cpp
@@ -98,6 +98,7 @@
     throw std::runtime_error("--end and --lose-answers need --mix");
   }
   options.end = *end;
+  options.logStore = aOptions.count("log-store") > 0;
   options.killLeader = aOptions.count("kill-leader") > 0;
   options.network = 20 + static_cast<int>(::getpid() % kNetworks);
   options.directory = aOptions["directory"].as<std::string>() + "/" + std::to_string(::getpid()) +
@@ -177,6 +178,7 @@
     "lose-answers",
     "with --mix, share of transactions of the store without an answer in phases of faults",
     cxxopts::value<double>()->default_value("0"))(
+    "log-store", "writes all transactions of the store to store.log beside the logs")(
     "kill-leader", "the leading entry is killed once, after a third of the load")(
     "end",
     "with --mix, what happens to all processes at the end of the load: none, kill, power",
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -6,7 +6,6 @@
 #include "oriolespread/platformwire_testing/TestMessages.h"
 
 #include <filesystem>
-#include <fstream>
 #include <iomanip>
 #include <sstream>
 
@@ -133,6 +132,13 @@
     this->waitCheck =
       std::make_unique<WaitCheck>(this->promises, [this] { return this->InTouchSince(); });
   }
+  if (this->options.logStore) {
+    this->storeLog.open(this->options.directory + "/store.log");
+    this->store.onTransaction = [this](std::size_t aServer, const std::string& aBody, int aStatus) {
+      this->storeLog << this->promises.TimeText(BootClock::now()) << " process " << aServer
+                     << " status " << aStatus << " " << aBody << "\n";
+    };
+  }
   this->PutConfig();
   for (std::size_t index = 0; index < this->options.entries; ++index) {
     this->AddEntry(index);
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -16,6 +16,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <fstream>
 #include <memory>
 #include <optional>
 #include <set>
@@ -75,6 +76,8 @@
   double lostAnswers = 0;
   // The delay on connections to entries outside of faults, one way.
   Duration linkDelay{};
+  // All transactions of the store are written to the file store.log beside the logs.
+  bool logStore = false;
   // The leading entry is killed once, after a third of the load.
   bool killLeader = false;
   // Only for a mixed load. All processes start again 1 to 2 s later, and callers go on.
@@ -159,6 +162,7 @@
   Instant faultsEnd;
   Promises promises;
   platformwire_testing::StandInStore store;
+  std::ofstream storeLog;
   std::vector<std::unique_ptr<Process>> processes;
   // When a process that has ended is started again.
   std::vector<Instant> restarts;
