Let a last attempt wait only for a worker that could take it

Any worker counted, also one without the label or of a smaller capacity than the task needs, so that the task waited for 5 s and longer beside free room.

Only workers that could take a task of the step count now. PlacesTheLastAttemptOfATaskOnTheOnlyWorkerThatCanTakeIt failed before (no start in 2.5 s). Four tests stood in a small worker for one without room; they use a worker that another task fills, and check the same.

--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -3,14 +3,14 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <string>
-#include <set>
 #include <cmath>
 #include <functional>
 #include <map>
 #include <memory>
 #include <numeric>
 #include <random>
+#include <set>
+#include <string>
 #include <vector>
 
 using namespace oriolespread;
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -299,9 +299,13 @@
   bool IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const;
   // Returns whether the job has waited for long enough to be placed on avoided workers.
   bool MayUseAvoidedWorkers(const Job& aJob, Instant aNow) const;
-  bool MayUseFailingWorkers(const Job& aJob, const Task& aTask, Instant aNow) const;
-  // Returns whether a worker of the service can be given runs and is not avoided for failures.
-  bool HasSoundWorker(const std::string& aService, Instant aNow) const;
+  bool MayUseFailingWorkers(const Job& aJob,
+                            const StepSpec& aStep,
+                            const Task& aTask,
+                            Instant aNow) const;
+  // Returns whether a worker of the service that is not avoided for failures takes runs and could
+  // take a task of the step.
+  bool HasSoundWorker(const std::string& aService, const StepSpec& aStep, Instant aNow) const;
   bool PlaceTask(const ReadyStep& aReady,
                  std::uint32_t aIndex,
                  PlacementRequest& aRequest,
--- a/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
+++ b/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
@@ -60,6 +60,9 @@
 // Returns whether the worker has the resources for one more task of the step.
 bool HasCapacityFor(const Worker& aWorker, const StepSpec& aStep);
 
+// Returns whether the worker could take a task of the step if nothing else ran there.
+bool CanEverTake(const Worker& aWorker, const StepSpec& aStep);
+
 // Returns the worker with the lowest cost, or null if no worker can take the task now.
 Worker* ChooseWorker(std::map<WorkerKey, Worker>& aWorkers,
                      const PlacementRequest& aRequest,
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -250,6 +250,11 @@
   return needed.FitsIn(aWorker.state.capacity);
 }
 
+bool CanEverTake(const Worker& aWorker, const StepSpec& aStep)
+{
+  return HasLabel(aWorker, aStep.requiredLabel) && aStep.demand.FitsIn(aWorker.state.capacity);
+}
+
 Worker* ChooseWorker(std::map<WorkerKey, Worker>& aWorkers,
                      const PlacementRequest& aRequest,
                      Instant aNow)
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -221,7 +221,8 @@
       continue;
     }
     // The tasks of a step differ only in the workers that their last attempt may use.
-    request.allowFailing = this->MayUseFailingWorkers(*aReady.job, task, aNow.instant);
+    request.allowFailing =
+      this->MayUseFailingWorkers(*aReady.job, *request.step, task, aNow.instant);
     if (lastAttemptWaits && !request.allowFailing) {
       continue;
     }
@@ -265,17 +266,23 @@
 }
 
 // A task that fails on its last attempt ends its job, so it rather waits for a sound worker.
-bool JobScheduler::MayUseFailingWorkers(const Job& aJob, const Task& aTask, Instant aNow) const
+bool JobScheduler::MayUseFailingWorkers(const Job& aJob,
+                                        const StepSpec& aStep,
+                                        const Task& aTask,
+                                        Instant aNow) const
 {
   return aTask.failedRuns + 1 < aJob.record.policy.maxAttempts ||
-         !this->HasSoundWorker(aJob.record.policy.service, aNow);
+         !this->HasSoundWorker(aJob.record.policy.service, aStep, aNow);
 }
 
-bool JobScheduler::HasSoundWorker(const std::string& aService, Instant aNow) const
+bool JobScheduler::HasSoundWorker(const std::string& aService,
+                                  const StepSpec& aStep,
+                                  Instant aNow) const
 {
   return std::any_of(this->workers.begin(), this->workers.end(), [&](const auto& aItem) {
     const Worker& worker = aItem.second;
-    return worker.state.service == aService && IsUsable(worker) && aNow >= worker.failingUntil;
+    return worker.state.service == aService && IsUsable(worker) && aNow >= worker.failingUntil &&
+           CanEverTake(worker, aStep);
   });
 }
 
@@ -334,7 +341,8 @@
   std::vector<Worker*> selected;
   for (const Task& task : step.tasks) {
     request.allowInterference = aAllowInterference;
-    request.allowFailing = this->MayUseFailingWorkers(*aReady.job, task, aNow.instant);
+    request.allowFailing =
+      this->MayUseFailingWorkers(*aReady.job, *request.step, task, aNow.instant);
     Worker* worker = this->SelectWorker(task, request, aNow);
     if (worker == nullptr) {
       break;
--- a/packages/jobs/tests/AvoidedWorkersTest.cpp
+++ b/packages/jobs/tests/AvoidedWorkersTest.cpp
@@ -88,7 +88,7 @@
   SchedulerFixture fixture;
   fixture.AddAgent("a");
   FailRunsOfThreeJobs(fixture, 1);
-  fixture.AddAgent("full", 500);
+  fixture.AddFullAgent("full");
   for (int job = 0; job < 30; ++job) {
     fixture.Submit(MakeJob("j" + std::to_string(job), { MakeStep(1) }));
   }
@@ -104,7 +104,7 @@
   SchedulerFixture fixture;
   fixture.AddAgent("a");
   FailRunsOfThreeJobs(fixture, 1);
-  fixture.AddAgent("full", 500);
+  fixture.AddFullAgent("full");
   JobRecord record = MakeJob("j", { MakeStep(1) });
   record.policy.maxAttempts = 1;
   fixture.Submit(record);
@@ -117,6 +117,22 @@
   CHECK(fixture.starts[0].first == "b");
 }
 
+// Guards against a task that waits for a worker that can never take it.
+TEST_CASE("JobScheduler PlacesTheLastAttemptOfATaskOnTheOnlyWorkerThatCanTakeIt")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  FailRunsOfThreeJobs(fixture, 1);
+  fixture.AddAgent("small", 500);
+  JobRecord record = MakeJob("j", { MakeStep(1) });
+  record.policy.maxAttempts = 1;
+  fixture.Submit(record);
+  fixture.RunUntilIdle();
+  Pass(fixture, 2500 * kMs);
+  REQUIRE(fixture.starts.size() == 1);
+  CHECK(fixture.starts[0].first == "a");
+}
+
 // Guards against tasks of a step that wait behind one that is on its last attempt.
 TEST_CASE("JobScheduler PlacesOtherTasksWhileOneWaitsForItsLastAttempt")
 {
@@ -130,7 +146,7 @@
   }
   fixture.RunUntilIdle();
   REQUIRE(fixture.starts.size() == 4);
-  fixture.AddAgent("full", 500);
+  fixture.AddFullAgent("full");
   // The first task of the wide job and both small jobs fail; its second one is lost.
   for (const std::size_t index : { 0U, 2U, 3U }) {
     fixture.End("a", fixture.starts[index].second.ref, RunEnd::Failed);
--- a/packages/jobs/tests/SchedulerFailureTest.cpp
+++ b/packages/jobs/tests/SchedulerFailureTest.cpp
@@ -141,8 +141,8 @@
 TEST_CASE("JobScheduler AvoidsAWorkerNoLongerBecauseServicesFailThereMeanwhile")
 {
   SchedulerFixture fixture;
+  fixture.AddFullAgent("full");
   fixture.AddAgent("a");
-  fixture.AddAgent("full", 500);
   StepSpec service = MakeStep(1);
   service.longRunning = true;
   for (const char* job : { "first", "second", "third" }) {
--- a/packages/jobs/tests/SchedulerFixture.h
+++ b/packages/jobs/tests/SchedulerFixture.h
@@ -65,6 +65,18 @@
     this->Report(aName);
   }
 
+  // Adds a worker that has room for less than one core, as a long-running task takes the rest.
+  void AddFullAgent(const std::string& aName)
+  {
+    this->AddAgent(aName);
+    StepSpec step = MakeStep(1);
+    step.demand.milliCores = 7500;
+    step.longRunning = true;
+    this->Submit(MakeJob("job that fills " + aName, { step }));
+    this->RunUntilIdle();
+    std::erase_if(this->starts, [&](const auto& aStart) { return aStart.first == aName; });
+  }
+
   void Report(const std::string& aName)
   {
     this->scheduler.OnReport(aName, this->agents[aName], this->now);
