--- a/packages/cluster/include/oriolespread/cluster/LeaderElection.h
+++ b/packages/cluster/include/oriolespread/cluster/LeaderElection.h
@@ -73,7 +73,8 @@
   // with each further one up to the maximum: the first renewals of a leader that loads the stored
   // state with little processor time are the latest ones, so that leaders that are taken for failed
   // at leaderTimeout replace one another for ever. The maximum tolerates renewals that are late by
-  // 3 s, and keeps the time until a dead leader is replaced below 4 s.
+  // 3 s, and keeps the time until a dead leader is replaced below 4 s at a store that answers at
+  // once.
   Duration shortTermDelay = std::chrono::milliseconds(450);
   Duration maxShortTermDelay = std::chrono::milliseconds(2250);
   // A leader that has renewed its row for this long without a gap of leaderTimeout lasts.
--- a/packages/daemon/src/LeaderWrite.cpp
+++ b/packages/daemon/src/LeaderWrite.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// Bounds the connections that unanswered attempts hold, as the client's pool is small.
+// Bounds the connections that unanswered attempts hold of the client's 16, without reads.
 constexpr int kMaxAttemptsInFlight = 4;
 // A slowed store answers within this time.
 constexpr Duration kRowReadTimeout = kStoreTimeout / 2;
