Use what exists for usable workers and for the share in settings files

Cause: LargestRoom's pass spelled out the condition that IsUsable has had since the changes of avoidance, and the soak wrote the table [limits] itself, though EncodeSettings writes it; with both, a settings file would have it twice.

Change: both use the existing function. Two comments that began as fragments are full phrases.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -395,7 +395,7 @@
   Instant nextUnconfirmedScan{};
   // Since when runs were not known to be running, as of the last scan.
   std::map<RunKey, Instant> unconfirmedSince;
-  // How many of them for long enough to be logged.
+  // The number of them that were unconfirmed for long enough to be logged.
   std::size_t lateUnconfirmedRuns = 0;
   std::vector<Duration> startDelays;
   bool loading = true;
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -194,7 +194,7 @@
 {
   this->largestRooms.clear();
   for (const auto& [key, worker] : this->workers) {
-    if (worker.connected && worker.reported && worker.reconciled && !worker.state.draining) {
+    if (IsUsable(worker)) {
       this->largestRooms[worker.state.service].Add(worker);
     }
   }
--- a/packages/soak/src/Process.h
+++ b/packages/soak/src/Process.h
@@ -48,7 +48,8 @@
   bool paused = false;
   bool throttled = false;
   int exitStatus = 0;
-  // Of the processes before the present one, and of the present one when it was last read.
+  // The processor time of the processes before the present one, and of the present one when it was
+  // last read.
   Duration earlierTime{};
   Duration presentTime{};
 };
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -165,12 +165,10 @@
   aSettings.keepEnded = this->options.keepEnded;
   aSettings.drainTime = std::chrono::seconds(2);
   aSettings.storeAddress = ToString(SocketAddress{ storeIp, kStorePort });
+  aSettings.cpuShare = aQuota;
+  aSettings.cpuCores = aQuota > 0 ? 1 : 0;
   const std::string path = this->options.directory + "/" + aSettings.machine + ".toml";
-  std::ofstream file(path);
-  file << platformwire_testing::EncodeSettings(aSettings);
-  if (aQuota > 0) {
-    file << "[limits]\ncpu_share = " << aQuota << "\n";
-  }
+  std::ofstream(path) << platformwire_testing::EncodeSettings(aSettings);
   return path;
 }
 
