Count the leases that an agent reports before runs of a silent worker are replaced

Cause: the next process of a worker carries out calls that were meant for its earlier one. A deadline on the earlier clock lies far ahead, so that the worker takes its longest lease, which never gets shorter.

Change: reports tell when all leases of the worker have expired (leasesEndInMs), the leader waits for the later bound, and its row carries the latest one that any worker has reported, also while it loads, so that the next leader counts it for workers that it does not hear from. Reports without the field are accepted. runs_lost and worker_known tell how long the worker was silent and when its leases end.

--- a/packages/cluster/include/oriolespread/cluster/LeaderElection.h
+++ b/packages/cluster/include/oriolespread/cluster/LeaderElection.h
@@ -29,8 +29,9 @@
   bool released = false;
   // Processor speed of the leader, in a unit that all entries share; 0 if unknown.
   double speed = 0;
-  // Time after this renewal in which leases that earlier leaders extended may still last, in
-  // milliseconds; negative if unknown, as in rows that earlier versions wrote.
+  // Time after this renewal in which leases that earlier leaders extended, or that workers have
+  // reported, may still last, in milliseconds; negative if unknown, as in rows that earlier
+  // versions wrote.
   std::int64_t earlierLeasesMs = -1;
   // Share of a core that the leader may use; 0 if unknown, as in rows that earlier versions wrote.
   double coreShare = 0;
--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -263,13 +263,15 @@
   if (this->expiryBeforeOwnClaims.has_value()) {
     return std::max(lastLeases, *this->expiryBeforeOwnClaims);
   }
-  if (!hasEnded || !areEarlierLeasesKnown) {
-    return lastLeases + this->settings.outageTolerance;
-  }
+  const Instant ownLeases =
+    hasEnded && areEarlierLeasesKnown ? lastLeases : lastLeases + this->settings.outageTolerance;
   // The leader before that one may have been superseded without noticing, and extended leases for
-  // longer.
-  return std::max(lastLeases,
-                  this->latestRenewal + std::chrono::milliseconds(this->record->earlierLeasesMs));
+  // longer. A worker that has restarted may hold a longer lease than any leader extended.
+  return areEarlierLeasesKnown
+           ? std::max(ownLeases,
+                      this->latestRenewal +
+                        std::chrono::milliseconds(this->record->earlierLeasesMs))
+           : ownLeases;
 }
 
 LeaderRecord LeaderElection::ClaimedRecord() const
--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -228,6 +228,12 @@
   CHECK(EarlierLeasesAfter(released) == 12'000 * kMs);
 }
 
+// Guards against two runs of a task whose worker holds a longer lease than leaders extend.
+TEST_CASE("LeaderElection CountsTheLeasesThatWorkersReportedToALeaderThatIsSilent")
+{
+  CHECK(EarlierLeasesAfter(RecordWithLeases("b", 20'000)) == 20'000 * kMs);
+}
+
 // Guards against a cluster without a leader and tasks that wait after a lost answer to a claim.
 TEST_CASE("LeaderElection ClaimsAgainAtOnceWhenTheRowNamesItsOwnProcess")
 {
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -323,7 +323,9 @@
   } else {
     this->counters.Add("extensions_refused_total", "not_renewed");
   }
-  if (this->phase == Phase::Leading) {
+  if (this->phase == Phase::Loading) {
+    this->scheduler->OnReportWhileLoading(aReport, this->CurrentTime());
+  } else {
     this->scheduler->OnReport(aAgent, aReport, this->CurrentTime());
     this->RequestSchedulingPass();
   }
@@ -398,8 +400,10 @@
     this->leaderRow.shortTerms = 0;
   }
   ++this->leaderRow.renewal;
+  const Instant leasesExpiry =
+    std::max(this->earlierLeasesExpiry, this->scheduler->LatestLeaseExpiry());
   this->leaderRow.earlierLeasesMs =
-    std::max<std::int64_t>(ToMilliseconds(this->earlierLeasesExpiry - commit->startedAt), 0);
+    std::max<std::int64_t>(ToMilliseconds(leasesExpiry - commit->startedAt), 0);
   commit->releases = this->leaderRow.released;
   cluster::StoreTransaction& transaction = commit->transaction;
   transaction.conditions.push_back({ jobs::LeaderRow(), this->leaderRowVersion });
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -326,6 +326,7 @@
     this->reportSentTimes.erase(this->reportSentTimes.begin());
   }
   this->reportSentTimes[aReport.sequence] = now;
+  aReport.leasesEndInMs = std::max<std::int64_t>(ToMilliseconds(this->allLeasesExpiredAt - now), 0);
   if (aReport.allLost) {
     this->unansweredLossReport = aReport.sequence;
   }
--- a/packages/daemon/tests/LeaderDriverFixture.h
+++ b/packages/daemon/tests/LeaderDriverFixture.h
@@ -82,12 +82,14 @@
 
   void SendReport(const std::string& aWorker = "w",
                   const std::string& aAgent = "agent",
-                  bool aFull = true)
+                  bool aFull = true,
+                  std::int64_t aLeasesEndInMs = 0)
   {
     WorkerReport report;
     report.epoch = this->claims.back();
     report.sequence = 1;
     report.full = aFull;
+    report.leasesEndInMs = aLeasesEndInMs;
     report.worker.id = aWorker;
     report.worker.born = 1;
     report.worker.service = "s";
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -333,6 +333,30 @@
   CHECK(second.orders.front().starts.size() == 1);
 }
 
+// Guards against two runs of a task: a worker that has restarted under its id holds a long lease,
+// and is cut off before the next leader hears from it.
+TEST_CASE("LeaderDriver TellsTheNextLeaderOfTheLeasesThatWorkersReport")
+{
+  constexpr std::int64_t kLongLeaseMs = 60'000;
+  StoreFixture fixture;
+  TestEntry leader(fixture, "a");
+  leader.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return leader.claims.size() >= 2; }));
+  leader.SendReport("w", "agent", true, kLongLeaseMs);
+  fixture.RunFor(500 * kMillisecond);
+  const jobs::RowKey row = jobs::LeaderRow();
+  std::optional<cluster::LeaderRecord> stored;
+  fixture.client->Read({ row.table, row.key, row.key + "~", 1, row.part },
+                       1000 * kMillisecond,
+                       [&](const cluster::ReadResult& aResult) {
+                         REQUIRE(aResult.rows.size() == 1);
+                         stored = cluster::DecodeLeaderRecord(aResult.rows.front().value);
+                       });
+  REQUIRE(fixture.RunUntil([&] { return stored.has_value(); }));
+  CHECK(stored->earlierLeasesMs > kLongLeaseMs - 2000);
+  CHECK(stored->earlierLeasesMs <= kLongLeaseMs + 100);
+}
+
 // Guards against a cluster without decisions while the store turns the leader's machine away.
 TEST_CASE("LeaderDriver HandsOverToAnEntryThatTheStoreServes")
 {
--- a/packages/daemon/tests/WorkerLossTest.cpp
+++ b/packages/daemon/tests/WorkerLossTest.cpp
@@ -17,6 +17,21 @@
   CHECK(fixture.RunUntil([&] { return fixture.reports.back().worker.born > before; }));
 }
 
+// Guards against two runs of a task: the new process may have taken a deadline on its earlier
+// process's clock for the longest lease.
+TEST_CASE("WorkerDriver ReportsTheLongestLeaseWhenTheWorkerRestarts")
+{
+  constexpr std::int64_t kMaxLeaseMs = 20'000;
+  WorkerDriverFixture fixture(kMaxLeaseMs * kMillisecond);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  const std::int64_t before = fixture.reports.back().worker.born;
+  fixture.worker->Restart();
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().worker.born > before; }));
+  CHECK(fixture.reports.back().leasesEndInMs > kMaxLeaseMs);
+  CHECK(fixture.reports.back().leasesEndInMs < kMaxLeaseMs * 11 / 10);
+}
+
 // Guards against a worker that is never used again because its clock was set back before it
 // restarted, so that its new incarnation seems to have started before the earlier one.
 TEST_CASE("WorkerDriver AcceptsANewIncarnationWhenTheClockWasSetBack")
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -86,6 +86,9 @@
   // compared with all runs on its worker, and orders that still hold are repeated.
   void OnOrdersLost(const std::string& aAgent);
   void OnReport(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
+  // Takes only the leases from a report that arrives before FinishLoading, as it is answered with
+  // an extension.
+  void OnReportWhileLoading(const WorkerReport& aReport, Now aNow);
 
   // Handles expired leases, due occurrences and expired jobs, and places tasks.
   void Decide(Now aNow);
@@ -120,6 +123,9 @@
   // Returns the start delays of the jobs whose first task has started since the last call. A delay
   // counts from when this leader first read the job's row to the report of the start.
   std::vector<Duration> TakeStartDelays() { return std::exchange(this->startDelays, {}); }
+  // Returns when the leases of all workers that have reported to this leader have certainly expired
+  // if no further report arrives. The next leader needs it for workers that it does not hear from.
+  Instant LatestLeaseExpiry() const { return this->latestLeaseExpiry; }
   std::size_t WaitingTasks() const { return this->waitingTasks; }
   // Returns how many workers have been assessed for tasks, which is what decisions cost most.
   std::uint64_t AssessedWorkers() const { return this->assessedWorkers; }
@@ -225,6 +231,9 @@
   void LogJob(std::string_view aEvent, const Job& aJob, const nlohmann::ordered_json& aFields);
 
   // Defined in SchedulerReports.cpp.
+
+  // Returns when the leases of the report's worker have certainly expired if it is the last one.
+  Instant CountLeases(const WorkerReport& aReport, Now aNow);
   Worker* RegisterWorker(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
   // Returns the known workers of the agent other than `aCurrent`.
   std::set<WorkerKey> OtherWorkers(const std::string& aAgent,
@@ -391,6 +400,7 @@
   // When the next line about a step that waits may be logged.
   Instant nextWaitingLog{};
   // When the workers that have not reported are logged; zero once they were.
+  Instant latestLeaseExpiry{};
   Instant awaitedLogAt{};
   Instant nextUnconfirmedScan{};
   // Since when runs were not known to be running, as of the last scan.
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -103,7 +103,15 @@
   // Added to due times, because the clocks of different machines differ.
   Duration dueMargin = std::chrono::milliseconds(20);
 
-  // Returns the longest time from the extension of a worker's lease until it has certainly expired.
+  // Added to the time that an agent gives until all leases have expired, as its clock and the
+  // leader's drift apart.
+  Duration reportedLeaseMargin = std::chrono::milliseconds(100);
+  // Longer than any lease that a worker accepts; a report that gives a longer time is limited to
+  // it.
+  Duration maxReportedLease = std::chrono::minutes(10);
+
+  // Returns the longest time from the extension of a worker's lease until it has certainly expired,
+  // unless the worker holds a longer one from calls to an earlier process of it.
   Duration LeaseBound() const
   {
     return std::chrono::duration_cast<Duration>(this->workerLease * this->clockDriftFactor) +
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -184,8 +184,8 @@
     this->ReportUnreadableRow(kProgressTable, id);
   }
   // This leader has extended leases as well, of agents that followed it while it loaded the rows.
-  const Instant latestLeaseExpiry =
-    std::max(aEarlierLeasesExpiry, aNow.instant + this->settings.LeaseBound());
+  const Instant latestLeaseExpiry = std::max(
+    { aEarlierLeasesExpiry, this->latestLeaseExpiry, aNow.instant + this->settings.LeaseBound() });
   for (auto& [id, job] : this->jobs) {
     for (auto& [number, occurrence] : job.occurrences) {
       std::uint32_t doneSteps = 0;
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -75,7 +75,7 @@
   worker->connected = true;
   worker->reported = true;
   worker->lastReport = aNow.instant;
-  worker->latestLeaseExpiry = aNow.instant + this->settings.LeaseBound();
+  worker->latestLeaseExpiry = this->CountLeases(aReport, aNow);
   const bool startsDraining = aReport.worker.draining && !worker->state.draining;
   worker->state = aReport.worker;
   for (const EndedRun& end : aReport.ended) {
@@ -106,6 +106,23 @@
   }
 }
 
+void JobScheduler::OnReportWhileLoading(const WorkerReport& aReport, Now aNow)
+{
+  this->CountLeases(aReport, aNow);
+}
+
+Instant JobScheduler::CountLeases(const WorkerReport& aReport, Now aNow)
+{
+  const auto longestMs = ToMilliseconds(this->settings.maxReportedLease);
+  const std::chrono::milliseconds reported(
+    std::clamp<std::int64_t>(aReport.leasesEndInMs, 0, longestMs));
+  const Duration bound =
+    std::max<Duration>(this->settings.LeaseBound(), reported + this->settings.reportedLeaseMargin);
+  const Instant expiry = aNow.instant + bound;
+  this->latestLeaseExpiry = std::max(this->latestLeaseExpiry, expiry);
+  return expiry;
+}
+
 Worker* JobScheduler::RegisterWorker(const std::string& aAgent,
                                      const WorkerReport& aReport,
                                      Now aNow)
@@ -119,7 +136,8 @@
               { { "worker", key.id },
                 { "born", key.born },
                 { "agent", aAgent },
-                { "data_centre", aReport.worker.dataCentre } });
+                { "data_centre", aReport.worker.dataCentre },
+                { "leases_end_in_ms", aReport.leasesEndInMs } });
   }
   worker.key = key;
   worker.agent = aAgent;
@@ -433,7 +451,7 @@
   }
 }
 
-void JobScheduler::RemoveLostRuns(Worker& aWorker, std::string_view aReason, Now /*aNow*/)
+void JobScheduler::RemoveLostRuns(Worker& aWorker, std::string_view aReason, Now aNow)
 {
   const std::set<RunKey> runs = aWorker.runs;
   for (const RunKey& item : runs) {
@@ -441,12 +459,15 @@
     this->RemoveRun(item);
   }
   if (!runs.empty()) {
-    this->log("runs_lost",
-              { { "worker", aWorker.key.id },
-                { "born", aWorker.key.born },
-                { "runs", runs.size() },
-                { "reason", std::string(aReason) },
-                { "reported", aWorker.reported } });
+    this->log(
+      "runs_lost",
+      { { "worker", aWorker.key.id },
+        { "born", aWorker.key.born },
+        { "runs", runs.size() },
+        { "reason", std::string(aReason) },
+        { "reported", aWorker.reported },
+        { "silent_ms", aWorker.reported ? ToMilliseconds(aNow.instant - aWorker.lastReport) : -1 },
+        { "lease_ends_in_ms", ToMilliseconds(aWorker.latestLeaseExpiry - aNow.instant) } });
   }
 }
 
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -100,6 +100,11 @@
   // Ends that the leader has not acknowledged.
   std::vector<EndedRun> ended;
   std::vector<RejectedRun> rejected;
+  // How long after the report was sent the leases of the worker may last if the agent extends them
+  // no further, in milliseconds on the agent's clock. A worker that has restarted under its id may
+  // hold a longer lease than any that it was granted. 0 if unknown, from agents before 0.1.0 of
+  // 2026-12-06.
+  std::int64_t leasesEndInMs = 0;
 };
 
 // Leading entry to agent: the worker's lease may be extended from the time at which the report of
@@ -168,18 +173,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningRun, ref, checkpoint, percent, figure)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndedRun, number, ref, how, checkpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RejectedRun, ref, reason)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerReport,
-                                   epoch,
-                                   sequence,
-                                   lastOrders,
-                                   worker,
-                                   full,
-                                   allLost,
-                                   running,
-                                   starting,
-                                   undescribed,
-                                   ended,
-                                   rejected)
+// `leasesEndInMs` may be absent; the other fields must be present.
+void to_json(nlohmann::json& aJson, const WorkerReport& aReport);
+void from_json(const nlohmann::json& aJson, WorkerReport& aReport);
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseExtension, epoch, sequence, disturbance)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaderClaim, epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartRun,
--- a/packages/messages/tests/MessageCodecTest.cpp
+++ b/packages/messages/tests/MessageCodecTest.cpp
@@ -117,3 +117,19 @@
   CHECK(states[0].value == update.states[0].value);
   CHECK(states[1].value == update.states[1].value);
 }
+
+// Guards against reports of agents of an earlier version that are refused, so that their workers
+// count as silent.
+TEST_CASE("MessageCodec DecodesAReportThatDoesNotTellWhenLeasesEnd")
+{
+  WorkerReport report;
+  report.sequence = 7;
+  report.leasesEndInMs = 6380;
+  nlohmann::json body = report;
+  CHECK(body.get<WorkerReport>().leasesEndInMs == 6380);
+  body.erase("leasesEndInMs");
+  CHECK(body.get<WorkerReport>().leasesEndInMs == 0);
+  CHECK(body.get<WorkerReport>().sequence == 7);
+  body.erase("running");
+  CHECK_THROWS_AS(body.get<WorkerReport>(), nlohmann::json::exception);
+}
