Send calls that hold for one incarnation only while it answers

A worker that restarts under its id carries out calls that were meant for its earlier process. A deadline on the earlier clock lies far ahead, so the new process takes its longest lease, and the leader starts runs elsewhere while they go on; a number of the earlier count makes it forget ends that nobody has noted, and the work is done twice.

Cause: the agent went on to send deadlines and acknowledged numbers for 1.5 s after the last answer, and starts at any time, also directly after a pause of its own.

Starts now wait (incarnation_awaited), and polls neither extend the lease nor acknowledge ends, unless the known incarnation has answered a call that was sent within the last 0.5 s and no poll has failed since. The time counts from the sending of that call, as an answer that is read after a pause is old. A poll that failed by its timeout is repeated at once, so that lost answers do not cost the lease. A start that was not sent is rejected at once if the worker refuses connections. Counters: starts_delayed_total, polls_without_lease_total.

Three older tests ordered a start after the worker had left polls unanswered for 0.6 or 1.5 s, and required that it is sent. Such a start now waits. They order it directly after the last answer instead, with the same checks: the worker carries the first call out and answers 504 (SetAnswersLost), so that the repetition is refused before a poll is answered, and the loss comes within 1.4 s by a shorter lease.

--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -54,7 +54,12 @@
 // The least time between two polls while ended runs are not acknowledged, as the worker answers
 // these polls at once.
 inline constexpr Duration kMinWorkerPollInterval = std::chrono::milliseconds(25);
-// The lease of a worker that has not answered for this long is not extended.
+// Calls that hold for one incarnation of the worker only are sent no later than this after the last
+// call that this incarnation has answered was sent. That call is the poll before the pending one,
+// and an agent with a share of a core may be stopped for up to 100 ms in each of two handlers.
+inline constexpr Duration kMaxIncarnationProofAge =
+  2 * kWorkerLongPollTime + std::chrono::milliseconds(200);
+// How long a worker that the agent does not know may be silent before it counts as absent.
 inline constexpr Duration kMaxWorkerSilence = std::chrono::milliseconds(1500);
 // How often a start that waits for a lease checks whether the worker has one.
 inline constexpr Duration kLeasePollInterval = std::chrono::milliseconds(30);
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -120,6 +120,7 @@
   this->heartbeatSequence = aHeartbeat.sequence;
   this->unconfirmedHeartbeat.reset();
   this->otherIncarnationAnswered = false;
+  this->incarnationProvedAt = {};
   this->client->SetExpectedInstance(aHeartbeat.worker.id);
   // Calls to the earlier incarnation that this one accepts after its first answer would start runs
   // that the leader has given up, extend leases by times of another clock, or acknowledge ends by
@@ -213,6 +214,18 @@
   return true;
 }
 
+std::string_view WorkerDriver::IncarnationDoubt() const
+{
+  if (this->unconfirmedHeartbeat.has_value()) {
+    return "heartbeat_unconfirmed";
+  }
+  if (this->otherIncarnationAnswered) {
+    return "other_incarnation";
+  }
+  return BootClock::now() - this->incarnationProvedAt > kMaxIncarnationProofAge ? "no_recent_answer"
+                                                                                : "";
+}
+
 void WorkerDriver::OnWorkerLeaving(const std::string& aId)
 {
   if (aId == this->worker.id) {
@@ -310,16 +323,13 @@
 bool WorkerDriver::GrantLease()
 {
   const Instant now = BootClock::now();
-  // A worker that does not answer may still carry out calls, so every deadline that is sent to it
-  // counts. Until it answers, it is sent no later deadline than the last one.
-  if (!this->refusesConnections && now - this->lastAnswerAt < kMaxWorkerSilence) {
-    this->grantedLeaseExpiry = std::max(this->grantedLeaseExpiry, this->leaseExpiry);
-  }
+  this->grantedLeaseExpiry = std::max(this->grantedLeaseExpiry, this->leaseExpiry);
   if (this->grantedLeaseExpiry <= now) {
     return false;
   }
   const auto remaining =
     std::chrono::duration_cast<Duration>((this->grantedLeaseExpiry - now) * kMaxWorkerClockRatio);
+  // The worker may carry out a call that it does not answer, so every deadline that is sent counts.
   this->allLeasesExpiredAt =
     std::max(this->allLeasesExpiredAt, now + remaining + kLeaseExpiryMargin);
   return true;
@@ -330,6 +340,11 @@
   return this->workerClockMs.value_or(0) + ToMilliseconds(aLocalTime - this->workerClockReadAt);
 }
 
+Duration WorkerDriver::RetryDelay(Instant aSentAt)
+{
+  return std::max(aSentAt + kWorkerRetryDelay - BootClock::now(), Duration::zero());
+}
+
 void WorkerDriver::CallAfter(Duration aDelay, std::function<void()> aCall)
 {
   auto timer = std::make_shared<asio::steady_timer>(this->context, aDelay);
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -74,6 +74,8 @@
     bool startedByEarlierAgent = false;
     int startAttempts = 0;
     int stopAttempts = 0;
+    // The reason code for which the start was last delayed; points to a literal.
+    std::string_view delayedBy;
     Instant orderedAt{};
     // When the worker last confirmed the start or the stop.
     Instant confirmedAt{};
@@ -104,6 +106,11 @@
   // Switches to the incarnation of `unconfirmedHeartbeat` if the worker's answer shows that it is
   // the current one. Returns whether it does.
   bool ConfirmIncarnation(const platformwire::WorkerAnswer& aAnswer);
+  // Returns why another incarnation than the known one may serve the worker's address now, as a
+  // reason code, or an empty text. Such an incarnation would carry out calls that are meant for the
+  // known one: it would take a deadline on the earlier clock for its longest lease, and forget ends
+  // by numbers of the earlier count.
+  std::string_view IncarnationDoubt() const;
 
   // The following functions are in WorkerPolling.cpp.
 
@@ -141,8 +148,8 @@
   // lease if it is the last condition.
   std::string_view AwaitedForStart();
   // Sends the start of the run to the worker, or tries again later if it has to wait. Rejects it
-  // after the time of a lease. Does nothing if another order has taken the place of the one that
-  // came at `aOrderedAt`.
+  // after the time of a lease, or if it has to wait for a worker that refuses connections. Does
+  // nothing if another order has taken the place of the one that came at `aOrderedAt`.
   void TryStart(const RunRef& aRef, Instant aOrderedAt);
   // Gives up starts that the worker has not confirmed and that were ordered before the time. Called
   // when the lease expired meanwhile: the leader may have started the runs elsewhere.
@@ -173,6 +180,9 @@
   // were lost. It has then given up the run that it ordered to start.
   bool MayPrecedeLoss() const;
   std::int64_t ToWorkerClockMs(Instant aLocalTime) const;
+  // Returns the time until a call that was sent at `aSentAt` is repeated. One without an answer has
+  // waited already, unless its connection was reset.
+  static Duration RetryDelay(Instant aSentAt);
   // Runs the call after the delay, unless the driver is destroyed before.
   void CallAfter(Duration aDelay, std::function<void()> aCall);
 
@@ -192,6 +202,9 @@
   std::optional<platformwire::WorkerHeartbeat> unconfirmedHeartbeat;
   // Whether another incarnation has answered the last poll. Its heartbeats are late or lost.
   bool otherIncarnationAnswered = false;
+  // When the last call was sent that the known incarnation has answered; `Instant{}` once a later
+  // call has shown that it may have ended.
+  Instant incarnationProvedAt{};
   // Incremented with each incarnation of the worker; answers of an earlier one are dropped.
   std::uint64_t incarnation = 0;
   bool pollPending = false;
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -5,6 +5,7 @@
 #include "oriolespread/service/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolespread::daemon {
 
@@ -33,13 +34,6 @@
         { "took_ms", ToMilliseconds(BootClock::now() - aSentAt) } });
 }
 
-// Returns when a call that was sent at `aSentAt` is repeated. One without an answer has waited
-// already, unless its connection was reset.
-Duration RetryDelay(Instant aSentAt)
-{
-  return std::max(aSentAt + kWorkerRetryDelay - BootClock::now(), Duration::zero());
-}
-
 } // namespace
 
 void WorkerDriver::OnOrders(const WorkerOrders& aOrders)
@@ -132,6 +126,14 @@
     return;
   }
   if (const std::string_view awaited = this->AwaitedForStart(); !awaited.empty()) {
+    if (awaited != std::exchange(it->second.delayedBy, awaited)) {
+      this->counters.Add("starts_delayed_total", awaited);
+    }
+    if (this->refusesConnections && it->second.openStarts == 0) {
+      // Nothing was sent to the worker, and another one may start the task at once.
+      this->RejectRun(aRef, "connection_refused");
+      return;
+    }
     // The leader may have a worker that can start the task at once.
     if (BootClock::now() - aOrderedAt >= this->requestedLease) {
       this->counters.Add("starts_void_total", awaited);
@@ -164,6 +166,9 @@
                           this->unansweredStarts.emplace_back(BootClock::now(), aRef);
                         }
                         if (id == this->incarnation) {
+                          if (aAnswer.end == WorkerCallOutcome::Refused) {
+                            this->incarnationProvedAt = {};
+                          }
                           this->OnStartAnswer(aRef, attempt, token, sentAt, aAnswer);
                         }
                       });
@@ -177,6 +182,9 @@
   if (!this->workerClockMs.has_value()) {
     return "clock_awaited";
   }
+  if (!this->IncarnationDoubt().empty()) {
+    return "incarnation_awaited";
+  }
   // Without a recent answer from the leader, an order to stop the run may be queued behind the
   // order to start it.
   if (!this->HasRecentLeaderResponse()) {
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -5,6 +5,8 @@
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/service/Log.h"
 
+#include <algorithm>
+
 namespace oriolespread::daemon {
 
 using platformwire::WorkerAnswer;
@@ -37,18 +39,17 @@
   platformwire::WorkerPoll request;
   request.fence = this->fence.Token();
   // Numbers of ends and times on the worker's clock hold for one incarnation only.
-  const bool mayBeOtherIncarnation =
-    this->unconfirmedHeartbeat.has_value() || this->otherIncarnationAnswered;
-  request.acknowledgedEnds = mayBeOtherIncarnation ? 0 : this->lastAcknowledgedEnd;
-  if (!mayBeOtherIncarnation && this->workerClockMs.has_value() &&
-      now - this->lastAnswerAt < kMaxWorkerSilence && this->GrantLease()) {
+  const std::string_view doubt = this->IncarnationDoubt();
+  request.acknowledgedEnds = doubt.empty() ? this->lastAcknowledgedEnd : 0;
+  if (!doubt.empty()) {
+    this->counters.Add("polls_without_lease_total", doubt);
+  } else if (this->workerClockMs.has_value() && this->GrantLease()) {
     request.deadlineMs = this->ToWorkerClockMs(this->grantedLeaseExpiry);
   }
   // While ends are unacknowledged, the worker answers at once, so a long poll has no effect.
   // Until the fence is confirmed, nothing is reported, so the poll asks for an immediate answer, as
-  // it does if the answer tells whether a heartbeat is of a new incarnation.
-  const bool waitForEnd =
-    this->unacknowledgedEnds.empty() && this->fenceConfirmed && !mayBeOtherIncarnation;
+  // it does if the answer tells which incarnation serves the address.
+  const bool waitForEnd = this->unacknowledgedEnds.empty() && this->fenceConfirmed && doubt.empty();
   request.wait = waitForEnd ? kWorkerLongPollTime : Duration::zero();
   this->client->Poll(
     request,
@@ -104,10 +105,15 @@
 void WorkerDriver::OnPollAnswer(const WorkerAnswer& aAnswer, FencingToken aToken, Instant aSentAt)
 {
   this->pollPending = false;
-  // Scheduled first, so that polling continues if the handling of the answer throws.
-  this->SchedulePoll(kWorkerRetryDelay);
+  // Scheduled first, so that polling continues if the handling of the answer throws. While answers
+  // are lost, the worker gets no lease before the next one, so a late poll is repeated at once.
+  this->SchedulePoll(aAnswer.end == WorkerCallOutcome::Done ? kWorkerRetryDelay
+                                                            : RetryDelay(aSentAt));
   const Instant now = BootClock::now();
   if (aAnswer.end != WorkerCallOutcome::Done) {
+    this->incarnationProvedAt = aAnswer.born != 0 && aAnswer.born == this->worker.born
+                                  ? std::max(this->incarnationProvedAt, aSentAt)
+                                  : Instant{};
     if (aAnswer.end == WorkerCallOutcome::OtherInstance && this->ConfirmIncarnation(aAnswer)) {
       return;
     }
@@ -147,6 +153,7 @@
     this->unconfirmedHeartbeat.reset();
     this->otherIncarnationAnswered = false;
   }
+  this->incarnationProvedAt = std::max(this->incarnationProvedAt, aSentAt);
   this->lastAnswerAt = now;
   this->refusesConnections = false;
   this->workerLost = false;
--- a/packages/daemon/tests/WorkerDriverFixture.h
+++ b/packages/daemon/tests/WorkerDriverFixture.h
@@ -104,6 +104,15 @@
     return aCondition();
   }
 
+  // Leaves polls unanswered from the one after the poll in flight on. Returns whether that poll has
+  // arrived. The last answer is then so recent that starts are sent.
+  bool LosePolls()
+  {
+    this->worker->SetPollsUnanswered(true);
+    const std::size_t before = this->worker->PollCount();
+    return this->RunUntil([&] { return this->worker->PollCount() > before; });
+  }
+
   WorkerOrders MakeOrders(Epoch aEpoch)
   {
     WorkerOrders orders;
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -143,13 +143,12 @@
   WorkerDriverFixture fixture;
   fixture.driver->FollowLeader(Epoch{ 1 });
   REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
-  fixture.worker->SetUnansweredCallShare(1.0);
-  fixture.worker->SetPollsUnanswered(true);
-  // Wait until the poll in flight is answered, so that it does not report the end of the run.
-  fixture.RunFor(600 * kMillisecond);
+  fixture.worker->SetAnswersLost(true);
+  // The poll in flight is answered before, so that it does not report the end of the run.
+  REQUIRE(fixture.LosePolls());
   fixture.StartTask("j.0.0.0");
   REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
-  fixture.worker->SetUnansweredCallShare(0);
+  fixture.worker->SetAnswersLost(false);
   fixture.RunFor(800 * kMillisecond);
   for (const WorkerReport& report : fixture.reports) {
     CHECK(report.rejected.empty());
@@ -253,15 +252,14 @@
   WorkerDriverFixture fixture(std::chrono::seconds(6), 300 * kMillisecond);
   fixture.driver->FollowLeader(Epoch{ 1 });
   REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
-  fixture.worker->SetUnansweredCallShare(1.0);
-  fixture.worker->SetPollsUnanswered(true);
-  // Wait until the poll in flight is answered, so that it does not show the run.
-  fixture.RunFor(600 * kMillisecond);
+  fixture.worker->SetAnswersLost(true);
+  // The poll in flight is answered before, so that it does not show the run.
+  REQUIRE(fixture.LosePolls());
   fixture.StartTask("j.0.0.0");
   REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
   fixture.worker->SetOverloaded(true);
   fixture.RunFor(700 * kMillisecond);
-  fixture.worker->SetUnansweredCallShare(0);
+  fixture.worker->SetAnswersLost(false);
   fixture.worker->SetOverloaded(false);
   fixture.RunFor(300 * kMillisecond);
   fixture.worker->SetPollsUnanswered(false);
--- a/packages/daemon/tests/WorkerLossTest.cpp
+++ b/packages/daemon/tests/WorkerLossTest.cpp
@@ -217,15 +217,17 @@
 // that the leader has started the task elsewhere, and then carries out a start with a new lease.
 TEST_CASE("WorkerDriver PreventsUnansweredStartsWhenTheWorkerWasLost")
 {
-  WorkerDriverFixture fixture(1500 * kMillisecond);
+  WorkerDriverFixture fixture(600 * kMillisecond);
   fixture.driver->FollowLeader(Epoch{ 1 });
   REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
-  fixture.worker->SetPollsUnanswered(true);
+  REQUIRE(fixture.LosePolls());
   fixture.worker->SetDelayedCallShare(1.0);
   // Sent while the last lease is valid, and executed 1.5 s later, after the loss.
-  fixture.RunFor(1500 * kMillisecond);
+  const Instant orderedAt = BootClock::now();
   fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.counters.Total("starts_delayed_total") == 0);
   REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().allLost; }));
+  REQUIRE(BootClock::now() - orderedAt < 1400 * kMillisecond);
   REQUIRE(fixture.started.empty());
   fixture.worker->SetDelayedCallShare(0);
   fixture.worker->SetPollsUnanswered(false);
