Notice another incarnation of the worker by the answer to any call

The agent told another incarnation from the known one by answers to polls and by heartbeats only. If the answer to a start came from a process that had restarted under the worker's id, the agent took the run for running on the known one, sent further starts with deadlines of the earlier clock, and did not stop the run when it learned of the new incarnation, whose runs the leader starts elsewhere.

An answer that has another start time now shows another incarnation, or, if it has none, one whose clock is behind what the known clock must have reached when the call was sent. It counts as no answer: the start stays among those that a new incarnation is ordered to stop before it is reported. The fence counts as not confirmed, the longest lease is assumed, and the worker is polled at once. The line other_life_answered has the call and the time until all leases have expired; answers_of_other_life_total counts by call.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -18,6 +18,8 @@
 // call takes some time to reach the worker.
 constexpr double kMaxWorkerClockRatio = 1.03;
 constexpr Duration kLeaseExpiryMargin = std::chrono::milliseconds(200);
+// How far the clock of a worker may seem to be behind, beyond its deviation, by rounding.
+constexpr Duration kWorkerClockMargin = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -226,6 +228,69 @@
                                                                                 : "";
 }
 
+bool WorkerDriver::IsOfOtherIncarnation(const WorkerAnswer& aAnswer, Instant aSentAt) const
+{
+  if (aAnswer.end == WorkerCallOutcome::OtherInstance) {
+    // Answered by a worker with another id, which has not seen the call.
+    return false;
+  }
+  if (aAnswer.born != 0) {
+    return aAnswer.born != this->worker.born;
+  }
+  if (!aAnswer.clockMs.has_value() || !this->workerClockMs.has_value()) {
+    return false;
+  }
+  // The answer was given after its call was sent, and the known reading was taken before it
+  // arrived. Answers may overtake each other, so the call may have been sent before that.
+  const Duration elapsed = aSentAt - this->workerClockReadAt;
+  const auto least = std::chrono::duration_cast<Duration>(
+    elapsed * (elapsed > Duration::zero() ? 2 - kMaxWorkerClockRatio : kMaxWorkerClockRatio));
+  return *aAnswer.clockMs < *this->workerClockMs + ToMilliseconds(least - kWorkerClockMargin);
+}
+
+void WorkerDriver::OnOtherIncarnation(std::string_view aCall, const WorkerAnswer& aAnswer)
+{
+  if (this->otherIncarnationAnswered) {
+    return;
+  }
+  this->otherIncarnationAnswered = true;
+  this->workerClockMs.reset();
+  this->fenceConfirmed = false;
+  const Instant now = BootClock::now();
+  this->allLeasesExpiredAt =
+    std::max(this->allLeasesExpiredAt, now + LongestLeaseOnAgentClock(this->maxWorkerLease));
+  Log(LogLevel::Warning,
+      "other_life_answered",
+      { { "worker", this->worker.id },
+        { "born", this->worker.born },
+        { "other_born", aAnswer.born },
+        { "call", aCall },
+        { "clock_ms", aAnswer.clockMs.value_or(0) },
+        { "leases_ms", ToMilliseconds(this->allLeasesExpiredAt - now) } });
+}
+
+WorkerAnswer WorkerDriver::CheckIncarnation(std::string_view aCall,
+                                            const WorkerAnswer& aAnswer,
+                                            Instant aSentAt)
+{
+  if (aAnswer.end == WorkerCallOutcome::Refused) {
+    this->incarnationProvedAt = {};
+  }
+  if (!this->IsOfOtherIncarnation(aAnswer, aSentAt)) {
+    return aAnswer;
+  }
+  this->counters.Add("answers_of_other_life_total", aCall);
+  const bool isFirst = !this->otherIncarnationAnswered;
+  this->OnOtherIncarnation(aCall, aAnswer);
+  if (isFirst) {
+    this->pollPending = false;
+    this->SchedulePoll(Duration::zero());
+  }
+  WorkerAnswer unknown;
+  unknown.reason = "other_incarnation";
+  return unknown;
+}
+
 void WorkerDriver::OnWorkerLeaving(const std::string& aId)
 {
   if (aId == this->worker.id) {
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -111,6 +111,18 @@
   // known one: it would take a deadline on the earlier clock for its longest lease, and forget ends
   // by numbers of the earlier count.
   std::string_view IncarnationDoubt() const;
+  // Returns whether the answer to a call that was sent at `aSentAt` is from another incarnation
+  // than the known one.
+  bool IsOfOtherIncarnation(const platformwire::WorkerAnswer& aAnswer, Instant aSentAt) const;
+  // Handles that another incarnation has answered. Its clock and fencing token are not known, and
+  // it may have taken a deadline on the clock of the known one for its longest lease.
+  void OnOtherIncarnation(std::string_view aCall, const platformwire::WorkerAnswer& aAnswer);
+  // Returns the answer to a call other than a poll that was sent to the present incarnation. One of
+  // another incarnation counts as no answer, since that incarnation has forgotten earlier calls and
+  // may carry the call out a second time; the worker is then polled at once.
+  platformwire::WorkerAnswer CheckIncarnation(std::string_view aCall,
+                                              const platformwire::WorkerAnswer& aAnswer,
+                                              Instant aSentAt);
 
   // The following functions are in WorkerPolling.cpp.
 
@@ -200,7 +212,8 @@
   // The last heartbeat of another incarnation than the current one: a new one, or a delayed or
   // foreign heartbeat. The worker's answers tell which it is.
   std::optional<platformwire::WorkerHeartbeat> unconfirmedHeartbeat;
-  // Whether another incarnation has answered the last poll. Its heartbeats are late or lost.
+  // Whether another incarnation has answered since the known one has. Its heartbeats are late or
+  // lost.
   bool otherIncarnationAnswered = false;
   // When the last call was sent that the known incarnation has answered; `Instant{}` once a later
   // call has shown that it may have ended.
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -161,15 +161,15 @@
                         if (attempt > 1 || aAnswer.end != WorkerCallOutcome::Done) {
                           LogOrderAnswer("start_answered", aRef, epoch, attempt, sentAt, aAnswer);
                         }
-                        if (aAnswer.end == WorkerCallOutcome::Unknown) {
+                        const WorkerAnswer answer =
+                          id == this->incarnation ? this->CheckIncarnation("start", aAnswer, sentAt)
+                                                  : aAnswer;
+                        if (answer.end == WorkerCallOutcome::Unknown) {
                           this->ForgetOldUnansweredStarts();
                           this->unansweredStarts.emplace_back(BootClock::now(), aRef);
                         }
                         if (id == this->incarnation) {
-                          if (aAnswer.end == WorkerCallOutcome::Refused) {
-                            this->incarnationProvedAt = {};
-                          }
-                          this->OnStartAnswer(aRef, attempt, token, sentAt, aAnswer);
+                          this->OnStartAnswer(aRef, attempt, token, sentAt, answer);
                         }
                       });
 }
@@ -308,21 +308,23 @@
 void WorkerDriver::SendStop(const RunRef& aRef)
 {
   const int attempt = ++this->trackedRuns.at(aRef).stopAttempts;
-  this->client->Stop(aRef,
-                     this->fence.Token(),
-                     kWorkerCallTimeout,
-                     [this,
-                      aRef,
-                      attempt,
-                      epoch = this->epoch,
-                      token = this->fence.Token(),
-                      id = this->incarnation,
-                      sentAt = BootClock::now()](const WorkerAnswer& aAnswer) {
-                       LogOrderAnswer("stop_answered", aRef, epoch, attempt, sentAt, aAnswer);
-                       if (id == this->incarnation) {
-                         this->OnStopAnswer(aRef, attempt, token, sentAt, aAnswer);
-                       }
-                     });
+  this->client->Stop(
+    aRef,
+    this->fence.Token(),
+    kWorkerCallTimeout,
+    [this,
+     aRef,
+     attempt,
+     epoch = this->epoch,
+     token = this->fence.Token(),
+     id = this->incarnation,
+     sentAt = BootClock::now()](const WorkerAnswer& aAnswer) {
+      LogOrderAnswer("stop_answered", aRef, epoch, attempt, sentAt, aAnswer);
+      if (id == this->incarnation) {
+        this->OnStopAnswer(
+          aRef, attempt, token, sentAt, this->CheckIncarnation("stop", aAnswer, sentAt));
+      }
+    });
 }
 
 void WorkerDriver::OnStopAnswer(const RunRef& aRef,
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -127,28 +127,20 @@
     this->OnPollFailed(aAnswer);
     return;
   }
-  if (aAnswer.born != 0 && aAnswer.born != this->worker.born) {
+  if (this->IsOfOtherIncarnation(aAnswer, aSentAt)) {
     if (this->ConfirmIncarnation(aAnswer)) {
       return;
     }
     // The answer is from another incarnation than the heartbeats. Waits for a heartbeat from that
     // incarnation. Until then, the worker counts as silent.
     this->counters.Add("looks_of_other_life_total", "worker");
-    if (!this->otherIncarnationAnswered) {
-      // Its clock and fencing token are not known, and it may have taken a deadline on the clock of
-      // the known incarnation for the longest lease.
-      this->otherIncarnationAnswered = true;
-      this->workerClockMs.reset();
-      this->fenceConfirmed = false;
-      this->allLeasesExpiredAt =
-        std::max(this->allLeasesExpiredAt, now + LongestLeaseOnAgentClock(this->maxWorkerLease));
-    }
+    this->OnOtherIncarnation("poll", aAnswer);
     if (now > this->allLeasesExpiredAt) {
       this->OnPollFailed(aAnswer);
     }
     return;
   }
-  if (aAnswer.born != 0) {
+  if (aAnswer.born == this->worker.born) {
     // The incarnation of the last accepted heartbeat has answered a poll that was sent later.
     this->unconfirmedHeartbeat.reset();
     this->otherIncarnationAnswered = false;
@@ -366,16 +358,17 @@
       order.percent,
       this->fence.Token(),
       kWorkerCallTimeout,
-      [this, order, id = this->incarnation, token = this->fence.Token()](
+      [this, order, id = this->incarnation, token = this->fence.Token(), aNow](
         const WorkerAnswer& aAnswer) {
         if (id != this->incarnation) {
           return;
         }
-        if (aAnswer.end == WorkerCallOutcome::Unknown) {
+        const WorkerAnswer answer = this->CheckIncarnation("pace", aAnswer, aNow);
+        if (answer.end == WorkerCallOutcome::Unknown) {
           this->paceController.OnUnanswered(order.ref, BootClock::now());
-        } else if (aAnswer.end == WorkerCallOutcome::Refused ||
-                   aAnswer.end == WorkerCallOutcome::Rejected ||
-                   (aAnswer.end == WorkerCallOutcome::Fenced && token != this->fence.Token())) {
+        } else if (answer.end == WorkerCallOutcome::Refused ||
+                   answer.end == WorkerCallOutcome::Rejected ||
+                   (answer.end == WorkerCallOutcome::Fenced && token != this->fence.Token())) {
           this->paceController.OnFailed(order.ref);
         }
       });
--- a/packages/daemon/tests/WorkerIncarnationTest.cpp
+++ b/packages/daemon/tests/WorkerIncarnationTest.cpp
@@ -116,3 +116,57 @@
   CHECK(shortest > Duration::zero());
   CHECK(fixture.ended.empty());
 }
+
+// Guards against further starts for a worker one of whose answers shows that it has restarted.
+TEST_CASE("WorkerDriver SendsNoFurtherStartWhenAnAnswerToAStartIsOfAnotherIncarnation")
+{
+  const bool tellsBorn = GENERATE(true, false);
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.worker->SetBornInPollsOnly(!tellsBorn);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.RunFor(1000 * kMillisecond);
+  RestartWithoutNotice(fixture);
+  // The last answer of the earlier process is so recent that the start is sent.
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.RunFor(20 * kMillisecond);
+  fixture.StartTask("j.0.0.1");
+  fixture.RunFor(1000 * kMillisecond);
+  INFO("tells born: " << tellsBorn << ", starts: " << fixture.started.size());
+  CHECK(fixture.started.size() == 1);
+}
+
+// Guards against a run that goes on while the leader starts it elsewhere, as its start was answered
+// by a later process of the worker.
+TEST_CASE("WorkerDriver StopsARunBeforeItReportsANewIncarnationThatHasAnsweredItsStart")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  const std::int64_t before = fixture.reports.back().worker.born;
+  fixture.RunFor(500 * kMillisecond);
+  fixture.worker->DropPendingPolls();
+  fixture.worker->Restart();
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().worker.born > before; }));
+  INFO("ended: " << fixture.ended.size());
+  CHECK(fixture.ended.size() == fixture.started.size());
+}
+
+// Guards against a worker that is not used as its answers without a start time seem to be late.
+TEST_CASE("WorkerDriver TakesNoAnswerForOneOfAnotherIncarnationWhenOnlyPollsTellTheStartTime")
+{
+  WorkerDriverFixture fixture;
+  fixture.worker->SetBornInPollsOnly(true);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  for (int index = 1; index <= 30; ++index) {
+    fixture.StartTask("j.0.0." + std::to_string(index));
+    fixture.StopTask("j.0.0." + std::to_string(index - 1));
+    fixture.RunFor(70 * kMillisecond);
+  }
+  CHECK(fixture.started.size() == 30);
+  CHECK(fixture.counters.Total("answers_of_other_life_total") == 0);
+}
