Count the longest lease from the first answer with the agent's token

A worker that fell silent shortly after an agent had taken it over was reported as lost while its runs could go on. The bound of its leases counted from the first heartbeat, but the worker carries out calls of an earlier agent, or to its earlier incarnation, until it has seen the token of this one, and may take their deadlines for its longest lease. The bound now counts from the answer that shows the token as accepted as well.

Without any answer the bound still counts from the heartbeat: a late call may then be carried out up to 20 s later, which no bound of leases covers.

The test failed before: WorkerIncarnationTest.cpp:191: FAILED: CHECK( BootClock::now() - answeredAt >= kMaxLease ) 651675606ns >= 1500000000ns

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -130,6 +130,7 @@
   this->fence.Raise(CurrentUnixMs());
   this->startsSent = false;
   this->fenceConfirmed = false;
+  this->tokenAccepted = false;
   this->workerClockMs.reset();
   this->leaseExpiry = {};
   this->grantedLeaseExpiry = {};
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -229,6 +229,9 @@
   cluster::WorkerFence fence;
   // Whether the worker has accepted the present token of `fence`.
   bool fenceConfirmed = false;
+  // Whether the known incarnation has accepted any token of `fence`, and so refuses the calls of an
+  // earlier agent and those to an earlier incarnation.
+  bool tokenAccepted = false;
   // A start was sent with the present token.
   bool startsSent = false;
   std::uint64_t sequence = 0;
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -6,6 +6,7 @@
 #include "oriolespread/service/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolespread::daemon {
 
@@ -154,6 +155,12 @@
     this->workerClockReadAt = now;
   }
   if (aToken == this->fence.Token() && this->epoch != Epoch{}) {
+    if (!std::exchange(this->tokenAccepted, true)) {
+      // The worker may have carried out a call of an earlier agent, or to its earlier incarnation,
+      // until now, and taken its deadline for the longest lease.
+      this->allLeasesExpiredAt =
+        std::max(this->allLeasesExpiredAt, now + LongestLeaseOnAgentClock(this->maxWorkerLease));
+    }
     this->fenceConfirmed = true;
     this->fence.OnAccepted();
   }
--- a/packages/daemon/tests/WorkerIncarnationTest.cpp
+++ b/packages/daemon/tests/WorkerIncarnationTest.cpp
@@ -170,3 +170,23 @@
   CHECK(fixture.started.size() == 30);
   CHECK(fixture.counters.Total("answers_of_other_life_total") == 0);
 }
+
+// Guards against a loss that is reported while a run goes on: the worker has carried out a call of
+// an earlier agent, with the longest lease, shortly before it saw the token of this one.
+TEST_CASE("WorkerDriver CountsTheLongestLeaseFromTheFirstAnswerWithItsToken")
+{
+  constexpr Duration kMaxLease = 1500 * kMillisecond;
+  WorkerDriverFixture fixture(kMaxLease);
+  fixture.extendLeases = false;
+  fixture.worker->SetListening(false);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  fixture.RunFor(1300 * kMillisecond);
+  REQUIRE(fixture.reports.empty());
+  fixture.worker->SetListening(true);
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  const Instant answeredAt = BootClock::now();
+  fixture.worker->SetPollsUnanswered(true);
+  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().allLost; }));
+  INFO("ms to the loss: " << ToMilliseconds(BootClock::now() - answeredAt));
+  CHECK(BootClock::now() - answeredAt >= kMaxLease);
+}
