--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -102,7 +102,8 @@
       { { "worker", aHeartbeat.worker.id },
         { "born", aHeartbeat.worker.born },
         { "earlier_worker", this->worker.id },
-        { "earlier_born", this->worker.born } });
+        { "earlier_born", this->worker.born },
+        { "leases_ms", ToMilliseconds(LongestLeaseOnAgentClock(this->maxWorkerLease)) } });
   // A worker that restarts under its id accepts late calls to its earlier process, but has
   // forgotten which runs have ended or were stopped.
   std::set<RunRef> mayStart;
