Keep the lease in the test of a start that is carried out after a loss

With the shorter lease of this test, the lease expired before the loss, and the raised token alone kept the start from being carried out: the test passed also without the stop and the raised token of the loss.

--- a/packages/daemon/tests/WorkerLossTest.cpp
+++ b/packages/daemon/tests/WorkerLossTest.cpp
@@ -226,7 +226,18 @@
   const Instant orderedAt = BootClock::now();
   fixture.StartTask("j.0.0.0");
   REQUIRE(fixture.counters.Total("starts_delayed_total") == 0);
-  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().allLost; }));
+  // Reports of heartbeats keep the leader's lease, so that only the loss supersedes the start.
+  platformwire::WorkerHeartbeat heartbeat;
+  heartbeat.worker = fixture.reports.back().worker;
+  heartbeat.sequence = 1000000;
+  while (!fixture.reports.back().allLost && BootClock::now() - orderedAt < 1400 * kMillisecond) {
+    ++heartbeat.sequence;
+    ++heartbeat.worker.remainingMs;
+    fixture.driver->OnHeartbeat(heartbeat);
+    const Instant next = BootClock::now() + 100 * kMillisecond;
+    fixture.RunUntil([&] { return fixture.reports.back().allLost || BootClock::now() >= next; });
+  }
+  REQUIRE(fixture.reports.back().allLost);
   REQUIRE(BootClock::now() - orderedAt < 1400 * kMillisecond);
   REQUIRE(fixture.started.empty());
   fixture.worker->SetDelayedCallShare(0);
