--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -18,6 +18,8 @@
 // call takes some time to reach the worker.
 constexpr double kMaxWorkerClockRatio = 1.03;
 constexpr Duration kLeaseExpiryMargin = std::chrono::milliseconds(200);
+// How far the clock of a worker may seem to be behind, beyond its deviation, by rounding.
+constexpr Duration kWorkerClockMargin = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -100,7 +102,8 @@
       { { "worker", aHeartbeat.worker.id },
         { "born", aHeartbeat.worker.born },
         { "earlier_worker", this->worker.id },
-        { "earlier_born", this->worker.born } });
+        { "earlier_born", this->worker.born },
+        { "leases_ms", ToMilliseconds(LongestLeaseOnAgentClock(this->maxWorkerLease)) } });
   // A worker that restarts under its id accepts late calls to its earlier process, but has
   // forgotten which runs have ended or were stopped.
   std::set<RunRef> mayStart;
@@ -120,6 +123,7 @@
   this->heartbeatSequence = aHeartbeat.sequence;
   this->unconfirmedHeartbeat.reset();
   this->otherIncarnationAnswered = false;
+  this->incarnationProvedAt = {};
   this->client->SetExpectedInstance(aHeartbeat.worker.id);
   // Calls to the earlier incarnation that this one accepts after its first answer would start runs
   // that the leader has given up, extend leases by times of another clock, or acknowledge ends by
@@ -127,6 +131,7 @@
   this->fence.Raise(CurrentUnixMs());
   this->startsSent = false;
   this->fenceConfirmed = false;
+  this->tokenAccepted = false;
   this->workerClockMs.reset();
   this->leaseExpiry = {};
   this->grantedLeaseExpiry = {};
@@ -213,6 +218,81 @@
   return true;
 }
 
+std::string_view WorkerDriver::IncarnationDoubt() const
+{
+  if (this->unconfirmedHeartbeat.has_value()) {
+    return "heartbeat_unconfirmed";
+  }
+  if (this->otherIncarnationAnswered) {
+    return "other_incarnation";
+  }
+  return BootClock::now() - this->incarnationProvedAt > kMaxIncarnationProofAge ? "no_recent_answer"
+                                                                                : "";
+}
+
+bool WorkerDriver::IsOfOtherIncarnation(const WorkerAnswer& aAnswer, Instant aSentAt) const
+{
+  if (aAnswer.end == WorkerCallOutcome::OtherInstance) {
+    // Answered by a worker with another id, which has not seen the call.
+    return false;
+  }
+  if (aAnswer.born != 0) {
+    return aAnswer.born != this->worker.born;
+  }
+  if (!aAnswer.clockMs.has_value() || !this->workerClockMs.has_value()) {
+    return false;
+  }
+  // The answer was given after its call was sent, and the known reading was taken before it
+  // arrived. Answers may overtake each other, so the call may have been sent before that.
+  const Duration elapsed = aSentAt - this->workerClockReadAt;
+  const auto least = std::chrono::duration_cast<Duration>(
+    elapsed * (elapsed > Duration::zero() ? 2 - kMaxWorkerClockRatio : kMaxWorkerClockRatio));
+  return *aAnswer.clockMs < *this->workerClockMs + ToMilliseconds(least - kWorkerClockMargin);
+}
+
+void WorkerDriver::OnOtherIncarnation(std::string_view aCall, const WorkerAnswer& aAnswer)
+{
+  if (this->otherIncarnationAnswered) {
+    return;
+  }
+  this->otherIncarnationAnswered = true;
+  this->workerClockMs.reset();
+  this->fenceConfirmed = false;
+  const Instant now = BootClock::now();
+  this->allLeasesExpiredAt =
+    std::max(this->allLeasesExpiredAt, now + LongestLeaseOnAgentClock(this->maxWorkerLease));
+  Log(LogLevel::Warning,
+      "other_life_answered",
+      { { "worker", this->worker.id },
+        { "born", this->worker.born },
+        { "other_born", aAnswer.born },
+        { "call", aCall },
+        { "clock_ms", aAnswer.clockMs.value_or(0) },
+        { "leases_ms", ToMilliseconds(this->allLeasesExpiredAt - now) } });
+}
+
+WorkerAnswer WorkerDriver::CheckIncarnation(std::string_view aCall,
+                                            const WorkerAnswer& aAnswer,
+                                            Instant aSentAt)
+{
+  if (aAnswer.end == WorkerCallOutcome::Refused) {
+    this->incarnationProvedAt = {};
+  }
+  if (!this->IsOfOtherIncarnation(aAnswer, aSentAt)) {
+    return aAnswer;
+  }
+  this->counters.Add("answers_of_other_life_total", aCall);
+  const bool isFirst = !this->otherIncarnationAnswered;
+  this->OnOtherIncarnation(aCall, aAnswer);
+  if (isFirst) {
+    this->pollPending = false;
+    this->SchedulePoll(Duration::zero());
+  }
+  WorkerAnswer unknown;
+  unknown.reason = "other_incarnation";
+  return unknown;
+}
+
 void WorkerDriver::OnWorkerLeaving(const std::string& aId)
 {
   if (aId == this->worker.id) {
@@ -310,16 +390,13 @@
 bool WorkerDriver::GrantLease()
 {
   const Instant now = BootClock::now();
-  // A worker that does not answer may still carry out calls, so every deadline that is sent to it
-  // counts. Until it answers, it is sent no later deadline than the last one.
-  if (!this->refusesConnections && now - this->lastAnswerAt < kMaxWorkerSilence) {
-    this->grantedLeaseExpiry = std::max(this->grantedLeaseExpiry, this->leaseExpiry);
-  }
+  this->grantedLeaseExpiry = std::max(this->grantedLeaseExpiry, this->leaseExpiry);
   if (this->grantedLeaseExpiry <= now) {
     return false;
   }
   const auto remaining =
     std::chrono::duration_cast<Duration>((this->grantedLeaseExpiry - now) * kMaxWorkerClockRatio);
+  // The worker may carry out a call that it does not answer, so every deadline that is sent counts.
   this->allLeasesExpiredAt =
     std::max(this->allLeasesExpiredAt, now + remaining + kLeaseExpiryMargin);
   return true;
@@ -330,6 +407,11 @@
   return this->workerClockMs.value_or(0) + ToMilliseconds(aLocalTime - this->workerClockReadAt);
 }
 
+Duration WorkerDriver::RetryDelay(Instant aSentAt)
+{
+  return std::max(aSentAt + kWorkerRetryDelay - BootClock::now(), Duration::zero());
+}
+
 void WorkerDriver::CallAfter(Duration aDelay, std::function<void()> aCall)
 {
   auto timer = std::make_shared<asio::steady_timer>(this->context, aDelay);
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -74,6 +74,8 @@
     bool startedByEarlierAgent = false;
     int startAttempts = 0;
     int stopAttempts = 0;
+    // The reason code for which the start was last delayed; points to a literal.
+    std::string_view delayedBy;
     Instant orderedAt{};
     // When the worker last confirmed the start or the stop.
     Instant confirmedAt{};
@@ -104,6 +106,23 @@
   // Switches to the incarnation of `unconfirmedHeartbeat` if the worker's answer shows that it is
   // the current one. Returns whether it does.
   bool ConfirmIncarnation(const platformwire::WorkerAnswer& aAnswer);
+  // Returns why another incarnation than the known one may serve the worker's address now, as a
+  // reason code, or an empty text. Such an incarnation would carry out calls that are meant for the
+  // known one: it would take a deadline on the earlier clock for its longest lease, and forget ends
+  // by numbers of the earlier count.
+  std::string_view IncarnationDoubt() const;
+  // Returns whether the answer to a call that was sent at `aSentAt` is from another incarnation
+  // than the known one.
+  bool IsOfOtherIncarnation(const platformwire::WorkerAnswer& aAnswer, Instant aSentAt) const;
+  // Handles that another incarnation has answered. Its clock and fencing token are not known, and
+  // it may have taken a deadline on the clock of the known one for its longest lease.
+  void OnOtherIncarnation(std::string_view aCall, const platformwire::WorkerAnswer& aAnswer);
+  // Returns the answer to a call other than a poll that was sent to the present incarnation. One of
+  // another incarnation counts as no answer, since that incarnation has forgotten earlier calls and
+  // may carry the call out a second time; the worker is then polled at once.
+  platformwire::WorkerAnswer CheckIncarnation(std::string_view aCall,
+                                              const platformwire::WorkerAnswer& aAnswer,
+                                              Instant aSentAt);
 
   // The following functions are in WorkerPolling.cpp.
 
@@ -141,8 +160,8 @@
   // lease if it is the last condition.
   std::string_view AwaitedForStart();
   // Sends the start of the run to the worker, or tries again later if it has to wait. Rejects it
-  // after the time of a lease. Does nothing if another order has taken the place of the one that
-  // came at `aOrderedAt`.
+  // after the time of a lease, or if it has to wait for a worker that refuses connections. Does
+  // nothing if another order has taken the place of the one that came at `aOrderedAt`.
   void TryStart(const RunRef& aRef, Instant aOrderedAt);
   // Gives up starts that the worker has not confirmed and that were ordered before the time. Called
   // when the lease expired meanwhile: the leader may have started the runs elsewhere.
@@ -173,6 +192,9 @@
   // were lost. It has then given up the run that it ordered to start.
   bool MayPrecedeLoss() const;
   std::int64_t ToWorkerClockMs(Instant aLocalTime) const;
+  // Returns the time until a call that was sent at `aSentAt` is repeated. One without an answer has
+  // waited already, unless its connection was reset.
+  static Duration RetryDelay(Instant aSentAt);
   // Runs the call after the delay, unless the driver is destroyed before.
   void CallAfter(Duration aDelay, std::function<void()> aCall);
 
@@ -190,8 +212,12 @@
   // The last heartbeat of another incarnation than the current one: a new one, or a delayed or
   // foreign heartbeat. The worker's answers tell which it is.
   std::optional<platformwire::WorkerHeartbeat> unconfirmedHeartbeat;
-  // Whether another incarnation has answered the last poll. Its heartbeats are late or lost.
+  // Whether another incarnation has answered since the known one has. Its heartbeats are late or
+  // lost.
   bool otherIncarnationAnswered = false;
+  // When the last call was sent that the known incarnation has answered; `Instant{}` once a later
+  // call has shown that it may have ended.
+  Instant incarnationProvedAt{};
   // Incremented with each incarnation of the worker; answers of an earlier one are dropped.
   std::uint64_t incarnation = 0;
   bool pollPending = false;
@@ -203,6 +229,9 @@
   cluster::WorkerFence fence;
   // Whether the worker has accepted the present token of `fence`.
   bool fenceConfirmed = false;
+  // Whether the known incarnation has accepted any token of `fence`, and so refuses the calls of an
+  // earlier agent and those to an earlier incarnation.
+  bool tokenAccepted = false;
   // A start was sent with the present token.
   bool startsSent = false;
   std::uint64_t sequence = 0;
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -5,6 +5,7 @@
 #include "oriolespread/service/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolespread::daemon {
 
@@ -33,13 +34,6 @@
         { "took_ms", ToMilliseconds(BootClock::now() - aSentAt) } });
 }
 
-// Returns when a call that was sent at `aSentAt` is repeated. One without an answer has waited
-// already, unless its connection was reset.
-Duration RetryDelay(Instant aSentAt)
-{
-  return std::max(aSentAt + kWorkerRetryDelay - BootClock::now(), Duration::zero());
-}
-
 } // namespace
 
 void WorkerDriver::OnOrders(const WorkerOrders& aOrders)
@@ -132,6 +126,14 @@
     return;
   }
   if (const std::string_view awaited = this->AwaitedForStart(); !awaited.empty()) {
+    if (awaited != std::exchange(it->second.delayedBy, awaited)) {
+      this->counters.Add("starts_delayed_total", awaited);
+    }
+    if (this->refusesConnections && it->second.openStarts == 0) {
+      // Nothing was sent to the worker, and another one may start the task at once.
+      this->RejectRun(aRef, "connection_refused");
+      return;
+    }
     // The leader may have a worker that can start the task at once.
     if (BootClock::now() - aOrderedAt >= this->requestedLease) {
       this->counters.Add("starts_void_total", awaited);
@@ -159,12 +161,15 @@
                         if (attempt > 1 || aAnswer.end != WorkerCallOutcome::Done) {
                           LogOrderAnswer("start_answered", aRef, epoch, attempt, sentAt, aAnswer);
                         }
-                        if (aAnswer.end == WorkerCallOutcome::Unknown) {
+                        const WorkerAnswer answer =
+                          id == this->incarnation ? this->CheckIncarnation("start", aAnswer, sentAt)
+                                                  : aAnswer;
+                        if (answer.end == WorkerCallOutcome::Unknown) {
                           this->ForgetOldUnansweredStarts();
                           this->unansweredStarts.emplace_back(BootClock::now(), aRef);
                         }
                         if (id == this->incarnation) {
-                          this->OnStartAnswer(aRef, attempt, token, sentAt, aAnswer);
+                          this->OnStartAnswer(aRef, attempt, token, sentAt, answer);
                         }
                       });
 }
@@ -177,6 +182,9 @@
   if (!this->workerClockMs.has_value()) {
     return "clock_awaited";
   }
+  if (!this->IncarnationDoubt().empty()) {
+    return "incarnation_awaited";
+  }
   // Without a recent answer from the leader, an order to stop the run may be queued behind the
   // order to start it.
   if (!this->HasRecentLeaderResponse()) {
@@ -300,21 +308,23 @@
 void WorkerDriver::SendStop(const RunRef& aRef)
 {
   const int attempt = ++this->trackedRuns.at(aRef).stopAttempts;
-  this->client->Stop(aRef,
-                     this->fence.Token(),
-                     kWorkerCallTimeout,
-                     [this,
-                      aRef,
-                      attempt,
-                      epoch = this->epoch,
-                      token = this->fence.Token(),
-                      id = this->incarnation,
-                      sentAt = BootClock::now()](const WorkerAnswer& aAnswer) {
-                       LogOrderAnswer("stop_answered", aRef, epoch, attempt, sentAt, aAnswer);
-                       if (id == this->incarnation) {
-                         this->OnStopAnswer(aRef, attempt, token, sentAt, aAnswer);
-                       }
-                     });
+  this->client->Stop(
+    aRef,
+    this->fence.Token(),
+    kWorkerCallTimeout,
+    [this,
+     aRef,
+     attempt,
+     epoch = this->epoch,
+     token = this->fence.Token(),
+     id = this->incarnation,
+     sentAt = BootClock::now()](const WorkerAnswer& aAnswer) {
+      LogOrderAnswer("stop_answered", aRef, epoch, attempt, sentAt, aAnswer);
+      if (id == this->incarnation) {
+        this->OnStopAnswer(
+          aRef, attempt, token, sentAt, this->CheckIncarnation("stop", aAnswer, sentAt));
+      }
+    });
 }
 
 void WorkerDriver::OnStopAnswer(const RunRef& aRef,
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -5,6 +5,9 @@
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/service/Log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace oriolespread::daemon {
 
 using platformwire::WorkerAnswer;
@@ -37,18 +40,17 @@
   platformwire::WorkerPoll request;
   request.fence = this->fence.Token();
   // Numbers of ends and times on the worker's clock hold for one incarnation only.
-  const bool mayBeOtherIncarnation =
-    this->unconfirmedHeartbeat.has_value() || this->otherIncarnationAnswered;
-  request.acknowledgedEnds = mayBeOtherIncarnation ? 0 : this->lastAcknowledgedEnd;
-  if (!mayBeOtherIncarnation && this->workerClockMs.has_value() &&
-      now - this->lastAnswerAt < kMaxWorkerSilence && this->GrantLease()) {
+  const std::string_view doubt = this->IncarnationDoubt();
+  request.acknowledgedEnds = doubt.empty() ? this->lastAcknowledgedEnd : 0;
+  if (!doubt.empty()) {
+    this->counters.Add("polls_without_lease_total", doubt);
+  } else if (this->workerClockMs.has_value() && this->GrantLease()) {
     request.deadlineMs = this->ToWorkerClockMs(this->grantedLeaseExpiry);
   }
   // While ends are unacknowledged, the worker answers at once, so a long poll has no effect.
   // Until the fence is confirmed, nothing is reported, so the poll asks for an immediate answer, as
-  // it does if the answer tells whether a heartbeat is of a new incarnation.
-  const bool waitForEnd =
-    this->unacknowledgedEnds.empty() && this->fenceConfirmed && !mayBeOtherIncarnation;
+  // it does if the answer tells which incarnation serves the address.
+  const bool waitForEnd = this->unacknowledgedEnds.empty() && this->fenceConfirmed && doubt.empty();
   request.wait = waitForEnd ? kWorkerLongPollTime : Duration::zero();
   this->client->Poll(
     request,
@@ -104,10 +106,15 @@
 void WorkerDriver::OnPollAnswer(const WorkerAnswer& aAnswer, FencingToken aToken, Instant aSentAt)
 {
   this->pollPending = false;
-  // Scheduled first, so that polling continues if the handling of the answer throws.
-  this->SchedulePoll(kWorkerRetryDelay);
+  // Scheduled first, so that polling continues if the handling of the answer throws. While answers
+  // are lost, the worker gets no lease before the next one, so a late poll is repeated at once.
+  this->SchedulePoll(aAnswer.end == WorkerCallOutcome::Done ? kWorkerRetryDelay
+                                                            : RetryDelay(aSentAt));
   const Instant now = BootClock::now();
   if (aAnswer.end != WorkerCallOutcome::Done) {
+    this->incarnationProvedAt = aAnswer.born != 0 && aAnswer.born == this->worker.born
+                                  ? std::max(this->incarnationProvedAt, aSentAt)
+                                  : Instant{};
     if (aAnswer.end == WorkerCallOutcome::OtherInstance && this->ConfirmIncarnation(aAnswer)) {
       return;
     }
@@ -121,32 +128,25 @@
     this->OnPollFailed(aAnswer);
     return;
   }
-  if (aAnswer.born != 0 && aAnswer.born != this->worker.born) {
+  if (this->IsOfOtherIncarnation(aAnswer, aSentAt)) {
     if (this->ConfirmIncarnation(aAnswer)) {
       return;
     }
     // The answer is from another incarnation than the heartbeats. Waits for a heartbeat from that
     // incarnation. Until then, the worker counts as silent.
     this->counters.Add("looks_of_other_life_total", "worker");
-    if (!this->otherIncarnationAnswered) {
-      // Its clock and fencing token are not known, and it may have taken a deadline on the clock of
-      // the known incarnation for the longest lease.
-      this->otherIncarnationAnswered = true;
-      this->workerClockMs.reset();
-      this->fenceConfirmed = false;
-      this->allLeasesExpiredAt =
-        std::max(this->allLeasesExpiredAt, now + LongestLeaseOnAgentClock(this->maxWorkerLease));
-    }
+    this->OnOtherIncarnation("poll", aAnswer);
     if (now > this->allLeasesExpiredAt) {
       this->OnPollFailed(aAnswer);
     }
     return;
   }
-  if (aAnswer.born != 0) {
+  if (aAnswer.born == this->worker.born) {
     // The incarnation of the last accepted heartbeat has answered a poll that was sent later.
     this->unconfirmedHeartbeat.reset();
     this->otherIncarnationAnswered = false;
   }
+  this->incarnationProvedAt = std::max(this->incarnationProvedAt, aSentAt);
   this->lastAnswerAt = now;
   this->refusesConnections = false;
   this->workerLost = false;
@@ -155,6 +155,12 @@
     this->workerClockReadAt = now;
   }
   if (aToken == this->fence.Token() && this->epoch != Epoch{}) {
+    if (!std::exchange(this->tokenAccepted, true)) {
+      // The worker may have carried out a call of an earlier agent, or to its earlier incarnation,
+      // until now, and taken its deadline for the longest lease.
+      this->allLeasesExpiredAt =
+        std::max(this->allLeasesExpiredAt, now + LongestLeaseOnAgentClock(this->maxWorkerLease));
+    }
     this->fenceConfirmed = true;
     this->fence.OnAccepted();
   }
@@ -360,16 +366,17 @@
       order.percent,
       this->fence.Token(),
       kWorkerCallTimeout,
-      [this, order, id = this->incarnation, token = this->fence.Token()](
+      [this, order, id = this->incarnation, token = this->fence.Token(), aNow](
         const WorkerAnswer& aAnswer) {
         if (id != this->incarnation) {
           return;
         }
-        if (aAnswer.end == WorkerCallOutcome::Unknown) {
+        const WorkerAnswer answer = this->CheckIncarnation("pace", aAnswer, aNow);
+        if (answer.end == WorkerCallOutcome::Unknown) {
           this->paceController.OnUnanswered(order.ref, BootClock::now());
-        } else if (aAnswer.end == WorkerCallOutcome::Refused ||
-                   aAnswer.end == WorkerCallOutcome::Rejected ||
-                   (aAnswer.end == WorkerCallOutcome::Fenced && token != this->fence.Token())) {
+        } else if (answer.end == WorkerCallOutcome::Refused ||
+                   answer.end == WorkerCallOutcome::Rejected ||
+                   (answer.end == WorkerCallOutcome::Fenced && token != this->fence.Token())) {
           this->paceController.OnFailed(order.ref);
         }
       });
--- a/packages/daemon/tests/WorkerLossTest.cpp
+++ b/packages/daemon/tests/WorkerLossTest.cpp
@@ -232,15 +232,28 @@
 // that the leader has started the task elsewhere, and then carries out a start with a new lease.
 TEST_CASE("WorkerDriver PreventsUnansweredStartsWhenTheWorkerWasLost")
 {
-  WorkerDriverFixture fixture(1500 * kMillisecond);
+  WorkerDriverFixture fixture(600 * kMillisecond);
   fixture.driver->FollowLeader(Epoch{ 1 });
   REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
-  fixture.worker->SetPollsUnanswered(true);
+  REQUIRE(fixture.LosePolls());
   fixture.worker->SetDelayedCallShare(1.0);
   // Sent while the last lease is valid, and executed 1.5 s later, after the loss.
-  fixture.RunFor(1500 * kMillisecond);
+  const Instant orderedAt = BootClock::now();
   fixture.StartTask("j.0.0.0");
-  REQUIRE(fixture.RunUntil([&] { return fixture.reports.back().allLost; }));
+  REQUIRE(fixture.counters.Total("starts_delayed_total") == 0);
+  // Reports of heartbeats keep the leader's lease, so that only the loss supersedes the start.
+  platformwire::WorkerHeartbeat heartbeat;
+  heartbeat.worker = fixture.reports.back().worker;
+  heartbeat.sequence = 1000000;
+  while (!fixture.reports.back().allLost && BootClock::now() - orderedAt < 1400 * kMillisecond) {
+    ++heartbeat.sequence;
+    ++heartbeat.worker.remainingMs;
+    fixture.driver->OnHeartbeat(heartbeat);
+    const Instant next = BootClock::now() + 100 * kMillisecond;
+    fixture.RunUntil([&] { return fixture.reports.back().allLost || BootClock::now() >= next; });
+  }
+  REQUIRE(fixture.reports.back().allLost);
+  REQUIRE(BootClock::now() - orderedAt < 1400 * kMillisecond);
   REQUIRE(fixture.started.empty());
   fixture.worker->SetDelayedCallShare(0);
   fixture.worker->SetPollsUnanswered(false);
