Count the lease that a report extends although it is not taken

After a restart of a worker, the leader does not take reports that list no runs, but answers them with an extension. The runs of the earlier process, which the new one may carry out late, kept the bound of the last report before, and were started elsewhere up to a lease too early.

Test CountsTheLeaseOfARestartedWorkerFromAReportThatListsNoRuns failed before: UnconfirmedOrdersTest.cpp:296: CHECK( fixture.starts.size() == 1 ) with expansion: 2 == 1

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -234,6 +234,9 @@
 
   // Returns when the leases of the report's worker have certainly expired if it is the last one.
   Instant CountLeases(const WorkerReport& aReport, Now aNow);
+  // Counts the leases of a report that is not taken, as it is answered with an extension too. A
+  // worker that has restarted may run what its earlier processes were ordered to start.
+  void CountLeasesOfOtherWorkers(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
   Worker* RegisterWorker(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
   // Returns the known workers of the agent other than `aCurrent`.
   std::set<WorkerKey> OtherWorkers(const std::string& aAgent,
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -69,6 +69,7 @@
     // The worker has restarted and may have carried out a late start of one of these runs. The next
     // full report lists what runs there.
     this->counters.Add("reports_ignored_total", "worker_restarted");
+    this->CountLeasesOfOtherWorkers(aAgent, aReport, aNow);
     return;
   }
   Worker* worker = this->RegisterWorker(aAgent, aReport, aNow);
@@ -123,6 +124,17 @@
   return expiry;
 }
 
+void JobScheduler::CountLeasesOfOtherWorkers(const std::string& aAgent,
+                                             const WorkerReport& aReport,
+                                             Now aNow)
+{
+  const Instant expiry = this->CountLeases(aReport, aNow);
+  for (const WorkerKey& key : this->OtherWorkers(aAgent, KeyOf(aReport))) {
+    Worker& worker = this->workers.at(key);
+    worker.latestLeaseExpiry = std::max(worker.latestLeaseExpiry, expiry);
+  }
+}
+
 Worker* JobScheduler::RegisterWorker(const std::string& aAgent,
                                      const WorkerReport& aReport,
                                      Now aNow)
--- a/packages/jobs/tests/UnconfirmedOrdersTest.cpp
+++ b/packages/jobs/tests/UnconfirmedOrdersTest.cpp
@@ -275,6 +275,30 @@
   }
 }
 
+// Guards against a second run while a late start of the first one goes on under an extended lease.
+TEST_CASE("JobScheduler CountsTheLeaseOfARestartedWorkerFromAReportThatListsNoRuns")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  WorkerReport& report = fixture.agents["a"];
+  report.running.clear();
+  report.worker.born = 2;
+  report.full = false;
+  report.lastOrders = 0;
+  fixture.Advance(3000 * kMs);
+  fixture.Report("a");
+  fixture.Advance(SchedulerSettings{}.LeaseBound() - kMs);
+  fixture.AddAgent("b");
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.size() == 1);
+  fixture.Advance(2 * kMs);
+  fixture.RunUntilIdle();
+  CHECK(fixture.starts.size() == 2);
+}
+
 // Guards against two runs of a member of a gang at the same time, of which only this one was
 // considered lost.
 TEST_CASE("JobScheduler PlacesAGangAgainOnlyWhenAMemberThatItConsideredLostIsGone")
