Play the lease that workers report, and starts that were settled

The played leader writes the latest lease that it knows of into its row and takes leases from reports while it loads, as LeaderDriver does. Jobs of the play with long runs get 120 s to settle: the longest takes 29 s without failures, where that of the other plays takes 8 s, and seed 40 was still working on a job that had failed three times.

The second test counts second runs that begin by a late start itself as findings. It passes with its own seeds (1 to 40) and fails with ORIOLESPREAD_SEED=244 ORIOLESPREAD_HANDOVERS=25: run 4 of j4.0.0.2 starts on w0 while run 5 is on w3. The stop of run 4 was confirmed by the process of w0 before; the next one carries out a start that was sent before the stop.

--- a/packages/jobs/tests/HandoverTest.cpp
+++ b/packages/jobs/tests/HandoverTest.cpp
@@ -19,6 +19,8 @@
 // How long jobs may take once nothing is disturbed any more. A leader waits for at most 14 s for
 // the leases of a silent worker, and the longest job takes 8 s if no run fails.
 constexpr Duration kSettleTime = std::chrono::seconds(60);
+// The same if the longest job takes 29 s.
+constexpr Duration kLongSettleTime = std::chrono::seconds(120);
 // An entry claims after this time even if the leader has become well again.
 constexpr Duration kTakeOverAfter = 2500 * kMs;
 constexpr Duration kMaxElectionTime = std::chrono::seconds(30);
@@ -117,6 +119,7 @@
   {
     this->cluster.world.callsReachNextProcess = true;
     this->cluster.world.countsLateSecondRuns = aCountLateSecondRuns;
+    this->settleTime = kLongSettleTime;
     this->fewestJobs = 1;
     this->mostJobs = 2;
     this->shortestRunMs = 6000;
@@ -151,7 +154,7 @@
     this->cluster.Elect({}, this->ConnectDelays(0), {});
     this->AwaitLeader(leaders + 1);
     std::string unsettled;
-    for (Duration waited{}; waited < kSettleTime; waited += 500 * kMs) {
+    for (Duration waited{}; waited < this->settleTime; waited += 500 * kMs) {
       this->Run(500 * kMs);
       unsettled = this->FindUnsettled();
       if (unsettled.empty()) {
@@ -394,6 +397,7 @@
   std::uint64_t number = 0;
   std::uint64_t refusals = 0;
   double slowStoreShare = 0.3;
+  Duration settleTime = kSettleTime;
   std::uint64_t fewestJobs = 2;
   std::uint64_t mostJobs = 5;
   std::uint64_t shortestRunMs = 200;
@@ -403,6 +407,29 @@
   std::map<std::string, JobRecord> jobs;
 };
 
+// Plays hand-overs while workers restart under their ids and are cut off.
+void PlayRestartedWorkers(bool aCountLateSecondRuns)
+{
+  const std::uint64_t first = ReadNumber("ORIOLESPREAD_SEED", 1);
+  const std::uint64_t count = ReadNumber("ORIOLESPREAD_HANDOVERS", kHandovers);
+  std::uint64_t starts = 0;
+  std::uint64_t lateStarts = 0;
+  for (std::uint64_t played = 0; played < count; played += kHandoversPerSeed) {
+    HandoverPlay play(first + played / kHandoversPerSeed);
+    play.DeliverCallsToNextProcess(aCountLateSecondRuns);
+    for (std::uint64_t number = 1; number <= kHandoversPerSeed; ++number) {
+      play.RestartAndCutOffWorkers();
+      play.HandOver(number);
+    }
+    play.Settle();
+    starts += play.World().starts.size();
+    lateStarts += play.World().lateStarts;
+  }
+  INFO("starts " << starts << ", by calls to an earlier process " << lateStarts);
+  CHECK(starts >= count);
+  CHECK(lateStarts > 0);
+}
+
 } // namespace
 
 // Guards against tasks that run twice, again after their end, after their cancellation or never,
@@ -488,22 +515,12 @@
 // one.
 TEST_CASE("JobScheduler RunsEachTaskOnceWhenWorkersRestartUnderTheirIdAndAreCutOff")
 {
-  const std::uint64_t first = ReadNumber("ORIOLESPREAD_SEED", 1);
-  const std::uint64_t count = ReadNumber("ORIOLESPREAD_HANDOVERS", kHandovers) / 2;
-  std::uint64_t starts = 0;
-  std::uint64_t lateStarts = 0;
-  for (std::uint64_t played = 0; played < count; played += kHandoversPerSeed) {
-    HandoverPlay play(first + played / kHandoversPerSeed);
-    play.DeliverCallsToNextProcess(true);
-    for (std::uint64_t number = 1; number <= kHandoversPerSeed; ++number) {
-      play.RestartAndCutOffWorkers();
-      play.HandOver(number);
-    }
-    play.Settle();
-    starts += play.World().starts.size();
-    lateStarts += play.World().lateStarts;
-  }
-  INFO("starts " << starts << ", by calls to an earlier process " << lateStarts);
-  CHECK(starts >= count);
-  CHECK(lateStarts > 0);
+  PlayRestartedWorkers(true);
+}
+
+// Guards against a second run that a restarted worker begins by a start which its earlier process
+// has settled: it had carried out a repetition of the start, or a stop.
+TEST_CASE("JobScheduler RunsEachTaskOnceWhenRestartedWorkersCarryOutSettledStarts")
+{
+  PlayRestartedWorkers(false);
 }
--- a/packages/jobs/tests/PlayedLeader.h
+++ b/packages/jobs/tests/PlayedLeader.h
@@ -209,7 +209,9 @@
           }
         });
     }
-    if (this->phase == Phase::Leading) {
+    if (this->phase == Phase::Loading) {
+      this->scheduler->OnReportWhileLoading(aReport, this->world.time.Current());
+    } else if (this->phase == Phase::Leading) {
       this->scheduler->OnReport(AgentName(aLink->agent), aReport, this->world.time.Current());
       this->RequestPass();
     }
@@ -255,8 +257,10 @@
   void SendBatch(StoreBatch aBatch)
   {
     ++this->row.record.renewal;
-    this->row.record.earlierLeasesMs = std::max<std::int64_t>(
-      ToMilliseconds(this->earlierLeasesExpiry - this->world.time.Present()), 0);
+    const Instant leasesExpiry =
+      std::max(this->earlierLeasesExpiry, this->scheduler->LatestLeaseExpiry());
+    this->row.record.earlierLeasesMs =
+      std::max<std::int64_t>(ToMilliseconds(leasesExpiry - this->world.time.Present()), 0);
     this->inFlight = std::make_shared<PlayedTransaction>(PlayedTransaction{
       this->row.version, this->row, std::move(aBatch), this->world.time.Present() });
     this->SendTransaction(this->inFlight);
