--- a/packages/soak/src/LinkProxy.cpp
+++ b/packages/soak/src/LinkProxy.cpp
@@ -2,12 +2,15 @@
 
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace oriolespread::soak {
 
 namespace {
 
+// An agent's name is within so many bytes from the start of a connection.
+constexpr std::size_t kHelloBytes = 512;
 constexpr Duration kHeldPoll = std::chrono::milliseconds(50);
 
 } // namespace
@@ -22,6 +25,8 @@
 
   asio::ip::tcp::socket client;
   asio::ip::tcp::socket server;
+  // The first bytes of the client, which contain its name.
+  std::string hello;
   std::array<char, 16384> toServer{};
   std::array<char, 16384> toClient{};
 };
@@ -86,13 +91,16 @@
       if (!this->pairs.contains(aPair)) {
         return;
       }
+      if (aToServer && aPair->hello.size() < kHelloBytes) {
+        aPair->hello.append(aPair->toServer.data(), aSize);
+      }
       this->Forward(aPair, aToServer, aSize);
     });
 }
 
 void LinkProxy::Forward(const std::shared_ptr<Pair>& aPair, bool aToServer, std::size_t aSize)
 {
-  const bool cut = aToServer ? this->fault.cutToServer : this->fault.cutToClient;
+  const bool cut = this->IsCut(*aPair, aToServer);
   const Duration wait = cut ? kHeldPoll : this->fault.delay;
   if (wait > Duration::zero()) {
     auto timer = std::make_shared<asio::steady_timer>(this->context, wait);
@@ -112,6 +120,28 @@
   this->Send(aPair, aToServer, aSize);
 }
 
+void LinkProxy::SetAgentCut(const std::string& aAgent, bool aCut)
+{
+  if (aCut) {
+    this->cutAgents.insert(aAgent);
+  } else {
+    this->cutAgents.erase(aAgent);
+  }
+}
+
+bool LinkProxy::IsCut(const Pair& aPair, bool aToServer) const
+{
+  if (aToServer ? this->fault.cutToServer : this->fault.cutToClient) {
+    return true;
+  }
+  return std::any_of(
+    this->cutAgents.begin(), this->cutAgents.end(), [&](const std::string& aAgent) {
+      // A name is sent with its length before it.
+      const std::string sized = static_cast<char>(aAgent.size()) + aAgent;
+      return aPair.hello.find(sized) != std::string::npos;
+    });
+}
+
 void LinkProxy::Send(const std::shared_ptr<Pair>& aPair, bool aToServer, std::size_t aSize)
 {
   auto& to = aToServer ? aPair->server : aPair->client;
--- a/packages/soak/src/LinkProxy.h
+++ b/packages/soak/src/LinkProxy.h
@@ -33,6 +33,8 @@
   LinkProxy& operator=(const LinkProxy&) = delete;
 
   void SetFault(const LinkFault& aFault) { this->fault = aFault; }
+  // Holds back the bytes of both directions on connections of the agent with this name.
+  void SetAgentCut(const std::string& aAgent, bool aCut);
   void ResetAll();
   // Leaves the present connections open without forwarding anything more, not even their end, as
   // the loss of a machine's power does.
@@ -44,6 +46,7 @@
   void Accept();
   void Pump(const std::shared_ptr<Pair>& aPair, bool aToServer);
   void Forward(const std::shared_ptr<Pair>& aPair, bool aToServer, std::size_t aSize);
+  bool IsCut(const Pair& aPair, bool aToServer) const;
   void Send(const std::shared_ptr<Pair>& aPair, bool aToServer, std::size_t aSize);
   // Closes a pair unless it was abandoned.
   void Close(const std::shared_ptr<Pair>& aPair);
@@ -52,6 +55,7 @@
   asio::ip::tcp::acceptor acceptor;
   asio::ip::tcp::endpoint server;
   LinkFault fault;
+  std::set<std::string> cutAgents;
   std::set<std::shared_ptr<Pair>> pairs;
   // Open until the proxy is destroyed.
   std::vector<std::shared_ptr<Pair>> abandoned;
--- a/packages/soak/src/Main.cpp
+++ b/packages/soak/src/Main.cpp
@@ -100,6 +100,9 @@
   options.end = *end;
   options.logStore = aOptions.count("log-store") > 0;
   options.killLeader = aOptions.count("kill-leader") > 0;
+  options.maxWorkerLease = std::chrono::seconds(aOptions["max-worker-lease"].as<int>());
+  options.crashKillsLeader = aOptions.count("crash-kills-leader") > 0;
+  options.workerCrashes = options.crashKillsLeader || aOptions.count("worker-crashes") > 0;
   options.network = 20 + static_cast<int>(::getpid() % kNetworks);
   options.directory = aOptions["directory"].as<std::string>() + "/" + std::to_string(::getpid()) +
                       "-" + std::to_string(aSeed);
@@ -180,6 +183,13 @@
     cxxopts::value<double>()->default_value("0"))(
     "log-store", "writes all transactions of the store to store.log beside the logs")(
     "kill-leader", "the leading entry is killed once, after a third of the load")(
+    "worker-crashes",
+    "half of the workers restart under their ids, and their agents are cut off soon after, each "
+    "14 s; some runs are long")(
+    "crash-kills-leader", "as --worker-crashes, and the leading entry is killed after each crash")(
+    "max-worker-lease",
+    "seconds of the longest lease that workers accept",
+    cxxopts::value<int>()->default_value("6"))(
     "end",
     "with --mix, what happens to all processes at the end of the load: none, kill, power",
     cxxopts::value<std::string>()->default_value("none"))("help", "this text");
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -59,6 +59,23 @@
 constexpr Duration kMixGoOnTime = std::chrono::seconds(20);
 constexpr double kMinServedShare = 0.25;
 
+// With crashes of workers, the time from the start of the load to the first one.
+constexpr Duration kFirstCrash = std::chrono::seconds(3);
+// Runs of this share of the jobs are longer than all leases.
+constexpr double kLongShare = 0.25;
+constexpr Duration kMinLongRun = std::chrono::seconds(6);
+constexpr Duration kMaxLongRun = std::chrono::seconds(12);
+constexpr Duration kShortRun = std::chrono::milliseconds(300);
+// The payload of a long run, before its duration in milliseconds.
+constexpr std::string_view kLongPayload = "long ";
+
+Duration RunTimeOf(const std::string& aPayload)
+{
+  return aPayload.starts_with(kLongPayload)
+           ? std::chrono::milliseconds(std::stoi(aPayload.substr(kLongPayload.size())))
+           : kShortRun;
+}
+
 PromiseBounds BoundsOf(const SoakOptions& aOptions)
 {
   PromiseBounds bounds;
@@ -88,6 +105,7 @@
   , random(this->options.seed)
   , refusalRandom(this->options.seed)
   , giveUpRandom(this->options.seed)
+  , crashRandom(this->options.seed)
   , endRandom(this->options.seed)
   , start(BootClock::now())
   , faultsEnd(this->start + kWarmUp + this->options.length)
@@ -160,7 +178,7 @@
   this->store.SetFault(this->store.Serve(storeIp, kStorePort), this->CalmStore());
   aSettings.dataCentre = "z";
   aSettings.internalPort = kLinkPort;
-  aSettings.maxWorkerLease = std::chrono::seconds(6);
+  aSettings.maxWorkerLease = this->options.maxWorkerLease;
   aSettings.stopGrace = std::chrono::seconds(6);
   aSettings.keepEnded = this->options.keepEnded;
   aSettings.drainTime = std::chrono::seconds(2);
@@ -210,7 +228,7 @@
 void Soak::AddWorker(std::size_t aIndex)
 {
   platformwire::DaemonSettings settings;
-  settings.machine = "side-" + std::to_string(aIndex + 1);
+  settings.machine = kAgentName + std::to_string(aIndex + 1);
   settings.ip = this->Ip(2, aIndex);
   settings.control = { settings.ip, kControlPort };
   settings.workerAddress = ToString(SocketAddress{ settings.ip, kWorkerPort });
@@ -230,6 +248,10 @@
   options.ip = settings.ip;
   options.port = kWorkerPort;
   options.agentAddress = ToString(settings.control);
+  options.maxLease = this->options.maxWorkerLease;
+  if (this->options.workerCrashes) {
+    options.runTimeOf = &RunTimeOf;
+  }
   if (this->options.refusals) {
     options.runTime = kRunTimeWithRefusals;
   }
@@ -318,6 +340,9 @@
     this->StopSoon();
     this->SlowStoreSoon();
   }
+  if (this->options.workerCrashes) {
+    this->CrashWorkersSoon(kFirstCrash);
+  }
   if (this->options.killLeader) {
     this->After(this->options.length / 3, [this] { this->KillLeader(); });
   }
@@ -482,6 +507,13 @@
       step.after = { index - 1 };
     }
   }
+  if (this->options.workerCrashes && this->crashRandom.Chance(kLongShare)) {
+    const Duration runTime = this->crashRandom.Between(kMinLongRun, kMaxLongRun);
+    spec.steps.resize(1);
+    spec.steps[0].estimateMs = static_cast<std::uint32_t>(ToMilliseconds(runTime));
+    spec.payload =
+      std::string(kLongPayload) + std::to_string(ToMilliseconds(runTime)) + " " + id.str();
+  }
   job.SetSpec(std::move(spec));
   this->Post(id.str(), kPostTries);
   if (this->options.giveUps && this->giveUpRandom.Chance(kGiveUpShare)) {
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -38,8 +38,9 @@
 // Returns nothing for an unknown name.
 std::optional<SoakEnd> ParseSoakEnd(const std::string& aName);
 
-// The names of entries, before their number from 1 on.
+// The names of entries and agents, before their number from 1 on.
 inline constexpr const char* kEntryName = "edge-";
+inline constexpr const char* kAgentName = "side-";
 
 struct SoakOptions
 {
@@ -80,6 +81,13 @@
   bool logStore = false;
   // The leading entry is killed once, after a third of the load.
   bool killLeader = false;
+  // The longest lease that workers accept.
+  Duration maxWorkerLease = std::chrono::seconds(6);
+  // Half of the workers crash and start again under their ids, and their agents are cut off soon
+  // after, repeatedly. Some runs are long.
+  bool workerCrashes = false;
+  // The leading entry is killed after each of these crashes.
+  bool crashKillsLeader = false;
   // Only for a mixed load. All processes start again 1 to 2 s later, and callers go on.
   SoakEnd end = SoakEnd::None;
 };
@@ -139,6 +147,9 @@
   void RefuseSoon();
   void StopSoon();
   void SlowStoreSoon();
+  void CrashWorkersSoon(Duration aTime);
+  void CrashWorkers();
+  void SetAgentCut(std::size_t aWorker, bool aCut);
   void InjectIntoProcess(std::size_t aIndex);
   void InjectIntoStore(std::size_t aIndex);
   void InjectIntoLink(std::size_t aIndex);
@@ -154,6 +165,8 @@
   RandomSource refusalRandom;
   // Chooses what `giveUps` adds.
   RandomSource giveUpRandom;
+  // Chooses what `workerCrashes` adds.
+  RandomSource crashRandom;
   // Chooses when processes start again after the loss of all.
   RandomSource endRandom;
   asio::io_context context{ 1 };
--- a/packages/soak/src/SoakFaults.cpp
+++ b/packages/soak/src/SoakFaults.cpp
@@ -27,13 +27,21 @@
 constexpr Duration kLossTime = std::chrono::seconds(1);
 constexpr Duration kLossSpread = std::chrono::seconds(1);
 
+// From one crash of workers to the next, and its parts from the crash on.
+constexpr Duration kCrashInterval = std::chrono::seconds(14);
+constexpr Duration kCrashDownTime = std::chrono::milliseconds(600);
+constexpr Duration kMaxAnswerDelay = std::chrono::milliseconds(1500);
+constexpr Duration kMinAgentCut = std::chrono::milliseconds(2000);
+constexpr Duration kMaxAgentCut = std::chrono::milliseconds(2600);
+constexpr Duration kAgentCutTime = std::chrono::seconds(9);
+
 } // namespace
 
 Instant Soak::InTouchSince() const
 {
   return this->options.calm && !this->options.refusals && !this->options.giveUps &&
              this->options.lostAnswers == 0 && !this->options.killLeader &&
-             this->options.end == SoakEnd::None
+             !this->options.workerCrashes && this->options.end == SoakEnd::None
            ? this->start
            : this->disturbedUntil + kContactTime;
 }
@@ -62,8 +70,10 @@
     if (now < this->downUntil) {
       this->restarts[index] = this->downUntil + this->endRandom.Between({}, kLossSpread);
     } else if (this->restarts[index] == Instant{}) {
-      this->restarts[index] =
-        now + this->random.Between(std::chrono::milliseconds(100), std::chrono::milliseconds(1200));
+      this->restarts[index] = this->options.crashKillsLeader
+                                ? now
+                                : now + this->random.Between(std::chrono::milliseconds(100),
+                                                             std::chrono::milliseconds(1200));
     } else if (now >= this->restarts[index]) {
       this->processes[index]->Start();
     }
@@ -215,6 +225,48 @@
   });
 }
 
+void Soak::CrashWorkersSoon(Duration aTime)
+{
+  this->After(aTime, [this] {
+    if (BootClock::now() + kMaxAgentCut + kAgentCutTime < this->faultsEnd) {
+      this->CrashWorkers();
+      this->CrashWorkersSoon(kCrashInterval);
+    }
+  });
+}
+
+void Soak::CrashWorkers()
+{
+  const std::size_t count = this->workers.size();
+  const std::size_t first = this->crashRandom.Below(count);
+  for (std::size_t offset = 0; offset < count / 2; ++offset) {
+    const std::size_t index = (first + offset) % count;
+    const Duration answerDelay = this->crashRandom.Between({}, kMaxAnswerDelay);
+    const Duration cutAfter = this->crashRandom.Between(kMinAgentCut, kMaxAgentCut);
+    this->Note("worker " + std::to_string(index) + " crashes and answers again after " +
+                 std::to_string(ToMilliseconds(kCrashDownTime + answerDelay)) +
+                 " ms, its agent is cut off after " + std::to_string(ToMilliseconds(cutAfter)) +
+                 " ms",
+               cutAfter + kAgentCutTime);
+    this->workers[index]->Crash(kCrashDownTime, answerDelay);
+    this->After(cutAfter, [this, index] { this->SetAgentCut(index, true); });
+    this->After(cutAfter + kAgentCutTime, [this, index] { this->SetAgentCut(index, false); });
+  }
+  if (this->options.crashKillsLeader) {
+    this->After(kMinAgentCut, [this] { this->KillLeader(); });
+  }
+}
+
+void Soak::SetAgentCut(std::size_t aWorker, bool aCut)
+{
+  for (const auto& proxy : this->proxies) {
+    proxy->SetAgentCut(kAgentName + std::to_string(aWorker + 1), aCut);
+  }
+  platformwire_testing::StoreFault fault = this->CalmStore();
+  fault.silent = aCut;
+  this->store.SetFault(this->options.entries + aWorker, fault);
+}
+
 void Soak::Inject()
 {
   switch (this->random.Below(8)) {
