--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -285,6 +285,8 @@
   const bool isFirst = !this->otherIncarnationAnswered;
   this->OnOtherIncarnation(aCall, aAnswer);
   if (isFirst) {
+    // The answer to a poll in flight may be from the known incarnation.
+    ++this->lastPollId;
     this->pollPending = false;
     this->SchedulePoll(Duration::zero());
   }
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -112,9 +112,14 @@
                                                             : RetryDelay(aSentAt));
   const Instant now = BootClock::now();
   if (aAnswer.end != WorkerCallOutcome::Done) {
-    this->incarnationProvedAt = aAnswer.born != 0 && aAnswer.born == this->worker.born
-                                  ? std::max(this->incarnationProvedAt, aSentAt)
-                                  : Instant{};
+    const bool isRefusal =
+      aAnswer.end == WorkerCallOutcome::Rejected || aAnswer.end == WorkerCallOutcome::Fenced;
+    if (aAnswer.born != 0 && aAnswer.born == this->worker.born) {
+      this->incarnationProvedAt = std::max(this->incarnationProvedAt, aSentAt);
+    } else if (!isRefusal || this->IsOfOtherIncarnation(aAnswer, aSentAt)) {
+      // A refusal without a start time does not tell of another process.
+      this->incarnationProvedAt = {};
+    }
     if (aAnswer.end == WorkerCallOutcome::OtherInstance && this->ConfirmIncarnation(aAnswer)) {
       return;
     }
@@ -224,8 +229,8 @@
   // The worker answers at once while it lists ends, so the next poll has to be delayed.
   const bool hasEnds = !this->unacknowledgedEnds.empty() || !aAnswer.unreadableEnds.empty() ||
                        aAnswer.unnumberedEnds > 0;
-  this->SchedulePoll(hasEnds || this->unconfirmedHeartbeat.has_value() ? kMinWorkerPollInterval
-                                                                       : Duration::zero());
+  this->SchedulePoll(hasEnds || !this->IncarnationDoubt().empty() ? kMinWorkerPollInterval
+                                                                  : Duration::zero());
 }
 
 // A run that began before its stop arrived is running or has ended, and its end is reported.
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -229,6 +229,8 @@
   Instant lastFullReport{};
   // The latest time at which the leases of the worker's runs expire if no further report arrives.
   Instant latestLeaseExpiry{};
+  // When the first report of a later process arrived that was not taken, as it listed no runs.
+  Instant firstReportNotTaken{};
   // No new runs are placed before this time, after a rejected start.
   Instant rejectsUntil{};
   // Set after a stalled run, slow runs or repeated failures. Until then, only long-running tasks
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -232,7 +232,8 @@
 
   // Defined in SchedulerReports.cpp.
 
-  // Returns when the leases of the report's worker have certainly expired if it is the last one.
+  // Returns when the leases of the report's worker have certainly expired if no further report
+  // arrives.
   Instant CountLeases(const WorkerReport& aReport, Now aNow);
   // Counts the leases of a report that is not taken, as it is answered with an extension too. A
   // worker that has restarted may run what its earlier processes were ordered to start.
@@ -402,8 +403,9 @@
   Instant nextSkippedAvoidanceLog{};
   // When the next line about a step that waits may be logged.
   Instant nextWaitingLog{};
-  // When the workers that have not reported are logged; zero once they were.
+  // When all leases that agents have reported have certainly expired.
   Instant latestLeaseExpiry{};
+  // When the workers that have not reported are logged; zero once they were.
   Instant awaitedLogAt{};
   Instant nextUnconfirmedScan{};
   // Since when runs were not known to be running, as of the last scan.
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -131,7 +131,13 @@
   const Instant expiry = this->CountLeases(aReport, aNow);
   for (const WorkerKey& key : this->OtherWorkers(aAgent, KeyOf(aReport))) {
     Worker& worker = this->workers.at(key);
-    worker.latestLeaseExpiry = std::max(worker.latestLeaseExpiry, expiry);
+    if (worker.firstReportNotTaken == Instant{}) {
+      worker.firstReportNotTaken = aNow.instant;
+    }
+    // A worker whose lists are not readable never sends the full report that settles these runs.
+    if (aNow.instant - worker.firstReportNotTaken < this->settings.LeaseBound()) {
+      worker.latestLeaseExpiry = std::max(worker.latestLeaseExpiry, expiry);
+    }
   }
 }
 
--- a/packages/jobs/tests/UnconfirmedOrdersTest.cpp
+++ b/packages/jobs/tests/UnconfirmedOrdersTest.cpp
@@ -299,6 +299,28 @@
   CHECK(fixture.starts.size() == 2);
 }
 
+// Guards against a task that is never run again because its worker's next process lists no runs.
+TEST_CASE("JobScheduler ReplacesTheRunsOfARestartedWorkerThatNeverListsItsRuns")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.Submit(MakeJob("j", { MakeStep(1) }));
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 1);
+  WorkerReport& report = fixture.agents["a"];
+  report.running.clear();
+  report.worker.born = 2;
+  report.full = false;
+  fixture.AddAgent("b");
+  for (int round = 0; round < 50 && fixture.starts.size() == 1; ++round) {
+    fixture.Advance(300 * kMs);
+    fixture.Report("a");
+    fixture.Report("b");
+    fixture.RunUntilIdle();
+  }
+  CHECK(fixture.starts.size() == 2);
+}
+
 // Guards against two runs of a member of a gang at the same time, of which only this one was
 // considered lost.
 TEST_CASE("JobScheduler PlacesAGangAgainOnlyWhenAMemberThatItConsideredLostIsGone")
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -102,8 +102,8 @@
   std::vector<RejectedRun> rejected;
   // How long after the report was sent the leases of the worker may last if the agent extends them
   // no further, in milliseconds on the agent's clock. A worker that has restarted under its id may
-  // hold a longer lease than any that it was granted. 0 if unknown, from agents before 0.1.0 of
-  // 2026-12-06.
+  // hold a longer lease than any that it was granted. 0 if unknown, as in reports of
+  // earlier versions.
   std::int64_t leasesEndInMs = 0;
 };
 
