--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -334,6 +334,9 @@
   // Defined in SchedulerLogs.cpp.
   // Logs why no worker can take a task of the step, if it has waited for a while.
   void LogWaitingStep(const ReadyStep& aReady, const PlacementRequest& aRequest, Now aNow);
+  // Logs the jobs that have had no run at work for a while although tasks could start, and why no
+  // worker takes these: at most 16 lines a second.
+  void LogStandingJobs(const std::vector<ReadyStep>& aReady, Now aNow);
   // Logs once, some time after loading, which workers have not reported yet.
   void LogAwaitedWorkers(Now aNow);
   // Logs the runs that are not known to be running for a while, and what this leader believes of
@@ -403,6 +406,7 @@
   Instant nextSkippedAvoidanceLog{};
   // When the next line about a step that waits may be logged.
   Instant nextWaitingLog{};
+  Instant nextStandingLog{};
   // When all leases that agents have reported have certainly expired.
   Instant latestLeaseExpiry{};
   // When the workers that have not reported are logged; zero once they were.
--- a/packages/jobs/src/SchedulerLogs.cpp
+++ b/packages/jobs/src/SchedulerLogs.cpp
@@ -15,6 +15,11 @@
 constexpr Duration kWaitingLogDelay = std::chrono::milliseconds(2000);
 constexpr Duration kWaitingLogInterval = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxLoggedWorkers = 10;
+// Jobs without a run at work for longer than this are logged at each scan, in the order in which
+// they are placed last to first, because the last ones stand for the longest time.
+constexpr Duration kStandingLogDelay = std::chrono::milliseconds(2000);
+constexpr Duration kStandingLogInterval = std::chrono::milliseconds(1000);
+constexpr std::size_t kMaxStandingLines = 16;
 // Runs that are not known to be running for longer than this are logged at each scan, those of
 // long-running tasks first.
 constexpr Duration kUnconfirmedLogDelay = std::chrono::milliseconds(2000);
@@ -106,6 +111,48 @@
                  { "workers", std::move(workers) } });
 }
 
+void JobScheduler::LogStandingJobs(const std::vector<ReadyStep>& aReady, Now aNow)
+{
+  if (aNow.instant < this->nextStandingLog) {
+    return;
+  }
+  this->nextStandingLog = aNow.instant + kStandingLogInterval;
+  std::size_t lines = 0;
+  for (auto item = aReady.rbegin(); item != aReady.rend() && lines < kMaxStandingLines; ++item) {
+    const Job& job = *item->job;
+    const Duration standing = aNow.instant - job.lastRunning;
+    if (standing < kStandingLogDelay || job.HasActiveRuns()) {
+      continue;
+    }
+    const Step& step = job.occurrences.at(item->occurrence).steps[item->step];
+    std::size_t delayed = 0;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+      delayed += this->IsPlacementDelayed(*item, index, aNow) ? 1 : 0;
+    }
+    PlacementRequest request = this->MakePlacementRequest(*item);
+    request.allowAvoided = this->MayUseAvoidedWorkers(job, aNow.instant);
+    nlohmann::ordered_json workers = nlohmann::ordered_json::object();
+    for (const auto& [obstacle, count] : CountObstacles(this->workers, request, aNow.instant)) {
+      workers[std::string(PlacementObstacleName(obstacle))] = count;
+    }
+    const StepSpec& spec = *request.step;
+    this->LogJob("job_standing",
+                 job,
+                 { { "occurrence", item->occurrence },
+                   { "step", item->step },
+                   { "since_run_ms", ToMilliseconds(standing) },
+                   { "since_placed_ms", ToMilliseconds(aNow.instant - job.lastActive) },
+                   { "tasks", step.tasks.size() - step.done },
+                   { "delayed", delayed },
+                   { "gang", spec.gang },
+                   { "best_effort", spec.fillsUnused },
+                   { "milli_cores", spec.demand.milliCores },
+                   { "memory_mib", spec.demand.memoryMiB },
+                   { "workers", std::move(workers) } });
+    ++lines;
+  }
+}
+
 std::size_t JobScheduler::AwaitedWorkers() const
 {
   return static_cast<std::size_t>(
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -67,6 +67,7 @@
                                  : this->settings.allowInterferenceAfter,
                     aNow);
   }
+  this->LogStandingJobs(ready, aNow);
 }
 
 void JobScheduler::RecomputeHeadroomCosts(Worker& aWorker) const
