Name what the agent knows of the worker's incarnation by usual terms

IncarnationUncertainty, incarnationConfirmedAt and kMaxIncarnationConfirmationAge replace names with doubt and proof.

--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -57,7 +57,7 @@
 // Calls that hold for one incarnation of the worker only are sent no later than this after the last
 // call that this incarnation has answered was sent. That call is the poll before the pending one,
 // and an agent with a share of a core may be stopped for up to 100 ms in each of two handlers.
-inline constexpr Duration kMaxIncarnationProofAge =
+inline constexpr Duration kMaxIncarnationConfirmationAge =
   2 * kWorkerLongPollTime + std::chrono::milliseconds(200);
 // How long a worker that the agent does not know may be silent before it counts as absent.
 inline constexpr Duration kMaxWorkerSilence = std::chrono::milliseconds(1500);
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -123,7 +123,7 @@
   this->heartbeatSequence = aHeartbeat.sequence;
   this->unconfirmedHeartbeat.reset();
   this->otherIncarnationAnswered = false;
-  this->incarnationProvedAt = {};
+  this->incarnationConfirmedAt = {};
   this->client->SetExpectedInstance(aHeartbeat.worker.id);
   // Calls to the earlier incarnation that this one accepts after its first answer would start runs
   // that the leader has given up, extend leases by times of another clock, or acknowledge ends by
@@ -218,7 +218,7 @@
   return true;
 }
 
-std::string_view WorkerDriver::IncarnationDoubt() const
+std::string_view WorkerDriver::IncarnationUncertainty() const
 {
   if (this->unconfirmedHeartbeat.has_value()) {
     return "heartbeat_unconfirmed";
@@ -226,8 +226,9 @@
   if (this->otherIncarnationAnswered) {
     return "other_incarnation";
   }
-  return BootClock::now() - this->incarnationProvedAt > kMaxIncarnationProofAge ? "no_recent_answer"
-                                                                                : "";
+  return BootClock::now() - this->incarnationConfirmedAt > kMaxIncarnationConfirmationAge
+           ? "no_recent_answer"
+           : "";
 }
 
 bool WorkerDriver::IsOfOtherIncarnation(const WorkerAnswer& aAnswer, Instant aSentAt) const
@@ -276,7 +277,7 @@
                                             Instant aSentAt)
 {
   if (aAnswer.end == WorkerCallOutcome::Refused) {
-    this->incarnationProvedAt = {};
+    this->incarnationConfirmedAt = {};
   }
   if (!this->IsOfOtherIncarnation(aAnswer, aSentAt)) {
     return aAnswer;
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -110,7 +110,7 @@
   // reason code, or an empty text. Such an incarnation would carry out calls that are meant for the
   // known one: it would take a deadline on the earlier clock for its longest lease, and forget ends
   // by numbers of the earlier count.
-  std::string_view IncarnationDoubt() const;
+  std::string_view IncarnationUncertainty() const;
   // Returns whether the answer to a call that was sent at `aSentAt` is from another incarnation
   // than the known one.
   bool IsOfOtherIncarnation(const platformwire::WorkerAnswer& aAnswer, Instant aSentAt) const;
@@ -217,7 +217,7 @@
   bool otherIncarnationAnswered = false;
   // When the last call was sent that the known incarnation has answered; `Instant{}` once a later
   // call has shown that it may have ended.
-  Instant incarnationProvedAt{};
+  Instant incarnationConfirmedAt{};
   // Incremented with each incarnation of the worker; answers of an earlier one are dropped.
   std::uint64_t incarnation = 0;
   bool pollPending = false;
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -182,7 +182,7 @@
   if (!this->workerClockMs.has_value()) {
     return "clock_awaited";
   }
-  if (!this->IncarnationDoubt().empty()) {
+  if (!this->IncarnationUncertainty().empty()) {
     return "incarnation_awaited";
   }
   // Without a recent answer from the leader, an order to stop the run may be queued behind the
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -40,17 +40,18 @@
   platformwire::WorkerPoll request;
   request.fence = this->fence.Token();
   // Numbers of ends and times on the worker's clock hold for one incarnation only.
-  const std::string_view doubt = this->IncarnationDoubt();
-  request.acknowledgedEnds = doubt.empty() ? this->lastAcknowledgedEnd : 0;
-  if (!doubt.empty()) {
-    this->counters.Add("polls_without_lease_total", doubt);
+  const std::string_view uncertainty = this->IncarnationUncertainty();
+  request.acknowledgedEnds = uncertainty.empty() ? this->lastAcknowledgedEnd : 0;
+  if (!uncertainty.empty()) {
+    this->counters.Add("polls_without_lease_total", uncertainty);
   } else if (this->workerClockMs.has_value() && this->GrantLease()) {
     request.deadlineMs = this->ToWorkerClockMs(this->grantedLeaseExpiry);
   }
   // While ends are unacknowledged, the worker answers at once, so a long poll has no effect.
   // Until the fence is confirmed, nothing is reported, so the poll asks for an immediate answer, as
   // it does if the answer tells which incarnation serves the address.
-  const bool waitForEnd = this->unacknowledgedEnds.empty() && this->fenceConfirmed && doubt.empty();
+  const bool waitForEnd =
+    this->unacknowledgedEnds.empty() && this->fenceConfirmed && uncertainty.empty();
   request.wait = waitForEnd ? kWorkerLongPollTime : Duration::zero();
   this->client->Poll(
     request,
@@ -115,10 +116,10 @@
     const bool isRefusal =
       aAnswer.end == WorkerCallOutcome::Rejected || aAnswer.end == WorkerCallOutcome::Fenced;
     if (aAnswer.born != 0 && aAnswer.born == this->worker.born) {
-      this->incarnationProvedAt = std::max(this->incarnationProvedAt, aSentAt);
+      this->incarnationConfirmedAt = std::max(this->incarnationConfirmedAt, aSentAt);
     } else if (!isRefusal || this->IsOfOtherIncarnation(aAnswer, aSentAt)) {
       // A refusal without a start time does not tell of another process.
-      this->incarnationProvedAt = {};
+      this->incarnationConfirmedAt = {};
     }
     if (aAnswer.end == WorkerCallOutcome::OtherInstance && this->ConfirmIncarnation(aAnswer)) {
       return;
@@ -151,7 +152,7 @@
     this->unconfirmedHeartbeat.reset();
     this->otherIncarnationAnswered = false;
   }
-  this->incarnationProvedAt = std::max(this->incarnationProvedAt, aSentAt);
+  this->incarnationConfirmedAt = std::max(this->incarnationConfirmedAt, aSentAt);
   this->lastAnswerAt = now;
   this->refusesConnections = false;
   this->workerLost = false;
@@ -229,8 +230,8 @@
   // The worker answers at once while it lists ends, so the next poll has to be delayed.
   const bool hasEnds = !this->unacknowledgedEnds.empty() || !aAnswer.unreadableEnds.empty() ||
                        aAnswer.unnumberedEnds > 0;
-  this->SchedulePoll(hasEnds || !this->IncarnationDoubt().empty() ? kMinWorkerPollInterval
-                                                                  : Duration::zero());
+  this->SchedulePoll(hasEnds || !this->IncarnationUncertainty().empty() ? kMinWorkerPollInterval
+                                                                        : Duration::zero());
 }
 
 // A run that began before its stop arrived is running or has ended, and its end is reported.
