Place standing best-effort jobs beside other best-effort runs

Cause: HasCapacityFor counts the cores that other best-effort runs use. With a backlog they use all of them, so that no worker has room for the jobs that are ordered last, while the promise to callers counts only reserved cores. job_standing names the obstacle capacity on all 11 workers.

Change: a best-effort job of which no run was at work for 1.5 s, on a service of which at most lowReservedShare is reserved, may be placed where the reserved cores and the memory leave room: one run, or all of a gang, and one on a worker in 0.5 s. Once no worker may take another one, LargestRoom excludes such steps without a look at the workers. The four conditions that depend on the time since the last run are set in MakePlacementRequest, so that job_standing shows the same obstacles as the decision.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -243,6 +243,8 @@
   // While the worker is avoided for failures, no run but long-running ones is placed before this
   // time.
   Instant nextRunWhileFailing{};
+  // No run beyond the cores that best-effort runs leave unused is placed before this time.
+  Instant nextOvercommittedRun{};
   // Jobs with a failed run on this worker since its last successful run.
   std::set<std::string> failedJobs;
   // Jobs with a slow run on this worker since a run was last measured to be fast enough.
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -305,9 +305,13 @@
   std::vector<ReadyStep> FindReadySteps(Now aNow);
   // Returns the services of which at most `lowReservedShare` of the cores is reserved.
   std::set<std::string> FindServicesWithFreeCores() const;
-  void UpdateLargestRooms();
-  void PlaceStep(const ReadyStep& aReady, Duration aAllowInterferenceAfter, Now aNow);
-  PlacementRequest MakePlacementRequest(const ReadyStep& aReady) const;
+  void UpdateLargestRooms(Now aNow);
+  void PlaceStep(const ReadyStep& aReady, bool aHasFreeCores, Now aNow);
+  // Returns the request for the tasks of the step, with what the time since the job's last run
+  // allows. `aHasFreeCores` tells whether FindServicesWithFreeCores lists the job's service.
+  PlacementRequest MakePlacementRequest(const ReadyStep& aReady,
+                                        bool aHasFreeCores,
+                                        Now aNow) const;
   // Returns whether the task must not be placed yet.
   bool IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const;
   // Returns whether the job has waited for long enough to be placed on avoided workers.
@@ -325,7 +329,7 @@
                  Now aNow);
   // Returns the worker for the task, or null, and counts the task in the request.
   Worker* SelectWorker(const Task& aTask, PlacementRequest& aRequest, Now aNow);
-  void PlaceGang(const ReadyStep& aReady, bool aAllowInterference, Now aNow);
+  void PlaceGang(const ReadyStep& aReady, PlacementRequest aRequest, Now aNow);
   // Stops the runs of a gang of which other members have none. It is placed again as a whole once
   // they are gone.
   void StopRestOfGang(const ReadyStep& aReady);
@@ -336,7 +340,9 @@
   void LogWaitingStep(const ReadyStep& aReady, const PlacementRequest& aRequest, Now aNow);
   // Logs the jobs that have had no run at work for a while although tasks could start, and why no
   // worker takes these: at most 16 lines a second.
-  void LogStandingJobs(const std::vector<ReadyStep>& aReady, Now aNow);
+  void LogStandingJobs(const std::vector<ReadyStep>& aReady,
+                       const std::set<std::string>& aServicesWithFreeCores,
+                       Now aNow);
   // Logs once, some time after loading, which workers have not reported yet.
   void LogAwaitedWorkers(Now aNow);
   // Logs the runs that are not known to be running for a while, and what this leader believes of
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -72,6 +72,13 @@
   // be reported.
   double lowReservedShare = 0.55;
   Duration allowInterferenceAfterWithFreeCores = std::chrono::milliseconds(1500);
+  // A job of which no run was reported at work for this long may place a best-effort task, or all
+  // tasks of a gang, beside best-effort runs that use all unused cores, while at most
+  // `lowReservedShare` of the cores is reserved.
+  Duration allowOvercommitAfter = std::chrono::milliseconds(1500);
+  // A worker is given at most one such task or gang in this time, so that a backlog does not slow
+  // down all best-effort runs at once.
+  Duration overcommitInterval = std::chrono::milliseconds(500);
   // A worker is avoided once this many jobs failed on it without a successful run in between. On a
   // healthy worker, jobs that fail everywhere are too rare to reach the limit.
   std::size_t failingJobLimit = 3;
--- a/packages/jobs/src/LargestRoom.cpp
+++ b/packages/jobs/src/LargestRoom.cpp
@@ -6,7 +6,7 @@
 
 namespace oriolespread::jobs {
 
-void LargestRoom::Add(const Worker& aWorker)
+void LargestRoom::Add(const Worker& aWorker, bool aMayOvercommit)
 {
   const Resources& capacity = aWorker.state.capacity;
   const Resources unreserved = capacity - aWorker.reserved;
@@ -16,12 +16,18 @@
   this->room.accelerators = std::max(this->room.accelerators, unreserved.accelerators);
   this->bestEffortMilliCores =
     std::max(this->bestEffortMilliCores, capacity.milliCores - ExpectedMilliCores(aWorker));
+  this->overcommittable += aMayOvercommit ? 1 : 0;
 }
 
-bool LargestRoom::MayFit(const StepSpec& aStep) const
+void LargestRoom::OnOvercommitted()
+{
+  this->overcommittable -= this->overcommittable > 0 ? 1 : 0;
+}
+
+bool LargestRoom::MayFit(const StepSpec& aStep, bool aAllowOvercommit) const
 {
   Resources largest = this->room;
-  if (aStep.fillsUnused) {
+  if (aStep.fillsUnused && !(aAllowOvercommit && this->overcommittable > 0)) {
     largest.milliCores = this->bestEffortMilliCores;
   }
   return aStep.demand.FitsIn(largest);
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -56,6 +56,14 @@
   return std::max(coreLoad, 0.5 * memoryLoad);
 }
 
+// Returns what is reserved on the worker with one more task of the step, and all memory in use.
+Resources DemandWith(const Worker& aWorker, const StepSpec& aStep)
+{
+  Resources needed = aWorker.reserved + aStep.demand;
+  needed.memoryMiB = aWorker.demanded.memoryMiB + aStep.demand.memoryMiB;
+  return needed;
+}
+
 // The lowest headroom of any serving run on a worker if one more best-effort task is placed there.
 struct RemainingHeadroom
 {
@@ -153,7 +161,9 @@
   if (!HasLabel(aWorker, aRequest.step->requiredLabel)) {
     return PlacementObstacle::Label;
   }
-  if (!HasCapacityFor(aWorker, *aRequest.step)) {
+  const bool mayOvercommit = aRequest.allowOvercommit && aNow >= aWorker.nextOvercommittedRun;
+  if (!HasCapacityFor(aWorker, *aRequest.step) &&
+      !(mayOvercommit && HasUnreservedCapacityFor(aWorker, *aRequest.step))) {
     return PlacementObstacle::Capacity;
   }
   return PlacementObstacle::None;
@@ -242,14 +252,18 @@
 
 bool HasCapacityFor(const Worker& aWorker, const StepSpec& aStep)
 {
-  Resources needed = aWorker.reserved + aStep.demand;
-  needed.memoryMiB = aWorker.demanded.memoryMiB + aStep.demand.memoryMiB;
+  Resources needed = DemandWith(aWorker, aStep);
   if (aStep.fillsUnused) {
     needed.milliCores = ExpectedMilliCores(aWorker) + aStep.demand.milliCores;
   }
   return needed.FitsIn(aWorker.state.capacity);
 }
 
+bool HasUnreservedCapacityFor(const Worker& aWorker, const StepSpec& aStep)
+{
+  return DemandWith(aWorker, aStep).FitsIn(aWorker.state.capacity);
+}
+
 bool CanEverTake(const Worker& aWorker, const StepSpec& aStep)
 {
   return HasLabel(aWorker, aStep.requiredLabel) && aStep.demand.FitsIn(aWorker.state.capacity);
--- a/packages/jobs/src/SchedulerLogs.cpp
+++ b/packages/jobs/src/SchedulerLogs.cpp
@@ -111,7 +111,9 @@
                  { "workers", std::move(workers) } });
 }
 
-void JobScheduler::LogStandingJobs(const std::vector<ReadyStep>& aReady, Now aNow)
+void JobScheduler::LogStandingJobs(const std::vector<ReadyStep>& aReady,
+                                   const std::set<std::string>& aServicesWithFreeCores,
+                                   Now aNow)
 {
   if (aNow.instant < this->nextStandingLog) {
     return;
@@ -129,8 +131,8 @@
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
       delayed += this->IsPlacementDelayed(*item, index, aNow) ? 1 : 0;
     }
-    PlacementRequest request = this->MakePlacementRequest(*item);
-    request.allowAvoided = this->MayUseAvoidedWorkers(job, aNow.instant);
+    const PlacementRequest request = this->MakePlacementRequest(
+      *item, aServicesWithFreeCores.contains(job.record.policy.service), aNow);
     nlohmann::ordered_json workers = nlohmann::ordered_json::object();
     for (const auto& [obstacle, count] : CountObstacles(this->workers, request, aNow.instant)) {
       workers[std::string(PlacementObstacleName(obstacle))] = count;
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -59,15 +59,11 @@
     return;
   }
   const std::set<std::string> servicesWithFreeCores = this->FindServicesWithFreeCores();
-  this->UpdateLargestRooms();
+  this->UpdateLargestRooms(aNow);
   for (const ReadyStep& item : ready) {
-    const bool hasFreeCores = servicesWithFreeCores.contains(item.job->record.policy.service);
-    this->PlaceStep(item,
-                    hasFreeCores ? this->settings.allowInterferenceAfterWithFreeCores
-                                 : this->settings.allowInterferenceAfter,
-                    aNow);
+    this->PlaceStep(item, servicesWithFreeCores.contains(item.job->record.policy.service), aNow);
   }
-  this->LogStandingJobs(ready, aNow);
+  this->LogStandingJobs(ready, servicesWithFreeCores, aNow);
 }
 
 void JobScheduler::RecomputeHeadroomCosts(Worker& aWorker) const
@@ -153,14 +149,24 @@
   return ready;
 }
 
-PlacementRequest JobScheduler::MakePlacementRequest(const ReadyStep& aReady) const
+PlacementRequest JobScheduler::MakePlacementRequest(const ReadyStep& aReady,
+                                                    bool aHasFreeCores,
+                                                    Now aNow) const
 {
-  const JobRecord& record = aReady.job->record;
+  const Job& job = *aReady.job;
+  const JobRecord& record = job.record;
   PlacementRequest request;
   request.step = &record.spec.steps[aReady.step];
   request.service = record.policy.service;
+  const Duration allowInterferenceAfter = aHasFreeCores
+                                            ? this->settings.allowInterferenceAfterWithFreeCores
+                                            : this->settings.allowInterferenceAfter;
+  request.allowInterference = aNow.instant - job.lastActive > allowInterferenceAfter;
+  request.allowAvoided = this->MayUseAvoidedWorkers(job, aNow.instant);
   if (request.step->fillsUnused) {
     request.weights = this->interference.WeightsByServingImage(request.step->image);
+    request.allowOvercommit = aHasFreeCores && !job.HasActiveRuns() &&
+                              aNow.instant - job.lastRunning > this->settings.allowOvercommitAfter;
   }
   for (const Task& task : aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks) {
     for (const Run& run : task.runs) {
@@ -191,28 +197,26 @@
   return services;
 }
 
-void JobScheduler::UpdateLargestRooms()
+void JobScheduler::UpdateLargestRooms(Now aNow)
 {
   this->largestRooms.clear();
   for (const auto& [key, worker] : this->workers) {
     if (IsUsable(worker)) {
-      this->largestRooms[worker.state.service].Add(worker);
+      this->largestRooms[worker.state.service].Add(worker,
+                                                   aNow.instant >= worker.nextOvercommittedRun);
     }
   }
 }
 
-void JobScheduler::PlaceStep(const ReadyStep& aReady, Duration aAllowInterferenceAfter, Now aNow)
+void JobScheduler::PlaceStep(const ReadyStep& aReady, bool aHasFreeCores, Now aNow)
 {
-  const bool allowInterference = aNow.instant - aReady.job->lastActive > aAllowInterferenceAfter;
-  if (aReady.job->record.spec.steps[aReady.step].gang) {
-    this->PlaceGang(aReady, allowInterference, aNow);
+  PlacementRequest request = this->MakePlacementRequest(aReady, aHasFreeCores, aNow);
+  if (request.step->gang) {
+    this->PlaceGang(aReady, std::move(request), aNow);
     return;
   }
   Step& step = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step];
   const auto& tasks = step.tasks;
-  PlacementRequest request = this->MakePlacementRequest(aReady);
-  request.allowInterference = allowInterference;
-  request.allowAvoided = this->MayUseAvoidedWorkers(*aReady.job, aNow.instant);
   bool lastAttemptWaits = false;
   nlohmann::ordered_json placed = nlohmann::ordered_json::array();
   bool allPlaced = true;
@@ -304,7 +308,8 @@
 Worker* JobScheduler::SelectWorker(const Task& aTask, PlacementRequest& aRequest, Now aNow)
 {
   const auto room = this->largestRooms.find(aRequest.service);
-  if (room == this->largestRooms.end() || !room->second.MayFit(*aRequest.step)) {
+  if (room == this->largestRooms.end() ||
+      !room->second.MayFit(*aRequest.step, aRequest.allowOvercommit)) {
     return nullptr;
   }
   aRequest.lastFailedWorker = aTask.lastFailedWorker;
@@ -322,10 +327,14 @@
     // One run suffices for the job not to stand still. The others wait for better workers.
     aRequest.allowAvoided = false;
   }
+  if (!aRequest.step->gang) {
+    // The same holds for a run beyond the unused cores.
+    aRequest.allowOvercommit = false;
+  }
   return worker;
 }
 
-void JobScheduler::PlaceGang(const ReadyStep& aReady, bool aAllowInterference, Now aNow)
+void JobScheduler::PlaceGang(const ReadyStep& aReady, PlacementRequest aRequest, Now aNow)
 {
   Step& step = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step];
   if (step.active > 0) {
@@ -337,27 +346,26 @@
       return;
     }
   }
-  PlacementRequest request = this->MakePlacementRequest(aReady);
-  request.allowAvoided = this->MayUseAvoidedWorkers(*aReady.job, aNow.instant);
+  const bool allowInterference = aRequest.allowInterference;
   std::vector<Worker*> selected;
   for (const Task& task : step.tasks) {
-    request.allowInterference = aAllowInterference;
-    request.allowFailing =
-      this->MayUseFailingWorkers(*aReady.job, *request.step, task, aNow.instant);
-    Worker* worker = this->SelectWorker(task, request, aNow);
+    aRequest.allowInterference = allowInterference;
+    aRequest.allowFailing =
+      this->MayUseFailingWorkers(*aReady.job, *aRequest.step, task, aNow.instant);
+    Worker* worker = this->SelectWorker(task, aRequest, aNow);
     if (worker == nullptr) {
       break;
     }
-    this->AdjustReservation(*worker, *request.step, 1);
+    this->AdjustReservation(*worker, *aRequest.step, 1);
     selected.push_back(worker);
   }
   // The runs reserve their workers themselves when they begin.
   for (Worker* worker : selected) {
-    this->AdjustReservation(*worker, *request.step, -1);
+    this->AdjustReservation(*worker, *aRequest.step, -1);
     this->RecomputeHeadroomCosts(*worker);
   }
   if (selected.size() < step.tasks.size()) {
-    this->LogWaitingStep(aReady, request, aNow);
+    this->LogWaitingStep(aReady, aRequest, aNow);
     return;
   }
   std::uint64_t runNumber = 0;
@@ -405,6 +413,12 @@
   if (failing && !aReady.job->record.spec.steps[aReady.step].longRunning) {
     aWorker.nextRunWhileFailing = aNow.instant + this->settings.failingWorkerRunInterval;
   }
+  const StepSpec& step = aReady.job->record.spec.steps[aReady.step];
+  if (step.fillsUnused && !HasCapacityFor(aWorker, step)) {
+    this->counters.Add("runs_overcommitted_total", step.gang ? "gang" : "single");
+    aWorker.nextOvercommittedRun = aNow.instant + this->settings.overcommitInterval;
+    this->largestRooms[aWorker.state.service].OnOvercommitted();
+  }
   Job& job = *aReady.job;
   Task& task = job.occurrences.at(aReady.occurrence).steps[aReady.step].tasks[aIndex];
   const TaskKey taskKey{ job.record.id, aReady.occurrence, aReady.step, aIndex };
--- a/packages/jobs/tests/LargestRoomTest.cpp
+++ b/packages/jobs/tests/LargestRoomTest.cpp
@@ -67,22 +67,34 @@
 {
   RandomSource random(1);
   int excluded = 0;
+  int excludedFromOvercommit = 0;
   for (int round = 0; round < 2000; ++round) {
     std::vector<Worker> workers;
     LargestRoom largest;
     for (std::uint64_t count = random.Below(4); count > 0; --count) {
       workers.push_back(DrawWorker(random));
-      largest.Add(workers.back());
+      largest.Add(workers.back(), true);
     }
     const StepSpec step = DrawStep(random);
     const bool hasRoom = std::any_of(workers.begin(), workers.end(), [&](const Worker& aWorker) {
       return HasCapacityFor(aWorker, step);
     });
     INFO("round " << round << ", demand " << step.demand);
-    CHECK((largest.MayFit(step) || !hasRoom));
-    excluded += largest.MayFit(step) ? 0 : 1;
+    CHECK((largest.MayFit(step, false) || !hasRoom));
+    excluded += largest.MayFit(step, false) ? 0 : 1;
+    const bool hasUnreserved =
+      std::any_of(workers.begin(), workers.end(), [&](const Worker& aWorker) {
+        return HasUnreservedCapacityFor(aWorker, step);
+      });
+    CHECK((largest.MayFit(step, true) || !hasUnreserved));
+    excludedFromOvercommit += largest.MayFit(step, true) ? 0 : 1;
+    for (std::size_t left = workers.size(); left > 0; --left) {
+      largest.OnOvercommitted();
+    }
+    CHECK(largest.MayFit(step, true) == largest.MayFit(step, false));
   }
   CHECK(excluded > 500);
+  CHECK(excludedFromOvercommit > 500);
 }
 
 // Guards against a leader that falls behind because its decisions cost more the more jobs wait.
--- a/packages/jobs/tests/StandingJobsTest.cpp
+++ b/packages/jobs/tests/StandingJobsTest.cpp
@@ -54,8 +54,7 @@
 } // namespace
 
 // Guards against a best-effort job without a run for 3 s on workers that only best-effort runs use.
-// Listed in KNOWN-RED.txt.
-TEST_CASE("JobScheduler PlacesAStandingJobBesideBestEffortRunsThatUseAllCores", "[.]")
+TEST_CASE("JobScheduler PlacesAStandingJobBesideBestEffortRunsThatUseAllCores")
 {
   for (const bool gang : { false, true }) {
     SchedulerFixture fixture;
@@ -75,8 +74,7 @@
 }
 
 // Guards against a backlog that slows down all best-effort runs at once.
-// Listed in KNOWN-RED.txt.
-TEST_CASE("JobScheduler PlacesStandingJobsBeyondUnusedCoresAtABoundedRate", "[.]")
+TEST_CASE("JobScheduler PlacesStandingJobsBeyondUnusedCoresAtABoundedRate")
 {
   SchedulerFixture fixture;
   FillCores(fixture);
@@ -90,6 +88,23 @@
   CHECK(fixture.starts.size() <= 8);
 }
 
+// Guards against decisions that cost more the more jobs stand.
+TEST_CASE("JobScheduler AssessesNoWorkerForStandingJobsBeyondTheRate")
+{
+  SchedulerFixture fixture;
+  FillCores(fixture);
+  for (int job = 0; job < 300; ++job) {
+    fixture.Submit(MakeJob("late" + std::to_string(job), { MakeBestEffortStep(1) }));
+  }
+  fixture.RunUntilIdle();
+  Pass(fixture, 1600 * kMs);
+  REQUIRE(fixture.starts.size() == 2);
+  const std::uint64_t before = fixture.scheduler.AssessedWorkers();
+  fixture.Advance(100 * kMs);
+  fixture.scheduler.Decide(fixture.now);
+  CHECK(fixture.scheduler.AssessedWorkers() == before);
+}
+
 // Guards against best-effort runs beyond the unused cores of a service that is in use.
 TEST_CASE("JobScheduler LeavesAStandingJobWaitingWhileMostCoresAreReserved")
 {
