Begin no call to the store after the time of its request

Cause: each call to the store had at least 100 ms, also when a late turn of the event loop, earlier calls of the same request or a planned end of the process left less. The time-outs added up: with the process stopped for 120, 220 and 260 ms in JobApi RespondsInTimeWhenItsProcessEndsBeforeTheDeadline, the second call of a submission began 100 ms after the deadline and its response came 1,500 ms after its arrival, 140 ms after the end; with stops of 120 and 320 ms after 1,400 ms, 40 ms after the end. A request that arrived less than 100 ms before the end had its response after it if the store was silent.

Change: calls to the store end 250 ms before the end of the process and, for callers, at least 100 ms before their timeout or 100 ms after the arrival, whichever is later. Without time for a call, the response is 503, or 504 if an earlier call may have been applied, with the reason time_over.

The two new tests fail on the code before (JobApiTest.cpp) and pass after; they block the loop deliberately.

--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -23,6 +23,9 @@
 constexpr std::int64_t kDefaultCallerTimeoutMs = 3000;
 // The time reserved for the response to reach the caller.
 constexpr Duration kResponseMargin = std::chrono::milliseconds(250);
+// The time reserved when calls to the store have used the rest: each has its least timeout, and
+// late turns of the event loop delay them.
+constexpr Duration kMinResponseMargin = std::chrono::milliseconds(100);
 // The least timeout of a call to the store. Most calls are answered within a tenth of it.
 constexpr Duration kMinStoreTimeout = std::chrono::milliseconds(100);
 // The Retry-After value of responses with status 503. Outages of the store last seconds.
@@ -147,7 +150,8 @@
 
 void JobApi::RespondBy(Instant aTime)
 {
-  this->latestDeadline = aTime - kMinStoreTimeout - kResponseMargin;
+  this->latestStoreTime = aTime - kResponseMargin;
+  this->latestDeadline = this->latestStoreTime - kMinStoreTimeout;
 }
 
 Instant JobApi::DeadlineOf(const Request& aRequest) const
@@ -157,7 +161,27 @@
 
 Duration JobApi::RemainingStoreTimeout(const Request& aRequest) const
 {
-  return std::clamp(this->DeadlineOf(aRequest) - BootClock::now(), kMinStoreTimeout, kStoreTimeout);
+  const Instant now = BootClock::now();
+  const Duration timeout =
+    std::clamp(this->DeadlineOf(aRequest) - now, kMinStoreTimeout, kStoreTimeout);
+  return std::clamp(this->LastStoreTime(aRequest) - now, Duration::zero(), timeout);
+}
+
+Instant JobApi::LastStoreTime(const Request& aRequest) const
+{
+  const Instant forCaller = std::max(aRequest.deadline + kResponseMargin - kMinResponseMargin,
+                                     aRequest.arrivedAt + kMinStoreTimeout);
+  return std::min(forCaller, this->latestStoreTime);
+}
+
+bool JobApi::RespondIfTimeIsOver(const RequestPtr& aRequest)
+{
+  if (BootClock::now() < this->LastStoreTime(*aRequest)) {
+    return false;
+  }
+  this->Respond(
+    aRequest, aRequest->maybeApplied ? kHttpGatewayTimeout : kHttpUnavailable, {}, "time_over");
+  return true;
 }
 
 void JobApi::Submit(const RequestPtr& aRequest,
@@ -197,6 +221,9 @@
 
 void JobApi::Commit(const RequestPtr& aRequest, const cluster::StoreTransaction& aTransaction)
 {
+  if (this->RespondIfTimeIsOver(aRequest)) {
+    return;
+  }
   ++aRequest->attempts;
   this->store.Commit(aTransaction,
                      this->RemainingStoreTimeout(*aRequest),
@@ -285,6 +312,9 @@
                   std::function<void()> aRetry,
                   std::function<void(const std::vector<cluster::StoredRow>&)> aOnRead)
 {
+  if (this->RespondIfTimeIsOver(aRequest)) {
+    return;
+  }
   this->store.Read(aRange,
                    this->RemainingStoreTimeout(*aRequest),
                    [this, aRequest, retry = std::move(aRetry), onRead = std::move(aOnRead)](
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -71,9 +71,15 @@
   // Passes the request on to another entry. Calls `aOtherwise` if none serves it.
   void Forward(const RequestPtr& aRequest, std::function<void()> aOtherwise);
 
-  // Returns the timeout of a call to the store, so that it ends before the caller stops waiting.
+  // Returns the timeout of a call to the store, so that it ends before the caller stops waiting;
+  // zero if the time is over.
   Duration RemainingStoreTimeout(const Request& aRequest) const;
   Instant DeadlineOf(const Request& aRequest) const;
+  // Returns when the last call to the store ends, also after calls that were late or many.
+  Instant LastStoreTime(const Request& aRequest) const;
+  // Responds with an error if there is no time for another call to the store. Returns whether it
+  // has.
+  bool RespondIfTimeIsOver(const RequestPtr& aRequest);
   void Submit(const RequestPtr& aRequest,
               const cluster::QueueConfig& aQueue,
               const std::string& aBody);
@@ -117,7 +123,9 @@
   RequestForwarder& forwarder;
   Counters& counters;
   LatencyHistogram latency;
+  // For a process that ends: no request has a later deadline, and no call to the store ends later.
   Instant latestDeadline = Instant::max();
+  Instant latestStoreTime = Instant::max();
   // Terminal states by job id, cached because they do not change any more.
   std::unordered_map<std::string, jobs::JobState> endedStates;
 };
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <thread>
 
 using namespace oriolespread;
 using namespace oriolespread::daemon;
@@ -428,3 +429,41 @@
   CHECK(std::count(statuses.begin(), statuses.end(), kHttpGatewayTimeout) == 1);
   CHECK(std::count(statuses.begin(), statuses.end(), kHttpUnavailable) == 2);
 }
+
+// Guards against time-outs of calls to the store that add up past the end of the process because
+// turns of the loop are late.
+TEST_CASE("JobApi CallsTheStoreNoMoreWhenALateTurnHasUsedTheTime")
+{
+  JobApiFixture fixture;
+  fixture.store.SetFault(fixture.server, { .silent = true });
+  std::optional<int> status;
+  fixture.api.Handle({ "POST", JobPath(), { { "Host", "h" } }, JobBody() },
+                     JobApi::Sender::Caller,
+                     [&](const HttpResponse& aResponse) { status = aResponse.status; });
+  REQUIRE(fixture.RunUntil(
+    [&] { return fixture.counters.Get("request_retries_total", "timeout") == 1; }));
+  REQUIRE(!status.has_value());
+  fixture.api.RespondBy(BootClock::now() + 500 * kMillisecond);
+  std::this_thread::sleep_for(300 * kMillisecond);
+  fixture.context.poll();
+  CHECK(status == kHttpGatewayTimeout);
+}
+
+// Guards against requests that end without a response because they arrive when there is no time
+// left for a call to the store.
+TEST_CASE("JobApi RefusesAtOnceWhenItsProcessIsAboutToEnd")
+{
+  JobApiFixture fixture;
+  fixture.store.SetFault(fixture.server, { .silent = true });
+  fixture.api.RespondBy(BootClock::now() + 200 * kMillisecond);
+  for (const char* method : { "POST", "GET", "DELETE" }) {
+    INFO(method);
+    std::optional<int> status;
+    fixture.api.Handle(
+      { method, JobPath(), { { "Host", "h" } }, method == std::string("POST") ? JobBody() : "" },
+      JobApi::Sender::Caller,
+      [&](const HttpResponse& aResponse) { status = aResponse.status; });
+    CHECK(status == kHttpUnavailable);
+    fixture.RunFor(150 * kMillisecond);
+  }
+}
