End counts of many pages within the timeout of their caller

Cause: the read of each page of a count had at least 100 ms, however many pages had been read before, so that a count had no deadline over its pages.

Change: once the time of the request is over, no further page is read and the count fails with time_over, which is answered with 503.

Measured: JobApi EndsACountOfManyPagesWithinTheTimeoutOfTheCaller, whose store always announces a further page, has no response at its caller's timeout of 1 s on the code before and passes after.

--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -421,6 +421,9 @@
 
 void JobApi::CountPending(const RequestPtr& aRequest, const std::string& aQueue)
 {
+  if (this->RespondIfTimeIsOver(aRequest)) {
+    return;
+  }
   ++aRequest->attempts;
   // Each key begins with the queue's name and '/'; '0' is the character after '/'.
   MultiRangeReader::Read(
--- a/packages/daemon/src/MultiRangeReader.cpp
+++ b/packages/daemon/src/MultiRangeReader.cpp
@@ -64,6 +64,14 @@
 void MultiRangeReader::SendRead(const PagePtr& aPage)
 {
   const Duration timeout = this->nextTimeout();
+  if (timeout <= Duration::zero()) {
+    if (aPage->readsInFlight == 0) {
+      cluster::ReadResult result;
+      result.reason = "time_over";
+      this->OnPage(aPage->index, aPage->range, result);
+    }
+    return;
+  }
   ++aPage->readsInFlight;
   this->store.Read(aPage->range,
                    timeout,
--- a/packages/daemon/src/MultiRangeReader.h
+++ b/packages/daemon/src/MultiRangeReader.h
@@ -32,7 +32,7 @@
   using Callback = std::function<void(MultiRangeResult)>;
   // Called for each failed page; returns whether to request it again after kStoreRetryDelay.
   using RetryPolicy = std::function<bool(const std::string& aReason)>;
-  // Returns the timeout of the next call to the store.
+  // Returns the timeout of the next call to the store. With zero, the page fails without a call.
   using TimeoutPolicy = std::function<Duration()>;
 
   // Calls `aCallback` once, on the event loop of `aContext`: when all ranges are read, or when
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -1,6 +1,7 @@
 #include "JobApi.h"
 
 #include "StoreFixture.h"
+#include "absl/strings/str_replace.h"
 
 #include "oriolespread/platformwire/CallerMessages.h"
 
@@ -59,6 +60,16 @@
     return *answer;
   }
 
+  // Runs the event loop until its timer for `aTime` expires. Handlers of earlier timers run before
+  // it, however late a turn of the loop is.
+  void RunUntilTimerAt(Instant aTime)
+  {
+    bool expired = false;
+    asio::steady_timer timer(this->context, aTime - BootClock::now());
+    timer.async_wait([&](asio::error_code) { expired = true; });
+    REQUIRE(this->RunUntil([&] { return expired; }, std::chrono::seconds(30)));
+  }
+
   std::string GetPending() { return this->Call("GET", "/q/").body; }
 };
 
@@ -467,3 +478,30 @@
     fixture.RunFor(150 * kMillisecond);
   }
 }
+
+// Guards against a count that goes on page by page after its caller has stopped waiting.
+TEST_CASE("JobApi EndsACountOfManyPagesWithinTheTimeoutOfTheCaller")
+{
+  JobApiFixture fixture;
+  REQUIRE(fixture.Call("POST", JobPath(), JobBody()).status == kHttpOk);
+  fixture.store.SetFault(fixture.server, { .delay = 20 * kMillisecond });
+  std::string page;
+  fixture.store.onAnswer = [&](const std::string& aBody) {
+    if (page.empty() && aBody.find(R"("value":)") != std::string::npos) {
+      page = absl::StrReplaceAll(aBody, { { R"("has_more":false)", R"("has_more":true)" } });
+    }
+    return aBody.find("has_more") == std::string::npos || page.empty() ? aBody : page;
+  };
+  std::optional<int> status;
+  const Instant end = BootClock::now() + 1000 * kMillisecond;
+  fixture.api.Handle(
+    { "GET", "/q/", { { "Host", "h" }, { platformwire::kTimeoutHeader, "1000" } }, "" },
+    JobApi::Sender::Caller,
+    [&](const HttpResponse& aResponse) { status = aResponse.status; });
+  fixture.RunUntilTimerAt(end);
+  CHECK(!page.empty());
+  CHECK(status == kHttpUnavailable);
+  // Ends the reads.
+  fixture.store.onAnswer = nullptr;
+  fixture.RunFor(100 * kMillisecond);
+}
