Keep a link alive when a handler of it throws

Cause: an exception from a handler of a message or call left Connection::ReceiveBytes with the mark of a scheduled flush set and without waiting for input again. The link then neither read nor wrote. As unread bytes count as a sign of life, this side did not close it either, so that an agent whose handler had thrown was not connected to that entry any more.

Measured: Link CarriesMessagesBothWaysAfterAHandlerHasThrown fails before (nothing arrives in 5 s) and passes after; link_tests pass.

--- a/packages/link/src/Connection.cpp
+++ b/packages/link/src/Connection.cpp
@@ -236,7 +236,17 @@
   const auto self = this->shared_from_this();
   // What the handlers submit is written below, so that they need not schedule it.
   const bool scheduledBefore = std::exchange(this->flushScheduled, true);
-  this->DeliverAll();
+  try {
+    this->DeliverAll();
+  } catch (...) {
+    // The link goes on. Its peer would close it after a missed ping, but this side may not notice.
+    this->flushScheduled = scheduledBefore;
+    this->ScheduleFlush();
+    if (!this->closed) {
+      this->ArmRead();
+    }
+    throw;
+  }
   this->flushScheduled = scheduledBefore;
   this->Flush();
 }
@@ -334,7 +344,12 @@
   while (!this->deliveries.empty()) {
     const auto delivery = std::move(this->deliveries.front());
     this->deliveries.pop_front();
-    delivery();
+    try {
+      delivery();
+    } catch (...) {
+      this->ScheduleDelivery();
+      throw;
+    }
   }
 }
 
--- a/packages/link/tests/CallTest.cpp
+++ b/packages/link/tests/CallTest.cpp
@@ -1,5 +1,7 @@
 #include "LinkPair.h"
 
+#include <stdexcept>
+
 using namespace oriolespread;
 
 TEST_CASE("Link ComesUpWithThePeersIdentity")
@@ -81,3 +83,35 @@
   request.headers = headers;
   CHECK(pair.Call(request).reason == "headers_too_large");
 }
+
+// Guards against a link that stays open but neither reads nor writes any more.
+TEST_CASE("Link CarriesMessagesBothWaysAfterAHandlerHasThrown")
+{
+  LinkPair pair;
+  REQUIRE(pair.RunUntilUp());
+  pair.onCall = [](const CallRequest&, const std::shared_ptr<Responder>&) {
+    throw std::runtime_error("no such run");
+  };
+  int thrown = 0;
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  const auto runUntil = [&](const std::function<bool()>& aCondition) {
+    const auto ends = [&] { return aCondition() || std::chrono::steady_clock::now() > limit; };
+    while (!ends()) {
+      try {
+        pair.Run(ends);
+      } catch (const std::runtime_error&) {
+        ++thrown;
+      }
+    }
+    return aCondition();
+  };
+  pair.listener->StartCall(pair.link, TestRequest(1), {});
+  CHECK(pair.listener->Send(pair.link, CreditDemand{ UpstreamId{ "up-1" }, 1, 2 }));
+  CHECK(pair.listener->Send(pair.link, CreditDemand{ UpstreamId{ "up-1" }, 2, 2 }));
+  CHECK(runUntil([&] { return pair.agent.messages.size() == 2 && thrown == 1; }));
+  CHECK(pair.dialer->Send(Leave{ UpstreamId{ "up-1" }, Incarnation{ 1 } }));
+  CHECK(runUntil([&] { return pair.entry.messages.size() == 1; }));
+  CHECK(pair.listener->Send(pair.link, CreditDemand{ UpstreamId{ "up-1" }, 3, 2 }));
+  CHECK(runUntil([&] { return pair.agent.messages.size() == 3; }));
+  CHECK(pair.agent.downs.empty());
+}
