Answer a request whose handler throws

Cause: an exception from the handler of an HttpServer left the request without a response until its caller gave up or the process stopped, and its connection open without a read, so that its end was not noticed. Both count against the limit of connections.

Change: such a request is answered with 504, as the outcome is not known, and counted in http_requests_abandoned_total as handler_failed. The exception still reaches the event loop.

Measured: HttpServer AnswersARequestWhoseHandlerThrows fails before (time-out, one request in flight, a second connection) and passes after; http_tests pass.

--- a/packages/http/include/oriolespread/http/HttpServer.h
+++ b/packages/http/include/oriolespread/http/HttpServer.h
@@ -38,6 +38,8 @@
 public:
   // Sends the response; calls after the first are ignored. Safe after the connection is gone.
   using Reply = std::function<void(HttpResponse)>;
+  // A request whose handler throws without having replied is answered with 504. The exception
+  // reaches the event loop.
   using Handler = std::function<void(const HttpRequest&, Reply)>;
 
   // Listens from now on; port 0 takes a free one. The references must outlive the server.
--- a/packages/http/src/ServerConnection.cpp
+++ b/packages/http/src/ServerConnection.cpp
@@ -143,10 +143,17 @@
       { std::string(name.data(), name.size()), std::string(value.data(), value.size()) });
   }
   request.body = std::move(message.body());
-  this->core->handler(request,
-                      [self = this->shared_from_this(), id](const HttpResponse& aResponse) {
-                        self->Reply(id, aResponse);
-                      });
+  try {
+    this->core->handler(request,
+                        [self = this->shared_from_this(), id](const HttpResponse& aResponse) {
+                          self->Reply(id, aResponse);
+                        });
+  } catch (...) {
+    // What the handler has done is not known, as with a request that is not answered in time.
+    this->core->counters.Add("http_requests_abandoned_total", "handler_failed");
+    this->Reply(id, { kHttpGatewayTimeout, {}, {} });
+    throw;
+  }
 }
 
 void ServerConnection::Reply(std::uint64_t aRequest, const HttpResponse& aResponse)
--- a/packages/http/tests/HttpClientServerTest.cpp
+++ b/packages/http/tests/HttpClientServerTest.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <stdexcept>
 #include <thread>
 
 using namespace oriolespread;
@@ -35,6 +36,9 @@
           this->held = std::move(aReply);
           return;
         }
+        if (aRequest.target == "/throws") {
+          throw std::runtime_error("no such job");
+        }
         aReply({ kHttpOk, {}, aRequest.method + " " + aRequest.target + " " + aRequest.body });
       },
       this->counters);
@@ -341,3 +345,26 @@
   CHECK(answer.find("200") == std::string::npos);
   CHECK(end == asio::error::eof);
 }
+
+// Guards against a request without a response and a connection that is never closed.
+TEST_CASE("HttpServer AnswersARequestWhoseHandlerThrows")
+{
+  Pair pair;
+  std::optional<HttpResult> result;
+  int thrown = 0;
+  pair.client->Call({ "GET", "/throws", {}, {} },
+                    std::chrono::seconds(2),
+                    [&](const HttpResult& aResult) { result = aResult; });
+  while (!result.has_value()) {
+    try {
+      pair.context.run_one();
+    } catch (const std::runtime_error&) {
+      ++thrown;
+    }
+  }
+  CHECK(thrown == 1);
+  CHECK(result->IsAnswer(kHttpGatewayTimeout));
+  CHECK(pair.server->InFlight() == 0);
+  CHECK(pair.Call({ "GET", "/next", {}, {} }).response.body == "GET /next ");
+  CHECK(pair.counters.Get("http_connections_opened_total", "client") == 1);
+}
