Keep an event loop of an entry running when its work throws

Cause: the thread of service::EventLoop ran its context without catching, so that one exception from a handler (a message of a link, posted work, a timer) ended the whole process of `oriolespread serve`. Drain also kept its mark, so that no further work would have been taken.

Change: as in daemon::RunEventLoop, the exception is counted (handler_errors_total) and logged (handler_failed), and the loop goes on.

Measured: EventLoop RunsOtherWorkWhenSomeThrows ends the test's process with SIGABRT before and passes after; service_tests pass (24 cases).

--- a/packages/service/include/oriolespread/service/EventLoop.h
+++ b/packages/service/include/oriolespread/service/EventLoop.h
@@ -18,7 +18,8 @@
 namespace oriolespread {
 
 // TryPost and Deliver may be called from any thread. Work runs on the loop's thread in the order of
-// posting. Work must not throw.
+// posting. An exception that work or another handler of the loop throws is counted and logged; the
+// loop goes on.
 class EventLoop
 {
 public:
@@ -45,6 +46,7 @@
   asio::io_context& Context() { return this->context; }
 
 private:
+  void Run();
   void Drain();
 
   std::string name;
--- a/packages/service/src/EventLoop.cpp
+++ b/packages/service/src/EventLoop.cpp
@@ -1,5 +1,8 @@
 #include "oriolespread/service/EventLoop.h"
 
+#include "oriolespread/service/Log.h"
+
+#include <exception>
 #include <memory>
 #include <utility>
 
@@ -27,7 +30,22 @@
 
 void EventLoop::Start()
 {
-  this->thread = std::thread([this] { this->context.run(); });
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void EventLoop::Run()
+{
+  while (true) {
+    try {
+      this->context.run();
+      return;
+    } catch (const std::exception& error) {
+      this->counters.Add("handler_errors_total", "exception");
+      Log(LogLevel::Error,
+          "handler_failed",
+          { { "loop", this->name }, { "reason", std::string(error.what()) } });
+    }
+  }
 }
 
 void EventLoop::Stop()
@@ -79,7 +97,12 @@
       }
       continue;
     }
-    (*work)();
+    try {
+      (*work)();
+    } catch (...) {
+      asio::post(this->context, [this] { this->Drain(); });
+      throw;
+    }
   }
   asio::post(this->context, [this] { this->Drain(); });
 }
