--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -1,12 +1,14 @@
 #include "JobApi.h"
 
 #include "StoreFixture.h"
+#include "absl/strings/str_replace.h"
 
 #include "oriolespread/platformwire/CallerMessages.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <thread>
 
 using namespace oriolespread;
 using namespace oriolespread::daemon;
@@ -58,6 +60,16 @@
     return *answer;
   }
 
+  // Runs the event loop until its timer for `aTime` expires. Handlers of earlier timers run before
+  // it, however late a turn of the loop is.
+  void RunUntilTimerAt(Instant aTime)
+  {
+    bool expired = false;
+    asio::steady_timer timer(this->context, aTime - BootClock::now());
+    timer.async_wait([&](asio::error_code) { expired = true; });
+    REQUIRE(this->RunUntil([&] { return expired; }, std::chrono::seconds(30)));
+  }
+
   std::string GetPending() { return this->Call("GET", "/q/").body; }
 };
 
@@ -421,10 +433,75 @@
   fixture.api.RespondBy(end);
   call("GET", "");
   call("DELETE", "");
-  fixture.RunUntil([&] { return statuses.size() == 3; });
-  CHECK(BootClock::now() < end);
+  // The process stops by a timer of the same loop, before which no response may be outstanding.
+  fixture.RunUntilTimerAt(end);
   REQUIRE(statuses.size() == 3);
   // The store may carry out the submission; the others have changed nothing.
   CHECK(std::count(statuses.begin(), statuses.end(), kHttpGatewayTimeout) == 1);
   CHECK(std::count(statuses.begin(), statuses.end(), kHttpUnavailable) == 2);
 }
+
+// Guards against time-outs of calls to the store that add up past the end of the process because
+// turns of the loop are late.
+TEST_CASE("JobApi CallsTheStoreNoMoreWhenALateTurnHasUsedTheTime")
+{
+  JobApiFixture fixture;
+  fixture.store.SetFault(fixture.server, { .silent = true });
+  std::optional<int> status;
+  fixture.api.Handle({ "POST", JobPath(), { { "Host", "h" } }, JobBody() },
+                     JobApi::Sender::Caller,
+                     [&](const HttpResponse& aResponse) { status = aResponse.status; });
+  REQUIRE(fixture.RunUntil(
+    [&] { return fixture.counters.Get("request_retries_total", "timeout") == 1; }));
+  REQUIRE(!status.has_value());
+  fixture.api.RespondBy(BootClock::now() + 500 * kMillisecond);
+  std::this_thread::sleep_for(300 * kMillisecond);
+  fixture.context.poll();
+  CHECK(status == kHttpGatewayTimeout);
+}
+
+// Guards against requests that end without a response because they arrive when there is no time
+// left for a call to the store.
+TEST_CASE("JobApi RefusesAtOnceWhenItsProcessIsAboutToEnd")
+{
+  JobApiFixture fixture;
+  fixture.store.SetFault(fixture.server, { .silent = true });
+  fixture.api.RespondBy(BootClock::now() + 200 * kMillisecond);
+  for (const char* method : { "POST", "GET", "DELETE" }) {
+    INFO(method);
+    std::optional<int> status;
+    fixture.api.Handle(
+      { method, JobPath(), { { "Host", "h" } }, method == std::string("POST") ? JobBody() : "" },
+      JobApi::Sender::Caller,
+      [&](const HttpResponse& aResponse) { status = aResponse.status; });
+    CHECK(status == kHttpUnavailable);
+    fixture.RunFor(150 * kMillisecond);
+  }
+}
+
+// Guards against a count that goes on page by page after its caller has stopped waiting.
+TEST_CASE("JobApi EndsACountOfManyPagesWithinTheTimeoutOfTheCaller")
+{
+  JobApiFixture fixture;
+  REQUIRE(fixture.Call("POST", JobPath(), JobBody()).status == kHttpOk);
+  fixture.store.SetFault(fixture.server, { .delay = 20 * kMillisecond });
+  std::string page;
+  fixture.store.onAnswer = [&](const std::string& aBody) {
+    if (page.empty() && aBody.find(R"("value":)") != std::string::npos) {
+      page = absl::StrReplaceAll(aBody, { { R"("has_more":false)", R"("has_more":true)" } });
+    }
+    return aBody.find("has_more") == std::string::npos || page.empty() ? aBody : page;
+  };
+  std::optional<int> status;
+  const Instant end = BootClock::now() + 1000 * kMillisecond;
+  fixture.api.Handle(
+    { "GET", "/q/", { { "Host", "h" }, { platformwire::kTimeoutHeader, "1000" } }, "" },
+    JobApi::Sender::Caller,
+    [&](const HttpResponse& aResponse) { status = aResponse.status; });
+  fixture.RunUntilTimerAt(end);
+  CHECK(!page.empty());
+  CHECK(status == kHttpUnavailable);
+  // Ends the reads.
+  fixture.store.onAnswer = nullptr;
+  fixture.RunFor(100 * kMillisecond);
+}
