Leave out leaving workers when a service is judged to have free cores

Cause: FindServicesWithFreeCores counted the runs and the capacity of workers that leave. A worker that leaves full of reserved runs made a service look used of whose other workers most cores were not reserved, so that a standing best-effort job waited 8 s instead of 1.5 s to be placed beside serving runs, and for good beside best-effort runs that use all cores. The promise to callers leaves such workers out.

Change: workers that drain are left out of both sums.

Result: PlacesAStandingJobWhenMostReservedCoresAreOnALeavingWorker failed before (no start in 2 s) and passes; jobs_tests passes.

--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -180,7 +180,8 @@
 {
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> reservedAndCapacity;
   for (const auto& [key, worker] : this->workers) {
-    if (worker.connected && worker.reported) {
+    // Runs on a worker that leaves keep no other task waiting.
+    if (worker.connected && worker.reported && !worker.state.draining) {
       auto& [reserved, capacity] = reservedAndCapacity[worker.state.service];
       reserved += worker.reserved.milliCores;
       capacity += worker.state.capacity.milliCores;
--- /dev/null
+++ b/packages/jobs/tests/StandingCausesTest.cpp
@@ -0,0 +1,72 @@
+// Jobs without a run at work while the service has room for them by what tasks at work request.
+#include "SchedulerFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace oriolespread;
+using namespace oriolespread::jobs;
+
+namespace {
+
+StepSpec MakeBestEffortStep(std::uint32_t aCount, std::int64_t aMilliCores = 1000)
+{
+  StepSpec step = MakeStep(aCount);
+  step.demand.milliCores = aMilliCores;
+  step.fillsUnused = true;
+  step.image = "best-effort";
+  return step;
+}
+
+// Passes time in steps of 100 ms, in which all workers report and runs go on.
+void Pass(SchedulerFixture& aFixture, Duration aTime)
+{
+  for (Duration passed{}; passed < aTime; passed += 100 * kMs) {
+    aFixture.Advance(100 * kMs);
+    for (auto& [agent, report] : aFixture.agents) {
+      for (RunningRun& running : report.running) {
+        running.percent = std::min(running.percent + 1, 99);
+      }
+      aFixture.Report(agent);
+    }
+    aFixture.RunUntilIdle();
+  }
+}
+
+void Submit(SchedulerFixture& aFixture, const std::string& aJob, const StepSpec& aStep)
+{
+  aFixture.Submit(MakeJob(aJob, { aStep }));
+  aFixture.RunUntilIdle();
+}
+
+// Returns how many runs of the job were started on the agent, or on any if it is empty.
+std::ptrdiff_t StartsOf(const SchedulerFixture& aFixture,
+                        const std::string& aJob,
+                        const std::string& aAgent = "")
+{
+  return std::count_if(aFixture.starts.begin(), aFixture.starts.end(), [&](const auto& aStart) {
+    return aStart.second.ref.task.starts_with(aJob + ".") &&
+           (aAgent.empty() || aStart.first == aAgent);
+  });
+}
+
+} // namespace
+
+// Guards against runs on workers that leave and so do not count, of which a service looks used.
+TEST_CASE("JobScheduler PlacesAStandingJobWhenMostReservedCoresAreOnALeavingWorker")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("leaving");
+  Submit(fixture, "ending", MakeStep(8));
+  REQUIRE(StartsOf(fixture, "ending", "leaving") == 8);
+  fixture.agents.at("leaving").worker.draining = true;
+  fixture.Report("leaving");
+  fixture.AddAgent("a");
+  Submit(fixture, "reserved", MakeStep(2));
+  Submit(fixture, "first", MakeBestEffortStep(40));
+  REQUIRE(StartsOf(fixture, "reserved", "a") == 2);
+  Submit(fixture, "late", MakeBestEffortStep(1));
+  Pass(fixture, 2000 * kMs);
+  CHECK(StartsOf(fixture, "late") == 1);
+}
