Count only memory and accelerators for standing best-effort tasks

Cause: a best-effort task was placed only where the reserved cores leave as many as it requests.

Change: a step that may be overcommitted needs the memory and the accelerators, and cores up to the worker's capacity. The rate and the conditions of overcommitment stay. HasUnreservedCapacityFor becomes CanOvercommit.

Result: PlacesAStandingJobWhenReservedCoresLeaveLessThanItRequests failed before (no start in 2 s, single and gang) and passes; jobs_tests passes.

--- a/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
+++ b/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
@@ -49,8 +49,8 @@
   bool allowAvoided = false;
   // Whether a worker that is avoided for failures may be chosen as well.
   bool allowFailing = false;
-  // For best-effort steps: whether a worker may be chosen although best-effort runs use all of its
-  // cores that are not reserved, unless it was chosen so a short while ago.
+  // For best-effort steps: whether a worker may be chosen although too few of its cores are unused,
+  // unless it was chosen so a short while ago.
   bool allowOvercommit = false;
 };
 
@@ -63,9 +63,9 @@
 // Returns whether the worker has the resources for one more task of the step.
 bool HasCapacityFor(const Worker& aWorker, const StepSpec& aStep);
 
-// Returns whether the worker has the resources for one more task of the best-effort step if the
-// cores that its best-effort runs use do not count.
-bool HasUnreservedCapacityFor(const Worker& aWorker, const StepSpec& aStep);
+// Returns whether the worker takes one more task of the step even if a best-effort one finds too
+// few unused cores. Workers refuse best-effort tasks for want of memory or accelerators only.
+bool CanOvercommit(const Worker& aWorker, const StepSpec& aStep);
 
 // Returns whether the worker could take a task of the step if nothing else ran there.
 bool CanEverTake(const Worker& aWorker, const StepSpec& aStep);
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -73,8 +73,8 @@
   double lowReservedShare = 0.55;
   Duration allowInterferenceAfterWithFreeCores = std::chrono::milliseconds(1500);
   // A job of which no run was reported at work for this long may place a best-effort task, or all
-  // tasks of a gang, beside best-effort runs that use all unused cores, while at most
-  // `lowReservedShare` of the cores is reserved.
+  // tasks of a gang, on workers with too few unused cores, while at most `lowReservedShare` of the
+  // cores is reserved.
   Duration allowOvercommitAfter = std::chrono::milliseconds(1500);
   // A worker is given at most one such task or gang in this time, so that a backlog does not slow
   // down all best-effort runs at once.
--- a/packages/jobs/src/LargestRoom.cpp
+++ b/packages/jobs/src/LargestRoom.cpp
@@ -16,6 +16,7 @@
   this->room.accelerators = std::max(this->room.accelerators, unreserved.accelerators);
   this->bestEffortMilliCores =
     std::max(this->bestEffortMilliCores, capacity.milliCores - ExpectedMilliCores(aWorker));
+  this->capacityMilliCores = std::max(this->capacityMilliCores, capacity.milliCores);
   this->overcommittable += aMayOvercommit ? 1 : 0;
 }
 
@@ -27,8 +28,9 @@
 bool LargestRoom::MayFit(const StepSpec& aStep, bool aAllowOvercommit) const
 {
   Resources largest = this->room;
-  if (aStep.fillsUnused && !(aAllowOvercommit && this->overcommittable > 0)) {
-    largest.milliCores = this->bestEffortMilliCores;
+  if (aStep.fillsUnused) {
+    const bool mayOvercommit = aAllowOvercommit && this->overcommittable > 0;
+    largest.milliCores = mayOvercommit ? this->capacityMilliCores : this->bestEffortMilliCores;
   }
   return aStep.demand.FitsIn(largest);
 }
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -163,7 +163,7 @@
   }
   const bool mayOvercommit = aRequest.allowOvercommit && aNow >= aWorker.nextOvercommittedRun;
   if (!HasCapacityFor(aWorker, *aRequest.step) &&
-      !(mayOvercommit && HasUnreservedCapacityFor(aWorker, *aRequest.step))) {
+      !(mayOvercommit && CanOvercommit(aWorker, *aRequest.step))) {
     return PlacementObstacle::Capacity;
   }
   return PlacementObstacle::None;
@@ -259,9 +259,13 @@
   return needed.FitsIn(aWorker.state.capacity);
 }
 
-bool HasUnreservedCapacityFor(const Worker& aWorker, const StepSpec& aStep)
+bool CanOvercommit(const Worker& aWorker, const StepSpec& aStep)
 {
-  return DemandWith(aWorker, aStep).FitsIn(aWorker.state.capacity);
+  Resources needed = DemandWith(aWorker, aStep);
+  if (aStep.fillsUnused) {
+    needed.milliCores = aStep.demand.milliCores;
+  }
+  return needed.FitsIn(aWorker.state.capacity);
 }
 
 bool CanEverTake(const Worker& aWorker, const StepSpec& aStep)
--- a/packages/jobs/tests/LargestRoomTest.cpp
+++ b/packages/jobs/tests/LargestRoomTest.cpp
@@ -82,11 +82,11 @@
     INFO("round " << round << ", demand " << step.demand);
     CHECK((largest.MayFit(step, false) || !hasRoom));
     excluded += largest.MayFit(step, false) ? 0 : 1;
-    const bool hasUnreserved =
+    const bool canOvercommit =
       std::any_of(workers.begin(), workers.end(), [&](const Worker& aWorker) {
-        return HasUnreservedCapacityFor(aWorker, step);
+        return CanOvercommit(aWorker, step);
       });
-    CHECK((largest.MayFit(step, true) || !hasUnreserved));
+    CHECK((largest.MayFit(step, true) || !canOvercommit));
     excludedFromOvercommit += largest.MayFit(step, true) ? 0 : 1;
     for (std::size_t left = workers.size(); left > 0; --left) {
       largest.OnOvercommitted();
--- a/packages/jobs/tests/StandingCausesTest.cpp
+++ b/packages/jobs/tests/StandingCausesTest.cpp
@@ -70,3 +70,21 @@
   Pass(fixture, 2000 * kMs);
   CHECK(StartsOf(fixture, "late") == 1);
 }
+
+// Guards against a best-effort job that waits for cores, of which its runs reserve none.
+TEST_CASE("JobScheduler PlacesAStandingJobWhenReservedCoresLeaveLessThanItRequests")
+{
+  for (const bool gang : { false, true }) {
+    SchedulerFixture fixture;
+    fixture.AddAgent("a");
+    StepSpec reserved = MakeStep(1);
+    reserved.demand.milliCores = 3500;
+    Submit(fixture, "reserved", reserved);
+    StepSpec step = MakeBestEffortStep(1, 5000);
+    step.gang = gang;
+    Submit(fixture, "late", step);
+    Pass(fixture, 2000 * kMs);
+    INFO("gang " << gang);
+    CHECK(StartsOf(fixture, "late") == 1);
+  }
+}
