Do not count refused starts as a job's last run beside serving runs

Cause: the wait until a job may be placed beside serving runs that it disturbs began again with each placed run (lastActive), also of those that the worker refused. A job whose starts one worker refuses was never placed on another one where it disturbs serving runs. Avoided workers and overcommitment use lastRunning since earlier faults.

Change: all three permissions are given by HasStood: no active run, and none reported at work for the time.

Result: PlacesAStandingJobBesideServingRunsWhenItsStartsAreRefused failed before (no start on the other worker in 2 s) and passes; jobs_tests passes.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -314,8 +314,6 @@
                                         Now aNow) const;
   // Returns whether the task must not be placed yet.
   bool IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const;
-  // Returns whether the job has waited for long enough to be placed on avoided workers.
-  bool MayUseAvoidedWorkers(const Job& aJob, Instant aNow) const;
   bool MayUseFailingWorkers(const Job& aJob,
                             const StepSpec& aStep,
                             const Task& aTask,
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -63,7 +63,8 @@
   // A worker that is avoided for failures is given at most one run in this time, so that it cannot
   // fail all jobs that wait.
   Duration failingWorkerRunInterval = std::chrono::milliseconds(500);
-  // A job without active runs for this long is placed wherever it fits, regardless of interference.
+  // A job of which no run was reported at work for this long is placed wherever it fits, regardless
+  // of interference.
   // It bounds the wait of a job that disturbs every worker; a backlog of a few seconds should not
   // make serving runs miss their targets.
   Duration allowInterferenceAfter = std::chrono::seconds(8);
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -18,6 +18,12 @@
   });
 }
 
+// Returns whether no run of the job was at work for longer than `aTime`.
+bool HasStood(const Job& aJob, Duration aTime, Instant aNow)
+{
+  return !aJob.HasActiveRuns() && aNow - aJob.lastRunning > aTime;
+}
+
 } // namespace
 
 void JobScheduler::Decide(Now aNow)
@@ -161,12 +167,13 @@
   const Duration allowInterferenceAfter = aHasFreeCores
                                             ? this->settings.allowInterferenceAfterWithFreeCores
                                             : this->settings.allowInterferenceAfter;
-  request.allowInterference = aNow.instant - job.lastActive > allowInterferenceAfter;
-  request.allowAvoided = this->MayUseAvoidedWorkers(job, aNow.instant);
+  // Placed runs that are refused do not prolong the wait.
+  request.allowInterference = HasStood(job, allowInterferenceAfter, aNow.instant);
+  request.allowAvoided = HasStood(job, this->settings.allowAvoidedAfter, aNow.instant);
   if (request.step->fillsUnused) {
     request.weights = this->interference.WeightsByServingImage(request.step->image);
-    request.allowOvercommit = aHasFreeCores && !job.HasActiveRuns() &&
-                              aNow.instant - job.lastRunning > this->settings.allowOvercommitAfter;
+    request.allowOvercommit =
+      aHasFreeCores && HasStood(job, this->settings.allowOvercommitAfter, aNow.instant);
   }
   for (const Task& task : aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks) {
     for (const Run& run : task.runs) {
@@ -266,11 +273,6 @@
             { aReady.job->record.id, aReady.occurrence, aReady.step, aIndex })));
 }
 
-bool JobScheduler::MayUseAvoidedWorkers(const Job& aJob, Instant aNow) const
-{
-  return !aJob.HasActiveRuns() && aNow - aJob.lastRunning > this->settings.allowAvoidedAfter;
-}
-
 // A task that fails on its last attempt ends its job, so it rather waits for a sound worker.
 bool JobScheduler::MayUseFailingWorkers(const Job& aJob,
                                         const StepSpec& aStep,
--- a/packages/jobs/tests/StandingCausesTest.cpp
+++ b/packages/jobs/tests/StandingCausesTest.cpp
@@ -51,6 +51,16 @@
   });
 }
 
+// Makes the agent refuse the starts that it was ordered.
+void RefuseStarts(SchedulerFixture& aFixture, const std::string& aAgent)
+{
+  WorkerReport& report = aFixture.agents.at(aAgent);
+  report.rejected.clear();
+  for (const RunningRun& running : std::exchange(report.running, {})) {
+    report.rejected.push_back({ running.ref, "refused" });
+  }
+}
+
 } // namespace
 
 // Guards against runs on workers that leave and so do not count, of which a service looks used.
@@ -88,3 +98,26 @@
     CHECK(StartsOf(fixture, "late") == 1);
   }
 }
+
+// Guards against refused starts that count as the last run of a job, so that it never waits long
+// enough to be placed beside serving runs.
+TEST_CASE("JobScheduler PlacesAStandingJobBesideServingRunsWhenItsStartsAreRefused")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  StepSpec serving = MakeStep(1);
+  serving.longRunning = true;
+  serving.latencyTargetMs = 100;
+  serving.image = "serving";
+  Submit(fixture, "serving", serving);
+  // A headroom of 1.1 is left, less than a best-effort run is expected to cost.
+  fixture.agents.at("a").running[0].figure = 91;
+  fixture.Report("a");
+  fixture.AddAgent("refusing");
+  Submit(fixture, "late", MakeBestEffortStep(1));
+  for (int round = 0; round < 10; ++round) {
+    RefuseStarts(fixture, "refusing");
+    Pass(fixture, 200 * kMs);
+  }
+  CHECK(StartsOf(fixture, "late", "a") == 1);
+}
