Do not count an ordered run as at work when its worker does not carry it out

Cause: a job with an active run got no permission for avoided workers, serving runs or overcommitment, and a run is active from its placing on. A start that the worker does not answer is tried for 3.9 s (6 times 0.5 s and 0.15 s) and one on a silent worker holds its reservation until the lease ends (5.55 s). The other tasks of the job waited as long.

Change: HasStood also holds if the job placed no run within the time and none of its active runs is known to have started. lastPlaced takes the place of lastActive, which nothing used any more but the line job_standing.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -137,11 +137,10 @@
   std::int64_t objectiveMs = 0;
   // The estimated work of all tasks.
   double workCoreSeconds = 0;
-  // When a run of the job was last seen active; before its first run, when the job was first
-  // considered.
-  Instant lastActive{};
+  // When a run of the job was last placed; before that, when the job was first considered.
+  Instant lastPlaced{};
   // When a worker last reported a run of the job at work; before that, when the job was first
-  // considered. Unlike `lastActive`, placed runs that are refused do not change it.
+  // considered. Unlike `lastPlaced`, placed runs that are refused do not change it.
   Instant lastRunning{};
   // The terminal state is stored, so the progress rows are no longer needed.
   bool endStored = false;
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -18,10 +18,29 @@
   });
 }
 
-// Returns whether no run of the job was at work for longer than `aTime`.
+// Returns whether a worker has carried out the start of a run of the job.
+bool HasStartedRun(const Job& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (const Step& step : occurrence.steps) {
+      for (const Task& task : step.tasks) {
+        if (std::any_of(task.runs.begin(), task.runs.end(), [](const Run& aRun) {
+              return aRun.state == RunState::Running || aRun.state == RunState::Stopping;
+            })) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+// Returns whether no run of the job was at work for longer than `aTime`. Runs that were placed
+// within it may still start.
 bool HasStood(const Job& aJob, Duration aTime, Instant aNow)
 {
-  return !aJob.HasActiveRuns() && aNow - aJob.lastRunning > aTime;
+  return aNow - aJob.lastRunning > aTime &&
+         (!aJob.HasActiveRuns() || (aNow - aJob.lastPlaced > aTime && !HasStartedRun(aJob)));
 }
 
 } // namespace
@@ -126,8 +145,8 @@
     if (job.lastRunning == Instant{}) {
       job.lastRunning = aNow.instant;
     }
-    if (job.lastActive == Instant{} || job.HasActiveRuns()) {
-      job.lastActive = aNow.instant;
+    if (job.lastPlaced == Instant{}) {
+      job.lastPlaced = aNow.instant;
     }
     for (const auto& [number, occurrence] : job.occurrences) {
       for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
@@ -423,6 +442,7 @@
     this->largestRooms[aWorker.state.service].OnOvercommitted();
   }
   Job& job = *aReady.job;
+  job.lastPlaced = aNow.instant;
   Task& task = job.occurrences.at(aReady.occurrence).steps[aReady.step].tasks[aIndex];
   const TaskKey taskKey{ job.record.id, aReady.occurrence, aReady.step, aIndex };
   const RunKey runKey{ taskKey, task.nextRunNumber++ };
--- a/packages/jobs/tests/StandingCausesTest.cpp
+++ b/packages/jobs/tests/StandingCausesTest.cpp
@@ -121,3 +121,28 @@
   }
   CHECK(StartsOf(fixture, "late", "a") == 1);
 }
+
+// Guards against a start that its worker does not answer for seconds, of which the job looks at
+// work.
+TEST_CASE("JobScheduler PlacesAnotherTaskOfAStandingJobWhenAStartIsNotCarriedOut")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  Submit(fixture, "first", MakeBestEffortStep(40));
+  REQUIRE(StartsOf(fixture, "first") == 8);
+  fixture.AddAgent("silent", 1000);
+  Submit(fixture, "late", MakeBestEffortStep(3));
+  // A run of the first job, which is placed first, may take the worker.
+  WorkerReport& report = fixture.agents.at("silent");
+  REQUIRE(report.running.size() == 1);
+  const RunRef ref = report.running[0].ref;
+  if (!ref.task.starts_with("late.")) {
+    fixture.End("silent", ref, RunEnd::Done);
+    fixture.RunUntilIdle();
+  }
+  REQUIRE(StartsOf(fixture, "late", "silent") == 1);
+  report.starting.push_back(report.running[0].ref);
+  report.running.clear();
+  Pass(fixture, 2200 * kMs);
+  CHECK(StartsOf(fixture, "late", "a") == 1);
+}
