Prefer other workers for a gang after a refused start

Cause: a worker is left out for 0.3 s after it refused a start, and a single task is placed again after 50 ms, on another worker. A gang is placed again only when the stops of its other members are reported, mostly later than 0.3 s, and was placed on the refusing worker again, as the least loaded one, for as long as that refused.

Change: for 5 s (failingWorkerBackoff) after a refused start, gangs are placed on that worker only if no other has room, by the cost of a worker on which a task failed.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -232,6 +232,8 @@
   Instant firstReportNotTaken{};
   // No new runs are placed before this time, after a rejected start.
   Instant rejectsUntil{};
+  // Gangs are placed on other workers until then if any have room, after a rejected start.
+  Instant refusingUntil{};
   // Set after a stalled run, slow runs or repeated failures. Until then, only long-running tasks
   // and jobs that have waited for a while are placed, and only if no other worker has room.
   Instant avoidUntil{};
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -191,6 +191,10 @@
   if (aWorker.key.id == aRequest.lastFailedWorker) {
     result.cost += kFailedWorkerCost;
   }
+  if (step.gang && aNow < aWorker.refusingUntil) {
+    // The other members are stopped for each refusal, which takes longer than `rejectsUntil`.
+    result.cost += kFailedWorkerCost;
+  }
   if (aNow < aWorker.avoidUntil) {
     result.cost += kAvoidedWorkerCost + (aNow < aWorker.failingUntil ? kFailingWorkerCost : 0);
   }
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -409,6 +409,7 @@
   this->FindTask(runKey.task)->notBefore = aNow.instant + this->settings.retryDelay;
   this->RemoveRun(runKey);
   aWorker.rejectsUntil = aNow.instant + this->settings.rejectionBackoff;
+  aWorker.refusingUntil = aNow.instant + this->settings.failingWorkerBackoff;
 }
 
 void JobScheduler::Reconcile(Worker& aWorker, const WorkerReport& aReport, Now aNow)
--- a/packages/jobs/tests/StandingCausesTest.cpp
+++ b/packages/jobs/tests/StandingCausesTest.cpp
@@ -146,3 +146,29 @@
   Pass(fixture, 2200 * kMs);
   CHECK(StartsOf(fixture, "late", "a") == 1);
 }
+
+// Guards against a gang that is placed again and again on a worker that refuses its starts.
+TEST_CASE("JobScheduler PlacesAGangElsewhereWhenAWorkerRefusesItsStarts")
+{
+  SchedulerFixture fixture;
+  for (const char* agent : { "a", "b", "c" }) {
+    fixture.AddAgent(agent, 1000);
+  }
+  StepSpec step = MakeStep(2);
+  step.gang = true;
+  Submit(fixture, "late", step);
+  REQUIRE(StartsOf(fixture, "late", "a") == 1);
+  for (int round = 0; round < 5; ++round) {
+    RefuseStarts(fixture, "a");
+    // Stops are carried out and reported after 400 ms, when the refusal does not count any more.
+    const std::vector<RunRef> stops = std::exchange(fixture.stops, {});
+    for (auto& [agent, report] : fixture.agents) {
+      std::erase_if(report.running, [&](const RunningRun& aRun) {
+        return std::find(stops.begin(), stops.end(), aRun.ref) != stops.end();
+      });
+    }
+    Pass(fixture, 400 * kMs);
+  }
+  CHECK(fixture.agents.at("b").running.size() == 1);
+  CHECK(fixture.agents.at("c").running.size() == 1);
+}
