Place nothing on a worker's process that a report shows to have ended

Cause: while the first reports of a restarted worker list no runs, its earlier process is kept with its runs, and was still given new ones. The agent refuses them, and refusals in these reports are not taken, so that the tasks stood until a full report or the end of the lease (5.55 s).

Change: the earlier process counts as not compared with its runs (reconciled) once such a report arrives.

--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -131,6 +131,8 @@
   const Instant expiry = this->CountLeases(aReport, aNow);
   for (const WorkerKey& key : this->OtherWorkers(aAgent, KeyOf(aReport))) {
     Worker& worker = this->workers.at(key);
+    // Starts that this process was ordered are refused, and the refusals are not taken.
+    worker.reconciled = false;
     if (worker.firstReportNotTaken == Instant{}) {
       worker.firstReportNotTaken = aNow.instant;
     }
--- a/packages/jobs/tests/StandingCausesTest.cpp
+++ b/packages/jobs/tests/StandingCausesTest.cpp
@@ -172,3 +172,25 @@
   CHECK(fixture.agents.at("b").running.size() == 1);
   CHECK(fixture.agents.at("c").running.size() == 1);
 }
+
+// Guards against starts that are ordered of a process which has ended. Their refusals are not taken
+// before a report lists what runs there.
+TEST_CASE("JobScheduler PlacesAJobElsewhereWhenAWorkerHasRestarted")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  Submit(fixture, "first", MakeStep(1));
+  fixture.AddAgent("b", 2000);
+  WorkerReport& report = fixture.agents.at("a");
+  report.worker.born = 2;
+  report.full = false;
+  report.running.clear();
+  fixture.Report("a");
+  Submit(fixture, "late", MakeStep(1));
+  CHECK(StartsOf(fixture, "late", "a") == 0);
+  CHECK(StartsOf(fixture, "late", "b") == 1);
+  report.full = true;
+  fixture.Report("a");
+  Submit(fixture, "later", MakeStep(1));
+  CHECK(StartsOf(fixture, "later", "a") == 1);
+}
