Select workers for members of a gang on their last attempt first

Cause: the members of a gang took workers in the order of their index. A member with attempts left took the sound worker, and one on its last attempt found only the failing one, which it may not use while a sound one exists. The gang stood until the worker was not avoided any more (5 s at a time) although it fitted.

Change: members that may not use failing workers are placed first. The order is the same as before if all or none may.

Result: PlacesAGangBesideAFailingWorkerWhenAMemberIsOnItsLastAttempt failed before (not placed again in 2 s) and passes; jobs_tests passes.

--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace oriolespread::jobs {
 
@@ -368,25 +369,35 @@
       return;
     }
   }
+  // Members on their last attempt may use fewer workers, so theirs are selected first.
+  std::vector<std::pair<bool, std::uint32_t>> members;
+  for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+    members.emplace_back(
+      this->MayUseFailingWorkers(*aReady.job, *aRequest.step, step.tasks[index], aNow.instant),
+      index);
+  }
+  std::sort(members.begin(), members.end());
   const bool allowInterference = aRequest.allowInterference;
-  std::vector<Worker*> selected;
-  for (const Task& task : step.tasks) {
+  std::size_t selectedCount = 0;
+  std::vector<Worker*> selected(step.tasks.size());
+  for (const auto& [allowFailing, index] : members) {
     aRequest.allowInterference = allowInterference;
-    aRequest.allowFailing =
-      this->MayUseFailingWorkers(*aReady.job, *aRequest.step, task, aNow.instant);
-    Worker* worker = this->SelectWorker(task, aRequest, aNow);
-    if (worker == nullptr) {
+    aRequest.allowFailing = allowFailing;
+    selected[index] = this->SelectWorker(step.tasks[index], aRequest, aNow);
+    if (selected[index] == nullptr) {
       break;
     }
-    this->AdjustReservation(*worker, *aRequest.step, 1);
-    selected.push_back(worker);
+    this->AdjustReservation(*selected[index], *aRequest.step, 1);
+    ++selectedCount;
   }
   // The runs reserve their workers themselves when they begin.
   for (Worker* worker : selected) {
-    this->AdjustReservation(*worker, *aRequest.step, -1);
-    this->RecomputeHeadroomCosts(*worker);
+    if (worker != nullptr) {
+      this->AdjustReservation(*worker, *aRequest.step, -1);
+      this->RecomputeHeadroomCosts(*worker);
+    }
   }
-  if (selected.size() < step.tasks.size()) {
+  if (selectedCount < step.tasks.size()) {
     this->LogWaitingStep(aReady, aRequest, aNow);
     return;
   }
--- a/packages/jobs/tests/StandingCausesTest.cpp
+++ b/packages/jobs/tests/StandingCausesTest.cpp
@@ -194,3 +194,40 @@
   Submit(fixture, "later", MakeStep(1));
   CHECK(StartsOf(fixture, "later", "a") == 1);
 }
+
+// Guards against a gang that waits because a member that may use any worker takes the sound one,
+// which another member needs for its last attempt.
+TEST_CASE("JobScheduler PlacesAGangBesideAFailingWorkerWhenAMemberIsOnItsLastAttempt")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("failing", 3000);
+  for (const char* job : { "x", "y", "z" }) {
+    JobRecord record = MakeJob(job, { MakeStep(1) });
+    record.policy.maxAttempts = 1;
+    fixture.Submit(record);
+  }
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.starts.size() == 3);
+  for (const auto& [agent, start] : std::vector(fixture.starts)) {
+    fixture.End(agent, start.ref, RunEnd::Failed);
+  }
+  fixture.AddAgent("sound", 3000);
+  StepSpec step = MakeStep(2);
+  step.demand.milliCores = 3000;
+  step.gang = true;
+  Submit(fixture, "late", step);
+  Pass(fixture, 1200 * kMs);
+  REQUIRE(StartsOf(fixture, "late") == 2);
+  for (const auto& [agent, start] : std::vector(fixture.starts)) {
+    if (start.ref.task == "late.0.0.1") {
+      fixture.End(agent, start.ref, RunEnd::Failed);
+    }
+  }
+  fixture.RunUntilIdle();
+  REQUIRE(fixture.stops.size() == 1);
+  for (auto& [agent, report] : fixture.agents) {
+    report.running.clear();
+  }
+  Pass(fixture, 2000 * kMs);
+  CHECK(StartsOf(fixture, "late") == 4);
+}
