--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -137,11 +137,10 @@
   std::int64_t objectiveMs = 0;
   // The estimated work of all tasks.
   double workCoreSeconds = 0;
-  // When a run of the job was last seen active; before its first run, when the job was first
-  // considered.
-  Instant lastActive{};
+  // When a run of the job was last placed; before that, when the job was first considered.
+  Instant lastPlaced{};
   // When a worker last reported a run of the job at work; before that, when the job was first
-  // considered. Unlike `lastActive`, placed runs that are refused do not change it.
+  // considered. Unlike `lastPlaced`, placed runs that are refused do not change it.
   Instant lastRunning{};
   // The terminal state is stored, so the progress rows are no longer needed.
   bool endStored = false;
@@ -233,6 +232,8 @@
   Instant firstReportNotTaken{};
   // No new runs are placed before this time, after a rejected start.
   Instant rejectsUntil{};
+  // Gangs are placed on other workers until then if any have room, after a rejected start.
+  Instant refusingUntil{};
   // Set after a stalled run, slow runs or repeated failures. Until then, only long-running tasks
   // and jobs that have waited for a while are placed, and only if no other worker has room.
   Instant avoidUntil{};
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -63,7 +63,8 @@
   // A worker that is avoided for failures is given at most one run in this time, so that it cannot
   // fail all jobs that wait.
   Duration failingWorkerRunInterval = std::chrono::milliseconds(500);
-  // A job without active runs for this long is placed wherever it fits, regardless of interference.
+  // A job of which no run was reported at work for this long is placed wherever it fits, regardless
+  // of interference.
   // It bounds the wait of a job that disturbs every worker; a backlog of a few seconds should not
   // make serving runs miss their targets.
   Duration allowInterferenceAfter = std::chrono::seconds(8);
@@ -73,8 +74,8 @@
   double lowReservedShare = 0.55;
   Duration allowInterferenceAfterWithFreeCores = std::chrono::milliseconds(1500);
   // A job of which no run was reported at work for this long may place a best-effort task, or all
-  // tasks of a gang, beside best-effort runs that use all unused cores, while at most
-  // `lowReservedShare` of the cores is reserved.
+  // tasks of a gang, on workers with too few unused cores, while at most `lowReservedShare` of the
+  // cores is reserved.
   Duration allowOvercommitAfter = std::chrono::milliseconds(1500);
   // A worker is given at most one such task or gang in this time, so that a backlog does not slow
   // down all best-effort runs at once.
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -163,7 +163,7 @@
   }
   const bool mayOvercommit = aRequest.allowOvercommit && aNow >= aWorker.nextOvercommittedRun;
   if (!HasCapacityFor(aWorker, *aRequest.step) &&
-      !(mayOvercommit && HasUnreservedCapacityFor(aWorker, *aRequest.step))) {
+      !(mayOvercommit && CanOvercommit(aWorker, *aRequest.step))) {
     return PlacementObstacle::Capacity;
   }
   return PlacementObstacle::None;
@@ -191,6 +191,10 @@
   if (aWorker.key.id == aRequest.lastFailedWorker) {
     result.cost += kFailedWorkerCost;
   }
+  if (step.gang && aNow < aWorker.refusingUntil) {
+    // The other members are stopped for each refusal, which takes longer than `rejectsUntil`.
+    result.cost += kFailedWorkerCost;
+  }
   if (aNow < aWorker.avoidUntil) {
     result.cost += kAvoidedWorkerCost + (aNow < aWorker.failingUntil ? kFailingWorkerCost : 0);
   }
@@ -259,9 +263,13 @@
   return needed.FitsIn(aWorker.state.capacity);
 }
 
-bool HasUnreservedCapacityFor(const Worker& aWorker, const StepSpec& aStep)
+bool CanOvercommit(const Worker& aWorker, const StepSpec& aStep)
 {
-  return DemandWith(aWorker, aStep).FitsIn(aWorker.state.capacity);
+  Resources needed = DemandWith(aWorker, aStep);
+  if (aStep.fillsUnused) {
+    needed.milliCores = aStep.demand.milliCores;
+  }
+  return needed.FitsIn(aWorker.state.capacity);
 }
 
 bool CanEverTake(const Worker& aWorker, const StepSpec& aStep)
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace oriolespread::jobs {
 
@@ -18,6 +19,31 @@
   });
 }
 
+// Returns whether a worker has carried out the start of a run of the job.
+bool HasStartedRun(const Job& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (const Step& step : occurrence.steps) {
+      for (const Task& task : step.tasks) {
+        if (std::any_of(task.runs.begin(), task.runs.end(), [](const Run& aRun) {
+              return aRun.state == RunState::Running || aRun.state == RunState::Stopping;
+            })) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+// Returns whether no run of the job was at work for longer than `aTime`. Runs that were placed
+// within it may still start.
+bool HasStood(const Job& aJob, Duration aTime, Instant aNow)
+{
+  return aNow - aJob.lastRunning > aTime &&
+         (!aJob.HasActiveRuns() || (aNow - aJob.lastPlaced > aTime && !HasStartedRun(aJob)));
+}
+
 } // namespace
 
 void JobScheduler::Decide(Now aNow)
@@ -120,8 +146,8 @@
     if (job.lastRunning == Instant{}) {
       job.lastRunning = aNow.instant;
     }
-    if (job.lastActive == Instant{} || job.HasActiveRuns()) {
-      job.lastActive = aNow.instant;
+    if (job.lastPlaced == Instant{}) {
+      job.lastPlaced = aNow.instant;
     }
     for (const auto& [number, occurrence] : job.occurrences) {
       for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
@@ -161,12 +187,13 @@
   const Duration allowInterferenceAfter = aHasFreeCores
                                             ? this->settings.allowInterferenceAfterWithFreeCores
                                             : this->settings.allowInterferenceAfter;
-  request.allowInterference = aNow.instant - job.lastActive > allowInterferenceAfter;
-  request.allowAvoided = this->MayUseAvoidedWorkers(job, aNow.instant);
+  // Placed runs that are refused do not prolong the wait.
+  request.allowInterference = HasStood(job, allowInterferenceAfter, aNow.instant);
+  request.allowAvoided = HasStood(job, this->settings.allowAvoidedAfter, aNow.instant);
   if (request.step->fillsUnused) {
     request.weights = this->interference.WeightsByServingImage(request.step->image);
-    request.allowOvercommit = aHasFreeCores && !job.HasActiveRuns() &&
-                              aNow.instant - job.lastRunning > this->settings.allowOvercommitAfter;
+    request.allowOvercommit =
+      aHasFreeCores && HasStood(job, this->settings.allowOvercommitAfter, aNow.instant);
   }
   for (const Task& task : aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks) {
     for (const Run& run : task.runs) {
@@ -180,7 +207,8 @@
 {
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> reservedAndCapacity;
   for (const auto& [key, worker] : this->workers) {
-    if (worker.connected && worker.reported) {
+    // Runs on a worker that leaves keep no other task waiting.
+    if (worker.connected && worker.reported && !worker.state.draining) {
       auto& [reserved, capacity] = reservedAndCapacity[worker.state.service];
       reserved += worker.reserved.milliCores;
       capacity += worker.state.capacity.milliCores;
@@ -265,11 +293,6 @@
             { aReady.job->record.id, aReady.occurrence, aReady.step, aIndex })));
 }
 
-bool JobScheduler::MayUseAvoidedWorkers(const Job& aJob, Instant aNow) const
-{
-  return !aJob.HasActiveRuns() && aNow - aJob.lastRunning > this->settings.allowAvoidedAfter;
-}
-
 // A task that fails on its last attempt ends its job, so it rather waits for a sound worker.
 bool JobScheduler::MayUseFailingWorkers(const Job& aJob,
                                         const StepSpec& aStep,
@@ -346,25 +369,35 @@
       return;
     }
   }
+  // Members on their last attempt may use fewer workers, so theirs are selected first.
+  std::vector<std::pair<bool, std::uint32_t>> members;
+  for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+    members.emplace_back(
+      this->MayUseFailingWorkers(*aReady.job, *aRequest.step, step.tasks[index], aNow.instant),
+      index);
+  }
+  std::sort(members.begin(), members.end());
   const bool allowInterference = aRequest.allowInterference;
-  std::vector<Worker*> selected;
-  for (const Task& task : step.tasks) {
+  std::size_t selectedCount = 0;
+  std::vector<Worker*> selected(step.tasks.size());
+  for (const auto& [allowFailing, index] : members) {
     aRequest.allowInterference = allowInterference;
-    aRequest.allowFailing =
-      this->MayUseFailingWorkers(*aReady.job, *aRequest.step, task, aNow.instant);
-    Worker* worker = this->SelectWorker(task, aRequest, aNow);
-    if (worker == nullptr) {
+    aRequest.allowFailing = allowFailing;
+    selected[index] = this->SelectWorker(step.tasks[index], aRequest, aNow);
+    if (selected[index] == nullptr) {
       break;
     }
-    this->AdjustReservation(*worker, *aRequest.step, 1);
-    selected.push_back(worker);
+    this->AdjustReservation(*selected[index], *aRequest.step, 1);
+    ++selectedCount;
   }
   // The runs reserve their workers themselves when they begin.
   for (Worker* worker : selected) {
-    this->AdjustReservation(*worker, *aRequest.step, -1);
-    this->RecomputeHeadroomCosts(*worker);
+    if (worker != nullptr) {
+      this->AdjustReservation(*worker, *aRequest.step, -1);
+      this->RecomputeHeadroomCosts(*worker);
+    }
   }
-  if (selected.size() < step.tasks.size()) {
+  if (selectedCount < step.tasks.size()) {
     this->LogWaitingStep(aReady, aRequest, aNow);
     return;
   }
@@ -420,6 +453,7 @@
     this->largestRooms[aWorker.state.service].OnOvercommitted();
   }
   Job& job = *aReady.job;
+  job.lastPlaced = aNow.instant;
   Task& task = job.occurrences.at(aReady.occurrence).steps[aReady.step].tasks[aIndex];
   const TaskKey taskKey{ job.record.id, aReady.occurrence, aReady.step, aIndex };
   const RunKey runKey{ taskKey, task.nextRunNumber++ };
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -131,6 +131,8 @@
   const Instant expiry = this->CountLeases(aReport, aNow);
   for (const WorkerKey& key : this->OtherWorkers(aAgent, KeyOf(aReport))) {
     Worker& worker = this->workers.at(key);
+    // Starts that this process was ordered are refused, and the refusals are not taken.
+    worker.reconciled = false;
     if (worker.firstReportNotTaken == Instant{}) {
       worker.firstReportNotTaken = aNow.instant;
     }
@@ -409,6 +411,7 @@
   this->FindTask(runKey.task)->notBefore = aNow.instant + this->settings.retryDelay;
   this->RemoveRun(runKey);
   aWorker.rejectsUntil = aNow.instant + this->settings.rejectionBackoff;
+  aWorker.refusingUntil = aNow.instant + this->settings.failingWorkerBackoff;
 }
 
 void JobScheduler::Reconcile(Worker& aWorker, const WorkerReport& aReport, Now aNow)
