Inject pairs of faults in the soak

Cause: the soak injects one fault after the other, and has one fixed combination (--worker-crashes). Operators report faults of which the second falls into the recovery from the first.

A random source of its own chooses them, so that other options keep their faults.

--- a/packages/soak/src/Main.cpp
+++ b/packages/soak/src/Main.cpp
@@ -102,6 +102,7 @@
   options.killLeader = aOptions.count("kill-leader") > 0;
   options.maxWorkerLease = std::chrono::seconds(aOptions["max-worker-lease"].as<int>());
   options.crashKillsLeader = aOptions.count("crash-kills-leader") > 0;
+  options.pairs = aOptions.count("pairs") > 0;
   options.workerCrashes = options.crashKillsLeader || aOptions.count("worker-crashes") > 0;
   options.network = 20 + static_cast<int>(::getpid() % kNetworks);
   options.directory = aOptions["directory"].as<std::string>() + "/" + std::to_string(::getpid()) +
@@ -187,6 +188,7 @@
     "half of the workers restart under their ids, and their agents are cut off soon after, each "
     "14 s; some runs are long")(
     "crash-kills-leader", "as --worker-crashes, and the leading entry is killed after each crash")(
+    "pairs", "faults in pairs, the second 0.2 to 4 s after the first; some runs are long")(
     "max-worker-lease",
     "seconds of the longest lease that workers accept",
     cxxopts::value<int>()->default_value("6"))(
--- a/packages/soak/src/Soak.cpp
+++ b/packages/soak/src/Soak.cpp
@@ -61,6 +61,8 @@
 
 // With crashes of workers, the time from the start of the load to the first one.
 constexpr Duration kFirstCrash = std::chrono::seconds(3);
+// With pairs of faults, the time from the start of the load to the first pair.
+constexpr Duration kFirstPair = std::chrono::seconds(2);
 // Runs of this share of the jobs are longer than all leases.
 constexpr double kLongShare = 0.25;
 constexpr Duration kMinLongRun = std::chrono::seconds(6);
@@ -106,6 +108,7 @@
   , refusalRandom(this->options.seed)
   , giveUpRandom(this->options.seed)
   , crashRandom(this->options.seed)
+  , pairRandom(this->options.seed)
   , endRandom(this->options.seed)
   , start(BootClock::now())
   , faultsEnd(this->start + kWarmUp + this->options.length)
@@ -249,7 +252,7 @@
   options.port = kWorkerPort;
   options.agentAddress = ToString(settings.control);
   options.maxLease = this->options.maxWorkerLease;
-  if (this->options.workerCrashes) {
+  if (this->options.workerCrashes || this->options.pairs) {
     options.runTimeOf = &RunTimeOf;
   }
   if (this->options.refusals) {
@@ -343,6 +346,9 @@
   if (this->options.workerCrashes) {
     this->CrashWorkersSoon(kFirstCrash);
   }
+  if (this->options.pairs) {
+    this->After(kFirstPair, [this] { this->InjectPair(); });
+  }
   if (this->options.killLeader) {
     this->After(this->options.length / 3, [this] { this->KillLeader(); });
   }
@@ -507,7 +513,8 @@
       step.after = { index - 1 };
     }
   }
-  if (this->options.workerCrashes && this->crashRandom.Chance(kLongShare)) {
+  if ((this->options.workerCrashes || this->options.pairs) &&
+      this->crashRandom.Chance(kLongShare)) {
     const Duration runTime = this->crashRandom.Between(kMinLongRun, kMaxLongRun);
     spec.steps.resize(1);
     spec.steps[0].estimateMs = static_cast<std::uint32_t>(ToMilliseconds(runTime));
--- a/packages/soak/src/Soak.h
+++ b/packages/soak/src/Soak.h
@@ -88,6 +88,9 @@
   bool workerCrashes = false;
   // The leading entry is killed after each of these crashes.
   bool crashKillsLeader = false;
+  // Faults in pairs, the second one during the recovery from the first one, repeatedly. Some runs
+  // are long.
+  bool pairs = false;
   // Only for a mixed load. All processes start again 1 to 2 s later, and callers go on.
   SoakEnd end = SoakEnd::None;
 };
@@ -106,6 +109,9 @@
   std::string MixSummary() const;
 
 private:
+  // The kinds of faults that pairs consist of.
+  enum class PairFault : std::uint8_t;
+
   std::string Ip(int aKind, std::size_t aIndex) const;
   void AddEntry(std::size_t aIndex);
   void AddWorker(std::size_t aIndex);
@@ -120,6 +126,8 @@
   double EntryQuota(std::size_t aIndex) const;
   void Recover();
   void RecoverMix();
+  // Returns the process of the leading entry, as last read by any entry.
+  std::optional<std::size_t> Leader() const;
   void KillLeader();
   // Ends all processes at once.
   void LoseAll();
@@ -150,6 +158,10 @@
   void CrashWorkersSoon(Duration aTime);
   void CrashWorkers();
   void SetAgentCut(std::size_t aWorker, bool aCut);
+  void InjectPair();
+  // Faults of workers and agents concern these machines, numbered as the workers.
+  void InjectPairFault(PairFault aKind, const std::vector<std::size_t>& aMachines, Duration aTime);
+  void InjectPairFaultIntoMachine(PairFault aKind, std::size_t aIndex, Duration aTime);
   void InjectIntoProcess(std::size_t aIndex);
   void InjectIntoStore(std::size_t aIndex);
   void InjectIntoLink(std::size_t aIndex);
@@ -165,8 +177,10 @@
   RandomSource refusalRandom;
   // Chooses what `giveUps` adds.
   RandomSource giveUpRandom;
-  // Chooses what `workerCrashes` adds.
+  // Chooses what `workerCrashes` adds, and the long runs.
   RandomSource crashRandom;
+  // Chooses the pairs of faults.
+  RandomSource pairRandom;
   // Chooses when processes start again after the loss of all.
   RandomSource endRandom;
   asio::io_context context{ 1 };
@@ -188,6 +202,9 @@
   std::unique_ptr<MixTraffic> mixTraffic;
   std::unique_ptr<WaitCheck> waitCheck;
   std::vector<std::string> faults;
+  std::size_t lastPair = 0;
+  // The entry that a pair has cut off from the store.
+  std::optional<std::size_t> cutEntry;
   // The end of the last disturbance of a machine.
   Instant disturbedUntil{};
   // The present or next phase of faults in a mixed load.
--- a/packages/soak/src/SoakFaults.cpp
+++ b/packages/soak/src/SoakFaults.cpp
@@ -41,7 +41,8 @@
 {
   return this->options.calm && !this->options.refusals && !this->options.giveUps &&
              this->options.lostAnswers == 0 && !this->options.killLeader &&
-             !this->options.workerCrashes && this->options.end == SoakEnd::None
+             !this->options.workerCrashes && !this->options.pairs &&
+             this->options.end == SoakEnd::None
            ? this->start
            : this->disturbedUntil + kContactTime;
 }
@@ -138,14 +139,22 @@
   return fault;
 }
 
-void Soak::KillLeader()
+std::optional<std::size_t> Soak::Leader() const
 {
   for (std::size_t index = 0; index < this->options.entries; ++index) {
     if (this->leader == kEntryName + std::to_string(index + 1)) {
-      this->Note("process " + std::to_string(index) + ", the leader, is killed");
-      this->processes[index]->Signal(SIGKILL);
+      return index;
     }
   }
+  return std::nullopt;
+}
+
+void Soak::KillLeader()
+{
+  if (const auto index = this->Leader(); index.has_value()) {
+    this->Note("process " + std::to_string(*index) + ", the leader, is killed");
+    this->processes[*index]->Signal(SIGKILL);
+  }
 }
 
 void Soak::LoseAll()
