Raise the token when an unknown process of the worker answers

Cause: an answer of another incarnation than the known one ended the use of the token as confirmed, but the token was raised only with the first heartbeat of that incarnation. Until then, late starts with the present token were carried out by the new process, although the agent had reached it. Change: OnOtherIncarnation raises the token, repeats the stops that are not confirmed, and polls at once, also when a poll has shown the other incarnation. The played agents follow.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -258,7 +258,9 @@
   }
   this->otherIncarnationAnswered = true;
   this->workerClockMs.reset();
-  this->fenceConfirmed = false;
+  this->fence.Raise(CurrentUnixMs());
+  this->startsSent = false;
+  this->OnTokenChanged();
   const Instant now = BootClock::now();
   this->allLeasesExpiredAt =
     std::max(this->allLeasesExpiredAt, now + LongestLeaseOnAgentClock(this->maxWorkerLease));
@@ -270,6 +272,10 @@
         { "call", aCall },
         { "clock_ms", aAnswer.clockMs.value_or(0) },
         { "leases_ms", ToMilliseconds(this->allLeasesExpiredAt - now) } });
+  // The answer to a poll in flight has the earlier token, and may be from the known incarnation.
+  ++this->lastPollId;
+  this->pollPending = false;
+  this->SchedulePoll(Duration::zero());
 }
 
 WorkerAnswer WorkerDriver::CheckIncarnation(std::string_view aCall,
@@ -283,14 +289,7 @@
     return aAnswer;
   }
   this->counters.Add("answers_of_other_life_total", aCall);
-  const bool isFirst = !this->otherIncarnationAnswered;
   this->OnOtherIncarnation(aCall, aAnswer);
-  if (isFirst) {
-    // The answer to a poll in flight may be from the known incarnation.
-    ++this->lastPollId;
-    this->pollPending = false;
-    this->SchedulePoll(Duration::zero());
-  }
   WorkerAnswer unknown;
   unknown.reason = "other_incarnation";
   return unknown;
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -115,7 +115,8 @@
   // than the known one.
   bool IsOfOtherIncarnation(const platformwire::WorkerAnswer& aAnswer, Instant aSentAt) const;
   // Handles that another incarnation has answered. Its clock and fencing token are not known, and
-  // it may have taken a deadline on the clock of the known one for its longest lease.
+  // it may have taken a deadline on the clock of the known one for its longest lease. Supersedes
+  // the calls that it has not carried out yet, and polls at once with the new token.
   void OnOtherIncarnation(std::string_view aCall, const platformwire::WorkerAnswer& aAnswer);
   // Returns the answer to a call other than a poll that was sent to the present incarnation. One of
   // another incarnation counts as no answer, since that incarnation has forgotten earlier calls and
--- a/packages/daemon/tests/WorkerIncarnationTest.cpp
+++ b/packages/daemon/tests/WorkerIncarnationTest.cpp
@@ -137,6 +137,25 @@
   CHECK(fixture.started.size() == 1);
 }
 
+// Guards against a late start that a new process carries out although the agent has reached it
+// before, as its token is that of the earlier process until a heartbeat arrives.
+TEST_CASE("WorkerDriver SupersedesEarlierStartsWhenAnIncarnationWithoutHeartbeatsAnswers")
+{
+  WorkerDriverFixture fixture(std::chrono::seconds(6), std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.RunFor(1000 * kMillisecond);
+  // Carried out 1.5 s later, when the next process has answered polls.
+  fixture.worker->SetDelayedCallShare(1.0);
+  fixture.StartTask("j.0.0.0");
+  fixture.RunFor(50 * kMillisecond);
+  fixture.worker->SetDelayedCallShare(0);
+  RestartWithoutNotice(fixture);
+  fixture.RunFor(2500 * kMillisecond);
+  INFO("starts: " << fixture.started.size());
+  CHECK(fixture.started.empty());
+}
+
 // Guards against a run that goes on while the leader starts it elsewhere, as its start was answered
 // by a later process of the worker.
 TEST_CASE("WorkerDriver StopsARunBeforeItReportsANewIncarnationThatHasAnsweredItsStart")
--- a/packages/jobs/tests/PlayedAgent.h
+++ b/packages/jobs/tests/PlayedAgent.h
@@ -324,7 +324,9 @@
     }
     if (!std::exchange(this->otherIncarnationAnswered, true)) {
       this->workerClockZero.reset();
-      this->fenceConfirmed = false;
+      this->startsSent = false;
+      this->RaiseToken();
+      this->SendPoll();
       this->allLeasesExpiredAt = std::max(this->allLeasesExpiredAt, now + LongestLease());
     }
     if (now > this->allLeasesExpiredAt) {
