Stop late runs of a restarted worker that no leader knows of

Cause: a worker that restarts under its id carries out starts of its earlier process and keeps these runs for its longest lease (6 to 10 s). If the agent is cut off before a report of the new process is answered, the leader starts the tasks elsewhere 1.05 leases and 300 ms (5.55 s) after the last report, while the late runs go on. Change: the agent stops by itself what a process of the worker runs that no answered report names, from the time on at which a leader could replace it before the stop has taken effect: 3.89 s after the last answered report was sent. An agent process without an answer stops it at once. Runs of a process that a leader has answered for, and of the first process that the agent knows, are left alone. Also while the new process sends no heartbeats. Counter runs_stopped_unreported_total, line run_unreported. The played agents follow the rule.

--- a/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
+++ b/packages/daemon/include/oriolespread/daemon/ClusterSettings.h
@@ -72,6 +72,12 @@
 // orders.
 inline constexpr Duration kMaxBarDelay = std::chrono::milliseconds(2000);
 inline constexpr Duration kWorkerRetryDelay = std::chrono::milliseconds(150);
+// The longest time that the platform allows a worker for a stop.
+inline constexpr Duration kMaxRunStopTime = std::chrono::milliseconds(900);
+// The time that the stop of a run takes which a poll lists: until the poll is answered, until the
+// stop arrives, and until the worker has carried it out.
+inline constexpr Duration kListedRunStopTime =
+  kWorkerLongPollTime + kWorkerCallTimeout + kMaxRunStopTime;
 
 // A requested lease is at most this, and at most this fraction of the longest lease that the worker
 // accepts.
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -124,6 +124,8 @@
   this->unconfirmedHeartbeat.reset();
   this->otherIncarnationAnswered = false;
   this->incarnationConfirmedAt = {};
+  this->lastEarlierReport = this->sequence;
+  this->incarnationReported = false;
   this->client->SetExpectedInstance(aHeartbeat.worker.id);
   // Calls to the earlier incarnation that this one accepts after its first answer would start runs
   // that the leader has given up, extend leases by times of another clock, or acknowledge ends by
@@ -358,6 +360,10 @@
   this->disturbanceByImage = aExtension.disturbance;
   const Instant earlierExpiry = this->leaseExpiry;
   this->leaseExpiry = std::max(this->leaseExpiry, sent->second + this->requestedLease);
+  this->lastAnsweredReportAt =
+    std::max(this->lastAnsweredReportAt.value_or(sent->second), sent->second);
+  this->incarnationReported =
+    this->incarnationReported || aExtension.sequence > this->lastEarlierReport;
   this->reportSentTimes.erase(this->reportSentTimes.begin(), std::next(sent));
   if (earlierExpiry <= BootClock::now()) {
     this->SupersedeStarts();
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -3,6 +3,7 @@
 #include "WorkerDriver.h"
 
 #include "oriolespread/daemon/ClusterSettings.h"
+#include "oriolespread/jobs/SchedulerSettings.h"
 #include "oriolespread/service/Log.h"
 
 #include <algorithm>
@@ -13,6 +14,13 @@
 using platformwire::WorkerAnswer;
 using platformwire::WorkerCallOutcome;
 
+namespace {
+
+// How much faster than the agent's clock the clock of a leader may be.
+constexpr double kMaxLeaderClockRatio = 1.02;
+
+} // namespace
+
 void WorkerDriver::SchedulePoll(Duration aDelay)
 {
   if (this->pollPending) {
@@ -142,6 +150,7 @@
     // incarnation. Until then, the worker counts as silent.
     this->counters.Add("looks_of_other_life_total", "worker");
     this->OnOtherIncarnation("poll", aAnswer);
+    this->StopUnreportedRuns(aAnswer.running);
     if (now > this->allLeasesExpiredAt) {
       this->OnPollFailed(aAnswer);
     }
@@ -171,6 +180,7 @@
     this->fence.OnAccepted();
   }
   this->running = aAnswer.running;
+  this->StopUnreportedRuns(this->running);
   bool hasNewEnds = false;
   if (!aAnswer.ended.empty()) {
     // Ends before the first listed one were acknowledged by an earlier agent process.
@@ -234,6 +244,54 @@
                                                                         : Duration::zero());
 }
 
+std::string_view WorkerDriver::UnreportedReason() const
+{
+  if (this->otherIncarnationAnswered) {
+    return "other_incarnation";
+  }
+  // The first incarnation that this process knows may be named by reports of an earlier process.
+  return this->incarnation > 1 && !this->incarnationReported ? "worker_restarted" : "";
+}
+
+bool WorkerDriver::MayBeReplacedSoon() const
+{
+  if (!this->lastAnsweredReportAt.has_value()) {
+    return true;
+  }
+  jobs::SchedulerSettings leader;
+  leader.workerLease = this->requestedLease;
+  const auto replacement =
+    std::chrono::duration_cast<Duration>(leader.LeaseBound() / kMaxLeaderClockRatio);
+  return BootClock::now() - *this->lastAnsweredReportAt >= replacement - kListedRunStopTime;
+}
+
+void WorkerDriver::StopUnreportedRuns(const std::vector<RunningRun>& aRunning)
+{
+  const std::string_view reason = this->UnreportedReason();
+  if (aRunning.empty() || reason.empty() || !this->MayBeReplacedSoon()) {
+    return;
+  }
+  const std::int64_t silentMs = this->lastAnsweredReportAt.has_value()
+                                  ? ToMilliseconds(BootClock::now() - *this->lastAnsweredReportAt)
+                                  : -1;
+  for (const RunningRun& run : aRunning) {
+    const auto tracked = this->trackedRuns.find(run.ref);
+    if (tracked != this->trackedRuns.end() && tracked->second.stopping) {
+      continue;
+    }
+    this->counters.Add("runs_stopped_unreported_total", reason);
+    Log(LogLevel::Warning,
+        "run_unreported",
+        { { "task", run.ref.task },
+          { "run", run.ref.run },
+          { "worker", this->worker.id },
+          { "born", this->worker.born },
+          { "reason", std::string(reason) },
+          { "silent_ms", silentMs } });
+    this->StopRun(run.ref);
+  }
+}
+
 // A run that began before its stop arrived is running or has ended, and its end is reported.
 void WorkerDriver::ReportRejectedRuns(Instant aPollSentAt)
 {
--- a/packages/daemon/tests/WorkerDriverFixture.h
+++ b/packages/daemon/tests/WorkerDriverFixture.h
@@ -28,6 +28,8 @@
   std::unique_ptr<WorkerDriver> driver;
   bool extendLeases = true;
   bool failReports = false;
+  // When the last report was sent that was answered.
+  Instant lastAnsweredAt{};
   std::uint64_t ordersSequence = 0;
 
   explicit WorkerDriverFixture(Duration aMaxWorkerLease = std::chrono::seconds(6),
@@ -79,6 +81,7 @@
         }
         this->reports.push_back(aReport);
         if (this->extendLeases) {
+          this->lastAnsweredAt = BootClock::now();
           this->driver->OnLeaseExtension({ aReport.epoch, aReport.sequence, {} });
         }
       });
--- a/packages/jobs/tests/PlayedAgent.h
+++ b/packages/jobs/tests/PlayedAgent.h
@@ -36,6 +36,10 @@
     this->sequence = 0;
     this->unansweredStarts.clear();
     this->born = 0;
+    this->hasSeenRestart = false;
+    this->lastEarlierReport = 0;
+    this->incarnationReported = false;
+    this->lastAnsweredReportAt.reset();
     this->ForgetWorker();
     this->BeginProcess();
   }
@@ -100,6 +104,10 @@
     }
     const Instant earlierExpiry = this->leaseExpiry;
     this->leaseExpiry = std::max(this->leaseExpiry, sent->second + kPlayedLease);
+    this->lastAnsweredReportAt =
+      std::max(this->lastAnsweredReportAt.value_or(sent->second), sent->second);
+    this->incarnationReported =
+      this->incarnationReported || aExtension.sequence > this->lastEarlierReport;
     this->reportSentTimes.erase(this->reportSentTimes.begin(), std::next(sent));
     if (earlierExpiry <= this->world.time.Present()) {
       this->SupersedeStarts();
@@ -302,6 +310,7 @@
     this->lost = false;
     this->workerClockZero = worker.bootedAt;
     this->fenceConfirmed = aToken == this->Token() && this->epoch != Epoch{};
+    this->StopUnreportedRuns(worker);
     this->AcknowledgeEnds(worker);
     const bool hasNewEnds = this->ReadWorker(worker);
     const bool reportDue = now - this->lastFullReport >= kPlayedReportInterval;
@@ -329,11 +338,33 @@
       this->SendPoll();
       this->allLeasesExpiredAt = std::max(this->allLeasesExpiredAt, now + LongestLease());
     }
+    this->StopUnreportedRuns(this->Worker());
     if (now > this->allLeasesExpiredAt) {
       this->OnPollFailed(false);
     }
   }
 
+  // Stops the runs of the worker's process if no answered report names it, although one may name an
+  // earlier process, and if a leader may soon start their tasks elsewhere.
+  void StopUnreportedRuns(const PlayedWorker& aWorker)
+  {
+    const bool isUnreported =
+      this->otherIncarnationAnswered || (this->hasSeenRestart && !this->incarnationReported);
+    SchedulerSettings leader;
+    leader.workerLease = kPlayedLease;
+    const auto replacement =
+      std::chrono::duration_cast<Duration>(leader.LeaseBound() / kPlayedMaxLeaderClockRatio);
+    const bool isReplacedSoon = !this->lastAnsweredReportAt.has_value() ||
+                                this->world.time.Present() - *this->lastAnsweredReportAt >=
+                                  replacement - kPlayedListedRunStopTime;
+    if (!isUnreported || !isReplacedSoon) {
+      return;
+    }
+    for (const auto& [ref, run] : aWorker.running) {
+      this->StopRun(ref);
+    }
+  }
+
   // Every deadline that is sent counts, as the worker may carry out calls that it does not answer.
   bool GrantLease()
   {
@@ -441,6 +472,9 @@
         mayStart.insert(ref);
       }
     }
+    this->hasSeenRestart = this->hasSeenRestart || this->born != 0;
+    this->lastEarlierReport = this->sequence;
+    this->incarnationReported = false;
     this->born = this->Worker().state.born;
     this->world.Note(this->Name() + " follows process " + std::to_string(this->born) + " of " +
                      this->Worker().state.id);
@@ -588,6 +622,12 @@
   std::int64_t born = 0;
   std::int64_t heartbeatBorn = 0;
   bool otherIncarnationAnswered = false;
+  // Whether this process of the agent has followed an earlier process of the worker.
+  bool hasSeenRestart = false;
+  // As in WorkerDriver.
+  std::uint64_t lastEarlierReport = 0;
+  bool incarnationReported = false;
+  std::optional<Instant> lastAnsweredReportAt;
   Epoch epoch;
   std::uint64_t stamp = 0;
   Instant linkedSince{};
--- a/packages/jobs/tests/PlayedWorld.h
+++ b/packages/jobs/tests/PlayedWorld.h
@@ -52,6 +52,10 @@
 // Bounds of a lease on the agent's clock, as in WorkerDriver.cpp.
 inline constexpr double kPlayedMaxClockRatio = 1.03;
 inline constexpr Duration kPlayedExpiryMargin = 200 * kMs;
+// How much faster than the agent's clock the clock of a leader may be, and the time that the stop
+// of a run takes which a poll lists, as in WorkerPolling.cpp and ClusterSettings.h.
+inline constexpr double kPlayedMaxLeaderClockRatio = 1.02;
+inline constexpr Duration kPlayedListedRunStopTime = 1550 * kMs;
 inline constexpr std::size_t kPlayedBatchRows = 95;
 // A cancellation has to reach every worker within this time, as in the soak (Promises.cpp).
 inline constexpr Duration kPlayedCancelTime = 3000 * kMs;
