--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -124,6 +124,8 @@
   this->unconfirmedHeartbeat.reset();
   this->otherIncarnationAnswered = false;
   this->incarnationConfirmedAt = {};
+  this->lastEarlierReport = this->sequence;
+  this->incarnationReported = false;
   this->client->SetExpectedInstance(aHeartbeat.worker.id);
   // Calls to the earlier incarnation that this one accepts after its first answer would start runs
   // that the leader has given up, extend leases by times of another clock, or acknowledge ends by
@@ -258,7 +260,9 @@
   }
   this->otherIncarnationAnswered = true;
   this->workerClockMs.reset();
-  this->fenceConfirmed = false;
+  this->fence.Raise(CurrentUnixMs());
+  this->startsSent = false;
+  this->OnTokenChanged();
   const Instant now = BootClock::now();
   this->allLeasesExpiredAt =
     std::max(this->allLeasesExpiredAt, now + LongestLeaseOnAgentClock(this->maxWorkerLease));
@@ -270,6 +274,10 @@
         { "call", aCall },
         { "clock_ms", aAnswer.clockMs.value_or(0) },
         { "leases_ms", ToMilliseconds(this->allLeasesExpiredAt - now) } });
+  // The answer to a poll in flight has the earlier token, and may be from the known incarnation.
+  ++this->lastPollId;
+  this->pollPending = false;
+  this->SchedulePoll(Duration::zero());
 }
 
 WorkerAnswer WorkerDriver::CheckIncarnation(std::string_view aCall,
@@ -283,14 +291,7 @@
     return aAnswer;
   }
   this->counters.Add("answers_of_other_life_total", aCall);
-  const bool isFirst = !this->otherIncarnationAnswered;
   this->OnOtherIncarnation(aCall, aAnswer);
-  if (isFirst) {
-    // The answer to a poll in flight may be from the known incarnation.
-    ++this->lastPollId;
-    this->pollPending = false;
-    this->SchedulePoll(Duration::zero());
-  }
   WorkerAnswer unknown;
   unknown.reason = "other_incarnation";
   return unknown;
@@ -359,6 +360,10 @@
   this->disturbanceByImage = aExtension.disturbance;
   const Instant earlierExpiry = this->leaseExpiry;
   this->leaseExpiry = std::max(this->leaseExpiry, sent->second + this->requestedLease);
+  this->lastAnsweredReportAt =
+    std::max(this->lastAnsweredReportAt.value_or(sent->second), sent->second);
+  this->incarnationReported =
+    this->incarnationReported || aExtension.sequence > this->lastEarlierReport;
   this->reportSentTimes.erase(this->reportSentTimes.begin(), std::next(sent));
   if (earlierExpiry <= BootClock::now()) {
     this->SupersedeStarts();
