Drop a queued rejection when its run is ordered again

Cause: the extension of an expired lease raises the token and rejects the starts that were ordered before. The rejection waits, as nothing is reported until the worker has accepted the token. If the leader's repeated order for the run arrives meanwhile, the next report has the rejection and the number of that order, so that the leader takes it for the order's fate and gives the run up, while the agent starts it. Change: an order to start a run removes its rejections that are not reported. The played agents follow.

--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -68,6 +68,10 @@
     if (tracked.stopping || (tracked.starting && !tracked.suspended)) {
       continue;
     }
+    // The next report tells that this order has arrived, so that the leader would take a rejection
+    // of an earlier one for its fate.
+    std::erase_if(this->rejected,
+                  [&](const RejectedRun& aRejected) { return aRejected.ref == start.ref; });
     if (this->IsRunning(start.ref)) {
       // The order describes a run that was started by an earlier process of the agent, or by a
       // start that was not answered. It is accepted even while the worker drains, as the run must
--- a/packages/daemon/tests/WorkerDriverTest.cpp
+++ b/packages/daemon/tests/WorkerDriverTest.cpp
@@ -1,5 +1,7 @@
 #include "WorkerDriverFixture.h"
 
+#include "oriolespread/daemon/ClusterSettings.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -444,3 +446,33 @@
   CHECK(fixture.RunUntil([&] { return fixture.IsRejected("j.0.0.0"); }));
   CHECK(fixture.started.empty());
 }
+
+// Guards against a run that the leader does not know: it takes a rejection that is reported late
+// for one of the order that came after it.
+TEST_CASE("WorkerDriver ReportsNoRejectionOfARunThatIsOrderedAgainBeforeTheReport")
+{
+  constexpr Duration kMaxLease = 1500 * kMillisecond;
+  WorkerDriverFixture fixture(kMaxLease, std::chrono::seconds(60));
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.extendLeases = false;
+  fixture.worker->SetPollsUnanswered(true);
+  // The next start waits for an answer of the worker.
+  fixture.RunFor(700 * kMillisecond);
+  fixture.StartTask("k.0.0.0");
+  const Duration lease = WorkerLease(kMaxLease);
+  fixture.RunFor(fixture.lastAnsweredAt + lease + 50 * kMillisecond - BootClock::now());
+  REQUIRE(fixture.started.size() == 1);
+  // The extension raises the token, so that the rejection is not reported at once.
+  const WorkerReport last = fixture.reports.back();
+  REQUIRE_FALSE(last.allLost);
+  fixture.driver->OnLeaseExtension({ last.epoch, last.sequence, {} });
+  fixture.StartTask("k.0.0.0");
+  fixture.extendLeases = true;
+  fixture.worker->SetPollsUnanswered(false);
+  REQUIRE(fixture.RunUntil([&] { return fixture.started.size() == 2; }));
+  fixture.RunFor(500 * kMillisecond);
+  CHECK_FALSE(fixture.IsRejected("k.0.0.0"));
+}
--- a/packages/jobs/tests/PlayedAgentOrders.h
+++ b/packages/jobs/tests/PlayedAgentOrders.h
@@ -17,6 +17,8 @@
   if (item.stopping || (item.starting && !item.suspended)) {
     return;
   }
+  std::erase_if(this->rejected,
+                [&](const RejectedRun& aRejected) { return aRejected.ref == aStart.ref; });
   if (this->IsOwnWorker() && this->Worker().running.contains(aStart.ref)) {
     this->tracked.erase(aStart.ref);
     return;
