Count a restart of the worker only when its earlier process has answered the agent

Cause: a new agent process takes its first heartbeat unconfirmed. If that was delayed and names an ended process, the present one counted as a restart, and as no report of this agent process was answered yet, all its runs were stopped at once, although a leader knows them from the earlier agent process.

Change: only a process that has answered this agent process counts as an earlier one (hasSeenRestart). A report that all runs are lost no longer counts as one by which a leader knows the process. run_unreported names the process that runs it.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -126,6 +126,7 @@
   this->incarnationConfirmedAt = {};
   this->lastEarlierReport = this->sequence;
   this->incarnationReported = false;
+  this->hasSeenRestart = this->hasSeenRestart || std::exchange(this->incarnationAnswered, false);
   this->client->SetExpectedInstance(aHeartbeat.worker.id);
   // Calls to the earlier incarnation that this one accepts after its first answer would start runs
   // that the leader has given up, extend leases by times of another clock, or acknowledge ends by
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -135,9 +135,9 @@
   void OnPollAnswer(const platformwire::WorkerAnswer& aAnswer,
                     FencingToken aToken,
                     Instant aSentAt);
-  // Returns why no answered report names the incarnation that serves the worker's address, although
-  // one may name an earlier incarnation, as a reason code; else an empty text. All runs of such an
-  // incarnation were begun by calls to an earlier one, as starts wait for an answered report.
+  // Returns a reason code if no leader can know of the incarnation that serves the worker's
+  // address, else an empty text. All runs of such an incarnation were begun by calls to an earlier
+  // one, as starts wait for an answered report.
   std::string_view UnreportedReason() const;
   // Returns whether a leader may replace the runs of the worker before they have ended if they are
   // stopped later than now. The leader replaces them a lease after the last report that it
@@ -145,7 +145,7 @@
   bool MayBeReplacedSoon() const;
   // Stops the listed runs if no leader can know of them and one may soon start their tasks
   // elsewhere.
-  void StopUnreportedRuns(const std::vector<RunningRun>& aRunning);
+  void StopUnreportedRuns(const std::vector<RunningRun>& aRunning, std::int64_t aBorn);
   // Reports the rejection of runs that the worker has been stopped from starting, and that the poll
   // sent at `aPollSentAt` does not show.
   void ReportRejectedRuns(Instant aPollSentAt);
@@ -230,6 +230,10 @@
   // The last report before the known incarnation, and whether the leader has answered a later one.
   std::uint64_t lastEarlierReport = 0;
   bool incarnationReported = false;
+  // Whether the known incarnation has answered this process of the agent, and whether an earlier
+  // one has. A first heartbeat that was delayed may name one that had ended before.
+  bool incarnationAnswered = false;
+  bool hasSeenRestart = false;
   // When the last report was sent that a leader has answered, also one on an earlier incarnation.
   // Empty if this process has had no answer: the time of the last one to an earlier process of the
   // agent is not known.
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -150,7 +150,7 @@
     // incarnation. Until then, the worker counts as silent.
     this->counters.Add("looks_of_other_life_total", "worker");
     this->OnOtherIncarnation("poll", aAnswer);
-    this->StopUnreportedRuns(aAnswer.running);
+    this->StopUnreportedRuns(aAnswer.running, aAnswer.born);
     if (now > this->allLeasesExpiredAt) {
       this->OnPollFailed(aAnswer);
     }
@@ -160,6 +160,7 @@
     // The incarnation of the last accepted heartbeat has answered a poll that was sent later.
     this->unconfirmedHeartbeat.reset();
     this->otherIncarnationAnswered = false;
+    this->incarnationAnswered = true;
   }
   this->incarnationConfirmedAt = std::max(this->incarnationConfirmedAt, aSentAt);
   this->lastAnswerAt = now;
@@ -180,7 +181,7 @@
     this->fence.OnAccepted();
   }
   this->running = aAnswer.running;
-  this->StopUnreportedRuns(this->running);
+  this->StopUnreportedRuns(this->running, this->worker.born);
   bool hasNewEnds = false;
   if (!aAnswer.ended.empty()) {
     // Ends before the first listed one were acknowledged by an earlier agent process.
@@ -246,11 +247,12 @@
 
 std::string_view WorkerDriver::UnreportedReason() const
 {
+  // Reports of an earlier process of the agent may name the first incarnation that answers this
+  // one.
   if (this->otherIncarnationAnswered) {
-    return "other_incarnation";
+    return this->hasSeenRestart || this->incarnationAnswered ? "other_incarnation" : "";
   }
-  // The first incarnation that this process knows may be named by reports of an earlier process.
-  return this->incarnation > 1 && !this->incarnationReported ? "worker_restarted" : "";
+  return this->hasSeenRestart && !this->incarnationReported ? "worker_restarted" : "";
 }
 
 bool WorkerDriver::MayBeReplacedSoon() const
@@ -265,7 +267,7 @@
   return BootClock::now() - *this->lastAnsweredReportAt >= replacement - kListedRunStopTime;
 }
 
-void WorkerDriver::StopUnreportedRuns(const std::vector<RunningRun>& aRunning)
+void WorkerDriver::StopUnreportedRuns(const std::vector<RunningRun>& aRunning, std::int64_t aBorn)
 {
   const std::string_view reason = this->UnreportedReason();
   if (aRunning.empty() || reason.empty() || !this->MayBeReplacedSoon()) {
@@ -285,7 +287,7 @@
         { { "task", run.ref.task },
           { "run", run.ref.run },
           { "worker", this->worker.id },
-          { "born", this->worker.born },
+          { "born", aBorn },
           { "reason", std::string(reason) },
           { "silent_ms", silentMs } });
     this->StopRun(run.ref);
@@ -398,6 +400,9 @@
   this->reportSentTimes[aReport.sequence] = now;
   aReport.leasesEndInMs = std::max<std::int64_t>(ToMilliseconds(this->allLeasesExpiredAt - now), 0);
   if (aReport.allLost) {
+    // The leader gives up the runs of this incarnation, and does not expect later ones.
+    this->lastEarlierReport = aReport.sequence;
+    this->incarnationReported = false;
     this->unansweredLossReport = aReport.sequence;
   }
   this->sendToLeader(aReport);
--- a/packages/daemon/tests/WorkerUnreportedRunsTest.cpp
+++ b/packages/daemon/tests/WorkerUnreportedRunsTest.cpp
@@ -170,3 +170,25 @@
   RunUntilAfterAnswer(fixture, LatestStop());
   CHECK(fixture.ended.empty());
 }
+
+// Guards against runs that are lost as a new process of the agent takes a delayed heartbeat of an
+// ended process for the worker's present one.
+TEST_CASE("WorkerDriver KeepsTheRunsOfAnEarlierAgentWhenItsFirstHeartbeatIsDelayed")
+{
+  WorkerDriverFixture fixture(kMaxLease, kLongRunTime);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  platformwire::WorkerHeartbeat delayed;
+  delayed.worker = fixture.reports.back().worker;
+  delayed.worker.born -= 5000;
+  delayed.sequence = 1;
+  fixture.driver = fixture.MakeDriver(kMaxLease);
+  fixture.driver->OnHeartbeat(delayed);
+  fixture.driver->FollowLeader(Epoch{ 1 });
+  fixture.RunFor(1500 * kMillisecond);
+  CHECK(fixture.IsListed("j.0.0.0"));
+  CHECK(fixture.counters.Get("runs_stopped_unreported_total", "worker_restarted") == 0);
+  CHECK(fixture.counters.Get("runs_stopped_unreported_total", "other_incarnation") == 0);
+}
--- a/packages/jobs/tests/PlayedAgent.h
+++ b/packages/jobs/tests/PlayedAgent.h
@@ -37,6 +37,7 @@
     this->unansweredStarts.clear();
     this->born = 0;
     this->hasSeenRestart = false;
+    this->incarnationAnswered = false;
     this->lastEarlierReport = 0;
     this->incarnationReported = false;
     this->lastAnsweredReportAt.reset();
@@ -305,6 +306,7 @@
     }
     this->heartbeatBorn = this->born;
     this->otherIncarnationAnswered = false;
+    this->incarnationAnswered = true;
     this->lastAnswerAt = now;
     this->refusesConnections = false;
     this->lost = false;
@@ -348,8 +350,9 @@
   // earlier process, and if a leader may soon start their tasks elsewhere.
   void StopUnreportedRuns(const PlayedWorker& aWorker)
   {
-    const bool isUnreported =
-      this->otherIncarnationAnswered || (this->hasSeenRestart && !this->incarnationReported);
+    const bool isUnreported = this->otherIncarnationAnswered
+                                ? this->hasSeenRestart || this->incarnationAnswered
+                                : this->hasSeenRestart && !this->incarnationReported;
     SchedulerSettings leader;
     leader.workerLease = kPlayedLease;
     const auto replacement =
@@ -472,7 +475,7 @@
         mayStart.insert(ref);
       }
     }
-    this->hasSeenRestart = this->hasSeenRestart || this->born != 0;
+    this->hasSeenRestart = this->hasSeenRestart || std::exchange(this->incarnationAnswered, false);
     this->lastEarlierReport = this->sequence;
     this->incarnationReported = false;
     this->born = this->Worker().state.born;
@@ -573,6 +576,8 @@
     }
     this->reportSentTimes[report.sequence] = now;
     if (this->lost) {
+      this->lastEarlierReport = report.sequence;
+      this->incarnationReported = false;
       this->unansweredLossReport = report.sequence;
     }
     this->link->toLeader.Deliver(this->world,
@@ -624,6 +629,7 @@
   bool otherIncarnationAnswered = false;
   // Whether this process of the agent has followed an earlier process of the worker.
   bool hasSeenRestart = false;
+  bool incarnationAnswered = false;
   // As in WorkerDriver.
   std::uint64_t lastEarlierReport = 0;
   bool incarnationReported = false;
