Count runs that may be at work when a job's time without a run is judged

Cause: each ordered or committing run counted as not at work 1.5 s after it was placed. While the store did not answer, a job placed one more run each 1.5 s beyond the unused cores, and after a change of the leader the runs of workers that had not reported counted as well.

Change: a run that waits for the store, and one on a worker that has not reported to this leader, may be at work. A gang on one worker uses one place for overcommitment instead of one for each member, and job_standing uses the same condition as the placement.

Result: PlacesOneRunOfAStandingJobWhenTheStoreDoesNotAnswer (3 runs instead of 1) and CountsLoadedRunsAsAtWorkUntilTheirWorkerHasReported (1 start instead of 0) failed before and pass.

--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -312,6 +312,12 @@
   PlacementRequest MakePlacementRequest(const ReadyStep& aReady,
                                         bool aHasFreeCores,
                                         Now aNow) const;
+  // Returns whether a run of the job may be at work or waits for the store. An ordered run is not
+  // while its worker, which has reported to this leader, does not list it.
+  bool MayHaveRunAtWork(const Job& aJob) const;
+  // Returns whether no run of the job was at work for `aTime` or longer. Runs that were placed
+  // within it may still start.
+  bool HadNoRunFor(const Job& aJob, Duration aTime, Instant aNow) const;
   // Returns whether the task must not be placed yet.
   bool IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const;
   bool MayUseFailingWorkers(const Job& aJob,
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -64,9 +64,8 @@
   // fail all jobs that wait.
   Duration failingWorkerRunInterval = std::chrono::milliseconds(500);
   // A job of which no run was reported at work for this long is placed wherever it fits, regardless
-  // of interference.
-  // It bounds the wait of a job that disturbs every worker; a backlog of a few seconds should not
-  // make serving runs miss their targets.
+  // of interference. It bounds the wait of a job that disturbs every worker; a backlog of a few
+  // seconds should not make serving runs miss their targets.
   Duration allowInterferenceAfter = std::chrono::seconds(8);
   // Replaces allowInterferenceAfter while at most this share of the cores of a service's workers is
   // reserved. With free cores, a job must not be without runs for 3 s, of which ends need 0.6 s to
--- a/packages/jobs/src/SchedulerLogs.cpp
+++ b/packages/jobs/src/SchedulerLogs.cpp
@@ -123,7 +123,7 @@
   for (auto item = aReady.rbegin(); item != aReady.rend() && lines < kMaxStandingLines; ++item) {
     const Job& job = *item->job;
     const Duration standing = aNow.instant - job.lastRunning;
-    if (standing < kStandingLogDelay || job.HasActiveRuns()) {
+    if (!this->HadNoRunFor(job, kStandingLogDelay, aNow.instant)) {
       continue;
     }
     const Step& step = job.occurrences.at(item->occurrence).steps[item->step];
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -19,31 +19,6 @@
   });
 }
 
-// Returns whether a worker has carried out the start of a run of the job.
-bool HasStartedRun(const Job& aJob)
-{
-  for (const auto& [number, occurrence] : aJob.occurrences) {
-    for (const Step& step : occurrence.steps) {
-      for (const Task& task : step.tasks) {
-        if (std::any_of(task.runs.begin(), task.runs.end(), [](const Run& aRun) {
-              return aRun.state == RunState::Running || aRun.state == RunState::Stopping;
-            })) {
-          return true;
-        }
-      }
-    }
-  }
-  return false;
-}
-
-// Returns whether no run of the job was at work for longer than `aTime`. Runs that were placed
-// within it may still start.
-bool HasStood(const Job& aJob, Duration aTime, Instant aNow)
-{
-  return aNow - aJob.lastRunning > aTime &&
-         (!aJob.HasActiveRuns() || (aNow - aJob.lastPlaced > aTime && !HasStartedRun(aJob)));
-}
-
 } // namespace
 
 void JobScheduler::Decide(Now aNow)
@@ -188,12 +163,12 @@
                                             ? this->settings.allowInterferenceAfterWithFreeCores
                                             : this->settings.allowInterferenceAfter;
   // Placed runs that are refused do not prolong the wait.
-  request.allowInterference = HasStood(job, allowInterferenceAfter, aNow.instant);
-  request.allowAvoided = HasStood(job, this->settings.allowAvoidedAfter, aNow.instant);
+  request.allowInterference = this->HadNoRunFor(job, allowInterferenceAfter, aNow.instant);
+  request.allowAvoided = this->HadNoRunFor(job, this->settings.allowAvoidedAfter, aNow.instant);
   if (request.step->fillsUnused) {
     request.weights = this->interference.WeightsByServingImage(request.step->image);
     request.allowOvercommit =
-      aHasFreeCores && HasStood(job, this->settings.allowOvercommitAfter, aNow.instant);
+      aHasFreeCores && this->HadNoRunFor(job, this->settings.allowOvercommitAfter, aNow.instant);
   }
   for (const Task& task : aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks) {
     for (const Run& run : task.runs) {
@@ -207,7 +182,7 @@
 {
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> reservedAndCapacity;
   for (const auto& [key, worker] : this->workers) {
-    // Runs on a worker that leaves keep no other task waiting.
+    // Draining workers take no new tasks, so their reservations do not count.
     if (worker.connected && worker.reported && !worker.state.draining) {
       auto& [reserved, capacity] = reservedAndCapacity[worker.state.service];
       reserved += worker.reserved.milliCores;
@@ -284,6 +259,35 @@
   }
 }
 
+bool JobScheduler::MayHaveRunAtWork(const Job& aJob) const
+{
+  const auto mayBeAtWork = [this](const Run& aRun) {
+    if (aRun.state != RunState::Ordered) {
+      // The store may be slow for another run as well as for one that it has not taken.
+      return true;
+    }
+    const auto worker = this->workers.find(aRun.worker);
+    return worker == this->workers.end() || !worker->second.reported;
+  };
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (const Step& step : occurrence.steps) {
+      for (const Task& task : step.tasks) {
+        if (std::any_of(task.runs.begin(), task.runs.end(), mayBeAtWork)) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+bool JobScheduler::HadNoRunFor(const Job& aJob, Duration aTime, Instant aNow) const
+{
+  return aNow - aJob.lastRunning >= aTime &&
+         (!aJob.HasActiveRuns() ||
+          (aNow - aJob.lastPlaced >= aTime && !this->MayHaveRunAtWork(aJob)));
+}
+
 bool JobScheduler::IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const
 {
   const Occurrence& occurrence = aReady.job->occurrences.at(aReady.occurrence);
@@ -449,8 +453,10 @@
   const StepSpec& step = aReady.job->record.spec.steps[aReady.step];
   if (step.fillsUnused && !HasCapacityFor(aWorker, step)) {
     this->counters.Add("runs_overcommitted_total", step.gang ? "gang" : "single");
+    if (aNow.instant >= aWorker.nextOvercommittedRun) {
+      this->largestRooms[aWorker.state.service].OnOvercommitted();
+    }
     aWorker.nextOvercommittedRun = aNow.instant + this->settings.overcommitInterval;
-    this->largestRooms[aWorker.state.service].OnOvercommitted();
   }
   Job& job = *aReady.job;
   job.lastPlaced = aNow.instant;
--- a/packages/jobs/tests/StandingCausesTest.cpp
+++ b/packages/jobs/tests/StandingCausesTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <utility>
 
 using namespace oriolespread;
 using namespace oriolespread::jobs;
@@ -283,3 +284,47 @@
   Pass(fixture, 9000 * kMs);
   CHECK(StartsOf(fixture, "late") == 2);
 }
+
+// Guards against many runs of a job that are ordered at once when a store answers again.
+TEST_CASE("JobScheduler PlacesOneRunOfAStandingJobWhenTheStoreDoesNotAnswer")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  fixture.AddAgent("b");
+  Submit(fixture, "first", MakeBestEffortStep(40));
+  REQUIRE(fixture.starts.size() == 16);
+  fixture.Submit(MakeJob("late", { MakeBestEffortStep(10) }));
+  for (int pass = 0; pass < 60; ++pass) {
+    fixture.Advance(100 * kMs);
+    for (auto& [agent, report] : fixture.agents) {
+      fixture.Report(agent);
+    }
+    fixture.scheduler.Decide(fixture.now);
+  }
+  std::size_t runs = 0;
+  for (const Task& task : fixture.scheduler.Jobs().at("late").occurrences.at(0).steps[0].tasks) {
+    runs += task.runs.size();
+  }
+  CHECK(runs == 1);
+}
+
+// Guards against a new leader that overloads the workers that report first, although the runs of
+// the other ones go on.
+TEST_CASE("JobScheduler CountsLoadedRunsAsAtWorkUntilTheirWorkerHasReported")
+{
+  SchedulerFixture earlier;
+  earlier.AddAgent("a");
+  JobRecord late = MakeJob("late", { MakeBestEffortStep(9) });
+  late.policy.priority = 1;
+  earlier.Submit(late);
+  earlier.RunUntilIdle();
+  REQUIRE(StartsOf(earlier, "late", "a") == 8);
+  earlier.AddAgent("b", 1000);
+  Submit(earlier, "first", MakeBestEffortStep(1));
+  REQUIRE(StartsOf(earlier, "first", "b") == 1);
+  SchedulerFixture fixture(earlier.rows);
+  fixture.AddAgent("b", 1000);
+  fixture.RunUntilIdle();
+  Pass(fixture, 3000 * kMs);
+  CHECK(StartsOf(fixture, "late") == 0);
+}
