--- a/packages/jobs/include/oriolespread/jobs/LargestRoom.h
+++ b/packages/jobs/include/oriolespread/jobs/LargestRoom.h
@@ -26,8 +26,8 @@
   Resources room;
   // The milli-cores that best-effort tasks may use.
   std::int64_t bestEffortMilliCores = 0;
-  // The largest capacity of a worker in milli-cores.
-  std::int64_t capacityMilliCores = 0;
+  // What best-effort tasks may use of the workers that may be overcommitted: all their cores.
+  Resources overcommitRoom;
   // The number of workers that may be overcommitted.
   std::size_t overcommittable = 0;
 };
--- a/packages/jobs/src/LargestRoom.cpp
+++ b/packages/jobs/src/LargestRoom.cpp
@@ -16,8 +16,14 @@
   this->room.accelerators = std::max(this->room.accelerators, unreserved.accelerators);
   this->bestEffortMilliCores =
     std::max(this->bestEffortMilliCores, capacity.milliCores - ExpectedMilliCores(aWorker));
-  this->capacityMilliCores = std::max(this->capacityMilliCores, capacity.milliCores);
-  this->overcommittable += aMayOvercommit ? 1 : 0;
+  if (aMayOvercommit) {
+    ++this->overcommittable;
+    Resources& overcommit = this->overcommitRoom;
+    overcommit.milliCores = std::max(overcommit.milliCores, capacity.milliCores);
+    overcommit.memoryMiB =
+      std::max(overcommit.memoryMiB, capacity.memoryMiB - aWorker.demanded.memoryMiB);
+    overcommit.accelerators = std::max(overcommit.accelerators, unreserved.accelerators);
+  }
 }
 
 void LargestRoom::OnOvercommitted()
@@ -29,8 +35,11 @@
 {
   Resources largest = this->room;
   if (aStep.fillsUnused) {
-    const bool mayOvercommit = aAllowOvercommit && this->overcommittable > 0;
-    largest.milliCores = mayOvercommit ? this->capacityMilliCores : this->bestEffortMilliCores;
+    if (aAllowOvercommit && this->overcommittable > 0 &&
+        aStep.demand.FitsIn(this->overcommitRoom)) {
+      return true;
+    }
+    largest.milliCores = this->bestEffortMilliCores;
   }
   return aStep.demand.FitsIn(largest);
 }
--- a/packages/jobs/tests/LargestRoomTest.cpp
+++ b/packages/jobs/tests/LargestRoomTest.cpp
@@ -97,6 +97,25 @@
   CHECK(excludedFromOvercommit > 500);
 }
 
+// Guards against a look at all workers for each standing job, as those with free memory were just
+// overcommitted.
+TEST_CASE("LargestRoom ExcludesABestEffortStepThatFitsNoWorkerThatMayBeOvercommitted")
+{
+  Worker withMemory;
+  withMemory.state.capacity = { 8000, 64000, 0 };
+  withMemory.demanded = { 8000, 1000, 0 };
+  Worker withoutMemory = withMemory;
+  withoutMemory.demanded = { 8000, 64000, 0 };
+  LargestRoom largest;
+  largest.Add(withMemory, false);
+  largest.Add(withoutMemory, true);
+  StepSpec step = MakeStep(1);
+  step.fillsUnused = true;
+  CHECK_FALSE(largest.MayFit(step, true));
+  largest.Add(withMemory, true);
+  CHECK(largest.MayFit(step, true));
+}
+
 // Guards against a leader that falls behind because its decisions cost more the more jobs wait.
 TEST_CASE("JobScheduler AssessesNoWorkerForABacklogThatFitsNowhere")
 {
