Give each long-running best-effort task a right of its own to a run

Cause: what a placement may disturb depended on the time since the last run of the job, so that a long-running best-effort task waited without bound for unused cores while another task of its job ran.

Change: a task keeps when a run of it was last reported at work. Tasks with a higher index are tried although an earlier one finds no worker. A gang has the right if all members have.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -73,6 +73,9 @@
   Instant notBefore{};
   // The delay after the last failure. Used for long-running tasks only.
   Duration restartDelay{};
+  // When a worker last reported a run of the task at work; before that, when the task was first
+  // considered. Used for long-running best-effort tasks only.
+  Instant lastRunning{};
 };
 
 struct Step
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -327,8 +327,13 @@
   // Returns whether a worker of the service that is not avoided for failures takes runs and could
   // take a task of the step.
   bool HasSoundWorker(const std::string& aService, const StepSpec& aStep, Instant aNow) const;
+  // Returns whether the task has waited so long that it may be placed regardless of interference
+  // and unused cores, although other tasks of its job run.
+  bool HasTaskStood(const StepSpec& aStep, const Task& aTask, bool aHasFreeCores, Now aNow) const;
+  // `aHasStood` is the result of HasTaskStood.
   bool PlaceTask(const ReadyStep& aReady,
                  std::uint32_t aIndex,
+                 bool aHasStood,
                  PlacementRequest& aRequest,
                  Now aNow);
   // Returns the worker for the task, or null, and counts the task in the request.
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -76,6 +76,11 @@
   // tasks of a gang, on workers with too few unused cores, while at most `lowReservedShare` of the
   // cores is reserved.
   Duration allowOvercommitAfter = std::chrono::milliseconds(1500);
+  // A long-running best-effort task of which no run was reported at work for this long may be
+  // placed beside serving runs and on workers with too few unused cores as well, also while other
+  // tasks of its job run. It must have a run 6 s after its last one; the other half of that time is
+  // for the report of the end and for overcommitInterval, which several such tasks share.
+  Duration allowLongRunningTaskAfter = std::chrono::milliseconds(3000);
   // A worker is given at most one such task or gang in this time, so that a backlog does not slow
   // down all best-effort runs at once.
   Duration overcommitInterval = std::chrono::milliseconds(500);
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -19,6 +19,25 @@
   });
 }
 
+// Returns whether each task of the step has a right of its own to a run, and may need workers that
+// other runs use. Other long-running tasks find room beside best-effort runs anyway.
+bool HaveTasksOwnRight(const StepSpec& aStep)
+{
+  return aStep.longRunning && aStep.fillsUnused;
+}
+
+void MarkTasksConsidered(const StepSpec& aSpec, Step& aStep, Instant aNow)
+{
+  if (!HaveTasksOwnRight(aSpec)) {
+    return;
+  }
+  for (Task& task : aStep.tasks) {
+    if (task.lastRunning == Instant{}) {
+      task.lastRunning = aNow;
+    }
+  }
+}
+
 } // namespace
 
 void JobScheduler::Decide(Now aNow)
@@ -124,7 +143,7 @@
     if (job.lastPlaced == Instant{}) {
       job.lastPlaced = aNow.instant;
     }
-    for (const auto& [number, occurrence] : job.occurrences) {
+    for (auto& [number, occurrence] : job.occurrences) {
       for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
         const Step& step = occurrence.steps[index];
         if (step.done + step.active == step.tasks.size() ||
@@ -132,6 +151,7 @@
           continue;
         }
         this->waitingTasks += step.tasks.size() - step.done - step.active;
+        MarkTasksConsidered(job.record.spec.steps[index], occurrence.steps[index], aNow.instant);
         const std::int64_t dueUnixMs = DueUnixMs(job.record, number);
         ready.push_back({ &job,
                           number,
@@ -214,12 +234,21 @@
 void JobScheduler::PlaceStep(const ReadyStep& aReady, bool aHasFreeCores, Now aNow)
 {
   PlacementRequest request = this->MakePlacementRequest(aReady, aHasFreeCores, aNow);
+  Step& step = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step];
+  const auto& tasks = step.tasks;
+  const auto hasStood = [&](const Task& aTask) {
+    return this->HasTaskStood(*request.step, aTask, aHasFreeCores, aNow);
+  };
   if (request.step->gang) {
+    if (std::all_of(tasks.begin(), tasks.end(), hasStood)) {
+      request.allowInterference = true;
+      request.allowOvercommit = true;
+    }
     this->PlaceGang(aReady, std::move(request), aNow);
     return;
   }
-  Step& step = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step];
-  const auto& tasks = step.tasks;
+  const bool haveOwnRight = HaveTasksOwnRight(*request.step);
+  bool othersWait = false;
   bool lastAttemptWaits = false;
   nlohmann::ordered_json placed = nlohmann::ordered_json::array();
   bool allPlaced = true;
@@ -234,10 +263,19 @@
     if (lastAttemptWaits && !request.allowFailing) {
       continue;
     }
-    if (!this->PlaceTask(aReady, index, request, aNow)) {
+    const bool taskHasStood = hasStood(task);
+    if (othersWait && !taskHasStood) {
+      continue;
+    }
+    if (!this->PlaceTask(aReady, index, taskHasStood, request, aNow)) {
       allPlaced = false;
       this->LogWaitingStep(aReady, request, aNow);
-      if (request.allowFailing || !request.allowAvoided) {
+      if (haveOwnRight && !taskHasStood) {
+        // A later task that has waited for longer may use more workers.
+        othersWait = true;
+        continue;
+      }
+      if (haveOwnRight || request.allowFailing || !request.allowAvoided) {
         break;
       }
       lastAttemptWaits = true;
@@ -318,13 +356,30 @@
   });
 }
 
+bool JobScheduler::HasTaskStood(const StepSpec& aStep,
+                                const Task& aTask,
+                                bool aHasFreeCores,
+                                Now aNow) const
+{
+  return aHasFreeCores && HaveTasksOwnRight(aStep) &&
+         aNow.instant - aTask.lastRunning >= this->settings.allowLongRunningTaskAfter;
+}
+
 bool JobScheduler::PlaceTask(const ReadyStep& aReady,
                              std::uint32_t aIndex,
+                             bool aHasStood,
                              PlacementRequest& aRequest,
                              Now aNow)
 {
   const Step& step = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step];
+  const bool allowInterference = aRequest.allowInterference;
+  const bool allowOvercommit = aRequest.allowOvercommit;
+  aRequest.allowInterference = allowInterference || aHasStood;
+  aRequest.allowOvercommit = allowOvercommit || aHasStood;
   Worker* worker = this->SelectWorker(step.tasks[aIndex], aRequest, aNow);
+  // The job's permissions end with its first run, those of a task hold for this task only.
+  aRequest.allowInterference = aRequest.allowInterference && allowInterference;
+  aRequest.allowOvercommit = aRequest.allowOvercommit && allowOvercommit;
   if (worker == nullptr) {
     return false;
   }
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -267,6 +267,7 @@
       }
     }
     this->jobs.at(runKey.task.job).lastRunning = aNow.instant;
+    this->FindTask(runKey.task)->lastRunning = aNow.instant;
     if (run->percent != running.percent) {
       run->percent = running.percent;
       run->percentChangedAt = aNow.instant;
--- a/packages/jobs/tests/StandingCausesTest.cpp
+++ b/packages/jobs/tests/StandingCausesTest.cpp
@@ -271,8 +271,7 @@
 }
 
 // Guards against a long-running task without a run for 9 s because another task of its job runs.
-// Listed in KNOWN-RED.txt.
-TEST_CASE("JobScheduler PlacesEachLongRunningBestEffortTaskWhenCoresAreInUse", "[.]")
+TEST_CASE("JobScheduler PlacesEachLongRunningBestEffortTaskWhenCoresAreInUse")
 {
   SchedulerFixture fixture;
   fixture.AddAgent("a");
@@ -285,6 +284,46 @@
   CHECK(StartsOf(fixture, "late") == 2);
 }
 
+// Guards against a long-running task that waits for longer than others but is not tried, because
+// a task with a lower index finds no worker.
+TEST_CASE("JobScheduler PlacesALongRunningBestEffortTaskBehindOneThatHasEnded")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  Submit(fixture, "first", MakeBestEffortStep(40));
+  StepSpec step = MakeBestEffortStep(3);
+  step.longRunning = true;
+  Submit(fixture, "late", step);
+  // The first task runs from 1.5 s and the second from 3 s on; the third stands from then on.
+  Pass(fixture, 3100 * kMs);
+  REQUIRE(StartsOf(fixture, "late") == 2);
+  fixture.End("a", { "late.0.0.0", 1 }, RunEnd::Failed);
+  Pass(fixture, 1000 * kMs);
+  REQUIRE(StartsOf(fixture, "late") == 3);
+  CHECK(fixture.starts.back().second.ref.task == "late.0.0.2");
+  // The end of the first task is 2 s ago, so that it waits for unused cores.
+  Pass(fixture, 1000 * kMs);
+  CHECK(StartsOf(fixture, "late") == 3);
+  Pass(fixture, 1500 * kMs);
+  CHECK(StartsOf(fixture, "late") == 4);
+}
+
+// Guards against a long-running gang without runs because another step of its job runs.
+TEST_CASE("JobScheduler PlacesALongRunningBestEffortGangWhileAnotherStepRuns")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a");
+  Submit(fixture, "first", MakeBestEffortStep(40));
+  StepSpec gang = MakeBestEffortStep(2);
+  gang.longRunning = true;
+  gang.gang = true;
+  fixture.Submit(MakeJob("late", { MakeStep(1), gang }));
+  fixture.RunUntilIdle();
+  REQUIRE(StartsOf(fixture, "late") == 1);
+  Pass(fixture, 6000 * kMs);
+  CHECK(StartsOf(fixture, "late") == 3);
+}
+
 // Guards against many runs of a job that are ordered at once when a store answers again.
 TEST_CASE("JobScheduler PlacesOneRunOfAStandingJobWhenTheStoreDoesNotAnswer")
 {
