Start nothing in a data centre whose evacuation is requested

Cause: an operator could not take a data centre out of use. No process read the rows op/evacuate/ZONE, so tasks went on to start there.

Change: - ConfigWatcher reads the rows together with the configuration, in one range and with the same watch. EvacuationRequests keeps the set of data centres: a full read replaces it, malformed rows and rows for data centres that the settings (table `zones`) do not list are ignored, logged and counted. - JobScheduler places nothing on workers of these data centres (obstacle `evacuated`), withdraws starts that no worker has confirmed, repeats none and adopts no late run there. Runs at work go on. - A new leader holds the rows that it has loaded until its entry has read the requests once. - LeaseExtension tells the agent of the evacuation with an optional field. The agent rejects starts that the worker has not confirmed, and stops those first that it has sent. - The played cluster knows evacuations, and checks that no start is sent 5 s after the request.

--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -112,6 +112,10 @@
     this->context, *this->store, this->counters, [this](const cluster::ClusterConfig& aConfig) {
       this->OnConfigChanged(aConfig);
     });
+  this->configWatcher->SubscribeToEvacuations(this->settings.dataCentres,
+                                              [this](const std::set<std::string>& aDataCentres) {
+                                                this->leader->SetEvacuatedDataCentres(aDataCentres);
+                                              });
   this->jobApi = std::make_unique<JobApi>(
     this->context, *this->store, *this->configWatcher, this->forwarder, this->counters);
   LeaderDriverOptions options;
--- a/packages/daemon/src/ConfigWatcher.cpp
+++ b/packages/daemon/src/ConfigWatcher.cpp
@@ -4,6 +4,9 @@
 #include "oriolespread/platformwire/CallerMessages.h"
 #include "oriolespread/service/Log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace oriolespread::daemon {
 
 using cluster::ReadEnd;
@@ -15,6 +18,7 @@
   : store(aStore)
   , counters(aCounters)
   , onChanged(std::move(aOnChanged))
+  , evacuations(std::make_unique<EvacuationRequests>(aCounters, std::set<std::string>()))
   , timer(aContext)
 {
 }
@@ -24,29 +28,53 @@
   this->Read();
 }
 
+void ConfigWatcher::SubscribeToEvacuations(std::set<std::string> aKnownDataCentres,
+                                           EvacuationsCallback aOnChanged)
+{
+  this->evacuations =
+    std::make_unique<EvacuationRequests>(this->counters, std::move(aKnownDataCentres));
+  this->onEvacuationsChanged = std::move(aOnChanged);
+}
+
 void ConfigWatcher::Read()
 {
-  const std::string key(platformwire::kConfigKey);
-  // Requests at most one row, beginning at the key.
-  this->store.Read({ std::string(platformwire::kOperatorTable),
-                     key,
-                     key + "~",
-                     1,
-                     std::string(platformwire::kOperatorPart) },
-                   kStoreTimeout,
-                   [this, requestedAt = BootClock::now()](const cluster::ReadResult& aResult) {
-                     if (aResult.end != ReadEnd::Done) {
-                       this->ScheduleRetry();
-                       return;
-                     }
-                     this->version = std::max(this->version, aResult.version);
-                     this->confirmedAt = requestedAt;
-                     // Watches first, so that later changes are still seen if a handler throws.
-                     this->Watch();
-                     for (const cluster::StoredRow& row : aResult.rows) {
-                       this->ApplyRow(row);
-                     }
-                   });
+  auto pages = std::make_shared<Pages>();
+  pages->requestedAt = BootClock::now();
+  this->ReadPage(std::string(platformwire::kConfigKey), std::move(pages));
+}
+
+void ConfigWatcher::ReadPage(const std::string& aFrom, std::shared_ptr<Pages> aPages)
+{
+  this->store.Read(
+    { std::string(platformwire::kOperatorTable),
+      aFrom,
+      std::string(platformwire::kEvacuationKeyEnd),
+      0,
+      std::string(platformwire::kOperatorPart) },
+    kStoreTimeout,
+    [this, pages = std::move(aPages)](const cluster::ReadResult& aResult) {
+      if (aResult.end != ReadEnd::Done || (aResult.more && aResult.lastKey.empty())) {
+        this->ScheduleRetry();
+        return;
+      }
+      pages->version =
+        pages->version == 0 ? aResult.version : std::min(pages->version, aResult.version);
+      pages->rows.insert(pages->rows.end(), aResult.rows.begin(), aResult.rows.end());
+      if (aResult.more) {
+        // '!' sorts before every character of a key, so no key lies between.
+        this->ReadPage(aResult.lastKey + "!", pages);
+        return;
+      }
+      this->version = std::max(this->version, pages->version);
+      this->confirmedAt = pages->requestedAt;
+      // Watches first, so that later changes are still seen if a handler throws.
+      this->Watch();
+      this->evacuations->Replace(pages->rows);
+      this->TellEvacuations();
+      for (const cluster::StoredRow& row : pages->rows) {
+        this->ApplyRow(row);
+      }
+    });
 }
 
 void ConfigWatcher::Watch()
@@ -69,6 +97,10 @@
                       this->version = std::max(this->version, aResult.version);
                       this->confirmedAt = BootClock::now();
                       this->Watch();
+                      for (const cluster::StoredRow& row : aResult.rows) {
+                        this->evacuations->Apply(row);
+                      }
+                      this->TellEvacuations();
                       for (const cluster::StoredRow& row : aResult.rows) {
                         this->ApplyRow(row);
                       }
@@ -86,6 +118,16 @@
   });
 }
 
+void ConfigWatcher::TellEvacuations()
+{
+  if (this->onEvacuationsChanged == nullptr ||
+      this->toldEvacuations == this->evacuations->DataCentres()) {
+    return;
+  }
+  this->toldEvacuations = this->evacuations->DataCentres();
+  this->onEvacuationsChanged(*this->toldEvacuations);
+}
+
 void ConfigWatcher::ApplyRow(const cluster::StoredRow& aRow)
 {
   if (aRow.row.key != platformwire::kConfigKey || aRow.removed) {
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -243,6 +243,7 @@
   this->refusedCommit = nullptr;
   this->removalInFlight = false;
   this->jobsVersion = 0;
+  this->heldRows.reset();
   this->counters.Add("leadership_total", "claimed");
   Log(LogLevel::Info, "leadership_claimed", { { "epoch", aRow.epoch }, { "version", aVersion } });
   this->scheduler = std::make_unique<jobs::JobScheduler>(
@@ -316,10 +317,13 @@
     return;
   }
   if (BootClock::now() - this->renewedAt < this->schedulerSettings.storeOutageTolerance) {
-    this->sendToAgent(aAgent,
-                      LeaseExtension{ aReport.epoch,
-                                      aReport.sequence,
-                                      this->scheduler->BestEffortHeadroomCosts(aAgent) });
+    this->sendToAgent(
+      aAgent,
+      LeaseExtension{ aReport.epoch,
+                      aReport.sequence,
+                      this->scheduler->BestEffortHeadroomCosts(aAgent),
+                      this->evacuatedDataCentres.has_value() &&
+                        this->evacuatedDataCentres->contains(aReport.worker.dataCentre) });
   } else {
     this->counters.Add("extensions_refused_total", "not_renewed");
   }
@@ -331,6 +335,18 @@
   }
 }
 
+void LeaderDriver::SetEvacuatedDataCentres(const std::set<std::string>& aDataCentres)
+{
+  this->evacuatedDataCentres = aDataCentres;
+  if (this->phase == Phase::Loading && this->heldRows.has_value()) {
+    MultiRangeResult rows = *std::exchange(this->heldRows, std::nullopt);
+    this->OnLoaded(std::move(rows));
+  } else if (this->phase == Phase::Leading) {
+    this->scheduler->SetEvacuatedDataCentres(aDataCentres);
+    this->RequestSchedulingPass();
+  }
+}
+
 void LeaderDriver::ScheduleTick()
 {
   this->tickTimer.expires_after(kIdleSchedulingInterval);
@@ -662,6 +678,9 @@
     this->pendingWrite != nullptr
       ? std::chrono::duration<double>(BootClock::now() - this->pendingWrite->StartedAt()).count()
       : 0;
+  gauges["data_centres_evacuated"] = this->evacuatedDataCentres.has_value()
+                                       ? static_cast<double>(this->evacuatedDataCentres->size())
+                                       : 0;
   if (this->scheduler != nullptr) {
     gauges["last_commit_age_seconds"] =
       std::chrono::duration<double>(BootClock::now() - this->lastCommitAt).count();
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -57,6 +58,10 @@
   void OnAgentDown(const std::string& aAgent);
   void OnReport(const std::string& aAgent, const WorkerReport& aReport);
 
+  // Passes on the data centres in which nothing is started. A leader takes no decision before the
+  // first call.
+  void SetEvacuatedDataCentres(const std::set<std::string>& aDataCentres);
+
   // Releases the leadership, or stops taking part in the election. Calls `aDone` when the release
   // is stored, or when there is no leadership to release.
   void Release(std::function<void()> aDone);
@@ -111,7 +116,8 @@
   // The following functions are in LeaderLoading.cpp.
 
   void Load();
-  void OnLoaded(const MultiRangeResult& aResult);
+  // Waits for the first call of SetEvacuatedDataCentres if necessary.
+  void OnLoaded(MultiRangeResult aResult);
   void LoadRow(const cluster::StoredRow& aRow, jobs::Now aNow);
   // Applies the row. An exception is counted and logged, so that the other rows are still applied.
   void GuardRow(const cluster::StoredRow& aRow, const std::function<void()>& aApply);
@@ -200,6 +206,10 @@
   bool schedulingPassPending = false;
   std::uint64_t jobsVersion = 0;
   std::unique_ptr<jobs::JobScheduler> scheduler;
+  // Empty before the first call of SetEvacuatedDataCentres.
+  std::optional<std::set<std::string>> evacuatedDataCentres;
+  // The loaded rows while `evacuatedDataCentres` is empty.
+  std::optional<MultiRangeResult> heldRows;
   std::set<std::string> agents;
   std::function<void()> onReleased;
   LatencyHistogram commitLatency;
--- a/packages/daemon/src/LeaderLoading.cpp
+++ b/packages/daemon/src/LeaderLoading.cpp
@@ -46,8 +46,14 @@
     });
 }
 
-void LeaderDriver::OnLoaded(const MultiRangeResult& aResult)
+void LeaderDriver::OnLoaded(MultiRangeResult aResult)
 {
+  if (!this->evacuatedDataCentres.has_value()) {
+    // Also orders from before the term, which a loaded scheduler repeats, wait for them.
+    Log(LogLevel::Warning, "evacuations_awaited", { { "epoch", this->leaderRow.epoch } });
+    this->heldRows = std::move(aResult);
+    return;
+  }
   // The first decisions take longest, and the next renewal waits for them.
   if (!this->commitInFlight) {
     this->CommitBatch({});
@@ -63,6 +69,7 @@
   // Watches first, so that new jobs are still seen if a handler below throws.
   this->WatchJobs();
   this->scheduler->FinishLoading(Epoch{ this->leaderRow.epoch }, this->earlierLeasesExpiry, now);
+  this->scheduler->SetEvacuatedDataCentres(*this->evacuatedDataCentres);
   Log(LogLevel::Info,
       "leadership_ready",
       { { "epoch", this->leaderRow.epoch },
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -370,6 +370,12 @@
     this->SupersedeStarts();
     this->GiveUpStartsOrderedBefore(earlierExpiry);
   }
+  if (aExtension.evacuated != std::exchange(this->evacuated, aExtension.evacuated)) {
+    Log(LogLevel::Info, "evacuation_told", { { "evacuated", this->evacuated } });
+  }
+  if (this->evacuated) {
+    this->RejectUnconfirmedStarts();
+  }
 }
 
 void WorkerDriver::SupersedeStarts()
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -175,6 +175,9 @@
   // after the time of a lease, or if it has to wait for a worker that refuses connections. Does
   // nothing if another order has taken the place of the one that came at `aOrderedAt`.
   void TryStart(const RunRef& aRef, Instant aOrderedAt);
+  // Rejects the starts of this leader that the worker has not confirmed. Called when the data
+  // centre is evacuated.
+  void RejectUnconfirmedStarts();
   // Gives up starts that the worker has not confirmed and that were ordered before the time. Called
   // when the lease expired meanwhile: the leader may have started the runs elsewhere.
   void GiveUpStartsOrderedBefore(Instant aTime);
@@ -249,6 +252,8 @@
 
   Epoch epoch;
   bool leaderLinked = false;
+  // The last answer of a leader told that the worker's data centre is evacuated.
+  bool evacuated = false;
   cluster::WorkerFence fence;
   // Whether the worker has accepted the present token of `fence`.
   bool fenceConfirmed = false;
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -129,6 +129,12 @@
       it->second.suspended || it->second.stopping) {
     return;
   }
+  // Repeating the start of a run at work changes nothing.
+  if (this->evacuated && !this->IsRunning(aRef)) {
+    this->counters.Add("starts_void_total", kEvacuatedReason);
+    this->RejectRun(aRef, kEvacuatedReason);
+    return;
+  }
   if (const std::string_view awaited = this->AwaitedForStart(); !awaited.empty()) {
     if (awaited != std::exchange(it->second.delayedBy, awaited)) {
       this->counters.Add("starts_delayed_total", awaited);
@@ -198,6 +204,25 @@
   return this->GrantLease() ? "" : "lease_awaited";
 }
 
+void WorkerDriver::RejectUnconfirmedStarts()
+{
+  std::vector<RunRef> unconfirmed;
+  for (const auto& [ref, tracked] : this->trackedRuns) {
+    // A suspended start is not repeated unless the leader orders it again.
+    if (tracked.starting && !tracked.suspended && !tracked.stopping && !this->IsRunning(ref)) {
+      unconfirmed.push_back(ref);
+    }
+  }
+  for (const RunRef& ref : unconfirmed) {
+    // The answer to the report of a rejection may have rejected the others.
+    if (!this->trackedRuns.contains(ref)) {
+      continue;
+    }
+    this->counters.Add("starts_void_total", kEvacuatedReason);
+    this->RejectRun(ref, kEvacuatedReason);
+  }
+}
+
 void WorkerDriver::GiveUpStartsOrderedBefore(Instant aTime)
 {
   std::vector<RunRef> outdated;
--- a/packages/daemon/tests/LeaderDriverFixture.h
+++ b/packages/daemon/tests/LeaderDriverFixture.h
@@ -18,13 +18,15 @@
   std::vector<Epoch> claims;
   std::vector<WorkerOrders> orders;
   std::size_t extensions = 0;
+  LeaseExtension lastExtension;
   std::unique_ptr<LeaderDriver> driver;
 
   TestEntry(StoreFixture& aFixture,
             const std::string& aName,
             Duration aWorkerLease = std::chrono::seconds(5),
             Duration aStoreOutageTolerance = std::chrono::seconds(5),
-            platformwire::StoreClient* aClient = nullptr)
+            platformwire::StoreClient* aClient = nullptr,
+            bool aEvacuationsRead = true)
   {
     LeaderDriverOptions options;
     options.entry = aName;
@@ -42,11 +44,15 @@
           this->claims.push_back(claim->epoch);
         } else if (const auto* sent = std::get_if<WorkerOrders>(&aMessage)) {
           this->orders.push_back(*sent);
-        } else if (std::holds_alternative<LeaseExtension>(aMessage)) {
+        } else if (const auto* extension = std::get_if<LeaseExtension>(&aMessage)) {
           ++this->extensions;
+          this->lastExtension = *extension;
         }
         return true;
       });
+    if (aEvacuationsRead) {
+      this->driver->SetEvacuatedDataCentres({});
+    }
     this->driver->OnAgentUp("agent");
   }
 
@@ -83,7 +89,8 @@
   void SendReport(const std::string& aWorker = "w",
                   const std::string& aAgent = "agent",
                   bool aFull = true,
-                  std::int64_t aLeasesEndInMs = 0)
+                  std::int64_t aLeasesEndInMs = 0,
+                  const std::string& aDataCentre = "")
   {
     WorkerReport report;
     report.epoch = this->claims.back();
@@ -93,6 +100,7 @@
     report.worker.id = aWorker;
     report.worker.born = 1;
     report.worker.service = "s";
+    report.worker.dataCentre = aDataCentre;
     report.worker.capacity = { 8000, 64000, 0 };
     this->driver->OnReport(aAgent, report);
   }
--- a/packages/daemon/tests/WorkerDriverFixture.h
+++ b/packages/daemon/tests/WorkerDriverFixture.h
@@ -27,6 +27,8 @@
   std::unique_ptr<platformwire_testing::StandInWorker> worker;
   std::unique_ptr<WorkerDriver> driver;
   bool extendLeases = true;
+  // Whether the answers to reports tell that the data centre is evacuated.
+  bool evacuated = false;
   bool failReports = false;
   // When the last report was sent that was answered.
   Instant lastAnsweredAt{};
@@ -82,7 +84,7 @@
         this->reports.push_back(aReport);
         if (this->extendLeases) {
           this->lastAnsweredAt = BootClock::now();
-          this->driver->OnLeaseExtension({ aReport.epoch, aReport.sequence, {} });
+          this->driver->OnLeaseExtension({ aReport.epoch, aReport.sequence, {}, this->evacuated });
         }
       });
   }
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -222,6 +222,8 @@
   bool connected = false;
   // The worker has reported in this leader's epoch.
   bool reported = false;
+  // The worker's data centre is evacuated: nothing is started there.
+  bool evacuated = false;
   // A full report since the agent connected was compared with the expected runs.
   bool reconciled = false;
   Instant lastReport{};
@@ -272,10 +274,11 @@
 };
 
 // Returns whether the worker can be given runs: it reports, its report was compared with the
-// expected runs, and it is not draining.
+// expected runs, it is not draining, and its data centre is not evacuated.
 inline bool IsUsable(const Worker& aWorker)
 {
-  return aWorker.connected && aWorker.reported && aWorker.reconciled && !aWorker.state.draining;
+  return aWorker.connected && aWorker.reported && aWorker.reconciled && !aWorker.state.draining &&
+         !aWorker.evacuated;
 }
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -90,6 +90,10 @@
   // an extension.
   void OnReportWhileLoading(const WorkerReport& aReport, Now aNow);
 
+  // Places nothing in these data centres until the next call, and withdraws the starts there that
+  // no worker has confirmed. Runs that are at work go on.
+  void SetEvacuatedDataCentres(std::set<std::string> aDataCentres);
+
   // Handles expired leases, due occurrences and expired jobs, and places tasks.
   void Decide(Now aNow);
 
@@ -272,6 +276,12 @@
   void RemoveLostRuns(Worker& aWorker, std::string_view aReason, Now aNow);
   void StopResumableRuns(Worker& aWorker);
 
+  // Defined in SchedulerEvacuation.cpp.
+  // Withdraws the starts on a worker of an evacuated data centre that are not confirmed.
+  void WithdrawStarts(Worker& aWorker);
+  // Removes the start of the run from the messages that are not sent yet.
+  void DropQueuedStart(const Run& aRun, const RunRef& aRef);
+
   // Defined in SchedulerEnds.cpp.
   void ApplyRunEnd(Worker& aWorker, const EndedRun& aEnd, Now aNow);
   // Acknowledges the end once the present progress of the task's step is stored, or at the next
@@ -398,6 +408,7 @@
   // The moving average of the work of a job, by queue.
   std::map<std::string, double> meanWorkCoreSeconds;
   std::map<WorkerKey, Worker> workers;
+  std::set<std::string> evacuatedDataCentres;
   std::map<std::string, WorkerKey> workerOfAgent;
   // Further workers of an agent that stored runs name: an earlier leader may end before it has
   // stored that the runs of an earlier incarnation are lost.
--- a/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
+++ b/packages/jobs/include/oriolespread/jobs/PlacementChoice.h
@@ -16,6 +16,8 @@
 {
   None,
   OtherService,
+  // The worker's data centre is evacuated.
+  Evacuated,
   // The agent is not connected, or its last report does not list all runs.
   NotReporting,
   Draining,
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -566,14 +566,7 @@
       this->RecomputeHeadroomCosts(worker->second);
     }
   }
-  if (const auto outgoing = this->outgoingOrders.find(run->agent);
-      outgoing != this->outgoingOrders.end()) {
-    for (WorkerOrders& message : outgoing->second.messages) {
-      std::erase_if(message.starts, [ref = ToRunRef(aRunKey)](const StartRun& aStart) {
-        return aStart.ref == ref;
-      });
-    }
-  }
+  this->DropQueuedStart(*run, ToRunRef(aRunKey));
   std::erase_if(task->runs, [&](const Run& aItem) { return aItem.number == aRunKey.number; });
   if (task->runs.empty() && task->state == TaskState::Active) {
     task->state = TaskState::Waiting;
--- a/packages/jobs/src/PlacementChoice.cpp
+++ b/packages/jobs/src/PlacementChoice.cpp
@@ -149,6 +149,9 @@
   if (aWorker.state.service != aRequest.service) {
     return PlacementObstacle::OtherService;
   }
+  if (aWorker.evacuated) {
+    return PlacementObstacle::Evacuated;
+  }
   if (!aWorker.connected || !aWorker.reported || !aWorker.reconciled) {
     return PlacementObstacle::NotReporting;
   }
@@ -223,6 +226,8 @@
       return "none";
     case PlacementObstacle::OtherService:
       return "other_service";
+    case PlacementObstacle::Evacuated:
+      return "evacuated";
     case PlacementObstacle::NotReporting:
       return "not_reporting";
     case PlacementObstacle::Draining:
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -182,8 +182,8 @@
 {
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> reservedAndCapacity;
   for (const auto& [key, worker] : this->workers) {
-    // Draining workers take no new tasks, so their reservations do not count.
-    if (worker.connected && worker.reported && !worker.state.draining) {
+    // Draining and evacuated workers take no new tasks, so their reservations do not count.
+    if (worker.connected && worker.reported && !worker.state.draining && !worker.evacuated) {
       auto& [reserved, capacity] = reservedAndCapacity[worker.state.service];
       reserved += worker.reserved.milliCores;
       capacity += worker.state.capacity.milliCores;
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -79,6 +79,7 @@
   worker->latestLeaseExpiry = this->CountLeases(aReport, aNow);
   const bool startsDraining = aReport.worker.draining && !worker->state.draining;
   worker->state = aReport.worker;
+  worker->evacuated = this->evacuatedDataCentres.contains(worker->state.dataCentre);
   for (const EndedRun& end : aReport.ended) {
     this->ApplyRunEnd(*worker, end, aNow);
   }
@@ -98,6 +99,9 @@
     this->UpdateInterference(*worker, aReport, aNow);
     this->Reconcile(*worker, aReport, aNow);
   }
+  if (worker->evacuated) {
+    this->WithdrawStarts(*worker);
+  }
   if (startsDraining) {
     this->log("worker_draining",
               { { "worker", worker->key.id }, { "remaining_ms", worker->state.remainingMs } });
@@ -223,7 +227,8 @@
 bool JobScheduler::AdoptRun(Worker& aWorker, const RunKey& aRunKey)
 {
   const Task* task = this->FindTask(aRunKey.task);
-  if (task == nullptr || task->state != TaskState::Waiting ||
+  // A run that a worker of an evacuated data centre has started late is stopped instead.
+  if (task == nullptr || task->state != TaskState::Waiting || aWorker.evacuated ||
       aRunKey.number >= task->nextRunNumber || IsTerminal(this->jobs.at(aRunKey.task.job).state)) {
     return false;
   }
@@ -410,6 +415,10 @@
               { "reason", aRejected.reason } });
   this->FindTask(runKey.task)->notBefore = aNow.instant + this->settings.retryDelay;
   this->RemoveRun(runKey);
+  if (aRejected.reason == kEvacuatedReason) {
+    // This tells nothing about the worker once the evacuation ends.
+    return;
+  }
   aWorker.rejectsUntil = aNow.instant + this->settings.rejectionBackoff;
   aWorker.refusingUntil = aNow.instant + this->settings.failingWorkerBackoff;
 }
@@ -452,6 +461,10 @@
       }
     } else if (isFirstFullReport && run->state == RunState::Ordered &&
                !running.contains(ToRunRef(item))) {
+      if (aWorker.evacuated) {
+        // WithdrawStarts stops the run.
+        continue;
+      }
       // The order may have been lost with the connection, and an agent does not repeat the starts
       // of an earlier connection by itself. Repeating a start order is safe.
       this->OrderStart(item, true);
--- a/packages/jobs/src/SchedulerStragglers.cpp
+++ b/packages/jobs/src/SchedulerStragglers.cpp
@@ -140,7 +140,11 @@
   }
   Task& task = *this->FindTask(aRunKey.task);
   const Duration gain = MoveGain({ speed, run.percent, spec.estimateMs, spec.checkpointing });
-  if (task.moved || gain < this->settings.minMoveGain) {
+  // Without another worker for the task, a run in an evacuated data centre is better than none.
+  const bool canMove =
+    !aWorker.evacuated ||
+    this->HasSoundWorker(this->jobs.at(aRunKey.task.job).record.policy.service, spec, aNow.instant);
+  if (task.moved || !canMove || gain < this->settings.minMoveGain) {
     return;
   }
   this->counters.Add("runs_stopped_total", "slow");
--- a/packages/jobs/tests/PlayedAgent.h
+++ b/packages/jobs/tests/PlayedAgent.h
@@ -36,6 +36,7 @@
     this->sequence = 0;
     this->unansweredStarts.clear();
     this->born = 0;
+    this->evacuated = false;
     this->hasSeenRestart = false;
     this->incarnationAnswered = false;
     this->lastEarlierReport = 0;
@@ -114,6 +115,10 @@
       this->SupersedeStarts();
       this->GiveUpStartsOrderedBefore(earlierExpiry);
     }
+    this->evacuated = aExtension.evacuated;
+    if (this->evacuated) {
+      this->RejectUnconfirmedStarts();
+    }
   }
 
   void OnOrders(const std::shared_ptr<PlayedLink>& aLink, const WorkerOrders& aOrders)
@@ -172,6 +177,10 @@
   }
 
   PlayedToken Token() const { return { this->epoch, this->stamp }; }
+  bool IsAtWork(const RunRef& aRef)
+  {
+    return this->IsOwnWorker() && this->Worker().running.contains(aRef);
+  }
   bool IsOwnWorker() { return this->Worker().up && this->Worker().state.born == this->born; }
 
   // Reaches the process that the worker has by then, which may be a later one than was meant.
@@ -613,6 +622,7 @@
                      int aAttempt,
                      PlayedToken aToken,
                      Answer aAnswer);
+  void RejectUnconfirmedStarts();
   void GiveUpStartsOrderedBefore(Instant aTime);
   void RejectRun(const RunRef& aRef, const std::string& aReason);
   void StopRun(const RunRef& aRef);
@@ -650,6 +660,8 @@
   std::optional<Instant> workerClockZero;
   std::uint64_t sequence = 0;
   std::uint64_t lastOrders = 0;
+  // The last answer of a leader told that the data centre is evacuated.
+  bool evacuated = false;
   std::uint64_t unansweredLossReport = 0;
   std::map<std::uint64_t, Instant> reportSentTimes;
   Instant leaseExpiry{};
--- a/packages/jobs/tests/PlayedAgentOrders.h
+++ b/packages/jobs/tests/PlayedAgentOrders.h
@@ -19,7 +19,7 @@
   }
   std::erase_if(this->rejected,
                 [&](const RejectedRun& aRejected) { return aRejected.ref == aStart.ref; });
-  if (this->IsOwnWorker() && this->Worker().running.contains(aStart.ref)) {
+  if (this->IsAtWork(aStart.ref)) {
     this->tracked.erase(aStart.ref);
     return;
   }
@@ -47,6 +47,10 @@
       it->second.suspended || it->second.stopping) {
     return;
   }
+  if (this->evacuated && !this->IsAtWork(aRef)) {
+    this->RejectRun(aRef, kEvacuatedReason);
+    return;
+  }
   const Instant now = this->world.time.Present();
   if (!this->fenceConfirmed || !this->workerClockZero.has_value() ||
       now - (this->leaseExpiry - kPlayedLease) >= kPlayedResponseAge || !this->GrantLease()) {
@@ -57,6 +61,7 @@
     this->After(kPlayedLeaseCheck, [this, aRef, aOrderedAt] { this->TryStart(aRef, aOrderedAt); });
     return;
   }
+  this->world.OnStartSent(this->Worker(), aRef);
   ++it->second.openStarts;
   this->startsSent = true;
   this->unansweredStarts[aRef] = now;
@@ -144,6 +149,19 @@
               [this, aRef, aOrderedAt] { this->TryStart(aRef, aOrderedAt); });
 }
 
+inline void PlayedAgent::RejectUnconfirmedStarts()
+{
+  std::vector<RunRef> unconfirmed;
+  for (const auto& [ref, item] : this->tracked) {
+    if (item.starting && !item.suspended && !item.stopping && !this->IsAtWork(ref)) {
+      unconfirmed.push_back(ref);
+    }
+  }
+  for (const RunRef& ref : unconfirmed) {
+    this->RejectRun(ref, kEvacuatedReason);
+  }
+}
+
 inline void PlayedAgent::GiveUpStartsOrderedBefore(Instant aTime)
 {
   std::vector<RunRef> outdated;
--- a/packages/jobs/tests/PlayedCluster.h
+++ b/packages/jobs/tests/PlayedCluster.h
@@ -32,6 +32,7 @@
       state.id = "w" + std::to_string(index);
       state.born = ++this->lastBorn;
       state.service = "service";
+      state.dataCentre = "d" + std::to_string(index % 2);
       state.capacity = { 6000, 64000, 0 };
       this->world.workers.emplace_back().state = state;
     }
--- a/packages/jobs/tests/PlayedLeader.h
+++ b/packages/jobs/tests/PlayedLeader.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -203,7 +204,12 @@
     if (now - this->renewedAt < SchedulerSettings{}.storeOutageTolerance) {
       aLink->toAgent.Deliver(
         this->world,
-        [this, aLink, extension = LeaseExtension{ aReport.epoch, aReport.sequence, {} }] {
+        [this,
+         aLink,
+         extension = LeaseExtension{ aReport.epoch,
+                                     aReport.sequence,
+                                     {},
+                                     this->evacuated.contains(aReport.worker.dataCentre) }] {
           if (aLink->openAtAgent) {
             this->agents[aLink->agent]->OnExtension(aLink, extension);
           }
@@ -425,6 +431,7 @@
     this->Note("leads");
     this->phase = Phase::Leading;
     this->scheduler->FinishLoading(this->LeaderEpoch(), this->earlierLeasesExpiry, aNow);
+    this->ReadEvacuations();
     if (this->world.readyEpoch < this->LeaderEpoch()) {
       this->world.readyEpoch = this->LeaderEpoch();
       this->world.undisturbedSince = aNow.instant;
@@ -439,7 +446,20 @@
     this->Watch();
   }
 
-  // Reads new rows of jobs.
+  void ReadEvacuations()
+  {
+    std::set<std::string> requested;
+    for (const auto& [dataCentre, since] : this->world.evacuatedSince) {
+      requested.insert(dataCentre);
+    }
+    if (requested != this->evacuated) {
+      this->evacuated = requested;
+      this->scheduler->SetEvacuatedDataCentres(requested);
+      this->RequestPass();
+    }
+  }
+
+  // Reads new rows of jobs and requests for evacuations.
   void Watch()
   {
     this->After(this->world.random.Between(5 * kMs, 60 * kMs), [this] {
@@ -447,6 +467,7 @@
       if (this->world.time.Present() < std::max(this->requestsCutUntil, this->answersCutUntil)) {
         return;
       }
+      this->ReadEvacuations();
       const auto& rows = this->world.store.jobRows;
       for (; this->watched < rows.size(); ++this->watched) {
         this->scheduler->OnJobRow(
@@ -475,6 +496,7 @@
   Instant requestsCutUntil{};
   Instant answersCutUntil{};
   std::size_t watched = 0;
+  std::set<std::string> evacuated;
 };
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/tests/PlayedWorld.h
+++ b/packages/jobs/tests/PlayedWorld.h
@@ -59,6 +59,8 @@
 inline constexpr std::size_t kPlayedBatchRows = 95;
 // A cancellation has to reach every worker within this time, as in the soak (Promises.cpp).
 inline constexpr Duration kPlayedCancelTime = 3000 * kMs;
+// From this time after the request on, nothing may start in an evacuated data centre.
+inline constexpr Duration kPlayedEvacuationTime = 5000 * kMs;
 // The image of the tasks of gangs.
 inline constexpr std::string_view kPlayedGangImage = "gang";
 inline constexpr std::size_t kPlayedHistory = 200;
@@ -220,6 +222,7 @@
                  std::int64_t aBorn)
   {
     const std::string what = aRef.task + " run " + std::to_string(aRef.run);
+    ++this->startsByDataCentre[aWorker.state.dataCentre];
     const bool isMeant = aBorn == aWorker.state.born;
     this->lateStarts += isMeant ? 0 : 1;
     this->Note(aWorker.state.id + " starts " + what +
@@ -265,11 +268,30 @@
     }
   }
 
+  // Checks the rule about evacuations when an agent sends a start to its worker, which may carry it
+  // out late.
+  void OnStartSent(const PlayedWorker& aWorker, const RunRef& aRef)
+  {
+    const auto evacuated = this->evacuatedSince.find(aWorker.state.dataCentre);
+    if (evacuated == this->evacuatedSince.end() || aWorker.running.contains(aRef)) {
+      return;
+    }
+    const Duration late = this->time.Present() - evacuated->second;
+    if (late > kPlayedEvacuationTime) {
+      this->Break("no start 5 s after the request for an evacuation",
+                  aRef.task + " run " + std::to_string(aRef.run) + " is sent to " +
+                    aWorker.state.id + " " + std::to_string(ToMilliseconds(late)) + " ms after it");
+    }
+  }
+
   RandomSource random;
   PlayedTime time;
   PlayedStore store;
   std::vector<PlayedWorker> workers;
   std::set<std::string> longRunningJobs;
+  // The data centres whose evacuation is requested, and since when.
+  std::map<std::string, Instant> evacuatedSince;
+  std::map<std::string, std::uint64_t> startsByDataCentre;
   std::map<std::string, Instant> cancelledAt;
   std::set<std::string> acknowledgedDone;
   // How often each run began on a process of a worker.
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -71,6 +71,9 @@
   std::string checkpoint;
 };
 
+// The reason of rejections because the worker's data centre is evacuated.
+inline constexpr const char* kEvacuatedReason = "evacuated";
+
 // A run that the worker has not started and will not start.
 struct RejectedRun
 {
@@ -116,6 +119,9 @@
   // By image, the estimated headroom (latency target / tail latency) that one best-effort run at
   // full pace costs the serving runs on the worker.
   std::map<std::string, double> disturbance;
+  // The data centre of the worker is evacuated, so the agent starts nothing. Leaders of earlier
+  // versions do not send it.
+  bool evacuated = false;
 };
 
 // Entry to agent, when the link comes up and on changes: the epoch with which this entry leads, or
@@ -176,7 +182,9 @@
 // `leasesEndInMs` may be absent; the other fields must be present.
 void to_json(nlohmann::json& aJson, const WorkerReport& aReport);
 void from_json(const nlohmann::json& aJson, WorkerReport& aReport);
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseExtension, epoch, sequence, disturbance)
+// `evacuated` may be absent, which means false; the other fields must be present.
+void to_json(nlohmann::json& aJson, const LeaseExtension& aExtension);
+void from_json(const nlohmann::json& aJson, LeaseExtension& aExtension);
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaderClaim, epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartRun,
                                    ref,
--- a/packages/messages/src/WorkerMessages.cpp
+++ b/packages/messages/src/WorkerMessages.cpp
@@ -34,4 +34,22 @@
   aReport.leasesEndInMs = aJson.value("leasesEndInMs", std::int64_t{ 0 });
 }
 
+void to_json(nlohmann::json& aJson, const LeaseExtension& aExtension)
+{
+  aJson = { { "epoch", aExtension.epoch },
+            { "sequence", aExtension.sequence },
+            { "disturbance", aExtension.disturbance } };
+  if (aExtension.evacuated) {
+    aJson["evacuated"] = true;
+  }
+}
+
+void from_json(const nlohmann::json& aJson, LeaseExtension& aExtension)
+{
+  aJson.at("epoch").get_to(aExtension.epoch);
+  aJson.at("sequence").get_to(aExtension.sequence);
+  aJson.at("disturbance").get_to(aExtension.disturbance);
+  aExtension.evacuated = aJson.value("evacuated", false);
+}
+
 } // namespace oriolespread
--- a/packages/messages/tests/MessageCodecTest.cpp
+++ b/packages/messages/tests/MessageCodecTest.cpp
@@ -133,3 +133,19 @@
   body.erase("running");
   CHECK_THROWS_AS(body.get<WorkerReport>(), nlohmann::json::exception);
 }
+
+// Guards against answers of leaders of an earlier version that are refused, so that no lease is
+// extended, and against an answer that does not tell of an evacuation.
+TEST_CASE("MessageCodec DecodesALeaseExtensionThatDoesNotTellOfEvacuations")
+{
+  LeaseExtension extension;
+  extension.sequence = 7;
+  extension.evacuated = true;
+  nlohmann::json body = extension;
+  CHECK(body.get<LeaseExtension>().evacuated);
+  body.erase("evacuated");
+  CHECK_FALSE(body.get<LeaseExtension>().evacuated);
+  CHECK(body.get<LeaseExtension>().sequence == 7);
+  body.erase("sequence");
+  CHECK_THROWS_AS(body.get<LeaseExtension>(), nlohmann::json::exception);
+}
