Refuse jobs that cannot end in time to be useful

Cause: under a long backlog, entries accept jobs that end later than three times their objective.

Change: the leader publishes the expected waits of new work in an optional field of its row, and AdmissionControl decides at the entry from the wait, its age, the job's longest path and its objective. Before it refuses with 503 (no_room) and a spread Retry-After, the entry reads whether the job is stored; if the store does not tell, it submits the job. Long-running jobs, jobs with due times and requests that other entries have seen are not refused.

--- a/packages/cluster/include/oriolespread/cluster/LeaderElection.h
+++ b/packages/cluster/include/oriolespread/cluster/LeaderElection.h
@@ -9,10 +9,12 @@
 
 #include "oriolespread/base/Ids.h"
 #include "oriolespread/base/Time.h"
+#include "oriolespread/cluster/ExpectedWaits.h"
 #include "oriolespread/cluster/StoreTypes.h"
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace oriolespread::cluster {
 
@@ -39,6 +41,8 @@
   // had renewed its row without a gap for ElectionSettings::steadyTime; 0 once the leader has done
   // so.
   std::uint64_t shortTerms = 0;
+  // The expected waits of new work; empty if unknown, as in rows that earlier versions wrote.
+  std::vector<ExpectedWait> expectedWaits{};
 
   friend bool operator==(const LeaderRecord&, const LeaderRecord&) = default;
 };
--- a/packages/cluster/src/LeaderElection.cpp
+++ b/packages/cluster/src/LeaderElection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <utility>
 
 namespace oriolespread::cluster {
@@ -35,6 +36,34 @@
   return aValue.is_number_unsigned() && aValue.get<std::uint64_t>() <= kMaxShortTerms;
 }
 
+bool IsWait(const nlohmann::json& aValue)
+{
+  if (!aValue.is_object()) {
+    return false;
+  }
+  const auto service = aValue.find("service");
+  const auto priority = aValue.find("priority");
+  const auto waitMs = aValue.find("waitMs");
+  if (service == aValue.end() || priority == aValue.end() || waitMs == aValue.end() ||
+      !service->is_string() || !priority->is_number_integer() || !waitMs->is_number_unsigned()) {
+    return false;
+  }
+  const std::size_t serviceBytes = service->get_ref<const std::string&>().size();
+  // A number above the range of std::int64_t would be read as another one.
+  const bool isPriority =
+    priority->is_number_unsigned()
+      ? priority->get<std::uint64_t>() <= std::uint64_t{ std::numeric_limits<int>::max() }
+      : priority->get<std::int64_t>() >= std::numeric_limits<int>::min();
+  return serviceBytes > 0 && serviceBytes <= kMaxWaitServiceBytes && isPriority &&
+         waitMs->get<std::uint64_t>() <= std::uint64_t{ kMaxExpectedWaitMs };
+}
+
+bool IsListOfWaits(const nlohmann::json& aValue)
+{
+  return aValue.is_array() && aValue.size() <= kMaxExpectedWaits &&
+         std::all_of(aValue.begin(), aValue.end(), IsWait);
+}
+
 // Removes the field if its value is not valid, so that it counts as unknown.
 template<typename IsValid>
 void RemoveIfInvalid(nlohmann::json& aObject, const char* aField, const IsValid& aIsValid)
@@ -74,6 +103,8 @@
 
 } // namespace
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExpectedWait, service, priority, waitMs)
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LeaderRecord,
                                                 entry,
                                                 process,
@@ -83,11 +114,17 @@
                                                 speed,
                                                 earlierLeasesMs,
                                                 coreShare,
-                                                shortTerms)
+                                                shortTerms,
+                                                expectedWaits)
 
 std::string EncodeLeaderRecord(const LeaderRecord& aRecord)
 {
-  return nlohmann::json(aRecord).dump();
+  nlohmann::json encoded(aRecord);
+  if (aRecord.expectedWaits.empty()) {
+    // The row of a leader that publishes no waits is the one of earlier versions.
+    encoded.erase("expectedWaits");
+  }
+  return encoded.dump();
 }
 
 std::optional<LeaderRecord> DecodeLeaderRecord(const std::string& aBytes)
@@ -104,6 +141,7 @@
     RemoveIfInvalid(*parsed, "earlierLeasesMs", IsLeaseTime);
     RemoveIfInvalid(*parsed, "coreShare", IsShare);
     RemoveIfInvalid(*parsed, "shortTerms", IsCountOfTerms);
+    RemoveIfInvalid(*parsed, "expectedWaits", IsListOfWaits);
     auto record = parsed->get<LeaderRecord>();
     // The next leader needs a higher epoch.
     const bool isValid = parsed->at("epoch").is_number_unsigned() && record.epoch <= kMaxEpoch;
--- a/packages/cluster/tests/LeaderElectionTest.cpp
+++ b/packages/cluster/tests/LeaderElectionTest.cpp
@@ -544,6 +544,62 @@
   CHECK(DecodeLeaderRecord(EncodeLeaderRecord(claimed)) == claimed);
 }
 
+// Guards against waits that are lost on the way to the entries, and against a field in the rows of
+// leaders that publish none.
+TEST_CASE("LeaderElection KeepsTheExpectedWaitsInTheRow")
+{
+  LeaderRecord record = MakeRecord("b");
+  CHECK(EncodeLeaderRecord(record).find("expectedWaits") == std::string::npos);
+  for (int priority = 0; priority < static_cast<int>(kMaxExpectedWaits); ++priority) {
+    record.expectedWaits.push_back(
+      { std::string(kMaxWaitServiceBytes, 's'), priority - 1, kMaxExpectedWaitMs });
+  }
+  CHECK(EncodeLeaderRecord(record).size() < 4096);
+  CHECK(DecodeLeaderRecord(EncodeLeaderRecord(record)) == record);
+}
+
+// Guards against a malformed field that hides the leader, after which its row is claimed at once,
+// and against refusals by it.
+TEST_CASE("LeaderElection IgnoresMalformedExpectedWaits")
+{
+  const std::string entry = R"({"service":"s","priority":0,"waitMs":100})";
+  std::string tooMany = entry;
+  for (std::size_t count = 0; count < kMaxExpectedWaits; ++count) {
+    tooMany += "," + entry;
+  }
+  const std::string longName = R"({"service":")" + std::string(kMaxWaitServiceBytes + 1, 's') +
+                               R"(","priority":0,"waitMs":100})";
+  for (const std::string& waits :
+       { std::string("null"),
+         std::string("5"),
+         std::string(R"("x")"),
+         entry,
+         "[" + tooMany + "]",
+         "[" + longName + "]",
+         "[" + entry + ",5]",
+         std::string("[{}]"),
+         std::string(R"([{"service":"s","priority":0}])"),
+         std::string(R"([{"service":"","priority":0,"waitMs":1}])"),
+         std::string(R"([{"service":1,"priority":0,"waitMs":1}])"),
+         std::string(R"([{"service":"s","priority":0.5,"waitMs":1}])"),
+         std::string(R"([{"service":"s","priority":2147483648,"waitMs":1}])"),
+         std::string(R"([{"service":"s","priority":-2147483649,"waitMs":1}])"),
+         std::string(R"([{"service":"s","priority":18446744073709551615,"waitMs":1}])"),
+         std::string(R"([{"service":"s","priority":0,"waitMs":-1}])"),
+         std::string(R"([{"service":"s","priority":0,"waitMs":1.5}])"),
+         std::string(R"([{"service":"s","priority":0,"waitMs":3600001}])"),
+         std::string(R"([{"service":"s","priority":0,"waitMs":1e300}])") }) {
+    INFO(waits);
+    const auto record = DecodeLeaderRecord(
+      R"({"entry":"b","process":"p","epoch":3,"renewal":1,"speed":2.5,"expectedWaits":)" + waits +
+      "}");
+    REQUIRE(record.has_value());
+    CHECK(record->epoch == 3);
+    CHECK(record->speed == 2.5);
+    CHECK(record->expectedWaits.empty());
+  }
+}
+
 // Guards against failing to read a row that an earlier version of the program wrote.
 TEST_CASE("LeaderElection ReadsARowWithoutASpeed")
 {
--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -129,6 +129,9 @@
                                    [this](const std::string& aAgent, const LinkMessage& aMessage) {
                                      return this->SendToAgent(aAgent, aMessage);
                                    });
+  this->jobApi->RefuseByWaits([this](const std::string& aService, int aPriority) {
+    return this->leader->FindPublishedWait(aService, aPriority);
+  });
   if (const absl::Status status = this->StartServers(); !status.ok()) {
     return status;
   }
--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/numbers.h"
 
 #include "oriolespread/daemon/ClusterSettings.h"
+#include "oriolespread/jobs/StepOrder.h"
 #include "oriolespread/platformwire/CallerMessages.h"
 #include "oriolespread/service/Log.h"
 
@@ -28,8 +29,6 @@
 constexpr Duration kMinResponseMargin = std::chrono::milliseconds(100);
 // The least timeout of a call to the store. Most calls are answered within a tenth of it.
 constexpr Duration kMinStoreTimeout = std::chrono::milliseconds(100);
-// The Retry-After value of responses with status 503. Outages of the store last seconds.
-constexpr const char* kRetryAfterSeconds = "1";
 // Attempts at a request after which it is refused if the store has refused all of them. Another
 // entry asks the next one instead.
 constexpr int kMaxRefusedAttempts = 2;
@@ -49,6 +48,19 @@
   return aQueue.timeoutMs > 0 ? std::min(timeoutMs, aQueue.timeoutMs) : timeoutMs;
 }
 
+// Returns the rows of the job and of its cancellation, which follows it.
+cluster::RowRange JobRange(const std::string& aId)
+{
+  return { std::string(jobs::kJobsTable), aId, aId + "~", 2, jobs::JobPartOf(aId) };
+}
+
+bool IsLongRunning(const jobs::JobSpec& aSpec)
+{
+  return std::any_of(aSpec.steps.begin(), aSpec.steps.end(), [](const jobs::StepSpec& aStep) {
+    return aStep.longRunning;
+  });
+}
+
 } // namespace
 
 JobApi::JobApi(asio::io_context& aContext,
@@ -216,9 +228,74 @@
   transaction.changes.push_back({ row, std::move(value), false });
   transaction.changes.push_back(
     { jobs::WaitingRow(aQueue.policy.queue, aRequest->jobId), {}, false });
+  if (const auto retryAfterSeconds = this->FindRefusal(*aRequest, record);
+      retryAfterSeconds.has_value()) {
+    this->RefuseUnlessStored(aRequest, transaction, *retryAfterSeconds);
+    return;
+  }
   this->Commit(aRequest, transaction);
 }
 
+std::optional<std::int64_t> JobApi::FindRefusal(const Request& aRequest,
+                                                const jobs::JobRecord& aRecord)
+{
+  // A request that another entry or the store has seen may be stored later. It is forwardable only
+  // before that, and never if another entry has sent it.
+  const bool isFirstAttempt = aRequest.forwardable && aRequest.attempts == 0;
+  if (this->findWait == nullptr || !isFirstAttempt || aRecord.spec.repeats > 0 ||
+      IsLongRunning(aRecord.spec)) {
+    return std::nullopt;
+  }
+  const jobs::QueuePolicy& policy = aRecord.policy;
+  const std::optional<cluster::PublishedWait> wait =
+    this->findWait(policy.service, policy.priority);
+  const cluster::AdmissionRequest request{
+    aRecord.id, policy.queue, jobs::CriticalPathMs(aRecord.spec), jobs::ObjectiveMs(aRecord)
+  };
+  const cluster::AdmissionDecision decision =
+    this->admission.Decide(request, wait, BootClock::now());
+  if (!decision.refused) {
+    return std::nullopt;
+  }
+  Log(LogLevel::Info,
+      "job_without_room",
+      { { "job", aRecord.id },
+        { "queue", policy.queue },
+        { "service", policy.service },
+        { "priority", policy.priority },
+        { "wait_ms", wait->waitMs },
+        { "expected_end_ms", decision.expectedEndMs },
+        { "objective_ms", request.objectiveMs },
+        { "retry_after_s", decision.retryAfterSeconds } });
+  return decision.retryAfterSeconds;
+}
+
+void JobApi::RefuseUnlessStored(const RequestPtr& aRequest,
+                                const cluster::StoreTransaction& aSubmission,
+                                std::int64_t aRetryAfterSeconds)
+{
+  if (this->RespondIfTimeIsOver(aRequest)) {
+    return;
+  }
+  this->store.Read(
+    JobRange(aRequest->jobId),
+    this->RemainingStoreTimeout(*aRequest),
+    [this, aRequest, aSubmission, aRetryAfterSeconds](const cluster::ReadResult& aResult) {
+      if (aResult.end != ReadEnd::Done || aResult.unreadableRows > 0) {
+        this->Commit(aRequest, aSubmission);
+        return;
+      }
+      const bool isStored =
+        !aResult.rows.empty() && aResult.rows.front().row.key == aRequest->jobId;
+      if (isStored) {
+        this->Respond(aRequest, kHttpOk, "{}", "stored_before");
+      } else {
+        aRequest->retryAfterSeconds = aRetryAfterSeconds;
+        this->Respond(aRequest, kHttpUnavailable, {}, "no_room");
+      }
+    });
+}
+
 void JobApi::Commit(const RequestPtr& aRequest, const cluster::StoreTransaction& aTransaction)
 {
   if (this->RespondIfTimeIsOver(aRequest)) {
@@ -366,7 +443,7 @@
 {
   const std::string id = aRequest->jobId;
   this->Read(aRequest,
-             { std::string(jobs::kJobsTable), id, id + "~", 2, jobs::JobPartOf(id) },
+             JobRange(id),
              std::move(aRetry),
              [id, onRead = std::move(aOnRead)](const std::vector<cluster::StoredRow>& aRows) {
                const bool isStored = !aRows.empty() && aRows.front().row.key == id;
@@ -454,7 +531,7 @@
 {
   HttpResponse response{ aStatus, { { "Content-Type", "application/json" } }, std::move(aBody) };
   if (aStatus == kHttpUnavailable) {
-    response.headers.push_back({ "Retry-After", kRetryAfterSeconds });
+    response.headers.push_back({ "Retry-After", std::to_string(aRequest->retryAfterSeconds) });
   }
   this->latency.Add(BootClock::now() - aRequest->arrivedAt);
   this->counters.Add(aStatus == kHttpOk ? "requests_answered_total" : "requests_refused_total",
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -6,10 +6,13 @@
 #include "ConfigWatcher.h"
 #include "RequestForwarder.h"
 
+#include "oriolespread/cluster/AdmissionControl.h"
 #include "oriolespread/http/HttpServer.h"
 #include "oriolespread/service/LatencyHistogram.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -39,10 +42,19 @@
   // have been received already. For a process that ends then.
   void RespondBy(Instant aTime);
 
+  // Returns the published wait for new work of the service and priority; empty if there is none.
+  using FindWait = std::function<std::optional<cluster::PublishedWait>(const std::string& aService,
+                                                                       int aPriority)>;
+  // Refuses jobs that cannot end in time to be useful by these waits. Without it none is refused.
+  void RefuseByWaits(FindWait aFindWait) { this->findWait = std::move(aFindWait); }
+
   // The time from the arrival of a request to its response.
   const LatencyHistogram& Latency() const { return this->latency; }
 
 private:
+  // The Retry-After value of a refusal by the store, whose outages last seconds.
+  static constexpr std::int64_t kRetryAfterSeconds = 1;
+
   // A request in progress. Each request gets exactly one response.
   struct Request
   {
@@ -61,6 +73,8 @@
     // The request cancels a job that was not stored when it was looked for.
     bool cancelsUnknownJob = false;
     int attempts = 0;
+    // The Retry-After value of a response with status 503.
+    std::int64_t retryAfterSeconds = kRetryAfterSeconds;
   };
   using RequestPtr = std::shared_ptr<Request>;
 
@@ -83,6 +97,13 @@
   void Submit(const RequestPtr& aRequest,
               const cluster::QueueConfig& aQueue,
               const std::string& aBody);
+  // Returns the Retry-After value with which to refuse a job that cannot end in time to be useful,
+  // and logs why; empty if the job is accepted.
+  std::optional<std::int64_t> FindRefusal(const Request& aRequest, const jobs::JobRecord& aRecord);
+  // Refuses the job unless its row is stored. If the store does not tell, submits it.
+  void RefuseUnlessStored(const RequestPtr& aRequest,
+                          const cluster::StoreTransaction& aSubmission,
+                          std::int64_t aRetryAfterSeconds);
   void Commit(const RequestPtr& aRequest, const cluster::StoreTransaction& aTransaction);
   void OnCommitted(const RequestPtr& aRequest,
                    const cluster::StoreTransaction& aTransaction,
@@ -123,6 +144,8 @@
   RequestForwarder& forwarder;
   Counters& counters;
   LatencyHistogram latency;
+  FindWait findWait;
+  cluster::AdmissionControl admission;
   // For a process that ends: no request has a later deadline, and no call to the store ends later.
   Instant latestDeadline = Instant::max();
   Instant latestStoreTime = Instant::max();
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -331,6 +331,25 @@
   }
 }
 
+std::optional<cluster::PublishedWait> LeaderDriver::FindPublishedWait(const std::string& aService,
+                                                                      int aPriority) const
+{
+  const bool isLeader = this->phase == Phase::Loading || this->phase == Phase::Leading;
+  const std::optional<cluster::LeaderRecord>& read = this->election.Current();
+  if (!isLeader && !read.has_value()) {
+    return std::nullopt;
+  }
+  const cluster::LeaderRecord& row = isLeader ? this->leaderRow : *read;
+  const auto waitMs = cluster::FindWaitMs(row.expectedWaits, aService, aPriority);
+  if (row.released || !waitMs.has_value()) {
+    return std::nullopt;
+  }
+  // The row stays as it is when its leader has ended, so that later reads of it do not count. The
+  // leader's own wait is at most one transaction ahead of the renewal.
+  return cluster::PublishedWait{ *waitMs,
+                                 isLeader ? this->renewedAt : this->election.UnchangedSince() };
+}
+
 void LeaderDriver::ScheduleTick()
 {
   this->tickTimer.expires_after(kIdleSchedulingInterval);
@@ -404,6 +423,7 @@
     std::max(this->earlierLeasesExpiry, this->scheduler->LatestLeaseExpiry());
   this->leaderRow.earlierLeasesMs =
     std::max<std::int64_t>(ToMilliseconds(leasesExpiry - commit->startedAt), 0);
+  this->leaderRow.expectedWaits = cluster::MakeExpectedWaits(this->scheduler->ExpectedWaits());
   commit->releases = this->leaderRow.released;
   cluster::StoreTransaction& transaction = commit->transaction;
   transaction.conditions.push_back({ jobs::LeaderRow(), this->leaderRowVersion });
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -61,6 +61,11 @@
   // is stored, or when there is no leadership to release.
   void Release(std::function<void()> aDone);
 
+  // Returns the wait that the present leader, this entry or another one, has published for new work
+  // of the service and priority; empty if there is none or no leader.
+  std::optional<cluster::PublishedWait> FindPublishedWait(const std::string& aService,
+                                                          int aPriority) const;
+
   std::map<std::string, double> Gauges() const;
   // The time from the first attempt at a leader's transaction until it is known to be applied.
   const LatencyHistogram& CommitLatency() const { return this->commitLatency; }
--- a/packages/daemon/tests/JobApiTest.cpp
+++ b/packages/daemon/tests/JobApiTest.cpp
@@ -316,6 +316,149 @@
   CHECK(fixture.store.CountRows("jobs") == 1);
 }
 
+namespace {
+
+// Describes a job of one task of 100 ms in a queue with stretch 1 and without more time, so that it
+// is refused at a wait of more than 200 ms.
+jobs::JobSpec MakeShortJob()
+{
+  jobs::JobSpec spec;
+  spec.payload = "x";
+  jobs::StepSpec& step = spec.steps.emplace_back();
+  step.count = 1;
+  step.estimateMs = 100;
+  return spec;
+}
+
+std::string ShortJobBody()
+{
+  return platformwire_testing::EncodeJob(MakeShortJob());
+}
+
+// Makes the entry know a wait of a minute for the queue of the fixture, which was published now.
+void PublishLongWait(JobApi& aApi)
+{
+  aApi.RefuseByWaits(
+    [](const std::string& aService, int aPriority) -> std::optional<cluster::PublishedWait> {
+      if (aService != "s" || aPriority != 0) {
+        return std::nullopt;
+      }
+      return cluster::PublishedWait{ 60'000, BootClock::now() };
+    });
+}
+
+} // namespace
+
+// Guards against a refusal that stores the job nevertheless, and against one that does not tell the
+// caller when to return.
+TEST_CASE("JobApi RefusesAJobThatCannotEndInTimeAndStoresNothing")
+{
+  JobApiFixture fixture;
+  REQUIRE(fixture.Call("POST", JobPath("00000000000000b2"), ShortJobBody()).status == kHttpOk);
+  PublishLongWait(fixture.api);
+  const HttpResponse answer = fixture.Call("POST", JobPath(), ShortJobBody());
+  CHECK(answer.status == kHttpUnavailable);
+  const int retryAfter = std::stoi(std::string(FindHeader(answer.headers, "Retry-After")));
+  CHECK(retryAfter >= 60);
+  CHECK(retryAfter <= 90);
+  CHECK(fixture.counters.Get("requests_refused_total", "no_room") == 1);
+  CHECK(fixture.store.CountRows("jobs") == 1);
+  CHECK(fixture.store.CountRows("waiting") == 1);
+  CHECK(fixture.Call("GET", JobPath()).status == kHttpGone);
+}
+
+// Guards against telling a caller that its job was refused although an earlier attempt has stored
+// it.
+TEST_CASE("JobApi DoesNotRefuseAStoredJobWhenThereIsNoRoom")
+{
+  JobApiFixture fixture;
+  REQUIRE(fixture.Call("POST", JobPath(), ShortJobBody()).status == kHttpOk);
+  PublishLongWait(fixture.api);
+  CHECK(fixture.Call("POST", JobPath(), ShortJobBody()).status == kHttpOk);
+  CHECK(fixture.counters.Get("requests_answered_total", "stored_before") == 1);
+  CHECK(fixture.counters.Get("requests_refused_total", "no_room") == 0);
+}
+
+// Guards against refusing jobs that have no end, or that are not due when they are submitted.
+TEST_CASE("JobApi DoesNotRefuseLongRunningJobsAndJobsWithDueTimesWhenThereIsNoRoom")
+{
+  JobApiFixture fixture;
+  PublishLongWait(fixture.api);
+  jobs::JobSpec longRunning = MakeShortJob();
+  longRunning.steps.front().longRunning = true;
+  CHECK(fixture.Call("POST", JobPath(), platformwire_testing::EncodeJob(longRunning)).status ==
+        kHttpOk);
+  std::string periodic = ShortJobBody();
+  periodic.pop_back();
+  periodic += R"(,"repeats":2,"initial_delay_ms":1900000000000,"interval_ms":1000})";
+  CHECK(fixture.Call("POST", JobPath("00000000000000b2"), periodic).status == kHttpOk);
+  CHECK(fixture.store.CountRows("jobs") == 2);
+}
+
+// Guards against refusing a request that the entry before has tried at the store, where it may be
+// applied.
+TEST_CASE("JobApi DoesNotRefuseARequestOfAnotherEntryWhenThereIsNoRoom")
+{
+  JobApiFixture fixture;
+  PublishLongWait(fixture.api);
+  std::optional<int> status;
+  fixture.api.Handle({ "POST", JobPath(), { { "Host", "h" } }, ShortJobBody() },
+                     JobApi::Sender::Entry,
+                     [&](const HttpResponse& aResponse) { status = aResponse.status; });
+  REQUIRE(fixture.RunUntil([&] { return status.has_value(); }));
+  CHECK(status == kHttpOk);
+  CHECK(fixture.store.CountRows("jobs") == 1);
+}
+
+// Guards against refusing a request whose attempt at another entry has no answer. The store does
+// not serve this entry when the request arrives, and serves it when the other entry is asked.
+TEST_CASE("JobApi DoesNotRefuseARequestThatWasPassedOnBeforeWhenThereIsNoRoom")
+{
+  JobApiFixture fixture;
+  PublishLongWait(fixture.api);
+  // An entry that does not know what became of the request.
+  std::unique_ptr<HttpServer> other = *HttpServer::Create(
+    fixture.context,
+    "127.0.0.1",
+    0,
+    {},
+    [&](const HttpRequest&, const HttpServer::Reply& aReply) {
+      fixture.store.SetFault(fixture.server, {});
+      aReply({ kHttpGatewayTimeout, {}, {} });
+    },
+    fixture.counters);
+  fixture.forwarder.SetPeers({ "127.0.0.1:" + std::to_string(other->Port()) });
+  fixture.store.SetFault(fixture.server, { .silent = true });
+  fixture.RunFor(1000 * kMillisecond);
+  CHECK(fixture.Call("POST", JobPath(), ShortJobBody()).status == kHttpOk);
+  CHECK(fixture.counters.Get("requests_forwarded_total", "not_served") == 1);
+  CHECK(fixture.store.CountRows("jobs") == 1);
+  CHECK(fixture.counters.Get("requests_refused_total", "no_room") == 0);
+}
+
+// Guards against a refusal while it is not known whether the job is stored.
+TEST_CASE("JobApi SubmitsAJobWhenItIsNotKnownWhetherItIsStored")
+{
+  JobApiFixture fixture;
+  PublishLongWait(fixture.api);
+  fixture.store.SetFault(fixture.server, { .lostReads = 1.0 });
+  CHECK(fixture.Call("POST", JobPath(), ShortJobBody()).status == kHttpOk);
+  CHECK(fixture.store.CountRows("jobs") == 1);
+  CHECK(fixture.counters.Get("requests_answered_total", "stored") == 1);
+}
+
+// Guards against a time to return that belongs to the backlog when the store refuses the job.
+TEST_CASE("JobApi TellsTheTimeOfAStoreOutageWhenTheStoreRefusesBesideABacklog")
+{
+  JobApiFixture fixture;
+  PublishLongWait(fixture.api);
+  fixture.store.SetFault(fixture.server, { .busy = true });
+  const HttpResponse answer = fixture.Call("POST", JobPath(), ShortJobBody());
+  CHECK(answer.status == kHttpUnavailable);
+  CHECK(FindHeader(answer.headers, "Retry-After") == "1");
+  CHECK(fixture.counters.Get("requests_refused_total", "store_refuses") == 1);
+}
+
 // Guards against a response after the caller's timeout.
 TEST_CASE("JobApi AnswersWithinTheTimeoutOfTheCaller")
 {
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -695,3 +695,54 @@
   CHECK(counts.front() == 2);
   CHECK(counts.back() == 0);
 }
+
+// Guards against refusals by the wait of a leader that has ended: its row stays in the store, and
+// reads of it must not make its wait a recent one.
+TEST_CASE("LeaderDriver KnowsThePublishedWaitWithTheTimeOfItsFirstRead")
+{
+  StoreFixture fixture;
+  cluster::LeaderRecord record;
+  record.entry = "other";
+  record.process = "process of other";
+  record.epoch = 7;
+  record.expectedWaits = { { "s", 2, 4200 } };
+  PutRow(fixture, jobs::LeaderRow(), cluster::EncodeLeaderRecord(record));
+  TestEntry entry(fixture, "a");
+  const Instant startedAt = BootClock::now();
+  entry.driver->Start();
+  CHECK_FALSE(entry.driver->FindPublishedWait("s", 2).has_value());
+  REQUIRE(fixture.RunUntil([&] { return entry.driver->FindPublishedWait("s", 2).has_value(); }));
+  const auto first = entry.driver->FindPublishedWait("s", 2);
+  CHECK(first->waitMs == 4200);
+  CHECK(first->publishedAt >= startedAt);
+  CHECK_FALSE(entry.driver->FindPublishedWait("s", 0).has_value());
+  // Two more reads.
+  fixture.RunFor(700 * kMillisecond);
+  const auto later = entry.driver->FindPublishedWait("s", 2);
+  REQUIRE(later.has_value());
+  CHECK(later->publishedAt == first->publishedAt);
+  // The new leader has published nothing yet.
+  REQUIRE(fixture.RunUntil([&] { return entry.IsLeading(); }));
+  CHECK_FALSE(entry.driver->FindPublishedWait("s", 2).has_value());
+}
+
+// Guards against refusals by the wait of a leader that has left, until the next one leads.
+TEST_CASE("LeaderDriver KnowsNoPublishedWaitWhenTheLeaderHasReleasedItsRow")
+{
+  StoreFixture fixture;
+  cluster::LeaderRecord record;
+  record.entry = "other";
+  record.process = "process of other";
+  record.epoch = 7;
+  record.released = true;
+  record.expectedWaits = { { "s", 2, 4200 } };
+  PutRow(fixture, jobs::LeaderRow(), cluster::EncodeLeaderRecord(record));
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  bool known = false;
+  REQUIRE(fixture.RunUntil([&] {
+    known |= entry.driver->FindPublishedWait("s", 2).has_value();
+    return entry.IsLeading();
+  }));
+  CHECK_FALSE(known);
+}
