--- a/packages/soak/src/Process.h
+++ b/packages/soak/src/Process.h
@@ -30,6 +30,8 @@
   void SetThrottled(bool aThrottled);
   // Returns whether the process runs; collects it when it has ended.
   bool IsRunning();
+  // Returns the number of the process; 0 while none runs.
+  pid_t Id() const { return this->pid; }
   // Returns how the last process that IsRunning collected has ended, as waitpid reports it.
   int ExitStatus() const { return this->exitStatus; }
   // Returns the processor time of all processes that were started, with that of all their threads.
