Bound the memory and connections that HTTP clients hold

Cause: each server admitted 2,000 connections with a body each, and nothing bounded the sum, so that clients that stop short of the end of a request made a process outgrow the memory and descriptors of its machine. Change: MemoryBudget, shared by the servers of a process and derived from limits.memory_mb and limits.max_fds, counts what each connection has allocated. When it is used up, the connection that has held most for longest without progress is released, else the one that needs more is refused with 503 and Retry-After; a request that a handler has is never released. A request that is not complete in time is answered 408. Taking parsed bytes from the input buffer moves nothing. Without the settings there is no limit, as before.

--- a/packages/daemon/src/ClusterAgent.cpp
+++ b/packages/daemon/src/ClusterAgent.cpp
@@ -1,5 +1,6 @@
 #include "oriolespread/daemon/ClusterAgent.h"
 
+#include "ClientBudget.h"
 #include "EventLoop.h"
 #include "LoopMonitor.h"
 #include "MetricsServer.h"
@@ -52,6 +53,7 @@
 
   platformwire::DaemonSettings settings;
   Counters counters;
+  std::shared_ptr<MemoryBudget> clientBudget = CreateClientBudget(this->settings);
   asio::io_context context{ 1 };
   asio::signal_set signals;
   LoopMonitor loopMonitor{ this->context, this->counters };
@@ -88,7 +90,7 @@
     this->context,
     this->settings.control.ip,
     this->settings.control.port,
-    {},
+    { .budget = this->clientBudget },
     [this](const HttpRequest& aRequest, const HttpServer::Reply& aReply) {
       this->OnControlRequest(aRequest, aReply);
     },
@@ -97,14 +99,18 @@
     return server.status();
   }
   this->controlServer = *std::move(server);
-  this->metrics =
-    std::make_unique<MetricsServer>(this->context, this->settings.ip, this->counters, [this] {
+  this->metrics = std::make_unique<MetricsServer>(
+    this->context,
+    this->settings.ip,
+    this->counters,
+    [this] {
       MetricsServer::Values values;
       values.gauges["leader_epoch"] = static_cast<double>(this->leaderEpoch.Value());
       values.histograms["run_start"] = &this->workerDriver->StartLatency();
       values.histograms["loop_lateness"] = &this->loopMonitor.Lateness();
       return values;
-    });
+    },
+    this->clientBudget);
   this->directory = std::make_unique<EntryDirectory>(this->context, *this->store, this->counters);
   this->directory->Subscribe(
     [this](const std::string& aLinkKey, const EntryDirectory::Entries& aEntries) {
--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -1,5 +1,6 @@
 #include "oriolespread/daemon/ClusterEntry.h"
 
+#include "ClientBudget.h"
 #include "ConfigWatcher.h"
 #include "EventLoop.h"
 #include "JobApi.h"
@@ -76,6 +77,7 @@
 
   platformwire::DaemonSettings settings;
   Counters counters;
+  std::shared_ptr<MemoryBudget> clientBudget = CreateClientBudget(this->settings);
   asio::io_context context{ 1 };
   asio::signal_set signals;
   asio::steady_timer drainTimer;
@@ -164,7 +166,7 @@
     this->context,
     this->settings.front.ip,
     this->settings.front.port,
-    {},
+    { .budget = this->clientBudget },
     [this](const HttpRequest& aRequest, HttpServer::Reply aReply) {
       this->jobApi->Handle(aRequest, JobApi::Sender::Caller, std::move(aReply));
     },
@@ -178,7 +180,7 @@
     this->context,
     this->settings.ready.ip,
     this->settings.ready.port,
-    {},
+    { .budget = this->clientBudget },
     [this](const HttpRequest& aRequest, const HttpServer::Reply& aReply) {
       const bool knownPath = aRequest.target == platformwire::kReadyPath;
       aReply({ !knownPath                ? kHttpNotFound
@@ -192,14 +194,18 @@
     return readinessServer.status();
   }
   this->readinessServer = *std::move(readinessServer);
-  this->metrics =
-    std::make_unique<MetricsServer>(this->context, this->settings.ip, this->counters, [this] {
+  this->metrics = std::make_unique<MetricsServer>(
+    this->context,
+    this->settings.ip,
+    this->counters,
+    [this] {
       return MetricsServer::Values{ this->leader->Gauges(),
                                     { { "request", &this->jobApi->Latency() },
                                       { "commit", &this->leader->CommitLatency() },
                                       { "job_start", &this->leader->JobStartLatency() },
                                       { "loop_lateness", &this->loopMonitor.Lateness() } } };
-    });
+    },
+    this->clientBudget);
   return absl::OkStatus();
 }
 
@@ -211,7 +217,7 @@
     this->context,
     this->settings.ip,
     this->settings.internalPort + kForwardPortOffset,
-    {},
+    { .budget = this->clientBudget },
     [this](const HttpRequest& aRequest, HttpServer::Reply aReply) {
       this->jobApi->Handle(aRequest, JobApi::Sender::Entry, std::move(aReply));
     },
--- a/packages/daemon/src/MetricsServer.cpp
+++ b/packages/daemon/src/MetricsServer.cpp
@@ -7,20 +7,25 @@
 MetricsServer::MetricsServer(asio::io_context& aContext,
                              const std::string& aIp,
                              Counters& aCounters,
-                             ValuesSource aSource)
+                             ValuesSource aSource,
+                             std::shared_ptr<MemoryBudget> aBudget)
 {
   auto created = HttpServer::Create(
     aContext,
     aIp,
     kMetricsPort,
-    {},
-    [&aCounters, source = std::move(aSource)](const HttpRequest& aRequest,
-                                              const HttpServer::Reply& aReply) {
+    { .budget = aBudget },
+    [&aCounters, source = std::move(aSource), budget = aBudget](const HttpRequest& aRequest,
+                                                                const HttpServer::Reply& aReply) {
       if (aRequest.target != "/metrics") {
         aReply({ kHttpNotFound, {}, {} });
         return;
       }
-      const Values values = source();
+      Values values = source();
+      if (budget != nullptr) {
+        values.gauges["http_bytes_held"] = static_cast<double>(budget->HeldBytes());
+        values.gauges["http_connections_open"] = static_cast<double>(budget->Connections());
+      }
       aReply({ kHttpOk,
                { { "Content-Type", "text/plain; version=0.0.4" } },
                MetricsText(aCounters, values.gauges, values.histograms) });
--- a/packages/daemon/src/MetricsServer.h
+++ b/packages/daemon/src/MetricsServer.h
@@ -24,11 +24,13 @@
   };
   using ValuesSource = std::function<Values()>;
 
+  // Exports what the servers of the process hold as well if there is a budget.
   // If the port cannot be opened, logs the reason and serves nothing.
   MetricsServer(asio::io_context& aContext,
                 const std::string& aIp,
                 Counters& aCounters,
-                ValuesSource aSource);
+                ValuesSource aSource,
+                std::shared_ptr<MemoryBudget> aBudget = nullptr);
 
 private:
   std::unique_ptr<HttpServer> server;
--- a/packages/http/include/oriolespread/http/HttpServer.h
+++ b/packages/http/include/oriolespread/http/HttpServer.h
@@ -9,6 +9,7 @@
 #include "oriolespread/base/Counters.h"
 #include "oriolespread/base/Time.h"
 #include "oriolespread/http/HttpTypes.h"
+#include "oriolespread/http/MemoryBudget.h"
 
 #include <asio/io_context.hpp>
 
@@ -31,6 +32,13 @@
   // A connection without a request is closed after this time.
   Duration idleTimeout = std::chrono::seconds(60);
   std::size_t connections = 2000;
+  // A body must have arrived at this mean rate once this time has passed since the first byte of
+  // its request. A grace time of zero means `readTimeout`, so that no request that is complete in
+  // time is refused.
+  std::uint64_t bodyBytesPerSecond = 1024;
+  Duration bodyGrace = Duration::zero();
+  // Shared by the servers of a process; null for no limit. Taken at creation only.
+  std::shared_ptr<MemoryBudget> budget = nullptr;
 };
 
 class HttpServer
@@ -55,7 +63,7 @@
 
   std::uint16_t Port() const;
 
-  // Takes effect for requests that begin later.
+  // Takes effect for requests that begin later. The budget stays as it is.
   void SetLimits(const HttpServerLimits& aLimits);
 
   // Closes each connection after its next response, or after those to the requests that were read
--- a/packages/http/include/oriolespread/http/HttpTypes.h
+++ b/packages/http/include/oriolespread/http/HttpTypes.h
@@ -12,6 +12,7 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpBadRequest = 400;
 constexpr int kHttpNotFound = 404;
+constexpr int kHttpRequestTimeout = 408;
 constexpr int kHttpConflict = 409;
 constexpr int kHttpGone = 410;
 constexpr int kHttpPreconditionFailed = 412;
--- a/packages/http/src/HttpServer.cpp
+++ b/packages/http/src/HttpServer.cpp
@@ -37,6 +37,7 @@
 void HttpServer::SetLimits(const HttpServerLimits& aLimits)
 {
   this->core->limits = aLimits;
+  this->core->limits.budget = this->core->budget;
 }
 
 void HttpServer::Drain()
--- a/packages/http/src/ServerConnection.cpp
+++ b/packages/http/src/ServerConnection.cpp
@@ -5,6 +5,8 @@
 #include <asio/write.hpp>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace oriolespread::internal {
 
 namespace http = boost::beast::http;
@@ -16,6 +18,16 @@
 // How long an idle connection is kept after the server has stopped accepting, for a request that is
 // on its way.
 constexpr Duration kLastRequestTime = std::chrono::milliseconds(100);
+// A peer makes progress by completing a header or a request, or by this many bytes. Fewer bytes do
+// not keep a connection from being closed in favour of another one.
+constexpr std::uint64_t kProgressBytes = 4096;
+// The parser's tables, the timer, the descriptor's state in the event loop and allocator overhead.
+constexpr std::uint64_t kConnectionOverhead = 2048;
+// How often the rate of a body is checked after its grace time.
+constexpr Duration kRateCheckInterval = std::chrono::milliseconds(500);
+// Seconds after which a refused request may be sent again. Memory is free again as soon as stalled
+// connections have been closed.
+constexpr const char* kRetryAfterSeconds = "1";
 
 } // namespace
 
@@ -23,9 +35,24 @@
   : core(std::move(aCore))
   , socket(std::move(aSocket))
   , timer(this->core->context)
+  // The account ends with the connection. A release may end the connection, which is kept until
+  // then.
+  , account(this->core->budget, [this] {
+    const auto self = this->shared_from_this();
+    self->Release();
+  })
 {
 }
 
+std::string_view ServerConnection::Reserve()
+{
+  const Instant now = BootClock::now();
+  if (!this->account.TryOpen(now)) {
+    return "descriptors";
+  }
+  return this->account.TryHold(this->AllocatedBytes(), now) ? "" : "memory";
+}
+
 void ServerConnection::Start()
 {
   asio::error_code ignored;
@@ -43,6 +70,10 @@
     this->core->counters.Add("http_requests_abandoned_total", "connection_lost");
   }
   this->state = State::Closed;
+  this->DropRequest();
+  std::string().swap(this->output);
+  this->handedBytes = 0;
+  this->account.Close();
   asio::error_code ignored;
   this->timer.cancel();
   this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -57,8 +88,15 @@
   this->parser->body_limit(this->core->limits.bodyBytes);
   this->parser->eager(true);
   this->state = State::Idle;
+  std::string().swap(this->output);
+  this->receivedBytes = 0;
+  this->markedBytes = 0;
+  this->headReceived = false;
+  this->MarkProgress();
+  this->account.SetReleasable(true);
+  this->account.Hold(this->AllocatedBytes());
   this->ArmTimer(this->core->accepting ? this->core->limits.idleTimeout : kLastRequestTime);
-  if (!this->input.empty() && !this->Parse()) {
+  if (!this->input.IsEmpty() && !this->Parse()) {
     return;
   }
   this->ReadUnlessComplete();
@@ -84,14 +122,16 @@
 
 void ServerConnection::OnRead(asio::error_code aError, std::size_t aSize)
 {
-  if (this->state == State::Closed) {
+  if (this->state != State::Idle && this->state != State::Receiving) {
+    // The request was refused while the read was under way. The end of the answer closes the
+    // connection.
     return;
   }
   if (aError) {
     this->Close();
     return;
   }
-  this->input.append(this->chunk.data(), aSize);
+  this->input.Append({ this->chunk.data(), aSize });
   if (this->Parse()) {
     this->ReadUnlessComplete();
   }
@@ -101,15 +141,20 @@
 {
   if (this->state == State::Idle) {
     this->state = State::Receiving;
-    this->ArmTimer(this->core->limits.readTimeout);
+    this->requestBeganAt = BootClock::now();
+    const Duration grace = this->core->limits.bodyGrace;
+    this->ArmTimer(grace > Duration::zero() ? std::min(grace, this->core->limits.readTimeout)
+                                            : this->core->limits.readTimeout);
   }
   boost::system::error_code error;
-  while (!this->input.empty() && !this->parser->is_done()) {
+  while (!this->input.IsEmpty() && !this->parser->is_done()) {
+    const std::string_view bytes = this->input.Bytes();
     const std::size_t used =
-      this->parser->put(boost::asio::const_buffer(this->input.data(), this->input.size()), error);
-    this->input.erase(0, used);
+      this->parser->put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+    this->input.Take(used);
+    this->receivedBytes += used;
     if (error == http::error::need_more || (!error && used == 0)) {
-      return true;
+      return this->Account();
     }
     if (error) {
       this->Refuse(error == http::error::header_limit ? kHttpHeadersTooLarge
@@ -118,9 +163,14 @@
       return false;
     }
   }
-  if (this->parser->is_done()) {
-    this->HandleRequest();
+  if (!this->parser->is_done()) {
+    return this->Account();
+  }
+  // The request is complete. It is refused for lack of memory before its handler has seen it.
+  if (!this->Account()) {
+    return false;
   }
+  this->HandleRequest();
   return this->state != State::Closed;
 }
 
@@ -143,6 +193,10 @@
       { std::string(name.data(), name.size()), std::string(value.data(), value.size()) });
   }
   request.body = std::move(message.body());
+  std::string().swap(message.body());
+  this->handedBytes = request.body.capacity();
+  this->account.SetReleasable(false);
+  this->account.Hold(this->AllocatedBytes());
   try {
     this->core->handler(request,
                         [self = this->shared_from_this(), id](const HttpResponse& aResponse) {
@@ -164,14 +218,89 @@
   --this->core->inFlight;
   const bool peerRequestsClose = !this->parser->get().keep_alive();
   // Requests that the peer has sent without awaiting this answer are answered first.
-  const bool draining = this->core->draining && this->input.empty();
+  const bool draining = this->core->draining && this->input.IsEmpty();
   this->Write(aResponse, peerRequestsClose || draining, !peerRequestsClose);
 }
 
 void ServerConnection::Refuse(int aStatus)
 {
   this->core->counters.Add("http_requests_refused_total", absl::StrCat(aStatus));
-  this->Write({ aStatus, {}, {} }, true, true);
+  this->DropRequest();
+  HttpResponse response{ aStatus, {}, {} };
+  if (aStatus == kHttpUnavailable) {
+    response.headers.push_back({ "Retry-After", kRetryAfterSeconds });
+  }
+  this->Write(response, true, true);
+}
+
+void ServerConnection::Release()
+{
+  this->core->budget->Notify("released");
+  if (this->state == State::Receiving) {
+    this->core->counters.Add("http_connections_released_total", "receiving");
+    this->Refuse(kHttpUnavailable);
+    return;
+  }
+  this->core->counters.Add("http_connections_released_total",
+                           this->state == State::Idle ? "idle" : "answered");
+  if (this->state == State::Writing) {
+    this->core->counters.Add("http_answers_lost_total", "not_read");
+  }
+  this->Close();
+}
+
+bool ServerConnection::Account()
+{
+  if (this->parser->is_header_done() && !this->headReceived) {
+    this->headReceived = true;
+    this->MarkProgress();
+  } else if (this->parser->is_done() || this->receivedBytes - this->markedBytes >= kProgressBytes) {
+    this->MarkProgress();
+  }
+  if (this->account.TryHold(this->AllocatedBytes(), BootClock::now())) {
+    return true;
+  }
+  this->core->budget->Notify("memory");
+  this->Refuse(kHttpUnavailable);
+  return false;
+}
+
+std::uint64_t ServerConnection::AllocatedBytes() const
+{
+  std::uint64_t bytes = sizeof(ServerConnection) + kConnectionOverhead + this->input.Capacity() +
+                        this->output.capacity() + this->handedBytes;
+  if (this->parser.has_value()) {
+    // Fields are held once by the parser and once more by the request of a handler.
+    const std::uint64_t fields = this->core->limits.headerBytes;
+    bytes += this->parser->get().body().capacity() + std::min(this->receivedBytes, fields);
+  }
+  return bytes;
+}
+
+void ServerConnection::MarkProgress()
+{
+  this->markedBytes = this->receivedBytes;
+  this->account.MarkProgress(BootClock::now());
+}
+
+void ServerConnection::DropRequest()
+{
+  this->input.Release();
+  this->parser.reset();
+}
+
+void ServerConnection::CheckBodyRate()
+{
+  const HttpServerLimits& limits = this->core->limits;
+  const Duration age = BootClock::now() - this->requestBeganAt;
+  const double expected =
+    static_cast<double>(limits.bodyBytesPerSecond) * std::chrono::duration<double>(age).count();
+  if (age >= limits.readTimeout || static_cast<double>(this->receivedBytes) < expected) {
+    this->core->budget->Notify("too_slow");
+    this->Refuse(kHttpRequestTimeout);
+    return;
+  }
+  this->ArmTimer(std::min(kRateCheckInterval, limits.readTimeout - age));
 }
 
 void ServerConnection::Write(const HttpResponse& aResponse, bool aClose, bool aLinger)
@@ -192,6 +321,10 @@
     absl::StrAppend(&this->output, "Connection: close\r\n");
   }
   absl::StrAppend(&this->output, "\r\n", aResponse.body);
+  this->handedBytes = 0;
+  this->MarkProgress();
+  this->account.SetReleasable(true);
+  this->account.Hold(this->AllocatedBytes());
   this->ArmTimer(this->core->limits.readTimeout);
   asio::async_write(this->socket,
                     asio::buffer(this->output),
@@ -216,6 +349,9 @@
 void ServerConnection::Linger()
 {
   this->state = State::Lingering;
+  this->DropRequest();
+  std::string().swap(this->output);
+  this->account.Hold(this->AllocatedBytes());
   asio::error_code error;
   this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
   if (error) {
@@ -268,6 +404,10 @@
   if (this->state == State::Handling || this->state == State::Closed) {
     return;
   }
+  if (this->state == State::Receiving) {
+    this->CheckBodyRate();
+    return;
+  }
   if (this->state == State::Writing) {
     this->core->counters.Add("http_answers_lost_total", "not_read");
   }
--- a/packages/http/src/ServerConnection.h
+++ b/packages/http/src/ServerConnection.h
@@ -1,6 +1,7 @@
 // One connection of an HttpServer.
 #pragma once
 
+#include "InputBuffer.h"
 #include "ServerCore.h"
 
 #include <boost/beast/http/parser.hpp>
@@ -16,6 +17,9 @@
 public:
   ServerConnection(std::shared_ptr<ServerCore> aCore, asio::ip::tcp::socket aSocket);
 
+  // Reserves the fixed cost of the connection in the budget. Returns the reason if that is not
+  // possible, and an empty text otherwise.
+  std::string_view Reserve();
   void Start();
   void Close();
   // Closes the connection soon unless a request has begun to arrive; see HttpServer::StopAccepting.
@@ -48,6 +52,16 @@
   void HandleRequest();
   void Reply(std::uint64_t aRequest, const HttpResponse& aResponse);
   void Refuse(int aStatus);
+  // Ends a connection for another one that needs what it holds.
+  void Release();
+  // Counts what is allocated; refuses the request and returns false if it is not available.
+  bool Account();
+  std::uint64_t AllocatedBytes() const;
+  void MarkProgress();
+  // Frees what was received of the request.
+  void DropRequest();
+  // Answers 408 if the body arrives too slowly.
+  void CheckBodyRate();
   void Write(const HttpResponse& aResponse, bool aClose, bool aLinger);
   void OnTimeout();
   // Tells the peer that nothing follows, and closes the connection once the peer has closed it. If
@@ -62,11 +76,19 @@
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
   std::array<char, 16384> chunk{};
-  std::string input;
+  InputBuffer input;
   std::string output;
   std::optional<Parser> parser;
   State state = State::Idle;
   std::uint64_t request = 0;
+  // The size of the request that a handler has.
+  std::uint64_t handedBytes = 0;
+  // Bytes of the request that have arrived, and how many of them when progress was last marked.
+  std::uint64_t receivedBytes = 0;
+  std::uint64_t markedBytes = 0;
+  bool headReceived = false;
+  Instant requestBeganAt{};
+  MemoryBudget::Account account;
 };
 
 } // namespace oriolespread::internal
--- a/packages/http/src/ServerCore.cpp
+++ b/packages/http/src/ServerCore.cpp
@@ -17,7 +17,8 @@
                        HttpServer::Handler aHandler,
                        Counters& aCounters)
   : context(aContext)
-  , limits(aLimits)
+  , limits(std::move(aLimits))
+  , budget(this->limits.budget != nullptr ? this->limits.budget : std::make_shared<MemoryBudget>())
   , handler(std::move(aHandler))
   , counters(aCounters)
   , acceptor(aContext)
@@ -84,10 +85,16 @@
 {
   if (this->connections.size() >= this->limits.connections) {
     this->counters.Add("http_connections_refused_total", "too_many");
+    this->budget->Notify("too_many");
     return;
   }
   auto connection =
     std::make_shared<ServerConnection>(this->shared_from_this(), std::move(aSocket));
+  if (const std::string_view reason = connection->Reserve(); !reason.empty()) {
+    this->counters.Add("http_connections_refused_total", reason);
+    this->budget->Notify(reason);
+    return;
+  }
   this->connections.insert(connection);
   connection->Start();
 }
--- a/packages/http/src/ServerCore.h
+++ b/packages/http/src/ServerCore.h
@@ -30,6 +30,8 @@
 
   asio::io_context& context;
   HttpServerLimits limits;
+  // Never null.
+  std::shared_ptr<MemoryBudget> budget;
   HttpServer::Handler handler;
   Counters& counters;
   bool draining = false;
