Plan the backlog of a service with jobs of several priorities

Cause: whether a job can still be in time was estimated from its own path, by declared durations that are off by up to 90%, so that in an overload many large jobs were begun and few were in time. Change: the durations of a queue's tasks are learned (DurationModel), and while tasks wait, a form of the algorithm of Moore and Hodgson selects the jobs that can be in time together (PlanBacklog). A job that has stood for 20 s goes first once a second.

--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -5,6 +5,7 @@
 #include "oriolespread/jobs/InterferenceModel.h"
 #include "oriolespread/jobs/JobRows.h"
 #include "oriolespread/jobs/JobSpec.h"
+#include "oriolespread/jobs/Lateness.h"
 #include "oriolespread/jobs/RunSpeed.h"
 #include "oriolespread/messages/WorkerMessages.h"
 
@@ -45,6 +46,8 @@
   // The sequence number of the WorkerOrders message that contains the start order or, once the run
   // is stopping, the stop order.
   std::uint64_t ordersSequence = 0;
+  // When this leader ordered the start; zero if an earlier leader did.
+  Instant orderedAt{};
   // Reported progress.
   int percent = 0;
   Instant percentChangedAt{};
@@ -89,6 +92,9 @@
   // An earlier version has stored the progress of a wide step in one row. The rows that have been
   // stored since replace parts of it.
   bool hasWholeRow = false;
+  // The tasks whose whole duration was measured, and the sum of their durations.
+  std::uint32_t measuredTasks = 0;
+  std::int64_t measuredMs = 0;
   // Since when a task of the step could not be placed; zero if all could be.
   Instant waitingSince{};
 
@@ -99,6 +105,8 @@
 struct Occurrence
 {
   std::vector<Step> steps;
+  // The result of the last plan of the backlog; empty if none was made.
+  std::optional<Lateness> plannedLateness;
 
   bool HasActiveRuns() const
   {
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "oriolespread/base/Counters.h"
+#include "oriolespread/jobs/DurationModel.h"
 #include "oriolespread/jobs/InterferenceModel.h"
 #include "oriolespread/jobs/JobModel.h"
 #include "oriolespread/jobs/LargestRoom.h"
@@ -127,6 +128,12 @@
   // if no further report arrives. The next leader needs it for workers that it does not hear from.
   Instant LatestLeaseExpiry() const { return this->latestLeaseExpiry; }
   std::size_t WaitingTasks() const { return this->waitingTasks; }
+  // Returns, by service and priority, in which time the waiting work that can be in time is
+  // expected to be done. Has no entry for a class of which nothing waits.
+  const std::map<std::pair<std::string, int>, Duration>& ExpectedWaits() const
+  {
+    return this->expectedWaits;
+  }
   // Returns how many workers have been assessed for tasks, which is what decisions cost most.
   std::uint64_t AssessedWorkers() const { return this->assessedWorkers; }
   // Returns the number of rows that the store has refused and that are tried again later.
@@ -339,6 +346,34 @@
   void StopRestOfGang(const ReadyStep& aReady);
   void BeginRun(const ReadyStep& aReady, std::uint32_t aIndex, Worker& aWorker, Now aNow);
 
+  // Defined in SchedulerBacklog.cpp.
+
+  // Jobs of one service and priority.
+  using JobClass = std::pair<std::string, int>;
+  // The capacity that the tasks of a class get while some of them wait.
+  struct ClassCapacity
+  {
+    double cores = 0;
+    Instant measuredAt{};
+  };
+  struct ClassBacklog;
+
+  // Takes the duration of a run that ended successfully, if it was measured from its begin.
+  void MeasureDuration(const Job& aJob, const TaskKey& aTaskKey, const Run& aRun, Now aNow);
+  // Returns the declared work of the job relative to the mean of its queue.
+  double RelativeWork(const Job& aJob) const;
+  // Returns the expected duration of a task of each step.
+  std::vector<std::int64_t> ExpectedDurationsMs(const Job& aJob,
+                                                const Occurrence& aOccurrence) const;
+  // Plans the backlog of each class of which tasks wait, for services with jobs of several
+  // priorities. Does nothing until `SchedulerSettings::backlogPlanInterval` has passed.
+  void PlanBacklogs(Now aNow);
+  // Moves the step of the job that has had no run at work for the longest time to the front of its
+  // priority, if that time is above `SchedulerSettings::maxStandingTime`, so that late jobs end
+  // while an overload lasts. At most one in each `overdueInterval`.
+  void PromoteOverdueStep(std::vector<ReadyStep>& aReady, Now aNow);
+  void AddToBacklog(Job& aJob, std::uint32_t aOccurrence, Now aNow, ClassBacklog& aBacklog) const;
+
   // Defined in SchedulerLogs.cpp.
   // Logs why no worker can take a task of the step, if it has waited for a while.
   void LogWaitingStep(const ReadyStep& aReady, const PlacementRequest& aRequest, Now aNow);
@@ -409,6 +444,13 @@
   std::map<std::string, OutgoingOrders> outgoingOrders;
   std::uint64_t lastOrders = 0;
   std::size_t waitingTasks = 0;
+  DurationModel durations;
+  std::map<std::string, std::set<int>> prioritiesByService;
+  std::map<JobClass, ClassCapacity> classCapacities;
+  std::map<JobClass, Duration> expectedWaits;
+  Instant nextBacklogPlan{};
+  Instant nextOverdueStep{};
+  Instant nextBacklogLog{};
   std::uint64_t assessedWorkers = 0;
   // By service, as of the begin of a scheduling pass, in which rooms only become smaller.
   std::map<std::string, LargestRoom> largestRooms;
--- a/packages/jobs/include/oriolespread/jobs/JobSpec.h
+++ b/packages/jobs/include/oriolespread/jobs/JobSpec.h
@@ -97,12 +97,20 @@
 // Returns the estimated length of the critical path, in milliseconds. The specification must be one
 // that CheckJobSpec accepts; likewise below.
 std::int64_t CriticalPathMs(const JobSpec& aSpec);
+// The same for these durations of the steps in place of the declared ones.
+std::int64_t CriticalPathMs(const JobSpec& aSpec, const std::vector<std::int64_t>& aDurationsMs);
 
 // Returns the estimated length of the longest path that begins with this step, in milliseconds.
-std::int64_t CriticalPathFromMs(const JobSpec& aSpec, std::size_t aStep);
+std::int64_t CriticalPathFromMs(const JobSpec& aSpec,
+                                std::size_t aStep,
+                                const std::vector<std::int64_t>& aDurationsMs);
+// Returns the declared durations of the steps.
+std::vector<std::int64_t> DeclaredDurationsMs(const JobSpec& aSpec);
 
 // Returns the estimated work of one task in core-seconds; always positive.
 double TaskCoreSeconds(const StepSpec& aStep);
+// The same for a task that takes this long.
+double TaskCoreSeconds(const StepSpec& aStep, std::int64_t aDurationMs);
 
 // Encode and decode a stored record. DecodeJobRecord returns false if the bytes are not a record,
 // if CheckJobSpec rejects its specification, or if its names are too long for keys of rows.
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -7,8 +7,21 @@
 
 namespace oriolespread::jobs {
 
+// In which order the steps of one priority that wait for capacity are placed.
+enum class WaitingOrder
+{
+  // First come, first served; for comparisons.
+  Arrival,
+  // By the value of the job per core-second that it still needs, by declared durations.
+  DeclaredValue,
+  // The same by expected durations, and jobs that can be in time together come first.
+  BacklogPlan,
+};
+
 struct SchedulerSettings
 {
+  WaitingOrder waitingOrder = WaitingOrder::BacklogPlan;
+
   // How long a worker keeps its runs after the report that last extended its lease.
   Duration workerLease = std::chrono::seconds(5);
   // How long a leader that cannot reach the store keeps extending leases. Runs survive an outage of
@@ -110,6 +123,19 @@
   // Added to due times, because the clocks of different machines differ.
   Duration dueMargin = std::chrono::milliseconds(20);
 
+  // How often the backlog is planned while tasks wait. Shorter than any task, and long enough that
+  // a leader with a tenth of a core plans hundreds of jobs.
+  Duration backlogPlanInterval = std::chrono::milliseconds(100);
+  // The capacity of a class of jobs is the highest that it has used; it is forgotten with this time
+  // constant, so that the loss of workers shows.
+  Duration capacityMemory = std::chrono::seconds(5);
+
+  // A job without a run at work for longer than this goes first once in an overdueInterval. Longer
+  // than a late result of a job of some seconds is useful, so that it takes little from jobs in
+  // time.
+  Duration maxStandingTime = std::chrono::seconds(20);
+  Duration overdueInterval = std::chrono::seconds(1);
+
   // Added to the time that an agent gives until all leases have expired, as its clock and the
   // leader's drift apart.
   Duration reportedLeaseMargin = std::chrono::milliseconds(100);
--- a/packages/jobs/include/oriolespread/jobs/StepOrder.h
+++ b/packages/jobs/include/oriolespread/jobs/StepOrder.h
@@ -8,20 +8,12 @@
 #pragma once
 
 #include "oriolespread/jobs/JobModel.h"
+#include "oriolespread/jobs/Lateness.h"
 
 #include <cstdint>
 
 namespace oriolespread::jobs {
 
-// Whether a step can still end within the objective of its job, within the time up to which a late
-// result is useful, or only after that.
-enum class Lateness
-{
-  OnTime,
-  Late,
-  TooLate,
-};
-
 // What the rank of a step depends on.
 struct StepCandidate
 {
@@ -34,6 +26,8 @@
 
 // Returns the time in which an occurrence of the job should complete, counted from when it is due.
 std::int64_t ObjectiveMs(const JobRecord& aRecord);
+// The same for a longest path of `aPathMs` in place of the declared one.
+std::int64_t ObjectiveMs(const QueuePolicy& aPolicy, std::int64_t aPathMs);
 
 // Returns the Unix time from which the objective of an occurrence counts, in milliseconds.
 std::int64_t DueUnixMs(const JobRecord& aRecord, std::uint32_t aOccurrence);
@@ -44,6 +38,13 @@
                           std::int64_t aRemainingMs,
                           std::int64_t aObjectiveMs);
 
+// Multiple of a job's objective up to which a late result is still useful to the caller.
+inline constexpr double kUsefulObjectiveFactor = 3.0;
+
+// Returns the value of completing a job in time; `aRelativeWork` is its work relative to the mean
+// of its queue.
+double CompletionValue(double aRelativeWork);
+
 // Returns the value of completing the job per core-second that it still needs. Always positive;
 // among steps of equal priority, the highest value is placed first.
 double ValueDensity(const StepCandidate& aCandidate);
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -106,6 +106,7 @@
   job.firstSeen = aNow.instant;
   job.objectiveMs = ObjectiveMs(job.record);
   this->activeJobs.insert(id);
+  this->prioritiesByService[job.record.policy.service].insert(job.record.policy.priority);
   for (const StepSpec& step : job.record.spec.steps) {
     job.workCoreSeconds += step.count * TaskCoreSeconds(step);
   }
@@ -282,6 +283,7 @@
         this->RemoveRun(*order.start);
       } else {
         run->state = RunState::Ordered;
+        run->orderedAt = aNow.instant;
         run->percentChangedAt = aNow.instant;
         this->OrderStart(*order.start, false);
       }
--- a/packages/jobs/src/JobSpec.cpp
+++ b/packages/jobs/src/JobSpec.cpp
@@ -73,7 +73,21 @@
   return absl::OkStatus();
 }
 
+std::vector<std::int64_t> DeclaredDurationsMs(const JobSpec& aSpec)
+{
+  std::vector<std::int64_t> durationsMs;
+  for (const StepSpec& step : aSpec.steps) {
+    durationsMs.push_back(step.estimateMs);
+  }
+  return durationsMs;
+}
+
 std::int64_t CriticalPathMs(const JobSpec& aSpec)
+{
+  return CriticalPathMs(aSpec, DeclaredDurationsMs(aSpec));
+}
+
+std::int64_t CriticalPathMs(const JobSpec& aSpec, const std::vector<std::int64_t>& aDurationsMs)
 {
   std::vector<std::int64_t> pathEndsMs(aSpec.steps.size(), 0);
   std::int64_t longestMs = 0;
@@ -82,17 +96,19 @@
     for (const std::uint32_t prerequisite : aSpec.steps[index].after) {
       startMs = std::max(startMs, pathEndsMs[prerequisite]);
     }
-    pathEndsMs[index] = startMs + aSpec.steps[index].estimateMs;
+    pathEndsMs[index] = startMs + aDurationsMs[index];
     longestMs = std::max(longestMs, pathEndsMs[index]);
   }
   return longestMs;
 }
 
-std::int64_t CriticalPathFromMs(const JobSpec& aSpec, std::size_t aStep)
+std::int64_t CriticalPathFromMs(const JobSpec& aSpec,
+                                std::size_t aStep,
+                                const std::vector<std::int64_t>& aDurationsMs)
 {
   // Length of the longest path from aStep to the end of each step; -1 if there is no path.
   std::vector<std::int64_t> pathEndsMs(aSpec.steps.size(), -1);
-  pathEndsMs[aStep] = aSpec.steps[aStep].estimateMs;
+  pathEndsMs[aStep] = aDurationsMs[aStep];
   std::int64_t longestMs = pathEndsMs[aStep];
   for (std::size_t index = aStep + 1; index < aSpec.steps.size(); ++index) {
     std::int64_t startMs = -1;
@@ -100,7 +116,7 @@
       startMs = std::max(startMs, pathEndsMs[prerequisite]);
     }
     if (startMs >= 0) {
-      pathEndsMs[index] = startMs + aSpec.steps[index].estimateMs;
+      pathEndsMs[index] = startMs + aDurationsMs[index];
       longestMs = std::max(longestMs, pathEndsMs[index]);
     }
   }
@@ -108,10 +124,15 @@
 }
 
 double TaskCoreSeconds(const StepSpec& aStep)
+{
+  return TaskCoreSeconds(aStep, aStep.estimateMs);
+}
+
+double TaskCoreSeconds(const StepSpec& aStep, std::int64_t aDurationMs)
 {
   constexpr double kMilliSquared = 1e6;
   const double work =
-    static_cast<double>(aStep.estimateMs) * static_cast<double>(aStep.demand.milliCores);
+    static_cast<double>(aDurationMs) * static_cast<double>(aStep.demand.milliCores);
   return std::max(work / kMilliSquared, 1e-3);
 }
 
--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -35,6 +35,9 @@
     task->checkpoint = aEnd.checkpoint;
   }
   if (isCurrentRun) {
+    if (aEnd.how == RunEnd::Done) {
+      this->MeasureDuration(job, runKey.task, *run, aNow);
+    }
     this->RemoveRun(runKey);
   }
   this->MarkChanged(this->ProgressRowOf(runKey.task));
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -55,10 +55,12 @@
 
 void JobScheduler::PlaceReadySteps(Now aNow)
 {
-  const std::vector<ReadyStep> ready = this->FindReadySteps(aNow);
+  this->PlanBacklogs(aNow);
+  std::vector<ReadyStep> ready = this->FindReadySteps(aNow);
   if (ready.empty()) {
     return;
   }
+  this->PromoteOverdueStep(ready, aNow);
   const std::set<std::string> servicesWithFreeCores = this->FindServicesWithFreeCores();
   this->UpdateLargestRooms(aNow);
   for (const ReadyStep& item : ready) {
@@ -96,19 +98,25 @@
                               std::uint32_t aStep,
                               std::int64_t aSinceDueMs) const
 {
+  if (this->settings.waitingOrder == WaitingOrder::Arrival) {
+    return static_cast<double>(aSinceDueMs);
+  }
   const StepSpec& spec = aJob.record.spec.steps[aStep];
+  const std::vector<std::int64_t> durationsMs = this->ExpectedDurationsMs(aJob, aOccurrence);
   StepCandidate candidate;
   if (!spec.longRunning) {
-    candidate.lateness =
-      EstimateLateness(aSinceDueMs, CriticalPathFromMs(aJob.record.spec, aStep), aJob.objectiveMs);
+    candidate.lateness = aOccurrence.plannedLateness.value_or(EstimateLateness(
+      aSinceDueMs,
+      CriticalPathFromMs(aJob.record.spec, aStep, durationsMs),
+      ObjectiveMs(aJob.record.policy, CriticalPathMs(aJob.record.spec, durationsMs))));
   }
   for (std::size_t index = 0; index < aOccurrence.steps.size(); ++index) {
     const Step& step = aOccurrence.steps[index];
-    candidate.remainingCoreSeconds += static_cast<double>(step.tasks.size() - step.done) *
-                                      TaskCoreSeconds(aJob.record.spec.steps[index]);
+    candidate.remainingCoreSeconds +=
+      static_cast<double>(step.tasks.size() - step.done) *
+      TaskCoreSeconds(aJob.record.spec.steps[index], durationsMs[index]);
   }
-  const double meanCoreSeconds = this->meanWorkCoreSeconds.at(aJob.record.policy.queue);
-  candidate.relativeWork = aJob.workCoreSeconds / meanCoreSeconds;
+  candidate.relativeWork = this->RelativeWork(aJob);
   return ValueDensity(candidate);
 }
 
--- a/packages/jobs/src/StepOrder.cpp
+++ b/packages/jobs/src/StepOrder.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// Multiple of a job's objective up to which a late result is still useful to the caller.
-constexpr double kLateObjectiveFactor = 3.0;
 // Factor on the estimated durations when they are compared with a deadline, because estimates are
 // rough.
 constexpr double kDeadlineEstimateFactor = 0.7;
@@ -39,9 +37,13 @@
 
 std::int64_t ObjectiveMs(const JobRecord& aRecord)
 {
-  return static_cast<std::int64_t>(aRecord.policy.stretch *
-                                   static_cast<double>(CriticalPathMs(aRecord.spec))) +
-         aRecord.policy.targetLatencyMs;
+  return ObjectiveMs(aRecord.policy, CriticalPathMs(aRecord.spec));
+}
+
+std::int64_t ObjectiveMs(const QueuePolicy& aPolicy, std::int64_t aPathMs)
+{
+  return static_cast<std::int64_t>(aPolicy.stretch * static_cast<double>(aPathMs)) +
+         aPolicy.targetLatencyMs;
 }
 
 std::int64_t DueUnixMs(const JobRecord& aRecord, std::uint32_t aOccurrence)
@@ -61,14 +63,17 @@
   if (expectedMs < objectiveMs) {
     return Lateness::OnTime;
   }
-  return expectedMs < kLateObjectiveFactor * objectiveMs ? Lateness::Late : Lateness::TooLate;
+  return expectedMs < kUsefulObjectiveFactor * objectiveMs ? Lateness::Late : Lateness::TooLate;
+}
+
+double CompletionValue(double aRelativeWork)
+{
+  return kCompletionValue + kRelativeWorkValue * std::min(aRelativeWork, kMaxRelativeWork);
 }
 
 double ValueDensity(const StepCandidate& aCandidate)
 {
-  const double value =
-    kCompletionValue + kRelativeWorkValue * std::min(aCandidate.relativeWork, kMaxRelativeWork);
-  return ValueShare(aCandidate.lateness) * value /
+  return ValueShare(aCandidate.lateness) * CompletionValue(aCandidate.relativeWork) /
          std::max(aCandidate.remainingCoreSeconds, kMinCoreSeconds);
 }
 
--- a/packages/jobs/tests/JobRowsTest.cpp
+++ b/packages/jobs/tests/JobRowsTest.cpp
@@ -131,7 +131,7 @@
   spec.steps.push_back(MakeStep(50, { 0 }));
   spec.steps.push_back(MakeStep(10, { 1, 2 }));
   CHECK(CriticalPathMs(spec) == 610);
-  CHECK(CriticalPathFromMs(spec, 2) == 60);
+  CHECK(CriticalPathFromMs(spec, 2, DeclaredDurationsMs(spec)) == 60);
 }
 
 // Guards against rows of earlier versions, or of other writers, whose time is taken for valid.
--- a/packages/jobs/tests/SchedulerFixture.h
+++ b/packages/jobs/tests/SchedulerFixture.h
@@ -32,7 +32,8 @@
 {
   Counters counters;
   std::vector<std::pair<std::string, nlohmann::ordered_json>> logged;
-  JobScheduler scheduler{ {},
+  SchedulerSettings settings;
+  JobScheduler scheduler{ settings,
                           counters,
                           [this](std::string_view aEvent, const nlohmann::ordered_json& aFields) {
                             this->logged.emplace_back(aEvent, aFields);
@@ -46,6 +47,11 @@
 
   // Creates the first leader of a cluster.
   SchedulerFixture() { this->scheduler.FinishLoading(Epoch{ 1 }, this->now.instant, this->now); }
+  explicit SchedulerFixture(const SchedulerSettings& aSettings)
+    : settings(aSettings)
+  {
+    this->scheduler.FinishLoading(Epoch{ 1 }, this->now.instant, this->now);
+  }
   // Creates a leader that loads the rows stored by an earlier leader, which takes `aLoadTime`.
   explicit SchedulerFixture(const std::map<RowKey, std::string>& aStored, Duration aLoadTime = {})
     : rows(aStored)
