--- a/packages/daemon/src/ClusterEntry.cpp
+++ b/packages/daemon/src/ClusterEntry.cpp
@@ -125,6 +125,9 @@
   options.process = GenerateProcessId();
   options.workerLease = WorkerLease(this->settings.maxWorkerLease);
   options.endedJobRetention = this->settings.keepEnded;
+  if (this->settings.waitingOrder == platformwire::kBacklogPlan) {
+    options.waitingOrder = jobs::WaitingOrder::BacklogPlan;
+  }
   // The event loop runs on one thread, which uses no more than one core.
   options.coreShare = std::min(this->settings.cpuShare, 1.0);
   this->leader =
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -26,6 +26,7 @@
   jobs::SchedulerSettings settings;
   settings.workerLease = aOptions.workerLease;
   settings.storeOutageTolerance = aOptions.storeOutageTolerance;
+  settings.waitingOrder = aOptions.waitingOrder;
   // Ended jobs are kept for twice the time that callers are promised.
   settings.keepEnded = 2 * aOptions.endedJobRetention;
   return settings;
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -36,6 +36,8 @@
   Duration endedJobRetention{};
   // The share of a core that the event loop may use; 0 if unknown.
   double coreShare = 0;
+  // See SchedulerSettings.
+  jobs::WaitingOrder waitingOrder = jobs::SchedulerSettings().waitingOrder;
   // See ElectionSettings.
   Duration steadyTime = cluster::ElectionSettings().steadyTime;
 };
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -149,11 +149,6 @@
   std::size_t UnconfirmedRuns() const { return this->lateUnconfirmedRuns; }
   // Returns the number of workers with runs that have not reported to this leader yet.
   std::size_t AwaitedWorkers() const;
-  // Returns, by service and priority, the time until the waiting work that can be in time is done.
-  const std::map<std::pair<std::string, int>, Duration>& ExpectedWaits() const
-  {
-    return this->expectedWaits;
-  }
 
 private:
   struct ReadyStep
@@ -511,7 +506,6 @@
   Instant nextExpiryCheck{};
   // When the interference weights are stored next.
   Instant nextWeightsStore{};
-  std::map<std::pair<std::string, int>, Duration> expectedWaits;
 };
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -20,7 +20,7 @@
 
 struct SchedulerSettings
 {
-  WaitingOrder waitingOrder = WaitingOrder::BacklogPlan;
+  WaitingOrder waitingOrder = WaitingOrder::DeclaredValue;
 
   // How long a worker keeps its runs after the report that last extended its lease.
   Duration workerLease = std::chrono::seconds(5);
