Look at each progress row once when rows are expedited

Cause: while any row was withheld, each decision formed the row key of every waiting task of all ready steps, also of those behind a task that finds no worker.

Change: one key is formed for each row of progress with a waiting task.

The cost was not measured.

--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -93,10 +93,13 @@
     return;
   }
   const auto& tasks = aReady.job->occurrences.at(aReady.occurrence).steps[aReady.step].tasks;
-  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-    if (tasks[index].state == TaskState::Waiting) {
+  const auto isWaiting = [](const Task& aTask) { return aTask.state == TaskState::Waiting; };
+  for (std::uint32_t first = 0; first < tasks.size(); first += kTasksPerProgressRow) {
+    const std::size_t end = std::min<std::size_t>(first + kTasksPerProgressRow, tasks.size());
+    if (std::any_of(
+          tasks.begin() + first, tasks.begin() + static_cast<std::ptrdiff_t>(end), isWaiting)) {
       this->changedRows.Expedite(
-        this->ProgressRowOf({ aReady.job->record.id, aReady.occurrence, aReady.step, index }));
+        this->ProgressRowOf({ aReady.job->record.id, aReady.occurrence, aReady.step, first }));
     }
   }
 }
--- a/packages/jobs/tests/StandingCausesTest.cpp
+++ b/packages/jobs/tests/StandingCausesTest.cpp
@@ -269,6 +269,27 @@
   CHECK(StartsOf(fixture, "late") == 1);
 }
 
+// Guards against tasks of a step with several rows that wait for longer than those of its first
+// row.
+TEST_CASE("JobScheduler PlacesAWideStepWhenTheStoreTakesItsRowsAgain")
+{
+  SchedulerFixture fixture;
+  fixture.AddAgent("a", 60000);
+  fixture.Submit(MakeJob("late", { MakeStep(60) }));
+  for (Duration refused{}; refused < 10000 * kMs; refused += 100 * kMs) {
+    fixture.scheduler.Decide(fixture.now);
+    StoreBatch batch = fixture.scheduler.TakeBatch(50);
+    if (!batch.empty()) {
+      fixture.scheduler.OnRefused(std::move(batch), fixture.now);
+    }
+    fixture.Advance(100 * kMs);
+    fixture.Report("a");
+  }
+  CHECK(fixture.scheduler.WithheldRows() == 2);
+  Pass(fixture, 3000 * kMs);
+  CHECK(StartsOf(fixture, "late") == 60);
+}
+
 // Guards against a long-running task without a run for 9 s because another task of its job runs.
 TEST_CASE("JobScheduler PlacesEachLongRunningBestEffortTaskWhenCoresAreInUse")
 {
