--- a/packages/daemon/src/ClientBudget.cpp
+++ b/packages/daemon/src/ClientBudget.cpp
@@ -17,6 +17,9 @@
 {
   auto budget = std::make_shared<MemoryBudget>(
     MemoryBudget::LimitsFor(aSettings.memoryMb, aSettings.maxDescriptors));
+  if (!budget->IsLimited()) {
+    return budget;
+  }
   budget->SetObserver(
     [&observed = *budget, loggedAt = Instant{}, counts = std::map<std::string, std::uint64_t>{}](
       std::string_view aReason) mutable {
--- a/packages/http/include/oriolespread/http/HttpServer.h
+++ b/packages/http/include/oriolespread/http/HttpServer.h
@@ -32,7 +32,7 @@
   // A connection without a request is closed after this time.
   Duration idleTimeout = std::chrono::seconds(60);
   std::size_t connections = 2000;
-  // A body must have arrived at this mean rate once this time has passed since the first byte of
+  // A request must have arrived at this mean rate once this time has passed since the first byte of
   // its request. A grace time of zero means `readTimeout`, so that no request that is complete in
   // time is refused.
   std::uint64_t bodyBytesPerSecond = 1024;
--- a/packages/http/include/oriolespread/http/MemoryBudget.h
+++ b/packages/http/include/oriolespread/http/MemoryBudget.h
@@ -87,6 +87,7 @@
 
   void SetObserver(Observer aObserver) { this->observer = std::move(aObserver); }
   void Notify(std::string_view aReason) const;
+  bool IsLimited() const { return this->limits.bytes > 0 || this->limits.connections > 0; }
   std::uint64_t HeldBytes() const { return this->held; }
   std::size_t Connections() const { return this->accounts.size(); }
 
--- a/packages/http/src/ServerConnection.cpp
+++ b/packages/http/src/ServerConnection.cpp
@@ -404,7 +404,9 @@
   if (this->state == State::Handling || this->state == State::Closed) {
     return;
   }
-  if (this->state == State::Receiving) {
+  // Without limits the connection is closed without an answer, as before there were any.
+  if (this->state == State::Receiving &&
+      (this->core->budget->IsLimited() || this->core->limits.bodyGrace > Duration::zero())) {
     this->CheckBodyRate();
     return;
   }
--- a/packages/http/tests/ClientLimitsTest.cpp
+++ b/packages/http/tests/ClientLimitsTest.cpp
@@ -268,7 +268,8 @@
 
 TEST_CASE("HttpServer Answers408WhenARequestIsNotCompleteInTime")
 {
-  Served served({}, { .readTimeout = std::chrono::milliseconds(200) });
+  Served served({ .bytes = std::uint64_t{ 64 } * 1048576 },
+                { .readTimeout = std::chrono::milliseconds(200) });
   Client body(served);
   body.Send(Length(10) + "x");
   Client header(served);
@@ -278,6 +279,18 @@
   CHECK(served.handled == 0);
 }
 
+// Guards against a change for processes whose settings have no limits.
+TEST_CASE("HttpServer ClosesWithoutAnAnswerWhenARequestIsNotCompleteAndThereAreNoLimits")
+{
+  Served served({}, { .readTimeout = std::chrono::milliseconds(200) });
+  Client client(served);
+  client.Send(Length(10) + "x");
+  served.RunFor(std::chrono::milliseconds(300));
+  CHECK(client.Read().empty());
+  CHECK_FALSE(client.IsOpen());
+  CHECK(served.reasons.empty());
+}
+
 TEST_CASE("HttpServer ClosesAnIdleConnectionForANewOneWhenConnectionsAreUsedUp")
 {
   Served served({ .connections = 2 });
