Pass budgets and limits of servers without copies

Cause: with a shared budget among the limits, clang-tidy reports copies of the limits and of the budget. Change: they are moved or passed by reference. Result: no finding on these files; behaviour unchanged.

--- a/packages/daemon/src/MetricsServer.cpp
+++ b/packages/daemon/src/MetricsServer.cpp
@@ -8,7 +8,7 @@
                              const std::string& aIp,
                              Counters& aCounters,
                              ValuesSource aSource,
-                             std::shared_ptr<MemoryBudget> aBudget)
+                             const std::shared_ptr<MemoryBudget>& aBudget)
 {
   auto created = HttpServer::Create(
     aContext,
--- a/packages/daemon/src/MetricsServer.h
+++ b/packages/daemon/src/MetricsServer.h
@@ -30,7 +30,7 @@
                 const std::string& aIp,
                 Counters& aCounters,
                 ValuesSource aSource,
-                std::shared_ptr<MemoryBudget> aBudget = nullptr);
+                const std::shared_ptr<MemoryBudget>& aBudget = nullptr);
 
 private:
   std::unique_ptr<HttpServer> server;
--- a/packages/http/src/HttpServer.cpp
+++ b/packages/http/src/HttpServer.cpp
@@ -11,8 +11,8 @@
                                                                Handler aHandler,
                                                                Counters& aCounters)
 {
-  auto core =
-    std::make_shared<internal::ServerCore>(aContext, aLimits, std::move(aHandler), aCounters);
+  auto core = std::make_shared<internal::ServerCore>(
+    aContext, std::move(aLimits), std::move(aHandler), aCounters);
   if (const absl::Status status = core->Listen(aAddress, aPort); !status.ok()) {
     return status;
   }
--- a/packages/http/tests/HttpClientServerTest.cpp
+++ b/packages/http/tests/HttpClientServerTest.cpp
@@ -30,7 +30,7 @@
       this->context,
       "127.0.0.1",
       0,
-      aLimits,
+      std::move(aLimits),
       [this](const HttpRequest& aRequest, HttpServer::Reply aReply) {
         if (aRequest.target == "/held") {
           this->held = std::move(aReply);
