--- a/packages/jobs/src/SchedulerBacklog.cpp
+++ b/packages/jobs/src/SchedulerBacklog.cpp
@@ -25,7 +25,7 @@
 {
   std::vector<BacklogItem> items;
   std::vector<Occurrence*> occurrences;
-  // Of the tasks at work: the cores that they use and the work that is left.
+  // The cores that the tasks at work use, and the work that is left of them.
   double activeCores = 0;
   double begunCoreSeconds = 0;
   // A task of the class could not be placed in the last pass.
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -141,11 +141,15 @@
   const StepSpec& spec = aJob.record.spec.steps[aStep];
   const std::vector<std::int64_t> durationsMs = this->ExpectedDurationsMs(aJob, aOccurrence);
   StepCandidate candidate;
-  if (!spec.longRunning) {
-    candidate.lateness = aOccurrence.plannedLateness.value_or(EstimateLateness(
-      aSinceDueMs,
-      CriticalPathFromMs(aJob.record.spec, aStep, durationsMs),
-      ObjectiveMs(aJob.record.policy, CriticalPathMs(aJob.record.spec, durationsMs))));
+  if (aOccurrence.plannedLateness.has_value() && !spec.longRunning) {
+    candidate.lateness = *aOccurrence.plannedLateness;
+  } else if (!spec.longRunning) {
+    const std::int64_t objectiveMs =
+      this->settings.waitingOrder == WaitingOrder::BacklogPlan
+        ? ObjectiveMs(aJob.record.policy, CriticalPathMs(aJob.record.spec, durationsMs))
+        : aJob.objectiveMs;
+    candidate.lateness = EstimateLateness(
+      aSinceDueMs, CriticalPathFromMs(aJob.record.spec, aStep, durationsMs), objectiveMs);
   }
   for (std::size_t index = 0; index < aOccurrence.steps.size(); ++index) {
     const Step& step = aOccurrence.steps[index];
