--- /dev/null
+++ b/review/rig-2/SoakFaults.h
@@ -0,0 +1,23 @@
+// The cases of this review that are scripts. Each returns the exit code of its script.
+#pragma once
+
+#include <string>
+
+namespace oriolespread::review {
+
+struct CaseOptions
+{
+  // The folder of the case, which gets record.txt.
+  std::string directory;
+  // False leaves the disruption out.
+  bool trouble = true;
+};
+
+// A job that can never be done and of which many occurrences are due at once.
+int PlayDueAtOnce(const CaseOptions& aOptions);
+// Jobs that can never be done, with many tasks.
+int PlayMemory(const CaseOptions& aOptions);
+// Clients of two queues choose the same identifier.
+int PlaySameId(const CaseOptions& aOptions);
+
+} // namespace oriolespread::review
