--- a/review/rig-2/Main.cpp
+++ b/review/rig-2/Main.cpp
@@ -21,6 +21,7 @@
     { "due-at-once", PlayDueAtOnce },
     { "memory", PlayMemory },
     { "same-id", PlaySameId },
+    { "fills", PlayFills },
   };
   if (aCount != 3 || !cases.contains(aWords[1])) {
     std::cerr << "usage: review-2 CASE DIRECTORY\n";
--- a/review/rig-2/SoakFaults.cpp
+++ b/review/rig-2/SoakFaults.cpp
@@ -39,6 +39,9 @@
 constexpr int kJobsBefore = 6;
 constexpr int kJobsAfter = 14;
 
+// More than the 32 cores of a worker.
+constexpr std::int64_t kFillingMilliCores = 40'000;
+
 // One task of 300 ms on one core.
 json OrdinaryStep()
 {
@@ -142,6 +145,8 @@
   std::multiset<std::string> startedSpecs;
   std::set<std::string> doneSpecs;
   std::map<std::string, std::string> specOfTask;
+  // The jobs whose tasks use what others leave.
+  std::set<std::string> fillingJobs;
   Site site;
   Callers callers;
 
@@ -158,10 +163,12 @@
     if (aSecondService != Site::kService) {
       options.services[kWorkers - 1] = aSecondService;
     }
-    options.profile = [](const std::string& /*aTask*/, std::uint64_t /*aRun*/) {
+    options.profile = [this](const std::string& aTask, std::uint64_t /*aRun*/) {
       platformwire_testing::StandInRunProfile profile;
-      profile.demand = { 1000, 256, 0 };
+      const bool isFilling = this->fillingJobs.contains(aTask.substr(0, aTask.find('.')));
+      profile.demand = { isFilling ? kFillingMilliCores : 1000, 256, 0 };
       profile.work = milliseconds(300);
+      profile.fillsUnused = isFilling;
       return profile;
     };
     options.onStarted = [this](const std::string& /*aWorker*/,
@@ -386,4 +393,37 @@
   return hasOwnRun && hasTimedRun ? kHeld : kBroken;
 }
 
+int PlayFills(const CaseOptions& aOptions)
+{
+  constexpr std::int64_t kFewerMilliCores = 20'000;
+  Play play(aOptions, Site::kService);
+  if (!play.Begin()) {
+    return kCouldNotRun;
+  }
+  const std::string id = JobId(kTrouble, 0);
+  play.fillingJobs.insert(id);
+  json step = OrdinaryStep();
+  step["cpu"] = aOptions.trouble ? kFillingMilliCores : kFewerMilliCores;
+  step["fills"] = true;
+  const auto filling = play.callers.Call(
+    "POST", kSecondPrefix + id, json{ { "spec", id }, { "steps", { step } } }.dump());
+  static_cast<void>(SubmitOrdinaryJobs(play, 0, kJobsBefore));
+  play.EndTraffic();
+  // The workers have nothing else to do any more.
+  play.site.Run(kFinish);
+  if (filling->status != kOk) {
+    return kCouldNotRun;
+  }
+  const auto states = play.AskAll({ kSecondPrefix + id });
+  const bool hasRun = play.startedSpecs.contains(id);
+  const std::string state = states.front()->body;
+  const nlohmann::ordered_json verdict{ { "submission", filling->status },
+                                        { "task_ran", hasRun },
+                                        { "state", state },
+                                        { "rule", hasRun ? "held" : "LOST broken" } };
+  play.record.Add("verdict", verdict);
+  std::cout << verdict.dump() << '\n';
+  return hasRun ? kHeld : kBroken;
+}
+
 } // namespace oriolespread::review
--- a/review/rig-2/SoakFaults.h
+++ b/review/rig-2/SoakFaults.h
@@ -19,5 +19,7 @@
 int PlayMemory(const CaseOptions& aOptions);
 // Clients of two queues choose the same identifier.
 int PlaySameId(const CaseOptions& aOptions);
+// A job whose tasks use what others leave, and name more cores than a worker has.
+int PlayFills(const CaseOptions& aOptions);
 
 } // namespace oriolespread::review
