Show two runs of a task after a worker came back under its old id

Cause: an agent's new process that follows no leader has lower fencing tokens than its earlier process, whose late start the restarted worker carries out; it can't stop the run, and the leader places the task again.

--- a/review/rig-2/Main.cpp
+++ b/review/rig-2/Main.cpp
@@ -18,10 +18,8 @@
 {
   using namespace oriolespread::review;
   const std::map<std::string_view, int (*)(const CaseOptions&)> cases = {
-    { "due-at-once", PlayDueAtOnce },
-    { "memory", PlayMemory },
-    { "same-id", PlaySameId },
-    { "fills", PlayFills },
+    { "due-at-once", PlayDueAtOnce }, { "memory", PlayMemory },          { "same-id", PlaySameId },
+    { "fills", PlayFills },           { "former-life", PlayFormerLife },
   };
   if (aCount != 3 || !cases.contains(aWords[1])) {
     std::cerr << "usage: review-2 CASE DIRECTORY\n";
--- a/review/rig-2/SoakCluster.cpp
+++ b/review/rig-2/SoakCluster.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint16_t kControlPort = 8166;
 constexpr std::uint16_t kReadyPort = 8167;
 constexpr std::uint16_t kStorePort = 8169;
+constexpr std::uint16_t kProxyPort = 8164;
 constexpr int kNetworks = 250;
 // The third numbers of the addresses.
 constexpr int kEntries = 1;
@@ -113,6 +114,7 @@
 
 std::string Site::Settings(const std::string& aName,
                            const std::string& aIp,
+                           const std::string& aStore,
                            const std::string& aMore) const
 {
   std::ostringstream text;
@@ -126,7 +128,7 @@
        << "[bounds]\ncontact_ms = 3000\nack_ms = 4000\ndrain_ms = 2000\ngrace_s = 6\n"
        << "cancel_ms = 3000\nvisible_ms = 3000\nstop_grace_ms = 200\nfinish_s = 14\n"
        << "status_s = 120\nmax_hold_ms = " << this->options.maxHoldMs
-       << "\n[platform]\naddress = " << Quoted(this->storeAddress) << "\nform = \"table\"\n";
+       << "\n[platform]\naddress = " << Quoted(aStore) << "\nform = \"table\"\n";
   return text.str();
 }
 
@@ -136,7 +138,7 @@
   const std::string ip = this->Ip(kEntries, aIndex);
   const std::string path = this->options.directory + "/" + name + ".toml";
   const std::string front = ToString(SocketAddress{ ip, kFrontPort });
-  std::ofstream(path) << this->Settings(name, ip, "machine_class = \"edge\"\n")
+  std::ofstream(path) << this->Settings(name, ip, this->storeAddress, "machine_class = \"edge\"\n")
                       << "[listen_addrs]\nfront = " << Quoted(front)
                       << "\nready = " << Quoted(ToString(SocketAddress{ ip, kReadyPort })) << "\n";
   this->entries.push_back(std::make_unique<soak::Process>(
@@ -158,10 +160,15 @@
   const std::string control = ToString(SocketAddress{ ip, kControlPort });
   const auto known = this->options.services.find(aIndex);
   const std::string service = known == this->options.services.end() ? kService : known->second;
+  // Each agent has an address of the store of its own, so that the store can turn it away.
+  const std::string storeIp = this->Ip(kStore, aIndex + 1);
+  static_cast<void>(this->store.Serve(storeIp, kStorePort));
+  const std::uint16_t appPort = this->options.holdsCall ? kProxyPort : kWorkerPort;
   std::ofstream(path) << this->Settings(name,
                                         ip,
+                                        ToString(SocketAddress{ storeIp, kStorePort }),
                                         "machine_class = \"side\"\napp = " +
-                                          Quoted(ToString(SocketAddress{ ip, kWorkerPort })) +
+                                          Quoted(ToString(SocketAddress{ ip, appPort })) +
                                           "\nservice = " + Quoted(service) + "\n")
                       << "[listen_addrs]\ncontrol = " << Quoted(control) << "\n";
   this->agents.push_back(std::make_unique<soak::Process>(
@@ -203,6 +210,72 @@
     };
   this->workers.push_back(std::make_unique<platformwire_testing::StandInWorker>(
     this->context, worker, std::move(observer), aIndex + 1));
+  if (this->options.holdsCall) {
+    this->AddProxy(aIndex);
+  }
+}
+
+void Site::AddProxy(std::size_t aIndex)
+{
+  const std::string ip = this->Ip(kWorkers, aIndex);
+  auto client = HttpClient::Create(
+    this->context, ToString(SocketAddress{ ip, kWorkerPort }), {}, this->counters);
+  if (!client.ok()) {
+    throw std::runtime_error(std::string(client.status().message()));
+  }
+  this->proxyClients.push_back(*std::move(client));
+  auto proxy = HttpServer::Create(
+    this->context,
+    ip,
+    kProxyPort,
+    {},
+    [this, aIndex](const HttpRequest& aRequest, HttpServer::Reply aReply) {
+      if (this->options.holdsCall(aIndex, aRequest)) {
+        return;
+      }
+      this->proxyClients[aIndex]->Call(
+        { aRequest.method,
+          aRequest.target,
+          { { "Host", kHost }, { "Content-Type", "application/json" } },
+          aRequest.body },
+        kCallerTimeout,
+        [reply = std::move(aReply)](const HttpResult& aResult) {
+          if (aResult.end == HttpEnd::Answered) {
+            reply({ aResult.response.status,
+                    { { "Content-Type", "application/json" } },
+                    aResult.response.body });
+          }
+        });
+    },
+    this->counters);
+  if (!proxy.ok()) {
+    throw std::runtime_error(std::string(proxy.status().message()));
+  }
+  this->proxies.push_back(*std::move(proxy));
+}
+
+void Site::Deliver(std::size_t aWorker, const HttpRequest& aCall)
+{
+  this->proxyClients[aWorker]->Call({ aCall.method,
+                                      aCall.target,
+                                      { { "Host", kHost }, { "Content-Type", "application/json" } },
+                                      aCall.body },
+                                    kCallerTimeout,
+                                    [this, aWorker](const HttpResult& aResult) {
+                                      this->record.Add("late_call",
+                                                       { { "worker", this->workers[aWorker]->Id() },
+                                                         { "status", aResult.response.status },
+                                                         { "body", aResult.response.body } });
+                                    });
+}
+
+void Site::SetStoreRefuses(std::size_t aWorker, bool aRefuses)
+{
+  platformwire_testing::StoreFault fault;
+  fault.busy = aRefuses;
+  // The first address is that of the entries.
+  this->store.SetFault(aWorker + 1, fault);
+  this->record.Add("store", { { "machine", aWorker + 1 }, { "refuses", aRefuses } });
 }
 
 void Site::Start()
--- a/review/rig-2/SoakCluster.h
+++ b/review/rig-2/SoakCluster.h
@@ -6,6 +6,7 @@
 
 #include "oriolespread/cluster/ClusterConfig.h"
 #include "oriolespread/http/HttpClient.h"
+#include "oriolespread/http/HttpServer.h"
 #include "oriolespread/platformwire_testing/StandInStore.h"
 #include "oriolespread/platformwire_testing/StandInWorker.h"
 
@@ -46,6 +47,9 @@
   // The longest lease that a worker accepts.
   std::int64_t maxHoldMs = 6000;
   std::int64_t memoryMb = 260;
+  // If set, calls of agents to workers pass through a proxy, which keeps those without answer for
+  // which this returns true, until Deliver.
+  std::function<bool(std::size_t aWorker, const HttpRequest& aCall)> holdsCall;
   std::vector<cluster::QueueConfig> queues;
   std::function<platformwire_testing::StandInRunProfile(const std::string& aTask,
                                                         std::uint64_t aRun)>
@@ -93,6 +97,10 @@
   soak::Process& Agent(std::size_t aIndex) { return *this->agents[aIndex]; }
   platformwire_testing::StandInWorker& Worker(std::size_t aIndex) { return *this->workers[aIndex]; }
   platformwire_testing::StandInStore& Store() { return this->store; }
+  // Passes a call that was held on to the worker, whose answer goes nowhere.
+  void Deliver(std::size_t aWorker, const HttpRequest& aCall);
+  // Sets whether the store turns the worker's machine away with 503.
+  void SetStoreRefuses(std::size_t aWorker, bool aRefuses);
   // Returns the resident memory of a process in MB; 0 if it does not run.
   static std::int64_t ResidentMb(soak::Process& aProcess);
 
@@ -100,9 +108,12 @@
   std::string Ip(int aKind, std::size_t aIndex) const;
   std::string Settings(const std::string& aName,
                        const std::string& aIp,
+                       const std::string& aStore,
                        const std::string& aMore) const;
   void AddEntry(std::size_t aIndex);
   void AddWorker(std::size_t aIndex);
+  // Starts the proxy in front of the worker.
+  void AddProxy(std::size_t aIndex);
 
   asio::io_context& context;
   SiteOptions options;
@@ -115,6 +126,8 @@
   std::vector<std::unique_ptr<soak::Process>> agents;
   std::vector<std::unique_ptr<platformwire_testing::StandInWorker>> workers;
   std::vector<std::unique_ptr<HttpClient>> callers;
+  std::vector<std::unique_ptr<HttpServer>> proxies;
+  std::vector<std::unique_ptr<HttpClient>> proxyClients;
   std::map<std::string, std::string> lastAnswers;
 };
 
--- a/review/rig-2/SoakFaults.cpp
+++ b/review/rig-2/SoakFaults.cpp
@@ -2,6 +2,7 @@
 
 #include "PlainCaller.h"
 
+#include <asio/signal_set.hpp>
 #include <unistd.h>
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <iostream>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <utility>
 
 namespace oriolespread::review {
@@ -81,11 +83,24 @@
 class Play
 {
 public:
-  Play(const CaseOptions& aOptions, const std::string& aSecondService)
+  using HoldsCall = std::function<bool(std::size_t aWorker, const HttpRequest& aCall)>;
+
+  Play(const CaseOptions& aOptions,
+       const std::string& aSecondService,
+       std::size_t aWorkers = kWorkers,
+       HoldsCall aHoldsCall = nullptr)
     : record(aOptions.directory + "/record.txt")
+    , workers(aWorkers)
+    , holdsCall(std::move(aHoldsCall))
     , site(this->context, this->Options(aSecondService), this->record)
     , callers(this->context, this->site, kEntries)
   {
+    this->signals.async_wait([](asio::error_code aError, int /*aSignal*/) {
+      if (!aError) {
+        // Leaves the event loop, so that all processes are ended.
+        throw std::runtime_error("ended by a signal");
+      }
+    });
   }
 
   // Starts the system and waits until it has done a job; returns whether it has.
@@ -139,6 +154,7 @@
 
   // The system, its clients and its workers run in the calling thread.
   asio::io_context context;
+  asio::signal_set signals{ this->context, SIGINT, SIGTERM };
   TemporaryFolder folder;
   Record record;
   // The texts of the tasks that workers have begun, and of those that have ended `done`.
@@ -147,6 +163,14 @@
   std::map<std::string, std::string> specOfTask;
   // The jobs whose tasks use what others leave.
   std::set<std::string> fillingJobs;
+  // The jobs whose tasks take 15 s.
+  std::set<std::string> longJobs;
+  // The runs at work, by task: worker and number of the run.
+  std::map<std::string, std::set<std::string>> runsOfTask;
+  // When two runs of one task were at work.
+  nlohmann::ordered_json twice = nlohmann::ordered_json::array();
+  std::size_t workers;
+  HoldsCall holdsCall;
   Site site;
   Callers callers;
 
@@ -156,32 +180,40 @@
     SiteOptions options;
     options.directory = this->folder.Path();
     options.entries = kEntries;
-    options.workers = kWorkers;
+    options.workers = this->workers;
     options.memoryMb = kMemoryMb;
     options.queues = { Site::Queue("q1", kFirstPrefix),
                        Site::Queue("q2", kSecondPrefix, aSecondService) };
     if (aSecondService != Site::kService) {
-      options.services[kWorkers - 1] = aSecondService;
+      options.services[this->workers - 1] = aSecondService;
     }
     options.profile = [this](const std::string& aTask, std::uint64_t /*aRun*/) {
       platformwire_testing::StandInRunProfile profile;
-      const bool isFilling = this->fillingJobs.contains(aTask.substr(0, aTask.find('.')));
+      const std::string job = aTask.substr(0, aTask.find('.'));
+      const bool isFilling = this->fillingJobs.contains(job);
       profile.demand = { isFilling ? kFillingMilliCores : 1000, 256, 0 };
-      profile.work = milliseconds(300);
+      profile.work = this->longJobs.contains(job) ? milliseconds(15000) : milliseconds(300);
       profile.fillsUnused = isFilling;
       return profile;
     };
-    options.onStarted = [this](const std::string& /*aWorker*/,
+    options.holdsCall = this->holdsCall;
+    options.onStarted = [this](const std::string& aWorker,
                                const std::string& aTask,
-                               std::uint64_t /*aRun*/,
+                               std::uint64_t aRun,
                                const std::string& aSpec) {
+      std::set<std::string>& runs = this->runsOfTask[aTask];
+      runs.insert(aWorker + " run " + std::to_string(aRun));
+      if (runs.size() > 1) {
+        this->twice.push_back({ { "ms", this->record.Ms() }, { "task", aTask }, { "runs", runs } });
+      }
       this->startedSpecs.insert(aSpec);
       this->specOfTask[aTask] = aSpec;
     };
-    options.onEnded = [this](const std::string& /*aWorker*/,
+    options.onEnded = [this](const std::string& aWorker,
                              const std::string& aTask,
-                             std::uint64_t /*aRun*/,
+                             std::uint64_t aRun,
                              const std::string& aHow) {
+      this->runsOfTask[aTask].erase(aWorker + " run " + std::to_string(aRun));
       if (aHow == "done") {
         this->doneSpecs.insert(this->specOfTask[aTask]);
       }
@@ -426,4 +458,73 @@
   return hasRun ? kHeld : kBroken;
 }
 
+int PlayFormerLife(const CaseOptions& aOptions)
+{
+  // From the moment at which the start of the task is sent.
+  constexpr Duration kAgentKilled = milliseconds(100);
+  constexpr Duration kAgentDown = milliseconds(1000);
+  constexpr Duration kWorkerCrashes = milliseconds(1000);
+  constexpr Duration kWorkerDown = milliseconds(600);
+  constexpr Duration kCallLate = milliseconds(4000);
+  constexpr Duration kStoreRefuses = milliseconds(9000);
+  // One worker of eight crashes, and one of ten machines has trouble.
+  constexpr std::size_t kManyWorkers = 8;
+  const std::string id = JobId(kTrouble, 0);
+  std::optional<std::pair<std::size_t, HttpRequest>> held;
+  Play play(
+    aOptions, Site::kService, kManyWorkers, [&](std::size_t aWorker, const HttpRequest& aCall) {
+      const bool isStart =
+        aCall.target == "/oriolespread/run-start" && aCall.body.find(id) != std::string::npos;
+      if (!aOptions.trouble || !isStart || held.has_value()) {
+        return false;
+      }
+      held.emplace(aWorker, aCall);
+      return true;
+    });
+  if (!play.Begin()) {
+    return kCouldNotRun;
+  }
+  play.longJobs.insert(id);
+  const auto submitted = play.callers.Call("POST", kFirstPrefix + id, OrdinaryJob(id));
+  for (int step = 0; step < 100 && aOptions.trouble && !held.has_value(); ++step) {
+    play.site.Run(milliseconds(20));
+  }
+  if (aOptions.trouble && !held.has_value()) {
+    return kCouldNotRun;
+  }
+  if (held.has_value()) {
+    const std::size_t machine = held->first;
+    soak::Process& agent = play.site.Agent(machine);
+    play.record.Add("start_held", { { "worker", machine + 1 } });
+    play.site.SetStoreRefuses(machine, true);
+    play.callers.After(kStoreRefuses, [&, machine] { play.site.SetStoreRefuses(machine, false); });
+    play.callers.After(kAgentKilled, [&, machine] {
+      play.record.Add("agent_killed", { { "machine", machine + 1 } });
+      agent.Signal(SIGKILL);
+    });
+    play.callers.After(kAgentKilled + kAgentDown, [&, machine] {
+      if (!agent.IsRunning()) {
+        play.record.Add("agent_started", { { "machine", machine + 1 } });
+        agent.Start();
+      }
+    });
+    play.callers.After(kWorkerCrashes, [&, machine] {
+      play.record.Add("worker_crashes", { { "worker", machine + 1 } });
+      play.site.Worker(machine).Crash(kWorkerDown, Duration::zero());
+    });
+    play.callers.After(kCallLate, [&, machine] { play.site.Deliver(machine, held->second); });
+  }
+  play.site.Run(seconds(30));
+  play.EndTraffic();
+  const auto states = play.AskAll({ kFirstPrefix + id });
+  const bool isBroken = !play.twice.empty();
+  const nlohmann::ordered_json verdict{ { "submission", submitted->status },
+                                        { "two_runs_at_once", play.twice },
+                                        { "state", states.front()->body },
+                                        { "rule", isBroken ? "TWICE broken" : "held" } };
+  play.record.Add("verdict", verdict);
+  std::cout << verdict.dump() << '\n';
+  return isBroken ? kBroken : kHeld;
+}
+
 } // namespace oriolespread::review
--- a/review/rig-2/SoakFaults.h
+++ b/review/rig-2/SoakFaults.h
@@ -21,5 +21,7 @@
 int PlaySameId(const CaseOptions& aOptions);
 // A job whose tasks use what others leave, and name more cores than a worker has.
 int PlayFills(const CaseOptions& aOptions);
+// A worker that is back under its old id carries out a start that was meant for its former life.
+int PlayFormerLife(const CaseOptions& aOptions);
 
 } // namespace oriolespread::review
