Name the record in each script, and keep case 8 inside the burst

Cause: a run that could not start left the record of an earlier one; case 8 handed in 24 jobs at once, and case 7 had the store turn a machine away with 503 for longer than the site file's busy variant.

--- a/review/rig-2/SoakFaults.cpp
+++ b/review/rig-2/SoakFaults.cpp
@@ -89,7 +89,7 @@
        const std::string& aSecondService,
        std::size_t aWorkers = kWorkers,
        HoldsCall aHoldsCall = nullptr)
-    : record(aOptions.directory + "/record.txt")
+    : record(aOptions.record)
     , workers(aWorkers)
     , holdsCall(std::move(aHoldsCall))
     , site(this->context, this->Options(aSecondService), this->record)
@@ -343,6 +343,11 @@
 int PlayMemory(const CaseOptions& aOptions)
 {
   constexpr int kLargeJobs = 24;
+  // A burst of four seconds at less than 2.6 times 1.13 jobs a second, then that rate.
+  constexpr int kBurstJobs = 11;
+  constexpr Duration kBurstInterval = milliseconds(360);
+  constexpr Duration kUsualInterval = milliseconds(900);
+  constexpr int kOrdinaryJobs = 34;
   constexpr int kSteps = 10;
   constexpr int kTasksPerStep = 10'000;
   Play play(aOptions, Site::kService);
@@ -357,11 +362,15 @@
     step["count"] = kTasksPerStep;
     const std::string body =
       json{ { "spec", "large" }, { "steps", std::vector<json>(kSteps, step) } }.dump();
+    Duration at{};
     for (int number = 0; number < kLargeJobs; ++number) {
-      large.push_back(play.callers.Call("POST", kSecondPrefix + JobId(kTrouble, number), body));
+      play.callers.After(at, [&play, &large, body, number] {
+        large.push_back(play.callers.Call("POST", kSecondPrefix + JobId(kTrouble, number), body));
+      });
+      at += number < kBurstJobs ? kBurstInterval : kUsualInterval;
     }
   }
-  jobs.merge(SubmitOrdinaryJobs(play, kJobsBefore, kJobsAfter));
+  jobs.merge(SubmitOrdinaryJobs(play, kJobsBefore, kOrdinaryJobs));
   play.EndTraffic();
   const nlohmann::ordered_json memory{
     { "large_jobs_accepted",
@@ -466,7 +475,7 @@
   constexpr Duration kWorkerCrashes = milliseconds(1000);
   constexpr Duration kWorkerDown = milliseconds(600);
   constexpr Duration kCallLate = milliseconds(4000);
-  constexpr Duration kStoreRefuses = milliseconds(9000);
+  constexpr Duration kStoreRefuses = milliseconds(7000);
   // One worker of eight crashes, and one of ten machines has trouble.
   constexpr std::size_t kManyWorkers = 8;
   const std::string id = JobId(kTrouble, 0);
--- a/review/rig-2/SoakFaults.h
+++ b/review/rig-2/SoakFaults.h
@@ -7,8 +7,8 @@
 
 struct CaseOptions
 {
-  // The folder of the case, which gets record.txt.
-  std::string directory;
+  // The file that gets what was sent, answered and run.
+  std::string record;
   // False leaves the disruption out.
   bool trouble = true;
 };
