Let a restarted agent follow only a leader that has renewed since

What callers see: by reading, two runs of a task. A restarted agent can follow a leader that its earlier process knew to be superseded, for as long as that leader does not reach the store (up to 5 s). The later leader takes the worker for silent meanwhile. Cause: an agent follows the highest epoch that it has seen, and a new process has seen none. So far only the epoch in the high bits of the fencing token kept the worker from taking the orders. Change: a claim tells whether the entry has renewed its leadership in the store since the link came up. A process that has followed no leader yet waits for such a claim; the leader repeats its claim to an agent that does not report to it once a renewal is confirmed. FollowedLeader decides. Why it works: the earlier process followed the later leader before it ended, so that its claim was stored before the link of the new process came up, and the superseded leader can not renew after. Links that come up again to a leader that the process knows are followed at once, also while the store is away. Claims of entries of the build before count as renewed.

--- a/packages/daemon/src/ClusterAgent.cpp
+++ b/packages/daemon/src/ClusterAgent.cpp
@@ -6,6 +6,7 @@
 #include "MetricsServer.h"
 #include "WorkerDriver.h"
 
+#include "oriolespread/cluster/FollowedLeader.h"
 #include "oriolespread/daemon/ClusterSettings.h"
 #include "oriolespread/daemon/EntryDirectory.h"
 #include "oriolespread/link/LinkDialer.h"
@@ -38,7 +39,6 @@
   {
     std::string address;
     std::unique_ptr<LinkDialer> dialer;
-    Epoch epoch;
   };
 
   void OnControlRequest(const HttpRequest& aRequest, const HttpServer::Reply& aReply);
@@ -63,9 +63,7 @@
   std::unique_ptr<EntryDirectory> directory;
   std::unique_ptr<WorkerDriver> workerDriver;
   std::map<std::string, EntryLink> entryLinks;
-  // The highest epoch that an entry has claimed, and the name of that entry.
-  Epoch leaderEpoch;
-  std::string leaderEntry;
+  cluster::FollowedLeader leader;
 };
 
 absl::Status ClusterAgent::Start()
@@ -105,7 +103,7 @@
     this->counters,
     [this] {
       MetricsServer::Values values;
-      values.gauges["leader_epoch"] = static_cast<double>(this->leaderEpoch.Value());
+      values.gauges["leader_epoch"] = static_cast<double>(this->leader.LatestEpoch().Value());
       values.histograms["run_start"] = &this->workerDriver->StartLatency();
       values.histograms["loop_lateness"] = &this->loopMonitor.Lateness();
       return values;
@@ -224,14 +222,13 @@
         { { "entry", aName }, { "reason", std::string(dialer.status().message()) } });
     return;
   }
-  this->entryLinks[aName] = { aAddress, *std::move(dialer), {} };
+  this->entryLinks[aName] = { aAddress, *std::move(dialer) };
 }
 
 void ClusterAgent::OnLinkDown(const std::string& aEntry, std::string_view aReason)
 {
   Log(LogLevel::Info, "link_down", { { "entry", aEntry }, { "reason", std::string(aReason) } });
-  if (this->leaderEntry == aEntry) {
-    this->leaderEntry.clear();
+  if (this->leader.OnLinkDown(aEntry)) {
     this->workerDriver->OnLeaderLost();
   }
 }
@@ -239,18 +236,20 @@
 void ClusterAgent::OnLinkMessage(const std::string& aEntry, const LinkMessage& aMessage)
 {
   if (const auto* claim = std::get_if<LeaderClaim>(&aMessage)) {
-    if (claim->epoch == Epoch{} || claim->epoch < this->leaderEpoch) {
-      return;
+    const bool follows = this->leader.OnClaim(aEntry, *claim);
+    if (follows) {
+      this->workerDriver->FollowLeader(claim->epoch);
     }
     Log(LogLevel::Info,
-        "leader_followed",
-        { { "entry", aEntry }, { "epoch", claim->epoch.Value() } });
-    this->leaderEpoch = claim->epoch;
-    this->leaderEntry = aEntry;
-    this->workerDriver->FollowLeader(claim->epoch);
+        follows ? "leader_followed" : "claim_ignored",
+        { { "entry", aEntry },
+          { "epoch", claim->epoch.Value() },
+          { "latest_epoch", this->leader.LatestEpoch().Value() },
+          { "renewed", claim->renewed },
+          { "repeated", claim->repeated } });
     return;
   }
-  if (aEntry != this->leaderEntry) {
+  if (aEntry != this->leader.Entry()) {
     this->counters.Add("orders_ignored_total", "not_leader");
     return;
   }
@@ -263,7 +262,7 @@
 
 void ClusterAgent::SendToLeader(const WorkerReport& aReport)
 {
-  const auto entry = this->entryLinks.find(this->leaderEntry);
+  const auto entry = this->entryLinks.find(this->leader.Entry());
   if (entry == this->entryLinks.end() || !entry->second.dialer->Send(aReport)) {
     this->counters.Add("reports_dropped_total", "no_leader");
   }
--- a/packages/daemon/src/LeaderDriver.cpp
+++ b/packages/daemon/src/LeaderDriver.cpp
@@ -253,8 +253,8 @@
     [](std::string_view aEvent, const nlohmann::ordered_json& aFields) {
       Log(LogLevel::Info, aEvent, aFields);
     });
-  for (const std::string& agent : this->agents) {
-    this->sendToAgent(agent, LeaderClaim{ Epoch{ this->leaderRow.epoch } });
+  for (const auto& [agent, link] : this->agents) {
+    this->SendClaim(agent);
   }
   this->ScheduleTick();
   if (this->onReleased != nullptr) {
@@ -284,11 +284,28 @@
   this->SchedulePoll(kElectionPollInterval);
 }
 
+void LeaderDriver::SendClaim(const std::string& aAgent, bool aRepeated)
+{
+  AgentLink& link = this->agents.at(aAgent);
+  link.knowsRenewal = this->renewedAt > link.upSince;
+  this->sendToAgent(aAgent,
+                    LeaderClaim{ Epoch{ this->leaderRow.epoch }, link.knowsRenewal, aRepeated });
+}
+
+void LeaderDriver::RepeatRenewedClaims()
+{
+  for (const auto& [agent, link] : this->agents) {
+    if (!link.knowsRenewal && this->renewedAt > link.upSince) {
+      this->SendClaim(agent, true);
+    }
+  }
+}
+
 void LeaderDriver::OnAgentUp(const std::string& aAgent)
 {
-  this->agents.insert(aAgent);
+  this->agents[aAgent] = { BootClock::now() };
   if (this->phase == Phase::Loading || this->phase == Phase::Leading) {
-    this->sendToAgent(aAgent, LeaderClaim{ Epoch{ this->leaderRow.epoch } });
+    this->SendClaim(aAgent);
   }
   if (this->phase == Phase::Leading) {
     this->scheduler->OnAgentUp(aAgent, this->CurrentTime());
@@ -317,6 +334,9 @@
     this->counters.Add("reports_ignored_total", "releasing");
     return;
   }
+  if (const auto link = this->agents.find(aAgent); link != this->agents.end()) {
+    link->second.knowsRenewal = true;
+  }
   if (BootClock::now() - this->renewedAt < this->schedulerSettings.storeOutageTolerance) {
     this->sendToAgent(
       aAgent,
@@ -534,6 +554,7 @@
     this->FinishRelease();
     return;
   }
+  this->RepeatRenewedClaims();
   if (this->phase == Phase::Leading && this->scheduler->HasChanges()) {
     this->RequestSchedulingPass();
   }
--- a/packages/daemon/src/LeaderDriver.h
+++ b/packages/daemon/src/LeaderDriver.h
@@ -15,6 +15,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -103,6 +104,14 @@
   };
   using CommitPtr = std::shared_ptr<Commit>;
 
+  struct AgentLink
+  {
+    Instant upSince{};
+    // The agent was told that the leadership has been renewed since, or follows this leader
+    // already.
+    bool knowsRenewal = false;
+  };
+
   void PollLeaderRow();
   void SchedulePoll(Duration aDelay);
   // Measures the processor speed, passes it to the election and returns it.
@@ -119,6 +128,10 @@
                        std::uint64_t aVersion,
                        Instant aRenewedAt);
   void StepDown(std::string_view aReason);
+  void SendClaim(const std::string& aAgent, bool aRepeated = false);
+  // Repeats the claims to agents whose links were up when the last renewal was sent, if they do not
+  // know of a renewal yet.
+  void RepeatRenewedClaims();
 
   // The following functions are in LeaderLoading.cpp.
 
@@ -217,7 +230,7 @@
   std::optional<std::set<std::string>> evacuatedDataCentres;
   // The loaded rows while `evacuatedDataCentres` is empty.
   std::optional<MultiRangeResult> heldRows;
-  std::set<std::string> agents;
+  std::map<std::string, AgentLink> agents;
   std::function<void()> onReleased;
   LatencyHistogram commitLatency;
   LatencyHistogram jobStartLatency;
--- a/packages/daemon/src/LeaderLoading.cpp
+++ b/packages/daemon/src/LeaderLoading.cpp
@@ -75,10 +75,10 @@
       { { "epoch", this->leaderRow.epoch },
         { "jobs", this->scheduler->Jobs().size() },
         { "version", aResult.version } });
-  for (const std::string& agent : this->agents) {
+  for (const auto& [agent, link] : this->agents) {
     this->scheduler->OnAgentUp(agent, now);
     // Reports that arrived during loading were not processed; the claim requests a full one.
-    this->sendToAgent(agent, LeaderClaim{ Epoch{ this->leaderRow.epoch } });
+    this->SendClaim(agent);
   }
   this->RequestSchedulingPass();
 }
--- a/packages/daemon/tests/LeaderDriverFixture.h
+++ b/packages/daemon/tests/LeaderDriverFixture.h
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace oriolespread::daemon {
 
@@ -16,6 +17,8 @@
 struct TestEntry
 {
   std::vector<Epoch> claims;
+  // The last claim that was sent to each agent.
+  std::map<std::string, LeaderClaim> lastClaims;
   std::vector<WorkerOrders> orders;
   std::size_t extensions = 0;
   LeaseExtension lastExtension;
@@ -39,8 +42,9 @@
       aClient == nullptr ? *aFixture.client : *aClient,
       options,
       aFixture.counters,
-      [this](const std::string& /*aAgent*/, const LinkMessage& aMessage) {
+      [this](const std::string& aAgent, const LinkMessage& aMessage) {
         if (const auto* claim = std::get_if<LeaderClaim>(&aMessage)) {
+          this->lastClaims[aAgent] = *claim;
           this->claims.push_back(claim->epoch);
         } else if (const auto* sent = std::get_if<WorkerOrders>(&aMessage)) {
           this->orders.push_back(*sent);
--- a/packages/daemon/tests/LeaderDriverTest.cpp
+++ b/packages/daemon/tests/LeaderDriverTest.cpp
@@ -333,6 +333,40 @@
   CHECK(second.orders.front().starts.size() == 1);
 }
 
+// Guards against a restarted agent that follows a leader which its earlier process knew to be
+// superseded: the claim must not count as renewed before the store has confirmed it.
+TEST_CASE("LeaderDriver TellsThatItIsRenewedWhenTheStoreConfirmsItAfterTheLinkCameUp")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  CHECK(entry.lastClaims.at("agent").renewed);
+  fixture.store.SetFault(fixture.server, { .busy = true });
+  entry.driver->OnAgentUp("restarted");
+  fixture.RunFor(600 * kMillisecond);
+  CHECK_FALSE(entry.lastClaims.at("restarted").renewed);
+  fixture.store.SetFault(fixture.server, {});
+  CHECK(fixture.RunUntil([&] { return entry.lastClaims.at("restarted").renewed; }));
+  CHECK(entry.lastClaims.at("restarted").repeated);
+  CHECK(entry.lastClaims.at("restarted").epoch == entry.claims.front());
+}
+
+// Guards against claims that an agent of an earlier version takes for a new leadership.
+TEST_CASE("LeaderDriver RepeatsNoClaimToAnAgentThatReportsToIt")
+{
+  StoreFixture fixture;
+  TestEntry entry(fixture, "a");
+  entry.driver->Start();
+  REQUIRE(fixture.RunUntil([&] { return entry.claims.size() >= 2; }));
+  fixture.store.SetFault(fixture.server, { .busy = true });
+  entry.driver->OnAgentUp("linked");
+  entry.SendReport("w", "linked");
+  fixture.store.SetFault(fixture.server, {});
+  fixture.RunFor(600 * kMillisecond);
+  CHECK_FALSE(entry.lastClaims.at("linked").repeated);
+}
+
 // Guards against two runs of a task: a worker that has restarted under its id holds a long lease,
 // and is cut off before the next leader hears from it.
 TEST_CASE("LeaderDriver TellsTheNextLeaderOfTheLeasesThatWorkersReport")
--- a/packages/jobs/tests/HandoverTest.cpp
+++ b/packages/jobs/tests/HandoverTest.cpp
@@ -444,6 +444,7 @@
   std::uint64_t refusedWrites = 0;
   std::uint64_t refusedOrders = 0;
   std::uint64_t lostClaims = 0;
+  std::uint64_t ignoredClaims = 0;
   for (std::uint64_t played = 0; played < count; played += kHandoversPerSeed) {
     HandoverPlay play(first + played / kHandoversPerSeed);
     for (std::uint64_t number = 1; number <= kHandoversPerSeed; ++number) {
@@ -454,14 +455,17 @@
     refusedWrites += play.World().refusedWrites;
     refusedOrders += play.World().refusedOrders;
     lostClaims += play.World().lostClaims;
+    ignoredClaims += play.World().ignoredClaims;
   }
   // Earlier leaders have acted, so the seeds play what the rules are about.
   INFO("starts " << starts << ", refused writes " << refusedWrites << ", refused orders "
-                 << refusedOrders << ", lost claims " << lostClaims);
+                 << refusedOrders << ", lost claims " << lostClaims << ", claims not followed "
+                 << ignoredClaims);
   CHECK(starts >= count);
   CHECK(refusedWrites > 0);
   CHECK(refusedOrders > 0);
   CHECK(lostClaims > 0);
+  CHECK(ignoredClaims > 0);
 }
 
 // Guards against an order for a run that is not stored, an end that is acknowledged before it is,
--- a/packages/jobs/tests/PlayedAgent.h
+++ b/packages/jobs/tests/PlayedAgent.h
@@ -4,6 +4,8 @@
 
 #include "PlayedWorld.h"
 
+#include "oriolespread/cluster/FollowedLeader.h"
+
 #include <algorithm>
 #include <functional>
 #include <map>
@@ -32,6 +34,7 @@
   {
     ++this->life;
     this->epoch = {};
+    this->followed = {};
     this->link.reset();
     this->sequence = 0;
     this->unansweredStarts.clear();
@@ -60,9 +63,14 @@
     }
   }
 
-  void OnClaim(const std::shared_ptr<PlayedLink>& aLink, Epoch aEpoch)
+  void OnClaim(const std::shared_ptr<PlayedLink>& aLink, const LeaderClaim& aClaim)
   {
-    if (!aLink->openAtAgent || aEpoch < this->epoch) {
+    if (!aLink->openAtAgent) {
+      return;
+    }
+    const std::string entry = std::to_string(aClaim.epoch.Value());
+    if (!this->followed.OnClaim(entry, aClaim)) {
+      this->world.ignoredClaims += this->epoch == Epoch{} && !aClaim.renewed ? 1 : 0;
       return;
     }
     this->link = aLink;
@@ -77,9 +85,9 @@
     for (auto& [ref, item] : this->tracked) {
       item.suspended = item.starting;
     }
-    if (aEpoch > this->epoch) {
-      this->world.Note(this->Name() + " follows " + std::to_string(aEpoch.Value()));
-      this->epoch = aEpoch;
+    if (aClaim.epoch > this->epoch) {
+      this->world.Note(this->Name() + " follows " + std::to_string(aClaim.epoch.Value()));
+      this->epoch = aClaim.epoch;
       this->RaiseToken();
     }
     this->lastFullReport = {};
@@ -91,6 +99,7 @@
     aLink->openAtAgent = false;
     if (this->link == aLink) {
       this->link.reset();
+      this->followed.OnLinkDown(this->followed.Entry());
     }
   }
 
@@ -645,6 +654,7 @@
   bool incarnationReported = false;
   std::optional<Instant> lastAnsweredReportAt;
   Epoch epoch;
+  cluster::FollowedLeader followed;
   std::uint64_t stamp = 0;
   Instant linkedSince{};
   std::shared_ptr<PlayedLink> link;
--- a/packages/jobs/tests/PlayedLeader.h
+++ b/packages/jobs/tests/PlayedLeader.h
@@ -87,7 +87,8 @@
     };
     this->Handle([this, aLink] {
       this->links[aLink->agent] = aLink;
-      this->SendClaim(aLink);
+      aLink->upSince = this->world.time.Present();
+      this->SendClaim(aLink, false);
       if (this->phase == Phase::Leading) {
         this->scheduler->OnAgentUp(AgentName(aLink->agent), this->world.time.Current());
         this->RequestPass();
@@ -188,11 +189,21 @@
     this->inbox.clear();
   }
 
-  void SendClaim(const std::shared_ptr<PlayedLink>& aLink)
+  void SendClaim(const std::shared_ptr<PlayedLink>& aLink, bool aRepeated)
   {
-    aLink->toAgent.Deliver(this->world, [this, aLink, epoch = this->LeaderEpoch()] {
-      this->agents[aLink->agent]->OnClaim(aLink, epoch);
-    });
+    aLink->knowsRenewal = this->renewedAt > aLink->upSince;
+    const LeaderClaim claim{ this->LeaderEpoch(), aLink->knowsRenewal, aRepeated };
+    aLink->toAgent.Deliver(
+      this->world, [this, aLink, claim] { this->agents[aLink->agent]->OnClaim(aLink, claim); });
+  }
+
+  void RepeatRenewedClaims()
+  {
+    for (const auto& [agent, link] : this->links) {
+      if (link->openAtLeader && !link->knowsRenewal && this->renewedAt > link->upSince) {
+        this->SendClaim(link, true);
+      }
+    }
   }
 
   void OnReport(const std::shared_ptr<PlayedLink>& aLink, const WorkerReport& aReport)
@@ -200,6 +211,7 @@
     if (aReport.epoch != this->LeaderEpoch() || this->releasing) {
       return;
     }
+    aLink->knowsRenewal = true;
     const Instant now = this->world.time.Present();
     if (now - this->renewedAt < SchedulerSettings{}.storeOutageTolerance) {
       aLink->toAgent.Deliver(
@@ -345,6 +357,9 @@
     this->row.record.released = aTransaction->row.record.released;
     this->row.version = aVersion;
     this->renewedAt = aRenewedAt;
+    if (!this->row.record.released) {
+      this->RepeatRenewedClaims();
+    }
     if (this->phase != Phase::Leading) {
       return;
     }
@@ -439,7 +454,7 @@
     for (const auto& [agent, link] : this->links) {
       if (link->openAtLeader) {
         this->scheduler->OnAgentUp(AgentName(agent), aNow);
-        this->SendClaim(link);
+        this->SendClaim(link, false);
       }
     }
     this->RequestPass();
--- a/packages/jobs/tests/PlayedWorld.h
+++ b/packages/jobs/tests/PlayedWorld.h
@@ -314,6 +314,8 @@
   // Transactions that the store refused as invalid.
   std::uint64_t invalidWrites = 0;
   std::uint64_t lostClaims = 0;
+  // Claims that a new process of an agent did not follow, as they were not renewed.
+  std::uint64_t ignoredClaims = 0;
   // Whether a worker's process carries out calls that were meant for the one before it. Otherwise
   // they are lost with that one.
   bool callsReachNextProcess = false;
@@ -367,6 +369,9 @@
   PlayedDirection toLeader;
   bool openAtAgent = true;
   bool openAtLeader = true;
+  Instant upSince{};
+  // The agent was told that the leadership has been renewed since, or follows the leader.
+  bool knowsRenewal = false;
   // Handles a report at the leader's process.
   std::function<void(const std::shared_ptr<PlayedLink>&, const WorkerReport&)> onReport;
 };
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -129,6 +129,11 @@
 struct LeaderClaim
 {
   Epoch epoch;
+  // The entry has renewed its leadership in the store since the link came up, so that no other one
+  // had superseded it by then. Entries of earlier versions do not tell.
+  bool renewed = true;
+  // Repeats a claim of this link only to tell that the leadership is renewed now.
+  bool repeated = false;
 };
 
 struct StartRun
@@ -185,7 +190,9 @@
 // `evacuated` may be absent, which means false; the other fields must be present.
 void to_json(nlohmann::json& aJson, const LeaseExtension& aExtension);
 void from_json(const nlohmann::json& aJson, LeaseExtension& aExtension);
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaderClaim, epoch)
+// `renewed` may be absent, which means true, and `repeated`, which means false.
+void to_json(nlohmann::json& aJson, const LeaderClaim& aClaim);
+void from_json(const nlohmann::json& aJson, LeaderClaim& aClaim);
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartRun,
                                    ref,
                                    payload,
--- a/packages/messages/src/WorkerMessages.cpp
+++ b/packages/messages/src/WorkerMessages.cpp
@@ -52,4 +52,18 @@
   aExtension.evacuated = aJson.value("evacuated", false);
 }
 
+void to_json(nlohmann::json& aJson, const LeaderClaim& aClaim)
+{
+  aJson = { { "epoch", aClaim.epoch },
+            { "renewed", aClaim.renewed },
+            { "repeated", aClaim.repeated } };
+}
+
+void from_json(const nlohmann::json& aJson, LeaderClaim& aClaim)
+{
+  aJson.at("epoch").get_to(aClaim.epoch);
+  aClaim.renewed = aJson.value("renewed", true);
+  aClaim.repeated = aJson.value("repeated", false);
+}
+
 } // namespace oriolespread
--- a/packages/messages/tests/MessageCodecTest.cpp
+++ b/packages/messages/tests/MessageCodecTest.cpp
@@ -134,6 +134,21 @@
   CHECK_THROWS_AS(body.get<WorkerReport>(), nlohmann::json::exception);
 }
 
+// Guards against agents that follow no leader while entries of an earlier version lead.
+TEST_CASE("MessageCodec TakesAClaimThatDoesNotTellOfRenewalsForARenewedOne")
+{
+  nlohmann::json body = LeaderClaim{ Epoch{ 7 }, false, true };
+  CHECK_FALSE(body.get<LeaderClaim>().renewed);
+  CHECK(body.get<LeaderClaim>().repeated);
+  body.erase("renewed");
+  body.erase("repeated");
+  CHECK(body.get<LeaderClaim>().renewed);
+  CHECK_FALSE(body.get<LeaderClaim>().repeated);
+  CHECK(body.get<LeaderClaim>().epoch == Epoch{ 7 });
+  body.erase("epoch");
+  CHECK_THROWS_AS(body.get<LeaderClaim>(), nlohmann::json::exception);
+}
+
 // Guards against answers of leaders of an earlier version that are refused, so that no lease is
 // extended, and against an answer that does not tell of an evacuation.
 TEST_CASE("MessageCodec DecodesALeaseExtensionThatDoesNotTellOfEvacuations")
