Order fencing tokens by the agent's process, not by its leader

Two runs of a task for 1.4 s. Cause: the epoch of the leader stood in the high bits of a token. A restarted agent that can not read the directory of entries follows no leader, so that all its tokens lay below those of its earlier process, and a refused agent without a leader did not raise its token at all; the step of the raise could not reach another epoch either. A worker that restarted under its id carried out a late start of the earlier process, took its token, and refused the new process from then on: it saw the run and could not stop it, while the leader started the task elsewhere. Change: a token is the Unix time in 1/2048 ms or one more than the last one. It is raised with each process, leader and incarnation of the worker, and after each refusal, also without a leader. Why it works: an agent's process polls its worker with a token above all of its forerunner's, whatever each of them knows of leaders, and the worker refuses the forerunner's calls from the first poll on.

--- a/packages/cluster/src/WorkerFence.cpp
+++ b/packages/cluster/src/WorkerFence.cpp
@@ -6,48 +6,43 @@
 
 namespace {
 
-// Tokens stay below 2^53, which every JSON reader represents exactly, up to epoch 2^21. Stamps
-// suffice until the year 2106.
-constexpr unsigned kStampBits = 32;
-constexpr std::uint64_t kMaxStamp = (std::uint64_t{ 1 } << kStampBits) - 1;
-// Bounds how far refusals by a worker that follows a later leader move the stamp.
-constexpr std::uint64_t kMaxRefusalStep = 3600;
-constexpr std::int64_t kMsPerSecond = 1000;
-
-std::uint64_t StampAt(std::int64_t aUnixMs)
+// Tokens stay below 2^53, which every JSON reader represents exactly, until the year 2109. They are
+// above those of earlier versions, which had the epoch of the leader in the bits from 32 on, up to
+// epoch 850,000.
+constexpr std::uint64_t kTokensPerMs = 2048;
+constexpr std::uint64_t kMaxToken = (std::uint64_t{ 1 } << 53U) - 1;
+constexpr std::uint64_t kFirstRefusalStep = 1000 * kTokensPerMs;
+// Bounds how far a worker that refuses all calls moves the token.
+constexpr std::uint64_t kMaxRefusalStep = 3600 * kFirstRefusalStep;
+
+std::uint64_t TokenAt(std::int64_t aUnixMs)
 {
-  return std::min(static_cast<std::uint64_t>(std::max<std::int64_t>(aUnixMs / kMsPerSecond, 0)),
-                  kMaxStamp);
+  const auto unixMs = static_cast<std::uint64_t>(std::max<std::int64_t>(aUnixMs, 0));
+  return std::min(unixMs, kMaxToken / kTokensPerMs) * kTokensPerMs;
 }
 
 } // namespace
 
 WorkerFence::WorkerFence(std::int64_t aUnixMs)
-  : stamp(StampAt(aUnixMs))
+  : token(TokenAt(aUnixMs))
+  , refusalStep(kFirstRefusalStep)
 {
 }
 
-void WorkerFence::Follow(Epoch aEpoch, std::int64_t aUnixMs)
-{
-  this->epoch = aEpoch;
-  this->stamp = StampAt(aUnixMs);
-  this->refusalStep = 1;
-}
-
 void WorkerFence::Raise(std::int64_t aUnixMs)
 {
-  this->stamp = std::max(std::min(this->stamp + 1, kMaxStamp), StampAt(aUnixMs));
+  this->token = std::max(std::min(this->token + 1, kMaxToken), TokenAt(aUnixMs));
 }
 
 void WorkerFence::RaiseAfterRefusal()
 {
-  this->stamp = std::min(this->stamp + this->refusalStep, kMaxStamp);
+  this->token = std::min(this->token + this->refusalStep, kMaxToken);
   this->refusalStep = std::min(2 * this->refusalStep, kMaxRefusalStep);
 }
 
-FencingToken WorkerFence::Token() const
+void WorkerFence::OnAccepted()
 {
-  return FencingToken{ (this->epoch.Value() << kStampBits) + this->stamp };
+  this->refusalStep = kFirstRefusalStep;
 }
 
 } // namespace oriolespread::cluster
--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -323,7 +323,7 @@
   }
   if (aEpoch > this->epoch) {
     this->epoch = aEpoch;
-    this->fence.Follow(aEpoch, CurrentUnixMs());
+    this->fence.Raise(CurrentUnixMs());
     this->startsSent = false;
     this->OnTokenChanged();
   }
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -271,7 +271,7 @@
       }
       [[fallthrough]];
     case WorkerCallOutcome::OtherInstance:
-      // A later leader or a later incarnation of the worker makes the order void, and with it all
+      // A higher token or a later incarnation of the worker makes the order void, and with it all
       // earlier attempts.
       this->counters.Add("starts_void_total", aAnswer.reason);
       if (!tracked.stopping && aAttempt == tracked.startAttempts) {
@@ -381,7 +381,8 @@
       return;
     case WorkerCallOutcome::Fenced:
       this->counters.Add("stops_void_total", aAnswer.reason);
-      // A later leader is in charge of the worker. The stop is sent again with the next token.
+      // The worker has seen a higher token of an earlier process. The stop is sent again with the
+      // next one, which a refused poll raises.
       if (aToken == this->fence.Token()) {
         return;
       }
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -134,7 +134,7 @@
     }
     if (aAnswer.end == WorkerCallOutcome::Fenced) {
       this->counters.Add("looks_fenced_total", "worker");
-      if (this->epoch != Epoch{} && aToken == this->fence.Token()) {
+      if (aToken == this->fence.Token()) {
         this->fence.RaiseAfterRefusal();
         this->OnTokenChanged();
       }
@@ -170,7 +170,7 @@
     this->workerClockMs = aAnswer.clockMs;
     this->workerClockReadAt = now;
   }
-  if (aToken == this->fence.Token() && this->epoch != Epoch{}) {
+  if (aToken == this->fence.Token()) {
     if (!std::exchange(this->tokenAccepted, true)) {
       // The worker may have carried out a call of an earlier agent, or to its earlier incarnation,
       // until now, and taken its deadline for the longest lease.
--- a/packages/daemon/tests/WorkerUnreportedRunsTest.cpp
+++ b/packages/daemon/tests/WorkerUnreportedRunsTest.cpp
@@ -192,3 +192,23 @@
   CHECK(fixture.counters.Get("runs_stopped_unreported_total", "worker_restarted") == 0);
   CHECK(fixture.counters.Get("runs_stopped_unreported_total", "other_incarnation") == 0);
 }
+
+// Guards against two runs of a task: an agent that was restarted and follows no leader has no token
+// above those of its earlier process, so that the worker carries out a late start and refuses the
+// agent's calls, while the leader starts the task elsewhere.
+TEST_CASE("WorkerDriver BarsLateStartsOfAnEarlierProcessWhenItFollowsNoLeader")
+{
+  WorkerDriverFixture fixture(kMaxLease, kLongRunTime);
+  fixture.driver->FollowLeader(Epoch{ 7 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.RunFor(500 * kMillisecond);
+  fixture.worker->SetDelayedCallShare(1.0);
+  fixture.StartTask("j.0.0.0", Epoch{ 7 });
+  fixture.RunFor(100 * kMillisecond);
+  fixture.worker->SetDelayedCallShare(0);
+  fixture.driver = fixture.MakeDriver(kMaxLease);
+  fixture.worker->Restart();
+  fixture.RunFor(2500 * kMillisecond);
+  CHECK(fixture.started.empty());
+  CHECK(fixture.counters.Get("looks_fenced_total", "worker") == 0);
+}
