Let an agent poll its worker before it knows a heartbeat or a leader

A worker carries out a late start of the agent's earlier process although a new process is at work. Cause: a new process called its worker only after the worker's next heartbeat (up to 1.5 s later, or never if heartbeats are lost) or, to probe for a worker, once it was linked to a leader. A restarted worker has seen no token until then. Change: the agent probes from its start on, every 150 ms, with its token and without a lease. A refused probe raises the token as a refused poll does. Why it works: the first call that the worker answers bars all calls of earlier processes. What is left is a start that arrives before the first probe, within 150 ms of the worker's restart, or while the agent has no process.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -33,8 +33,10 @@
   if (!client.ok()) {
     return client.status();
   }
-  return std::unique_ptr<WorkerDriver>(
+  std::unique_ptr<WorkerDriver> driver(
     new WorkerDriver(aContext, aMaxWorkerLease, aCounters, std::move(aSend), *std::move(client)));
+  driver->SchedulePoll(Duration::zero());
+  return driver;
 }
 
 WorkerDriver::WorkerDriver(asio::io_context& aContext,
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -129,9 +129,12 @@
 
   void SchedulePoll(Duration aDelay);
   void PollWorker();
-  // Polls a worker that has sent no heartbeat to this process, to learn whether it exists.
+  // Polls a worker that has sent no heartbeat to this process, to learn whether it exists, and so
+  // that it carries out no more calls of earlier processes.
   void ProbeWorker();
-  void OnProbeAnswer(const platformwire::WorkerAnswer& aAnswer);
+  void OnProbeAnswer(const platformwire::WorkerAnswer& aAnswer, FencingToken aToken);
+  // Handles that the worker has refused a poll with this token.
+  void OnPollFenced(FencingToken aToken);
   void OnPollAnswer(const platformwire::WorkerAnswer& aAnswer,
                     FencingToken aToken,
                     Instant aSentAt);
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -73,25 +73,27 @@
 
 void WorkerDriver::ProbeWorker()
 {
-  if (!this->leaderLinked) {
-    return;
-  }
   this->pollPending = true;
   platformwire::WorkerPoll request;
   request.fence = this->fence.Token();
   this->client->Poll(
-    request, kWorkerCallTimeout, [this, pollId = ++this->lastPollId](const WorkerAnswer& aAnswer) {
+    request,
+    kWorkerCallTimeout,
+    [this, pollId = ++this->lastPollId, token = request.fence](const WorkerAnswer& aAnswer) {
       if (pollId == this->lastPollId) {
-        this->OnProbeAnswer(aAnswer);
+        this->OnProbeAnswer(aAnswer, token);
       }
     });
 }
 
-void WorkerDriver::OnProbeAnswer(const WorkerAnswer& aAnswer)
+void WorkerDriver::OnProbeAnswer(const WorkerAnswer& aAnswer, FencingToken aToken)
 {
   this->pollPending = false;
   // Scheduled first, so that polling continues if the handling of the answer throws.
   this->SchedulePoll(kWorkerRetryDelay);
+  if (aAnswer.end == WorkerCallOutcome::Fenced) {
+    this->OnPollFenced(aToken);
+  }
   const Instant now = BootClock::now();
   this->refusesConnections = aAnswer.end == WorkerCallOutcome::Refused;
   if (!this->refusesConnections && aAnswer.end != WorkerCallOutcome::Unknown) {
@@ -112,6 +114,15 @@
   }
 }
 
+void WorkerDriver::OnPollFenced(FencingToken aToken)
+{
+  this->counters.Add("looks_fenced_total", "worker");
+  if (aToken == this->fence.Token()) {
+    this->fence.RaiseAfterRefusal();
+    this->OnTokenChanged();
+  }
+}
+
 void WorkerDriver::OnPollAnswer(const WorkerAnswer& aAnswer, FencingToken aToken, Instant aSentAt)
 {
   this->pollPending = false;
@@ -133,11 +144,7 @@
       return;
     }
     if (aAnswer.end == WorkerCallOutcome::Fenced) {
-      this->counters.Add("looks_fenced_total", "worker");
-      if (aToken == this->fence.Token()) {
-        this->fence.RaiseAfterRefusal();
-        this->OnTokenChanged();
-      }
+      this->OnPollFenced(aToken);
     }
     this->OnPollFailed(aAnswer);
     return;
--- a/packages/daemon/tests/WorkerUnreportedRunsTest.cpp
+++ b/packages/daemon/tests/WorkerUnreportedRunsTest.cpp
@@ -212,3 +212,19 @@
   CHECK(fixture.started.empty());
   CHECK(fixture.counters.Get("looks_fenced_total", "worker") == 0);
 }
+
+// Guards against a late start of an earlier process of the agent that a worker carries out because
+// the present process waits for a heartbeat before it calls the worker.
+TEST_CASE("WorkerDriver BarsLateStartsOfAnEarlierProcessWhenNoHeartbeatArrives")
+{
+  WorkerDriverFixture fixture(kMaxLease, kLongRunTime);
+  fixture.driver->FollowLeader(Epoch{ 7 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.RunFor(500 * kMillisecond);
+  const auto earlierAgent = fixture.SendDelayedStart("j.0.0.0");
+  fixture.control.reset();
+  fixture.driver = fixture.MakeDriver(kMaxLease);
+  fixture.worker->Restart();
+  fixture.RunFor(2500 * kMillisecond);
+  CHECK(fixture.started.empty());
+}
