Stop late runs of a worker that started after its agent's process

A worker restarts and carries out a late start before the first poll of its agent, which was restarted as well and is linked to no leader. The run goes on for the longest lease of the worker (6 to 10 s), and the leader starts the task elsewhere after 5.55 s. Cause: the agent stops runs that no leader can know of only if it has itself seen the worker restart. The first incarnation that answers a process of the agent counts as one that an earlier process may have reported. Change: a worker's clock begins at zero with its process. If it shows, with 3% for its deviation, that the worker is younger than the agent's process, no earlier one can have reported it. Why it works: the stop is sent with the answer that lists the run, up to 150 ms after the worker's restart. Runs of a worker that started before the agent are kept as before. Evidence: StopsALateRunOfAWorkerThatStartedAfterItWhenItFollowsNoLeader fails on the commit before (the run goes on) and passes now; KeepsTheRunsOfAWorkerThatStartedBeforeItWhenItFollowsNoLeader passes on both.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -14,12 +14,8 @@
 
 namespace {
 
-// Bounds how long a lease can last on the agent's clock: a worker's clock may be 2% slow, and a
-// call takes some time to reach the worker.
-constexpr double kMaxWorkerClockRatio = 1.03;
+// The time that a call takes to reach the worker, with which a lease begins.
 constexpr Duration kLeaseExpiryMargin = std::chrono::milliseconds(200);
-// How far the clock of a worker may seem to be behind, beyond its deviation, by rounding.
-constexpr Duration kWorkerClockMargin = std::chrono::milliseconds(50);
 
 } // namespace
 
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -54,6 +54,11 @@
   const LatencyHistogram& StartLatency() const { return this->startLatency; }
 
 private:
+  // A worker's clock may be 2% slow, and calls take some time.
+  static constexpr double kMaxWorkerClockRatio = 1.03;
+  // How far the clock of a worker may seem to be behind, beyond its deviation, by rounding.
+  static constexpr Duration kWorkerClockMargin = std::chrono::milliseconds(50);
+
   // What the agent knows about a run that the leader has ordered to start or to stop.
   struct TrackedRun
   {
@@ -138,6 +143,9 @@
   void OnPollAnswer(const platformwire::WorkerAnswer& aAnswer,
                     FencingToken aToken,
                     Instant aSentAt);
+  // Returns whether the worker's process, whose clock began at zero with it and was read by a call
+  // that was sent at `aSentAt`, is younger than this process of the agent.
+  bool HasStartedAfterThisProcess(std::int64_t aClockMs, Instant aSentAt) const;
   // Returns a reason code if no leader can know of the incarnation that serves the worker's
   // address, else an empty text. All runs of such an incarnation were begun by calls to an earlier
   // one, as starts wait for an answered report.
@@ -236,8 +244,10 @@
   // The last report before the known incarnation, and whether the leader has answered a later one.
   std::uint64_t lastEarlierReport = 0;
   bool incarnationReported = false;
-  // Whether the known incarnation has answered this process of the agent, and whether an earlier
-  // one has. A first heartbeat that was delayed may name one that had ended before.
+  // Whether the known incarnation has answered this process of the agent, and whether the worker
+  // has restarted since this process began: an earlier incarnation has answered it, or a clock
+  // shows that the known one is younger. A first heartbeat that was delayed may name one that had
+  // ended before.
   bool incarnationAnswered = false;
   bool hasSeenRestart = false;
   // When the last report was sent that a leader has answered, also one on an earlier incarnation.
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -176,6 +176,9 @@
   if (aAnswer.clockMs.has_value()) {
     this->workerClockMs = aAnswer.clockMs;
     this->workerClockReadAt = now;
+    // No earlier process of the agent can have reported a worker that started after this one.
+    this->hasSeenRestart =
+      this->hasSeenRestart || this->HasStartedAfterThisProcess(*aAnswer.clockMs, aSentAt);
   }
   if (aToken == this->fence.Token()) {
     if (!std::exchange(this->tokenAccepted, true)) {
@@ -252,6 +255,13 @@
                                                                         : Duration::zero());
 }
 
+bool WorkerDriver::HasStartedAfterThisProcess(std::int64_t aClockMs, Instant aSentAt) const
+{
+  const auto longestAge = std::chrono::duration_cast<Duration>(std::chrono::milliseconds(aClockMs) *
+                                                               kMaxWorkerClockRatio);
+  return longestAge + kWorkerClockMargin < aSentAt - this->createdAt;
+}
+
 std::string_view WorkerDriver::UnreportedReason() const
 {
   // Reports of an earlier process of the agent may name the first incarnation that answers this
--- a/packages/daemon/tests/WorkerUnreportedRunsTest.cpp
+++ b/packages/daemon/tests/WorkerUnreportedRunsTest.cpp
@@ -228,3 +228,30 @@
   fixture.RunFor(2500 * kMillisecond);
   CHECK(fixture.started.empty());
 }
+
+// Guards against two runs of a task: a worker restarts and carries out a late start before a new
+// process of its agent reaches it, and that process can not report the run to a leader.
+TEST_CASE("WorkerDriver StopsALateRunOfAWorkerThatStartedAfterItWhenItFollowsNoLeader")
+{
+  WorkerDriverFixture fixture(kMaxLease, kLongRunTime);
+  fixture.driver->FollowLeader(Epoch{ 7 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.driver = fixture.MakeDriver(kMaxLease);
+  const auto earlierAgent = RestartWithLateStart(fixture);
+  fixture.RunFor(1500 * kMillisecond);
+  REQUIRE(fixture.ended.size() == 1);
+  CHECK(fixture.ended[0].second == "stopped");
+}
+
+// Guards against runs that are lost with each restart of an agent that can not reach a leader.
+TEST_CASE("WorkerDriver KeepsTheRunsOfAWorkerThatStartedBeforeItWhenItFollowsNoLeader")
+{
+  WorkerDriverFixture fixture(kMaxLease, kLongRunTime);
+  fixture.driver->FollowLeader(Epoch{ 7 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.reports.empty(); }));
+  fixture.StartTask("j.0.0.0", Epoch{ 7 });
+  REQUIRE(fixture.RunUntil([&] { return !fixture.started.empty(); }));
+  fixture.driver = fixture.MakeDriver(kMaxLease);
+  fixture.RunFor(2000 * kMillisecond);
+  CHECK(fixture.ended.empty());
+}
--- a/packages/jobs/tests/PlayedAgent.h
+++ b/packages/jobs/tests/PlayedAgent.h
@@ -329,6 +329,7 @@
     this->refusesConnections = false;
     this->lost = false;
     this->workerClockZero = worker.bootedAt;
+    this->hasSeenRestart = this->hasSeenRestart || worker.bootedAt > this->createdAt;
     this->fenceConfirmed = aToken == this->Token();
     this->StopUnreportedRuns(worker);
     this->AcknowledgeEnds(worker);
