Tell jobs with one identifier apart by their queues

A job is answered 200, never stored, and shown as completed, which is the state of another queue's job with the same identifier. A DELETE cancels a job of another queue. Cause: callers name a job by its queue and identifier. Its rows had the identifier alone as their key, and the entry took any row, state, cancellation and remembered state for the queue's own. Change: a job is one of the queue whose name, or whose address if that name is gone, is in its record and its state. The first job with an identifier keeps the identifier as its key; a job of another service has <id>@<hash of the service>, in the same part of the store. A second job in one service is refused at once with 503, as its workers know tasks by the identifier. The scheduler resolves a worker's runs by the runs that are there, then by the worker's service. Why it works: a submission requires that both keys are absent, or that the other job's row is as it was read and the second key absent, so that a late call or a repetition stores nothing twice. Rows of the build before are read as they are, and the first job's rows are still written that way.

--- a/packages/cluster/include/oriolespread/cluster/ClusterConfig.h
+++ b/packages/cluster/include/oriolespread/cluster/ClusterConfig.h
@@ -21,6 +21,9 @@
   // Workers for a step must be requested from the advice service.
   bool needsAdvice = false;
   jobs::QueuePolicy policy;
+
+  // Returns where callers reach the queue: the host and the prefix.
+  std::string Address() const { return this->host + this->pathPrefix; }
 };
 
 struct ServiceConfig
@@ -46,6 +49,13 @@
 
   // Returns the queue with the longest matching prefix, or null. A port in `aHost` is ignored.
   const QueueConfig* FindQueue(std::string_view aHost, std::string_view aPath) const;
+
+  // Returns whether the queue has the jobs that were submitted when a queue had this name and this
+  // address. They are those of the queue with this name, wherever callers reach it now; if there is
+  // none any more, it was renamed, and they are those of the queue at this address.
+  bool HasJobsOf(const QueueConfig& aQueue,
+                 std::string_view aName,
+                 std::string_view aAddress) const;
 };
 
 } // namespace oriolespread::cluster
--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -48,12 +48,6 @@
   return aQueue.timeoutMs > 0 ? std::min(timeoutMs, aQueue.timeoutMs) : timeoutMs;
 }
 
-// Returns the rows of the job and of its cancellation, which follows it.
-cluster::RowRange JobRange(const std::string& aId)
-{
-  return { std::string(jobs::kJobsTable), aId, aId + "~", 2, jobs::JobPartOf(aId) };
-}
-
 bool IsLongRunning(const jobs::JobSpec& aSpec)
 {
   return std::any_of(aSpec.steps.begin(), aSpec.steps.end(), [](const jobs::StepSpec& aStep) {
@@ -98,24 +92,25 @@
   request->deadline = request->arrivedAt +
                       std::chrono::milliseconds(CallerTimeoutMs(aRequest, *queue)) -
                       kResponseMargin;
+  request->queue = *queue;
   request->jobId = path.substr(queue->pathPrefix.size());
   if (this->IsStoreReachable()) {
-    this->Execute(request, *queue);
+    this->Execute(request);
     return;
   }
   if (request->fromEntry) {
     this->Respond(request, kHttpUnavailable, {}, "store_unreachable");
     return;
   }
-  this->Forward(request, [this, request, queue = *queue] { this->Execute(request, queue); });
+  this->Forward(request, [this, request] { this->Execute(request); });
 }
 
-void JobApi::Execute(const RequestPtr& aRequest, const cluster::QueueConfig& aQueue)
+void JobApi::Execute(const RequestPtr& aRequest)
 {
   const std::string& method = aRequest->http.method;
   if (aRequest->jobId.empty() && method == "GET") {
     aRequest->kind = "pending";
-    this->CountPending(aRequest, aQueue.policy.queue);
+    this->CountPending(aRequest);
     return;
   }
   if (!platformwire::IsJobId(aRequest->jobId)) {
@@ -124,7 +119,7 @@
   }
   if (method == "POST") {
     aRequest->kind = "submit";
-    this->Submit(aRequest, aQueue, aRequest->http.body);
+    this->Submit(aRequest);
   } else if (method == "GET") {
     aRequest->kind = "state";
     this->GetState(aRequest);
@@ -196,11 +191,9 @@
   return true;
 }
 
-void JobApi::Submit(const RequestPtr& aRequest,
-                    const cluster::QueueConfig& aQueue,
-                    const std::string& aBody)
+void JobApi::Submit(const RequestPtr& aRequest)
 {
-  auto spec = platformwire::DecodeJob(aBody);
+  auto spec = platformwire::DecodeJob(aRequest->http.body);
   if (!spec.ok()) {
     Log(LogLevel::Warning,
         "job_unreadable",
@@ -208,26 +201,22 @@
     this->Respond(aRequest, kHttpBadRequest, {}, "unreadable_job");
     return;
   }
-  jobs::JobRecord record;
-  record.id = aRequest->jobId;
-  record.policy = aQueue.policy;
+  jobs::JobRecord& record = aRequest->record;
+  record.policy = aRequest->queue.policy;
+  record.policy.address = aRequest->queue.Address();
   record.spec = *std::move(spec);
   record.submittedUnixMs = CurrentUnixMs();
-  std::string value = jobs::EncodeJobRecord(record);
-  if (value.size() > jobs::kMaxRowBytes) {
+  const cluster::StoreTransaction transaction =
+    MakeSubmission(*aRequest, aRequest->jobId, this->FindJobs(*aRequest, {}).Conditions());
+  const std::size_t bytes = transaction.changes.front().value.size();
+  if (bytes > jobs::kMaxRowBytes) {
     // The store would refuse every attempt to store it.
     Log(LogLevel::Warning,
         "job_too_large",
-        { { "job", aRequest->jobId }, { "bytes", value.size() }, { "limit", jobs::kMaxRowBytes } });
+        { { "job", aRequest->jobId }, { "bytes", bytes }, { "limit", jobs::kMaxRowBytes } });
     this->Respond(aRequest, kHttpBadRequest, {}, "job_too_large");
     return;
   }
-  cluster::StoreTransaction transaction;
-  const cluster::RowKey row = jobs::JobRow(aRequest->jobId);
-  transaction.conditions.push_back({ row, 0 });
-  transaction.changes.push_back({ row, std::move(value), false });
-  transaction.changes.push_back(
-    { jobs::WaitingRow(aQueue.policy.queue, aRequest->jobId), {}, false });
   if (const auto retryAfterSeconds = this->FindRefusal(*aRequest, record);
       retryAfterSeconds.has_value()) {
     this->RefuseUnlessStored(aRequest, transaction, *retryAfterSeconds);
@@ -236,6 +225,52 @@
   this->Commit(aRequest, transaction);
 }
 
+StoredJobs JobApi::FindJobs(const Request& aRequest,
+                            const std::vector<cluster::StoredRow>& aRows) const
+{
+  return StoredJobs::Find(aRows, aRequest.jobId, aRequest.queue, *this->config.Config());
+}
+
+cluster::StoreTransaction JobApi::MakeSubmission(Request& aRequest,
+                                                 const std::string& aKey,
+                                                 std::vector<cluster::RowCondition> aConditions)
+{
+  jobs::JobRecord& record = aRequest.record;
+  record.id = aKey;
+  cluster::StoreTransaction transaction;
+  transaction.conditions = std::move(aConditions);
+  transaction.changes.push_back({ jobs::JobRow(aKey), jobs::EncodeJobRecord(record), false });
+  transaction.changes.push_back({ jobs::WaitingRow(record.policy.queue, aKey), {}, false });
+  return transaction;
+}
+
+void JobApi::OnSubmissionConflict(const RequestPtr& aRequest,
+                                  const cluster::StoreTransaction& aTransaction,
+                                  const std::vector<cluster::StoredRow>& aCurrent)
+{
+  const StoredJobs jobs = this->FindJobs(*aRequest, aCurrent);
+  if (jobs.Own() != nullptr) {
+    // An earlier attempt or an earlier request has stored it.
+    this->Respond(aRequest, kHttpOk, "{}", "stored_before");
+    return;
+  }
+  if (jobs.HasUnreadable() || aCurrent.empty()) {
+    this->Retry(aRequest, "row_unreadable", [this, aRequest, aTransaction] {
+      this->Commit(aRequest, aTransaction);
+    });
+    return;
+  }
+  if (const auto key = jobs.FreeKey(); key.has_value()) {
+    this->Commit(aRequest, MakeSubmission(*aRequest, *key, jobs.Conditions()));
+    return;
+  }
+  // Workers of the service could not tell the tasks of both jobs apart.
+  this->Respond(aRequest,
+                aRequest->maybeApplied ? kHttpGatewayTimeout : kHttpUnavailable,
+                {},
+                "identifier_in_use");
+}
+
 std::optional<std::int64_t> JobApi::FindRefusal(const Request& aRequest,
                                                 const jobs::JobRecord& aRecord)
 {
@@ -250,7 +285,7 @@
   const std::optional<cluster::PublishedWait> wait =
     this->findWait(policy.service, policy.priority);
   const cluster::AdmissionRequest request{
-    aRecord.id, policy.queue, jobs::CriticalPathMs(aRecord.spec), jobs::ObjectiveMs(aRecord)
+    aRequest.jobId, policy.queue, jobs::CriticalPathMs(aRecord.spec), jobs::ObjectiveMs(aRecord)
   };
   const cluster::AdmissionDecision decision =
     this->admission.Decide(request, wait, BootClock::now());
@@ -278,16 +313,15 @@
     return;
   }
   this->store.Read(
-    JobRange(aRequest->jobId),
+    StoredJobs::Range(aRequest->jobId),
     this->RemainingStoreTimeout(*aRequest),
     [this, aRequest, aSubmission, aRetryAfterSeconds](const cluster::ReadResult& aResult) {
-      if (aResult.end != ReadEnd::Done || aResult.unreadableRows > 0) {
+      const StoredJobs jobs = this->FindJobs(*aRequest, aResult.rows);
+      if (aResult.end != ReadEnd::Done || aResult.unreadableRows > 0 || jobs.HasUnreadable()) {
         this->Commit(aRequest, aSubmission);
         return;
       }
-      const bool isStored =
-        !aResult.rows.empty() && aResult.rows.front().row.key == aRequest->jobId;
-      if (isStored) {
+      if (jobs.Own() != nullptr) {
         this->Respond(aRequest, kHttpOk, "{}", "stored_before");
       } else {
         aRequest->retryAfterSeconds = aRetryAfterSeconds;
@@ -322,14 +356,11 @@
       this->Respond(aRequest, kHttpOk, "{}", "stored");
       return;
     case CommitEnd::Conflict:
-      if (aRequest->cancelsUnknownJob) {
-        // The job was stored meanwhile, or the read was behind.
-        aRequest->cancelsUnknownJob = false;
-        this->StoreCancellation(aRequest, {});
-        return;
+      if (aRequest->http.method == "POST") {
+        this->OnSubmissionConflict(aRequest, aTransaction, aResult.current);
+      } else {
+        this->OnCancellationConflict(aRequest, aTransaction, aResult.current);
       }
-      // The row exists: an earlier attempt or an earlier request has written it.
-      this->Respond(aRequest, kHttpOk, "{}", "stored_before");
       return;
     case CommitEnd::Invalid:
       if (!aRequest->maybeApplied) {
@@ -411,57 +442,63 @@
 
 void JobApi::GetState(const RequestPtr& aRequest)
 {
-  if (const auto cached = this->endedStates.find(aRequest->jobId);
+  if (const auto cached = this->endedStates.find(CacheKey(*aRequest));
       cached != this->endedStates.end()) {
     this->Respond(aRequest, kHttpOk, platformwire::EncodeState(cached->second), "remembered");
     return;
   }
   ++aRequest->attempts;
-  const std::string id = aRequest->jobId;
   this->Read(
     aRequest,
-    { std::string(jobs::kStateTable), id, id + "~", 1 },
+    StateRange(aRequest->jobId),
     [this, aRequest] { this->GetState(aRequest); },
     [this, aRequest](const std::vector<cluster::StoredRow>& aRows) {
-      if (aRows.empty()) {
+      for (const cluster::StoredRow& row : aRows) {
+        if (!jobs::DecodeJobState(row.value).has_value()) {
+          this->counters.Add("rows_unreadable_total", "state");
+        }
+      }
+      const std::optional<JobState> state = FindState(
+        aRows, aRequest->jobId, aRequest->queue, *this->config.Config(), JobState::Running);
+      if (!state.has_value()) {
         this->GetUnstartedState(aRequest);
         return;
       }
-      const std::string& value = aRows.front().value;
-      JobState state = JobState::Running;
-      if (!jobs::ParseJobState(std::string_view(value).substr(0, value.find(' ')), state)) {
-        this->counters.Add("rows_unreadable_total", "state");
-      }
-      this->CacheEndedState(aRequest->jobId, state);
-      this->Respond(aRequest, kHttpOk, platformwire::EncodeState(state), "read");
+      this->CacheEndedState(*aRequest, *state);
+      this->Respond(aRequest, kHttpOk, platformwire::EncodeState(*state), "read");
     });
 }
 
-void JobApi::ReadJob(const RequestPtr& aRequest,
-                     std::function<void()> aRetry,
-                     std::function<void(const cluster::StoredRow*, bool aCancelled)> aOnRead)
+void JobApi::ReadJobs(const RequestPtr& aRequest,
+                      const std::function<void()>& aRetry,
+                      std::function<void(const StoredJobs&)> aOnRead)
 {
-  const std::string id = aRequest->jobId;
   this->Read(aRequest,
-             JobRange(id),
-             std::move(aRetry),
-             [id, onRead = std::move(aOnRead)](const std::vector<cluster::StoredRow>& aRows) {
-               const bool isStored = !aRows.empty() && aRows.front().row.key == id;
-               onRead(isStored ? &aRows.front() : nullptr, aRows.size() > (isStored ? 1U : 0U));
+             StoredJobs::Range(aRequest->jobId),
+             aRetry,
+             [this, aRequest, retry = aRetry, onRead = std::move(aOnRead)](
+               const std::vector<cluster::StoredRow>& aRows) {
+               const StoredJobs jobs = this->FindJobs(*aRequest, aRows);
+               if (jobs.Own() == nullptr && jobs.HasUnreadable()) {
+                 // It may be the queue's own, and the caller must not be told that it has none.
+                 this->Retry(aRequest, "row_unreadable", retry);
+                 return;
+               }
+               onRead(jobs);
              });
 }
 
 void JobApi::GetUnstartedState(const RequestPtr& aRequest)
 {
-  this->ReadJob(
+  this->ReadJobs(
     aRequest,
     [this, aRequest] { this->GetState(aRequest); },
-    [this, aRequest](const cluster::StoredRow* aJob, bool aCancelled) {
-      if (aJob == nullptr) {
+    [this, aRequest](const StoredJobs& aJobs) {
+      if (aJobs.Own() == nullptr) {
         this->Respond(aRequest, kHttpGone, {}, "no_such_job");
         return;
       }
-      const JobState state = aCancelled ? JobState::Cancelled : JobState::Queued;
+      const JobState state = aJobs.IsCancelled() ? JobState::Cancelled : JobState::Queued;
       this->Respond(aRequest, kHttpOk, platformwire::EncodeState(state), "not_started");
     });
 }
@@ -469,51 +506,85 @@
 void JobApi::Cancel(const RequestPtr& aRequest)
 {
   ++aRequest->attempts;
-  this->ReadJob(
+  this->ReadJobs(
     aRequest,
     [this, aRequest] { this->Cancel(aRequest); },
-    [this, aRequest](const cluster::StoredRow* aJob, bool aCancelled) {
-      if (aCancelled) {
+    [this, aRequest](const StoredJobs& aJobs) {
+      const StoredJobs::Job* job = aJobs.Own();
+      if (aJobs.IsCancelled()) {
         this->Respond(aRequest,
-                      aJob == nullptr ? kHttpGone : kHttpOk,
-                      aJob == nullptr ? "" : "{}",
-                      aJob == nullptr ? "no_such_job" : "stored_before");
+                      job == nullptr ? kHttpGone : kHttpOk,
+                      job == nullptr ? "" : "{}",
+                      job == nullptr ? "no_such_job" : "stored_before");
         return;
       }
-      aRequest->cancelsUnknownJob = aJob == nullptr;
-      this->StoreCancellation(
-        aRequest, { { jobs::JobRow(aRequest->jobId), aJob == nullptr ? 0 : aJob->version } });
+      if (job == nullptr) {
+        this->StoreEarlyCancellation(aRequest, aJobs);
+        return;
+      }
+      this->StoreCancellation(aRequest, job->id, { { jobs::JobRow(job->id), job->version } });
+    });
+}
+
+void JobApi::OnCancellationConflict(const RequestPtr& aRequest,
+                                    const cluster::StoreTransaction& aTransaction,
+                                    const std::vector<cluster::StoredRow>& aCurrent)
+{
+  if (!aRequest->cancelsUnknownJob) {
+    // The row of the job has been removed since it was read, as the job had ended.
+    this->Respond(aRequest, kHttpOk, "{}", "stored_before");
+    return;
+  }
+  // A job with the identifier was stored meanwhile, or the read was behind.
+  const StoredJobs jobs = this->FindJobs(*aRequest, aCurrent);
+  if (const StoredJobs::Job* job = jobs.Own(); job != nullptr) {
+    aRequest->cancelsUnknownJob = false;
+    this->StoreCancellation(aRequest, job->id, {});
+  } else if (jobs.HasUnreadable()) {
+    this->Retry(aRequest, "row_unreadable", [this, aRequest, aTransaction] {
+      this->Commit(aRequest, aTransaction);
     });
+  } else {
+    this->StoreEarlyCancellation(aRequest, jobs);
+  }
+}
+
+void JobApi::StoreEarlyCancellation(const RequestPtr& aRequest, const StoredJobs& aJobs)
+{
+  aRequest->cancelsUnknownJob = true;
+  this->StoreCancellation(aRequest,
+                          jobs::EarlyCancelName(aRequest->jobId, aRequest->queue.policy.queue),
+                          aJobs.Conditions());
 }
 
 void JobApi::StoreCancellation(const RequestPtr& aRequest,
+                               const std::string& aName,
                                std::vector<cluster::RowCondition> aConditions)
 {
   cluster::StoreTransaction transaction;
   transaction.conditions = std::move(aConditions);
   transaction.changes.push_back(
-    { jobs::CancelRow(aRequest->jobId), jobs::EncodeCancellation(CurrentUnixMs()), false });
+    { jobs::CancelRow(aName), jobs::EncodeCancellation(CurrentUnixMs()), false });
   this->Commit(aRequest, transaction);
 }
 
-void JobApi::CountPending(const RequestPtr& aRequest, const std::string& aQueue)
+void JobApi::CountPending(const RequestPtr& aRequest)
 {
   if (this->RespondIfTimeIsOver(aRequest)) {
     return;
   }
   ++aRequest->attempts;
+  const std::string& queue = aRequest->queue.policy.queue;
   // Each key begins with the queue's name and '/'; '0' is the character after '/'.
   MultiRangeReader::Read(
     this->context,
     this->store,
-    JobTableRanges(jobs::kWaitingTable, aQueue + "/", aQueue + "0"),
+    JobTableRanges(jobs::kWaitingTable, queue + "/", queue + "0"),
     [this, aRequest] { return this->RemainingStoreTimeout(*aRequest); },
     [](const std::string& /*aReason*/) { return false; },
-    [this, aRequest, aQueue](const MultiRangeResult& aResult) {
+    [this, aRequest](const MultiRangeResult& aResult) {
       if (!aResult.complete) {
-        this->Retry(aRequest, aResult.reason, [this, aRequest, aQueue] {
-          this->CountPending(aRequest, aQueue);
-        });
+        this->Retry(aRequest, aResult.reason, [this, aRequest] { this->CountPending(aRequest); });
         return;
       }
       std::size_t pendingJobs = 0;
@@ -551,7 +622,12 @@
   aRequest->reply(std::move(response));
 }
 
-void JobApi::CacheEndedState(const std::string& aJobId, JobState aState)
+std::string JobApi::CacheKey(const Request& aRequest)
+{
+  return aRequest.queue.policy.queue + "/" + aRequest.jobId;
+}
+
+void JobApi::CacheEndedState(const Request& aRequest, JobState aState)
 {
   if (!jobs::IsTerminal(aState)) {
     return;
@@ -559,7 +635,7 @@
   if (this->endedStates.size() >= kMaxCachedEndedJobs) {
     this->endedStates.clear();
   }
-  this->endedStates[aJobId] = aState;
+  this->endedStates[CacheKey(aRequest)] = aState;
 }
 
 } // namespace oriolespread::daemon
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -5,6 +5,7 @@
 
 #include "ConfigWatcher.h"
 #include "RequestForwarder.h"
+#include "StoredJobs.h"
 
 #include "oriolespread/cluster/AdmissionControl.h"
 #include "oriolespread/http/HttpServer.h"
@@ -62,7 +63,11 @@
     // The request may be passed on to another entry; at most once.
     bool forwardable = false;
     bool fromEntry = false;
+    // The queue that was selected, and the identifier that the caller has chosen for its job.
+    cluster::QueueConfig queue;
     std::string jobId;
+    // The job to store, for a submission.
+    jobs::JobRecord record;
     const char* kind = "";
     HttpServer::Reply reply;
     Instant arrivedAt{};
@@ -79,7 +84,7 @@
   using RequestPtr = std::shared_ptr<Request>;
 
   // Handles a request with a valid target.
-  void Execute(const RequestPtr& aRequest, const cluster::QueueConfig& aQueue);
+  void Execute(const RequestPtr& aRequest);
   // Returns whether the store has answered a recent call of this entry.
   bool IsStoreReachable() const;
   // Passes the request on to another entry. Calls `aOtherwise` if none serves it.
@@ -94,9 +99,16 @@
   // Responds with an error if there is no time for another call to the store. Returns whether it
   // has.
   bool RespondIfTimeIsOver(const RequestPtr& aRequest);
-  void Submit(const RequestPtr& aRequest,
-              const cluster::QueueConfig& aQueue,
-              const std::string& aBody);
+  void Submit(const RequestPtr& aRequest);
+  // Returns the transaction that stores the job under this key on these conditions.
+  static cluster::StoreTransaction MakeSubmission(Request& aRequest,
+                                                  const std::string& aKey,
+                                                  std::vector<cluster::RowCondition> aConditions);
+  // Handles that jobs with the identifier are stored: the queue's own, or another queue's.
+  void OnSubmissionConflict(const RequestPtr& aRequest,
+                            const cluster::StoreTransaction& aTransaction,
+                            const std::vector<cluster::StoredRow>& aCurrent);
+  StoredJobs FindJobs(const Request& aRequest, const std::vector<cluster::StoredRow>& aRows) const;
   // Returns the Retry-After value with which to refuse a job that cannot end in time to be useful,
   // and logs why; empty if the job is accepted.
   std::optional<std::int64_t> FindRefusal(const Request& aRequest, const jobs::JobRecord& aRecord);
@@ -113,19 +125,26 @@
             const cluster::RowRange& aRange,
             std::function<void()> aRetry,
             std::function<void(const std::vector<cluster::StoredRow>&)> aOnRead);
-  // Reads the job's row, null if there is none, and whether the job is cancelled.
-  void ReadJob(const RequestPtr& aRequest,
-               std::function<void()> aRetry,
-               std::function<void(const cluster::StoredRow* aJob, bool aCancelled)> aOnRead);
+  // Reads the jobs with the identifier.
+  void ReadJobs(const RequestPtr& aRequest,
+                const std::function<void()>& aRetry,
+                std::function<void(const StoredJobs&)> aOnRead);
   void GetState(const RequestPtr& aRequest);
   void GetUnstartedState(const RequestPtr& aRequest);
   // Stores the cancellation also if there is no such job, and then responds with 410: a submission
   // may be stored later, by an earlier call without an answer or by another entry.
   void Cancel(const RequestPtr& aRequest);
-  // Writes the row of the cancellation on these conditions.
+  void OnCancellationConflict(const RequestPtr& aRequest,
+                              const cluster::StoreTransaction& aTransaction,
+                              const std::vector<cluster::StoredRow>& aCurrent);
+  // Stores a cancellation of the queue's job that is not stored yet.
+  void StoreEarlyCancellation(const RequestPtr& aRequest, const StoredJobs& aJobs);
+  // Writes the row of the cancellation on these conditions. `aName` is the key of the job, or
+  // stands for one that is not stored.
   void StoreCancellation(const RequestPtr& aRequest,
+                         const std::string& aName,
                          std::vector<cluster::RowCondition> aConditions);
-  void CountPending(const RequestPtr& aRequest, const std::string& aQueue);
+  void CountPending(const RequestPtr& aRequest);
   // Passes the request on after its first failed attempt. If no other entry serves it, continues
   // with RetryHere.
   void Retry(const RequestPtr& aRequest, const std::string& aReason, std::function<void()> aCall);
@@ -136,7 +155,9 @@
                int aStatus,
                std::string aBody,
                std::string_view aReason);
-  void CacheEndedState(const std::string& aJobId, jobs::JobState aState);
+  // Names the job in `endedStates`.
+  static std::string CacheKey(const Request& aRequest);
+  void CacheEndedState(const Request& aRequest, jobs::JobState aState);
 
   asio::io_context& context;
   platformwire::StoreClient& store;
@@ -149,7 +170,7 @@
   // For a process that ends: no request has a later deadline, and no call to the store ends later.
   Instant latestDeadline = Instant::max();
   Instant latestStoreTime = Instant::max();
-  // Terminal states by job id, cached because they do not change any more.
+  // Terminal states by queue and identifier, cached because they do not change any more.
   std::unordered_map<std::string, jobs::JobState> endedStates;
 };
 
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -183,14 +183,16 @@
   friend auto operator<=>(const RunKey&, const RunKey&) = default;
 };
 
-// Returns the run's reference in messages to agents.
+// Returns the run's reference in messages to agents, which name its job by the identifier.
 inline RunRef ToRunRef(const RunKey& aRunKey)
 {
   const TaskKey& task = aRunKey.task;
-  return { ToString(TaskName{ task.job, task.occurrence, task.step, task.index }), aRunKey.number };
+  const TaskName name{ IdentifierOf(task.job), task.occurrence, task.step, task.index };
+  return { ToString(name), aRunKey.number };
 }
 
-// Returns whether the name of the task is valid, and then sets `aRunKey`.
+// Returns whether the name of the task is valid, and then sets `aRunKey`, with the identifier in
+// place of the job's key.
 inline bool ParseRunRef(const RunRef& aRef, RunKey& aRunKey)
 {
   TaskName name;
--- a/packages/jobs/include/oriolespread/jobs/JobRows.h
+++ b/packages/jobs/include/oriolespread/jobs/JobRows.h
@@ -1,16 +1,22 @@
 // The rows in which jobs are stored, and their keys:
 //
-//   jobs     <id>                the submitted record, written by the entry that accepted it
-//            <id>.cancel         present once a cancellation was accepted, also if the job is not
-//                                stored yet
-//   state    <id>                the job state shown to callers, written by the leader
-//   waiting  <queue>/<id>        present until a worker has started a task of the job, or the job
+//   jobs     <job>               the submitted record, written by the entry that accepted it
+//            <job>.cancel        present once a cancellation of the job was accepted
+//            <id>+<queue>.cancel present once a cancellation was accepted before the queue's job
+//                                with this identifier was stored
+//   state    <job>               the job state shown to callers, written by the leader
+//   waiting  <queue>/<job>       present until a worker has started a task of the job, or the job
 //                                has ended
-//   progress <id>.<occ>.<step>   runs, failures and checkpoints of a step, written by the leader
-//            <id>.<occ>.<step>+<row>   the same for some of the tasks of a wide step
+//   progress <job>.<occ>.<step>  runs, failures and checkpoints of a step, written by the leader
+//            <job>.<occ>.<step>+<row>   the same for some of the tasks of a wide step
 //   learned  interference        the leader's interference weights, read by the next leader
 //   lead     leader              the current leader; renewed by each of its transactions
 //
+// The clients of each queue choose identifiers on their own, so that queues may have jobs with the
+// same one. <job> is the identifier alone or, while a job of another service has that key,
+// <id>@<service>. A service has one job with an identifier at a time, as its workers know a task by
+// the identifier. <queue> and <service> after the identifier are hashes of the names.
+//
 // An entry is a process that accepts jobs from callers; one of them is the leader.
 //
 // Rows of `jobs` and `waiting` are distributed over several parts (partitions) of the store by job.
@@ -82,7 +88,19 @@
 bool ParseJobState(std::string_view aText, JobState& aState);
 bool IsTerminal(JobState aState);
 
-// A task name in the form ID.OCCURRENCE.STEP.INDEX.
+// Returns the key of the service's job with the identifier while a job of another service has the
+// identifier as its key.
+std::string ServiceJobKey(const std::string& aIdentifier, const std::string& aService);
+// Returns the identifier that the caller has chosen, from the key of a job.
+std::string IdentifierOf(std::string_view aJob);
+// Returns what stands for the queue's job with the identifier, whatever its key will be, in the key
+// of a cancellation that was accepted before the job was stored.
+std::string EarlyCancelName(const std::string& aIdentifier, const std::string& aQueue);
+// Returns whether the name is one that EarlyCancelName returns and not the key of a job.
+bool IsEarlyCancelName(std::string_view aName);
+
+// A task name in the form ID.OCCURRENCE.STEP.INDEX. In messages to workers, `job` is the job's
+// identifier; within the scheduler, it is the job's key.
 struct TaskName
 {
   std::string job;
@@ -113,9 +131,26 @@
 
 // Returns the name of a part with rows of `jobs` and `waiting`; the index is below kJobPartCount.
 std::string JobPart(std::size_t aIndex);
-// Returns the part of a job's rows, which is the same in every process and build.
+// Returns the part of the rows of all jobs with the identifier of this one, which is the same in
+// every process and build.
 std::string JobPartOf(const std::string& aJob);
 
+// The value of a row of `state`.
+struct StoredJobState
+{
+  JobState state = JobState::Queued;
+  // When the job ended; 0 before.
+  std::int64_t endedUnixMs = 0;
+  // The name and the address of the job's queue at the submission; empty if the row was written by
+  // a version that did not store them.
+  std::string queue;
+  std::string address;
+};
+
+std::string EncodeJobState(const StoredJobState& aState);
+// Returns none if the value is not such a state.
+std::optional<StoredJobState> DecodeJobState(const std::string& aValue);
+
 RowKey LeaderRow();
 RowKey InterferenceWeightsRow();
 RowKey JobRow(const std::string& aJob);
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -186,16 +186,9 @@
     std::size_t lastBytes = 0;
   };
 
-  // The stored state of a job, without its record.
-  struct StoredState
-  {
-    JobState state = JobState::Queued;
-    std::int64_t endedUnixMs = 0;
-    std::string queue;
-  };
   struct OrphanedState
   {
-    StoredState state;
+    StoredJobState state;
     Instant loadedAt{};
   };
   struct StoredProgress
@@ -205,7 +198,7 @@
   };
 
   // Defined in SchedulerLoading.cpp.
-  void LoadEndedJob(const std::string& aId, StoredState aStored, Now aNow);
+  void LoadEndedJob(const std::string& aId, StoredJobState aStored, Now aNow);
   void ApplyProgress(Job& aJob, const StoredProgress& aStored);
   // Completes a gang of which a member is done. The earlier leader may have stored that in some of
   // its rows only.
@@ -223,6 +216,13 @@
   void AddJob(JobRecord aRecord, Now aNow);
   // `aValue` is the value of the cancellation's row.
   void Cancel(const std::string& aId, const std::string& aValue, Now aNow);
+  // Handles a cancellation that was accepted before the job was stored; see EarlyCancelName.
+  void CancelEarly(const std::string& aName, const std::string& aValue, Now aNow);
+  bool IsCancelledEarly(const Job& aJob) const;
+  // Adds the key of a job to `serviceJobs` if necessary.
+  void IndexJob(const std::string& aId);
+  // Returns the keys of the known jobs with the identifier.
+  std::vector<std::string> JobsWithIdentifier(const std::string& aIdentifier) const;
   void StartDueOccurrences(Job& aJob, Now aNow);
   void EndJob(Job& aJob, JobState aState, Now aNow);
   void StopAllRuns(Job& aJob);
@@ -260,6 +260,10 @@
                           const std::optional<WorkerKey>& aCurrent,
                           std::string_view aReason,
                           Now aNow);
+  // Returns whether the name of the task is valid, and then sets `aRunKey`. Of several jobs with
+  // the identifier in the name, a run on the worker is one of its service's job; the key is that of
+  // no known job if there is none.
+  bool ResolveRun(const Worker& aWorker, const RunRef& aRef, RunKey& aRunKey) const;
   // Orders the worker to stop the run unless it is known to run there or is adopted. Returns
   // whether the run is being stopped.
   bool StopIfUnknown(Worker& aWorker, const RunRef& aRef);
@@ -447,6 +451,8 @@
   Epoch epoch;
   InterferenceModel interference;
   std::map<std::string, Job> jobs;
+  // The keys of the jobs whose key is not their identifier, by identifier.
+  std::map<std::string, std::set<std::string>> serviceJobs;
   // The moving average of the work of a job, by queue.
   std::map<std::string, double> meanWorkCoreSeconds;
   std::map<WorkerKey, Worker> workers;
@@ -488,7 +494,7 @@
   std::size_t lateUnconfirmedRuns = 0;
   std::vector<Duration> startDelays;
   bool loading = true;
-  std::map<std::string, StoredState> loadedStates;
+  std::map<std::string, StoredJobState> loadedStates;
   std::map<std::string, std::vector<StoredProgress>> loadedProgress;
   // The keys and values of cancellations.
   std::vector<std::pair<std::string, std::string>> loadedCancels;
--- a/packages/jobs/include/oriolespread/jobs/JobSpec.h
+++ b/packages/jobs/include/oriolespread/jobs/JobSpec.h
@@ -75,10 +75,13 @@
   // The completion objective is `stretch` times the critical path plus `targetLatencyMs`.
   double stretch = 1.0;
   std::int64_t targetLatencyMs = 0;
+  // Where callers reach the queue; see QueueConfig::Address. Empty in records of earlier versions.
+  std::string address;
 };
 
 struct JobRecord
 {
+  // The key of the job, in the form that JobRows.h describes.
   std::string id;
   QueuePolicy policy;
   JobSpec spec;
@@ -135,13 +138,9 @@
                                    latencyTargetMs,
                                    maxUnavailable)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobSpec, payload, steps, repeats, initialDelayMs, intervalMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QueuePolicy,
-                                   queue,
-                                   service,
-                                   priority,
-                                   maxAttempts,
-                                   stretch,
-                                   targetLatencyMs)
+// `address` may be absent; the other fields must be present.
+void to_json(nlohmann::json& aJson, const QueuePolicy& aPolicy);
+void from_json(const nlohmann::json& aJson, QueuePolicy& aPolicy);
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobRecord, id, policy, spec, submittedUnixMs)
 
 } // namespace oriolespread::jobs
--- a/packages/jobs/src/JobRows.cpp
+++ b/packages/jobs/src/JobRows.cpp
@@ -2,11 +2,16 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 
 #include "oriolespread/jobs/JobSpec.h"
 
+#include <xxhash.h>
+
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <sstream>
 
 namespace oriolespread::jobs {
 
@@ -24,8 +29,77 @@
   return error == std::errc{} && end == aText.data() + aText.size();
 }
 
+constexpr char kServiceMark = '@';
+constexpr char kEarlyCancelMark = '+';
+
+// The hash is part of stored keys.
+std::string HashText(const std::string& aText)
+{
+  return absl::StrCat(absl::Hex(XXH3_64bits(aText.data(), aText.size()), absl::kZeroPad16));
+}
+
+// Spaces separate the fields of a state. A text without spaces and percent signs stays as it is.
+std::string EscapeSpaces(const std::string& aText)
+{
+  return absl::StrReplaceAll(aText, { { "%", "%25" }, { " ", "%20" } });
+}
+
+std::string UnescapeSpaces(const std::string& aText)
+{
+  return absl::StrReplaceAll(aText, { { "%20", " " }, { "%25", "%" } });
+}
+
 } // namespace
 
+std::string ServiceJobKey(const std::string& aIdentifier, const std::string& aService)
+{
+  return aIdentifier + kServiceMark + HashText(aService);
+}
+
+std::string IdentifierOf(std::string_view aJob)
+{
+  const std::size_t mark = std::min(aJob.find(kServiceMark), aJob.find(kEarlyCancelMark));
+  return std::string(aJob.substr(0, mark));
+}
+
+std::string EarlyCancelName(const std::string& aIdentifier, const std::string& aQueue)
+{
+  return aIdentifier + kEarlyCancelMark + HashText(aQueue);
+}
+
+bool IsEarlyCancelName(std::string_view aName)
+{
+  return aName.find(kEarlyCancelMark) != std::string_view::npos;
+}
+
+std::string EncodeJobState(const StoredJobState& aState)
+{
+  std::string value = absl::StrCat(std::string(JobStateName(aState.state)),
+                                   " ",
+                                   aState.endedUnixMs,
+                                   " ",
+                                   EscapeSpaces(aState.queue));
+  if (!aState.address.empty()) {
+    absl::StrAppend(&value, " ", EscapeSpaces(aState.address));
+  }
+  return value;
+}
+
+std::optional<StoredJobState> DecodeJobState(const std::string& aValue)
+{
+  StoredJobState stored;
+  std::istringstream stream(aValue);
+  std::string state;
+  stream >> state >> stored.endedUnixMs >> stored.queue >> stored.address;
+  if (!ParseJobState(state, stored.state) || stored.endedUnixMs < 0 ||
+      stored.endedUnixMs > kMaxUnixMs) {
+    return std::nullopt;
+  }
+  stored.queue = UnescapeSpaces(stored.queue);
+  stored.address = UnescapeSpaces(stored.address);
+  return stored;
+}
+
 std::string_view JobStateName(JobState aState)
 {
   return kStateNames[static_cast<std::size_t>(aState)];
@@ -105,7 +179,7 @@
 {
   // FNV-1a, because std::hash may differ between builds.
   std::uint32_t hash = 2166136261U;
-  for (const char c : aJob) {
+  for (const char c : IdentifierOf(aJob)) {
     hash = (hash ^ static_cast<unsigned char>(c)) * 16777619U;
   }
   return JobPart(hash % kJobPartCount);
--- a/packages/jobs/src/JobScheduler.cpp
+++ b/packages/jobs/src/JobScheduler.cpp
@@ -19,11 +19,10 @@
 // Weight of a new job in the moving average of the work of the jobs of its queue.
 constexpr double kMeanWorkSmoothing = 0.1;
 
-// Returns the value of a state row: the state, the end in Unix milliseconds and the queue.
 std::string EncodeState(const Job& aJob)
 {
-  return absl::StrCat(
-    std::string(JobStateName(aJob.state)), " ", aJob.endedUnixMs, " ", aJob.record.policy.queue);
+  const QueuePolicy& policy = aJob.record.policy;
+  return EncodeJobState({ aJob.state, aJob.endedUnixMs, policy.queue, policy.address });
 }
 
 // Returns whether the change writes the state of a job that has ended.
@@ -69,7 +68,12 @@
 void JobScheduler::OnJobRow(const std::string& aKey, const std::string& aValue, Now aNow)
 {
   if (aKey.size() > kCancelSuffix.size() && aKey.ends_with(kCancelSuffix)) {
-    this->Cancel(aKey.substr(0, aKey.size() - kCancelSuffix.size()), aValue, aNow);
+    const std::string name = aKey.substr(0, aKey.size() - kCancelSuffix.size());
+    if (IsEarlyCancelName(name)) {
+      this->CancelEarly(name, aValue, aNow);
+    } else {
+      this->Cancel(name, aValue, aNow);
+    }
     return;
   }
   if (this->jobs.contains(aKey)) {
@@ -81,7 +85,8 @@
     // The cancellation is applied to the loaded state, which would replace its outcome otherwise.
     const bool isCancelled = this->orphanedCancels.erase(aKey) > 0;
     this->LoadJob(aKey, aValue, aNow);
-    if (isCancelled) {
+    const Job* job = this->FindJob(aKey);
+    if (isCancelled || (job != nullptr && this->IsCancelledEarly(*job))) {
       this->Cancel(aKey, {}, aNow);
     }
     return;
@@ -92,7 +97,8 @@
     return;
   }
   this->AddJob(std::move(record), aNow);
-  if (this->orphanedCancels.erase(aKey) > 0) {
+  const bool isCancelled = this->orphanedCancels.erase(aKey) > 0;
+  if (isCancelled || this->IsCancelledEarly(this->jobs.at(aKey))) {
     // The time of the row does not tell how long the cancellation waited, since the job is new.
     this->Cancel(aKey, {}, aNow);
   }
@@ -103,6 +109,7 @@
   const std::string id = aRecord.id;
   Job& job = this->jobs[id];
   job.record = std::move(aRecord);
+  this->IndexJob(id);
   job.firstSeen = aNow.instant;
   job.objectiveMs = ObjectiveMs(job.record);
   this->activeJobs.insert(id);
@@ -161,6 +168,43 @@
   }
 }
 
+void JobScheduler::CancelEarly(const std::string& aName, const std::string& aValue, Now aNow)
+{
+  // Kept for a job that is stored later; the row is removed after a while in any case.
+  this->orphanedCancels.try_emplace(aName, OrphanedCancel{ aNow.instant });
+  for (const std::string& id : this->JobsWithIdentifier(IdentifierOf(aName))) {
+    if (this->IsCancelledEarly(this->jobs.at(id))) {
+      this->Cancel(id, aValue, aNow);
+    }
+  }
+}
+
+bool JobScheduler::IsCancelledEarly(const Job& aJob) const
+{
+  return aJob.rowRemoval == RowRemoval::None &&
+         this->orphanedCancels.contains(
+           EarlyCancelName(IdentifierOf(aJob.record.id), aJob.record.policy.queue));
+}
+
+void JobScheduler::IndexJob(const std::string& aId)
+{
+  if (const std::string identifier = IdentifierOf(aId); identifier != aId) {
+    this->serviceJobs[identifier].insert(aId);
+  }
+}
+
+std::vector<std::string> JobScheduler::JobsWithIdentifier(const std::string& aIdentifier) const
+{
+  std::vector<std::string> ids;
+  if (this->jobs.contains(aIdentifier)) {
+    ids.push_back(aIdentifier);
+  }
+  if (const auto others = this->serviceJobs.find(aIdentifier); others != this->serviceJobs.end()) {
+    ids.insert(ids.end(), others->second.begin(), others->second.end());
+  }
+  return ids;
+}
+
 void JobScheduler::EndJob(Job& aJob, JobState aState, Now aNow)
 {
   const std::string& id = aJob.record.id;
@@ -440,6 +484,11 @@
       return false;
     }
     this->MarkChanged(StateRow(aItem.first));
+    if (const auto others = this->serviceJobs.find(IdentifierOf(aItem.first));
+        others != this->serviceJobs.end() && others->second.erase(aItem.first) > 0 &&
+        others->second.empty()) {
+      this->serviceJobs.erase(others);
+    }
     return true;
   });
   std::erase_if(this->orphanedStates, [&](const auto& aItem) {
--- a/packages/jobs/src/JobSpec.cpp
+++ b/packages/jobs/src/JobSpec.cpp
@@ -136,6 +136,28 @@
   return std::max(work / kMilliSquared, 1e-3);
 }
 
+void to_json(nlohmann::json& aJson, const QueuePolicy& aPolicy)
+{
+  aJson = { { "queue", aPolicy.queue },
+            { "address", aPolicy.address },
+            { "service", aPolicy.service },
+            { "priority", aPolicy.priority },
+            { "maxAttempts", aPolicy.maxAttempts },
+            { "stretch", aPolicy.stretch },
+            { "targetLatencyMs", aPolicy.targetLatencyMs } };
+}
+
+void from_json(const nlohmann::json& aJson, QueuePolicy& aPolicy)
+{
+  aJson.at("queue").get_to(aPolicy.queue);
+  aPolicy.address = aJson.value("address", std::string());
+  aJson.at("service").get_to(aPolicy.service);
+  aJson.at("priority").get_to(aPolicy.priority);
+  aJson.at("maxAttempts").get_to(aPolicy.maxAttempts);
+  aJson.at("stretch").get_to(aPolicy.stretch);
+  aJson.at("targetLatencyMs").get_to(aPolicy.targetLatencyMs);
+}
+
 std::string EncodeJobRecord(const JobRecord& aRecord)
 {
   std::string bytes;
--- a/packages/jobs/src/SchedulerEnds.cpp
+++ b/packages/jobs/src/SchedulerEnds.cpp
@@ -11,7 +11,7 @@
     return;
   }
   RunKey runKey;
-  const bool isReadable = ParseRunRef(aEnd.ref, runKey);
+  const bool isReadable = this->ResolveRun(aWorker, aEnd.ref, runKey);
   if (isReadable) {
     // A short run may end before any report lists it as running.
     this->OnRunStarted(runKey, aNow);
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -4,7 +4,6 @@
 #include "oriolespread/jobs/JobScheduler.h"
 
 #include <algorithm>
-#include <sstream>
 
 namespace oriolespread::jobs {
 
@@ -53,16 +52,12 @@
 
 void JobScheduler::LoadState(const std::string& aKey, const std::string& aValue)
 {
-  StoredState stored;
-  std::istringstream stream(aValue);
-  std::string state;
-  stream >> state >> stored.endedUnixMs >> stored.queue;
-  if (!ParseJobState(state, stored.state) || stored.endedUnixMs < 0 ||
-      stored.endedUnixMs > kMaxUnixMs) {
+  std::optional<StoredJobState> stored = DecodeJobState(aValue);
+  if (!stored.has_value()) {
     this->ReportUnreadableRow(kStateTable, aKey);
     return;
   }
-  this->loadedStates[aKey] = std::move(stored);
+  this->loadedStates[aKey] = *std::move(stored);
 }
 
 void JobScheduler::LoadProgress(const std::string& aKey, const std::string& aValue)
@@ -122,11 +117,13 @@
   }
 }
 
-void JobScheduler::LoadEndedJob(const std::string& aId, StoredState aStored, Now aNow)
+void JobScheduler::LoadEndedJob(const std::string& aId, StoredJobState aStored, Now aNow)
 {
   Job& job = this->jobs[aId];
   job.record.id = aId;
+  this->IndexJob(aId);
   job.record.policy.queue = std::move(aStored.queue);
+  job.record.policy.address = std::move(aStored.address);
   job.state = aStored.state;
   job.started = true;
   job.endStored = true;
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -204,12 +204,38 @@
   this->loadedWorkersOfAgent.erase(aAgent);
 }
 
+bool JobScheduler::ResolveRun(const Worker& aWorker, const RunRef& aRef, RunKey& aRunKey) const
+{
+  if (!ParseRunRef(aRef, aRunKey)) {
+    return false;
+  }
+  if (aWorker.runs.contains(aRunKey)) {
+    return true;
+  }
+  const std::string identifier = aRunKey.task.job;
+  std::string ofService;
+  for (const std::string& id : this->JobsWithIdentifier(identifier)) {
+    aRunKey.task.job = id;
+    if (aWorker.runs.contains(aRunKey)) {
+      return true;
+    }
+    const std::string& service = this->jobs.at(id).record.policy.service;
+    if (service.empty() || service == aWorker.state.service) {
+      ofService = id;
+    }
+  }
+  // No job of another service runs there, so that the run must not be adopted for one.
+  aRunKey.task.job =
+    ofService.empty() ? ServiceJobKey(identifier, aWorker.state.service) : ofService;
+  return true;
+}
+
 // A run is unknown if its job has ended, or if it was considered lost and its task was started
 // again.
 bool JobScheduler::StopIfUnknown(Worker& aWorker, const RunRef& aRef)
 {
   RunKey runKey;
-  const bool isReadable = ParseRunRef(aRef, runKey);
+  const bool isReadable = this->ResolveRun(aWorker, aRef, runKey);
   const Run* run = isReadable ? this->FindRun(runKey) : nullptr;
   if (run != nullptr && run->worker == aWorker.key) {
     return false;
@@ -253,7 +279,7 @@
 {
   for (const RunningRun& running : aReport.running) {
     RunKey runKey;
-    if (!ParseRunRef(running.ref, runKey)) {
+    if (!this->ResolveRun(aWorker, running.ref, runKey)) {
       continue;
     }
     if (this->StopIfUnknown(aWorker, running.ref)) {
@@ -285,7 +311,7 @@
   }
   for (const RunRef& ref : aReport.undescribed) {
     RunKey runKey;
-    const Run* run = ParseRunRef(ref, runKey) ? this->FindRun(runKey) : nullptr;
+    const Run* run = this->ResolveRun(aWorker, ref, runKey) ? this->FindRun(runKey) : nullptr;
     if (run != nullptr && run->worker == aWorker.key && run->state == RunState::Running) {
       this->OrderStart(runKey, true);
     }
@@ -339,7 +365,7 @@
     static_cast<double>(std::max<std::int64_t>(aWorker.state.capacity.milliCores, 1));
   for (const RunningRun& running : aReport.running) {
     RunKey runKey;
-    if (!ParseRunRef(running.ref, runKey) || this->FindRun(runKey) == nullptr) {
+    if (!this->ResolveRun(aWorker, running.ref, runKey) || this->FindRun(runKey) == nullptr) {
       continue;
     }
     const StepSpec& step = this->SpecOf(runKey.task);
@@ -399,7 +425,7 @@
                                   Now aNow)
 {
   RunKey runKey;
-  Run* run = ParseRunRef(aRejected.ref, runKey) ? this->FindRun(runKey) : nullptr;
+  Run* run = this->ResolveRun(aWorker, aRejected.ref, runKey) ? this->FindRun(runKey) : nullptr;
   if (run == nullptr || run->worker != aWorker.key) {
     return;
   }
--- a/packages/jobs/tests/PlayedBacklog.h
+++ b/packages/jobs/tests/PlayedBacklog.h
@@ -137,7 +137,8 @@
       }
       job.value = CompletionValue(work);
       record.policy = { aQueue.name, "service",      aQueue.priority,
-                        20,          aQueue.stretch, aQueue.targetLatencyMs };
+                        20,          aQueue.stretch, aQueue.targetLatencyMs,
+                        "" };
       record.submittedUnixMs = this->fixture.now.unixMs;
       job.objectiveMs = ObjectiveMs(record.policy, CriticalPathMs(record.spec, job.durationsMs));
       this->fixture.Submit(record);
--- a/packages/jobs/tests/SchedulerFixture.h
+++ b/packages/jobs/tests/SchedulerFixture.h
@@ -12,7 +12,7 @@
 {
   JobRecord record;
   record.id = aId;
-  record.policy = { "queue", "service", 0, 2, 2.0, 1000 };
+  record.policy = { "queue", "service", 0, 2, 2.0, 1000, "" };
   record.spec.payload = "payload";
   record.spec.steps = std::move(aSteps);
   return record;
--- a/packages/soak/src/MixTraffic.cpp
+++ b/packages/soak/src/MixTraffic.cpp
@@ -87,7 +87,8 @@
                      kind.priority,
                      kind.maxAttempts,
                      kind.stretch,
-                     kind.targetLatencyMs };
+                     kind.targetLatencyMs,
+                     {} };
   }
   return queues;
 }
