Read all jobs of an identifier before one is stored beside another queue's

What callers would see: two jobs of one request. By reading the change before: a queue's own job has the key of its service. If the service of the queue changes and the submission is repeated, that key is not among the rows that the submission requires to be absent. Cause: the conflict shows only the rows that the transaction has conditions on. Change: the entry reads the rows of the identifier, and forms the second transaction by them. If it conflicts as well, as the read was behind, the entry waits as after a refusal.

--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -248,23 +248,45 @@
                                   const cluster::StoreTransaction& aTransaction,
                                   const std::vector<cluster::StoredRow>& aCurrent)
 {
-  const StoredJobs jobs = this->FindJobs(*aRequest, aCurrent);
-  if (jobs.Own() != nullptr) {
+  const StoredJobs found = this->FindJobs(*aRequest, aCurrent);
+  if (found.Own() != nullptr) {
     // An earlier attempt or an earlier request has stored it.
     this->Respond(aRequest, kHttpOk, "{}", "stored_before");
-    return;
-  }
-  if (jobs.HasUnreadable() || aCurrent.empty()) {
+  } else if (found.HasUnreadable() || aCurrent.empty()) {
     this->Retry(aRequest, "row_unreadable", [this, aRequest, aTransaction] {
       this->Commit(aRequest, aTransaction);
     });
-    return;
-  }
-  if (const auto key = jobs.FreeKey(); key.has_value()) {
-    this->Commit(aRequest, MakeSubmission(*aRequest, *key, jobs.Conditions()));
-    return;
+  } else if (!found.FreeKey().has_value()) {
+    this->RefuseIdentifier(aRequest);
+  } else if (aTransaction.conditions.front().version != 0) {
+    // The read that the transaction was formed by was behind, or the other job has been removed.
+    this->Retry(
+      aRequest, "identifier_changed", [this, aRequest] { this->SubmitBesideOthers(aRequest); });
+  } else {
+    this->SubmitBesideOthers(aRequest);
   }
-  // Workers of the service could not tell the tasks of both jobs apart.
+}
+
+void JobApi::SubmitBesideOthers(const RequestPtr& aRequest)
+{
+  ++aRequest->attempts;
+  this->ReadJobs(
+    aRequest,
+    [this, aRequest] { this->SubmitBesideOthers(aRequest); },
+    [this, aRequest](const StoredJobs& aFound) {
+      const std::optional<std::string> key = aFound.FreeKey();
+      if (aFound.Own() != nullptr) {
+        this->Respond(aRequest, kHttpOk, "{}", "stored_before");
+      } else if (!key.has_value()) {
+        this->RefuseIdentifier(aRequest);
+      } else {
+        this->Commit(aRequest, MakeSubmission(*aRequest, *key, aFound.Conditions()));
+      }
+    });
+}
+
+void JobApi::RefuseIdentifier(const RequestPtr& aRequest)
+{
   this->Respond(aRequest,
                 aRequest->maybeApplied ? kHttpGatewayTimeout : kHttpUnavailable,
                 {},
@@ -316,12 +338,12 @@
     StoredJobs::Range(aRequest->jobId),
     this->RemainingStoreTimeout(*aRequest),
     [this, aRequest, aSubmission, aRetryAfterSeconds](const cluster::ReadResult& aResult) {
-      const StoredJobs jobs = this->FindJobs(*aRequest, aResult.rows);
-      if (aResult.end != ReadEnd::Done || aResult.unreadableRows > 0 || jobs.HasUnreadable()) {
+      const StoredJobs found = this->FindJobs(*aRequest, aResult.rows);
+      if (aResult.end != ReadEnd::Done || aResult.unreadableRows > 0 || found.HasUnreadable()) {
         this->Commit(aRequest, aSubmission);
         return;
       }
-      if (jobs.Own() != nullptr) {
+      if (found.Own() != nullptr) {
         this->Respond(aRequest, kHttpOk, "{}", "stored_before");
       } else {
         aRequest->retryAfterSeconds = aRetryAfterSeconds;
@@ -478,13 +500,13 @@
              aRetry,
              [this, aRequest, retry = aRetry, onRead = std::move(aOnRead)](
                const std::vector<cluster::StoredRow>& aRows) {
-               const StoredJobs jobs = this->FindJobs(*aRequest, aRows);
-               if (jobs.Own() == nullptr && jobs.HasUnreadable()) {
+               const StoredJobs found = this->FindJobs(*aRequest, aRows);
+               if (found.Own() == nullptr && found.HasUnreadable()) {
                  // It may be the queue's own, and the caller must not be told that it has none.
                  this->Retry(aRequest, "row_unreadable", retry);
                  return;
                }
-               onRead(jobs);
+               onRead(found);
              });
 }
 
@@ -536,16 +558,16 @@
     return;
   }
   // A job with the identifier was stored meanwhile, or the read was behind.
-  const StoredJobs jobs = this->FindJobs(*aRequest, aCurrent);
-  if (const StoredJobs::Job* job = jobs.Own(); job != nullptr) {
+  const StoredJobs found = this->FindJobs(*aRequest, aCurrent);
+  if (const StoredJobs::Job* job = found.Own(); job != nullptr) {
     aRequest->cancelsUnknownJob = false;
     this->StoreCancellation(aRequest, job->id, {});
-  } else if (jobs.HasUnreadable()) {
+  } else if (found.HasUnreadable()) {
     this->Retry(aRequest, "row_unreadable", [this, aRequest, aTransaction] {
       this->Commit(aRequest, aTransaction);
     });
   } else {
-    this->StoreEarlyCancellation(aRequest, jobs);
+    this->StoreEarlyCancellation(aRequest, found);
   }
 }
 
--- a/packages/daemon/src/JobApi.h
+++ b/packages/daemon/src/JobApi.h
@@ -108,6 +108,13 @@
   void OnSubmissionConflict(const RequestPtr& aRequest,
                             const cluster::StoreTransaction& aTransaction,
                             const std::vector<cluster::StoredRow>& aCurrent);
+  // Stores the job while another queue's has the identifier as its key. Reads all jobs with the
+  // identifier first: if the queue's service has changed, the queue's own is not among the rows
+  // that a submission requires to be absent.
+  void SubmitBesideOthers(const RequestPtr& aRequest);
+  // Refuses the job as its service has another queue's with the identifier, whose tasks the workers
+  // could not tell from those of this one.
+  void RefuseIdentifier(const RequestPtr& aRequest);
   StoredJobs FindJobs(const Request& aRequest, const std::vector<cluster::StoredRow>& aRows) const;
   // Returns the Retry-After value with which to refuse a job that cannot end in time to be useful,
   // and logs why; empty if the job is accepted.
--- a/packages/daemon/tests/SharedIdentifierTest.cpp
+++ b/packages/daemon/tests/SharedIdentifierTest.cpp
@@ -291,6 +291,34 @@
   }
 }
 
+// Guards against a second job of a request that is repeated after its queue's service has changed.
+TEST_CASE("JobApi FindsAJobBesideAnotherQueuesWhenTheServiceOfItsQueueHasChanged")
+{
+  TwoServicesFixture fixture;
+  REQUIRE(fixture.Call("POST", "/q1/" + kId, JobBody("one")).status == kHttpOk);
+  REQUIRE(fixture.Call("POST", "/q2/" + kId, JobBody("two")).status == kHttpOk);
+  fixture.written.queues[1].policy.service = "s9";
+  fixture.ApplyConfig();
+  CHECK(fixture.Call("POST", "/q2/" + kId, JobBody("two")).status == kHttpOk);
+  CHECK(fixture.ReadRows().size() == 2);
+  CHECK(fixture.Call("DELETE", "/q2/" + kId).status == kHttpOk);
+  CHECK(fixture.StateAt("/q2/" + kId) == kCancelled);
+}
+
+// Guards against a submission that is refused, or stored twice, because its read is behind.
+TEST_CASE("JobApi StoresAJobBesideAnotherQueuesWhenItsReadsAreBehind")
+{
+  TwoServicesFixture fixture;
+  fixture.store.FreezeReads();
+  REQUIRE(fixture.Call("POST", "/q1/" + kId, JobBody("one")).status == kHttpOk);
+  const int status = fixture.Call("POST", "/q2/" + kId, JobBody("two")).status;
+  CHECK(status == kHttpUnavailable);
+  fixture.store.ThawReads();
+  CHECK(fixture.StoredPayloads() == std::set<std::string>{ "q1 one" });
+  CHECK(fixture.Call("POST", "/q2/" + kId, JobBody("two")).status == kHttpOk);
+  CHECK(fixture.StoredPayloads() == std::set<std::string>{ "q1 one", "q2 two" });
+}
+
 // Guards against jobs of an earlier version that are lost or stored again by an update.
 TEST_CASE("JobApi KnowsTheJobsThatAnEarlierVersionHasStored")
 {
