--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,11 +1,14 @@
 # Declares a package of the workspace.
 #
-#   oriolespread_package(NAME DEPS other_package ... LIBS imported::target ... TEST_DEPS package ...)
+#   oriolespread_package(NAME DEPS other_package ... LIBS imported::target ... TEST_DEPS package ...
+#                        TEST_GROUP prefix)
 #
+# The tests run in one process, but for those whose names begin with the prefix of the group, which
+# have a process and a time limit of their own.
 # Sources are src/*.cpp, public headers include/oriolespread/NAME/*.h, tests tests/*Test.cpp.
 # Helpers shared by tests of several packages live in testing/include and form the target NAME_testing.
 function(oriolespread_package name)
-  cmake_parse_arguments(ARG "" "" "DEPS;LIBS;TEST_DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "" "TEST_GROUP" "DEPS;LIBS;TEST_DEPS" ${ARGN})
   list(TRANSFORM ARG_DEPS PREPEND oriolespread_ OUTPUT_VARIABLE dep_targets)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
   set(target oriolespread_${name})
@@ -42,7 +45,14 @@
       target_link_libraries(${name}_tests PRIVATE oriolespread_${dep})
     endforeach()
     target_include_directories(${name}_tests PRIVATE src tests)
-    add_test(NAME ${name} COMMAND ${name}_tests WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+    set(others "")
+    if(ARG_TEST_GROUP)
+      set(others "~${ARG_TEST_GROUP} *")
+      add_test(NAME ${name}_${ARG_TEST_GROUP} COMMAND ${name}_tests "${ARG_TEST_GROUP} *"
+               WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+      set_tests_properties(${name}_${ARG_TEST_GROUP} PROPERTIES TIMEOUT 300)
+    endif()
+    add_test(NAME ${name} COMMAND ${name}_tests ${others} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
   endif()
 endfunction()
