Add a case on agents that do not find entries after many replacements

Cause: agents and entries read only the first page of the directory of entries, whose rows are never removed.

Nothing of the product is changed.

--- a/review/rig-3/SoakCluster.cpp
+++ b/review/rig-3/SoakCluster.cpp
@@ -7,6 +7,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <iomanip>
@@ -82,19 +83,26 @@
          std::to_string(aIndex + 1);
 }
 
-std::string Rig::WriteSettings(platformwire::DaemonSettings aSettings, std::int64_t aMemoryMb)
+std::string Rig::ServeStore()
 {
   const std::string storeIp = this->Ip(3, this->storeCount++);
   // "4 ms an answer" (SYSTEM.md).
   this->store.SetFault(this->store.Serve(storeIp, kStorePort),
                        { .delay = std::chrono::milliseconds(4) });
+  return ToString(SocketAddress{ storeIp, kStorePort });
+}
+
+std::string Rig::WriteSettings(platformwire::DaemonSettings aSettings, std::int64_t aMemoryMb)
+{
   aSettings.dataCentre = "z";
   aSettings.internalPort = kLinkPort;
   aSettings.maxWorkerLease = this->options.maxLease;
   aSettings.stopGrace = std::chrono::seconds(6);
   aSettings.keepEnded = std::chrono::seconds(120);
   aSettings.drainTime = std::chrono::seconds(2);
-  aSettings.storeAddress = ToString(SocketAddress{ storeIp, kStorePort });
+  if (aSettings.storeAddress.empty()) {
+    aSettings.storeAddress = this->ServeStore();
+  }
   const std::string path = this->options.directory + "/" + aSettings.machine + ".toml";
   std::ofstream(path) << platformwire_testing::EncodeSettings(aSettings)
                       << "[limits]\ncpu_share = 1.0\ncpu_cores = 1\nmemory_mb = " << aMemoryMb
@@ -105,7 +113,7 @@
 void Rig::AddEntry(std::size_t aIndex)
 {
   platformwire::DaemonSettings settings;
-  settings.machine = "edge-" + std::to_string(aIndex + 1);
+  settings.machine = "edge-z-" + std::to_string(aIndex + 1);
   settings.ip = this->Ip(1, aIndex);
   settings.front = { settings.ip, kFrontPort };
   settings.ready = { settings.ip, kReadyPort };
@@ -204,11 +212,48 @@
   this->Watch();
 }
 
+bool Rig::ReplaceEntries(std::size_t aCount)
+{
+  constexpr std::size_t kAtOnce = 16;
+  constexpr std::size_t kAddressesPerKind = 250;
+  constexpr int kFirstKind = 10;
+  if (this->replacedStoreAddress.empty()) {
+    this->replacedStoreAddress = this->ServeStore();
+  }
+  for (std::size_t first = 0; first < aCount; first += kAtOnce) {
+    const std::size_t before = this->store.CountRows("members");
+    const std::size_t count = std::min(kAtOnce, aCount - first);
+    std::vector<std::unique_ptr<soak::Process>> batch;
+    for (std::size_t index = first; index < first + count; ++index) {
+      platformwire::DaemonSettings settings;
+      settings.machine = "edge-a-" + std::to_string(100000 + index);
+      settings.ip = this->Ip(kFirstKind + static_cast<int>(index / kAddressesPerKind),
+                             index % kAddressesPerKind);
+      settings.front = { settings.ip, kFrontPort };
+      settings.ready = { settings.ip, kReadyPort };
+      settings.storeAddress = this->replacedStoreAddress;
+      const std::string path = this->WriteSettings(settings, this->options.entryMemoryMb);
+      batch.push_back(std::make_unique<soak::Process>(
+        std::vector<std::string>{ this->options.programs + "/oriolespread", "serve-cluster" },
+        path,
+        "/dev/null"));
+      batch.back()->Start();
+    }
+    if (!this->RunUntil([&] { return this->store.CountRows("members") >= before + count; },
+                        std::chrono::seconds(10))) {
+      return false;
+    }
+    // Their processes end with the batch.
+  }
+  this->Note("platform: " + std::to_string(aCount) + " entries were started and removed for good");
+  return true;
+}
+
 void Rig::Watch()
 {
   for (std::size_t index = 0; index < this->entries.size(); ++index) {
     this->WatchProcess(*this->entries[index],
-                       "edge-" + std::to_string(index + 1),
+                       "edge-z-" + std::to_string(index + 1),
                        this->options.entryMemoryMb,
                        this->entryStarts[index]);
   }
@@ -300,7 +345,7 @@
       }
     });
   this->RunUntil([&] { return *ended; }, aTimeout + std::chrono::seconds(1));
-  this->Note("client: " + aMethod + " " + aPath + " to edge-" + std::to_string(aEntry + 1) +
+  this->Note("client: " + aMethod + " " + aPath + " to edge-z-" + std::to_string(aEntry + 1) +
              (aBody.empty() ? "" : " " + aBody.substr(0, 200)) + " -> " +
              (answer->status == 0 ? "no answer" : std::to_string(answer->status)) + " " +
              answer->body + " after " + std::to_string(ToMilliseconds(BootClock::now() - sent)) +
--- a/review/rig-3/SoakCluster.h
+++ b/review/rig-3/SoakCluster.h
@@ -69,6 +69,9 @@
   // Writes the configuration; each route is a queue of the service.
   void PutConfig(const nlohmann::json& aRoutes);
   void Start();
+  // Starts and removes entries for good, each at an address of its own, until this many have
+  // registered. Their names begin with `edge-a`, those of the rig's own entries with `edge-z`.
+  bool ReplaceEntries(std::size_t aCount);
   void RunFor(Duration aTime);
   // Runs until the condition holds or the time is over, and returns whether it holds.
   bool RunUntil(const std::function<bool()>& aCondition, Duration aTime);
@@ -109,6 +112,8 @@
 
 private:
   std::string Ip(int aKind, std::size_t aIndex) const;
+  // Serves the store at another address and returns it.
+  std::string ServeStore();
   std::string WriteSettings(platformwire::DaemonSettings aSettings, std::int64_t aMemoryMb);
   void AddEntry(std::size_t aIndex);
   void AddWorker(std::size_t aIndex);
@@ -126,6 +131,8 @@
   std::size_t nextEntry = 0;
   std::size_t storeCount = 0;
   bool watching = false;
+  // The address that the store gives to replaced entries.
+  std::string replacedStoreAddress;
   std::vector<Instant> entryStarts;
   std::vector<Instant> agentStarts;
   std::vector<std::unique_ptr<HttpClient>> clients;
--- a/review/rig-3/SoakFaults.cpp
+++ b/review/rig-3/SoakFaults.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <filesystem>
@@ -319,6 +320,33 @@
   return started && isKnown ? 0 : 1;
 }
 
+// Entries have been replaced over time, and then the processes on the workers' machines are killed.
+int RunReplaced(const CaseOptions& aOptions)
+{
+  Rig rig(aOptions.rig);
+  rig.PutConfig({ { { "name", "lookup" }, { "path_prefix", kOrdinary } } });
+  OrdinaryJobs jobs(rig);
+  if (!WarmUp(rig, jobs)) {
+    return 2;
+  }
+  if (aOptions.trouble && !rig.ReplaceEntries(520)) {
+    return 2;
+  }
+  for (int index = 0; index < 3; ++index) {
+    jobs.Submit();
+    rig.RunFor(std::chrono::seconds(1));
+  }
+  if (!rig.RunUntil([&] { return jobs.NotStarted().empty(); }, std::chrono::seconds(15))) {
+    return 2;
+  }
+  rig.Note("platform: kills all processes on the workers' machines");
+  for (const auto& agent : rig.agents) {
+    agent->Signal(SIGKILL);
+  }
+  rig.RunFor(std::chrono::seconds(15));
+  return CheckOrdinaryJobs(rig, jobs, std::chrono::seconds(8), std::chrono::seconds(30));
+}
+
 // Returns 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 int RunCase(const std::string& aName, const CaseOptions& aOptions)
 {
@@ -334,6 +362,9 @@
   if (aName == "long-name") {
     return RunLongName(aOptions);
   }
+  if (aName == "replaced") {
+    return RunReplaced(aOptions);
+  }
   std::cerr << "rig-3: no case " << aName << "\n";
   return 2;
 }
