End the processes of a case when its rig is stopped by a signal

Cause: the programs that a case starts outlived a rig that was stopped.

Change: the rig and its processes form a group, which ends with it.

--- a/review/rig-3/SoakFaults.cpp
+++ b/review/rig-3/SoakFaults.cpp
@@ -431,5 +431,11 @@
     std::cerr << "usage: rig-3 CASE RECORD\n";
     return 2;
   }
+  // The processes that a case starts are in the group of this one, and end with it when it is
+  // stopped.
+  ::setpgid(0, 0);
+  for (const int ending : { SIGTERM, SIGINT, SIGHUP }) {
+    std::signal(ending, [](int /*aSignal*/) { ::kill(0, SIGKILL); });
+  }
   return oriolespread::review::RunCaseInFolder(argv[1], argv[2]);
 }
