--- a/review/rig-3/SoakCluster.cpp
+++ b/review/rig-3/SoakCluster.cpp
@@ -272,7 +272,7 @@
     item.update(route);
     routes.push_back(std::move(item));
   }
-  const nlohmann::json config{ { "version", 1 },
+  const nlohmann::json config{ { "version", ++this->configVersion },
                                { "routes", routes },
                                { "services",
                                  { { { "name", kService }, { "admission_check", true } } } },
--- a/review/rig-3/SoakCluster.h
+++ b/review/rig-3/SoakCluster.h
@@ -148,6 +148,7 @@
   Instant started;
   std::size_t nextEntry = 0;
   std::size_t storeCount = 0;
+  std::uint64_t configVersion = 0;
   bool watching = false;
   // When the platform looks at the processes next.
   Instant nextWatch{};
--- a/review/rig-3/SoakFaults.cpp
+++ b/review/rig-3/SoakFaults.cpp
@@ -245,12 +245,15 @@
     name += "\u0436";
   }
   Rig rig(aOptions.rig);
-  rig.PutConfig({ { { "name", "lookup" }, { "path_prefix", kOrdinary } },
-                  { { "name", name }, { "path_prefix", kOther } } });
+  rig.PutConfig({ { { "name", "lookup" }, { "path_prefix", kOrdinary } } });
   OrdinaryJobs jobs(rig);
   if (!WarmUp(rig, jobs)) {
     return 2;
   }
+  rig.Note("operator: adds a route whose name has " + std::to_string(name.size()) + " bytes");
+  rig.PutConfig({ { { "name", "lookup" }, { "path_prefix", kOrdinary } },
+                  { { "name", name }, { "path_prefix", kOther } } });
+  rig.RunFor(std::chrono::seconds(3));
   const std::string id = JobId(0xcccc);
   rig.SetWork(id, { Work(500, 512, std::chrono::milliseconds(300)) });
   const Answer answer = rig.CallAny(
