Stop a run beside an open start that no agent prevents

Cause: which starts remained without an answer was known to the agent alone, which loses it with its process; the leader decides on the next run. Evidence: by reading, no message has a field for it, and the overlap lasts while the agent is away. With the agent alive, the restarted worker is stopped (WorkerDriver PreventsUnansweredStartsWhenTheWorkerRestarts), so that the fault needs the loss of both.

Change: reports name the open starts, at once when an answer is missing, and the leader stores them with the progress of their tasks. While the agent of that worker reports, the next run may be anywhere. When its link breaks or it is silent for 1 s, a run of the task on another worker is stopped and none is placed, until the agent reports again, another worker has taken that place, or the start can not come any more (20 s after its answer was due). So there is no run beside which the late start could begin. OpenStarts replaces the agent's list of unanswered starts. A run whose starts are answered has no field, no byte and no wait more (tests).

Weighed: the next run on the same worker, or 20 s later, closes the window altogether, but binds tasks to the worker on which they failed or that is slow, full, draining or lost.

--- a/packages/daemon/src/WorkerDriver.cpp
+++ b/packages/daemon/src/WorkerDriver.cpp
@@ -50,6 +50,7 @@
   , createdAt(BootClock::now())
   , fence(CurrentUnixMs())
   , allLeasesExpiredAt(this->createdAt + LongestLeaseOnAgentClock(aMaxWorkerLease))
+  , openStarts(kWorkerCallTimeout, kMaxCallDelay)
   , paceController(cluster::PaceSettings{})
 {
 }
@@ -105,10 +106,11 @@
   // A worker that restarts under its id accepts late calls to its earlier process, but has
   // forgotten which runs have ended or were stopped.
   std::set<RunRef> mayStart;
-  this->ForgetOldUnansweredStarts();
-  if (aHeartbeat.worker.id == this->worker.id) {
-    for (const auto& [answerDueAt, ref] : this->unansweredStarts) {
-      mayStart.insert(ref);
+  if (aHeartbeat.worker.id != this->worker.id) {
+    this->openStarts.Clear();
+  } else {
+    for (const cluster::OpenStarts::Entry& open : this->openStarts.List(BootClock::now())) {
+      mayStart.insert(open.ref);
     }
     for (const auto& [ref, tracked] : this->trackedRuns) {
       if (tracked.openStarts > 0) {
@@ -191,14 +193,6 @@
   });
 }
 
-void WorkerDriver::ForgetOldUnansweredStarts()
-{
-  const Instant oldest = BootClock::now() - kMaxCallDelay;
-  while (!this->unansweredStarts.empty() && this->unansweredStarts.front().first < oldest) {
-    this->unansweredStarts.pop_front();
-  }
-}
-
 bool WorkerDriver::ConfirmIncarnation(const WorkerAnswer& aAnswer)
 {
   if (!this->unconfirmedHeartbeat.has_value()) {
--- a/packages/daemon/src/WorkerDriver.h
+++ b/packages/daemon/src/WorkerDriver.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "oriolespread/base/Counters.h"
+#include "oriolespread/cluster/OpenStarts.h"
 #include "oriolespread/cluster/PaceController.h"
 #include "oriolespread/cluster/WorkerFence.h"
 #include "oriolespread/messages/WorkerMessages.h"
@@ -11,7 +12,6 @@
 
 #include <asio/steady_timer.hpp>
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -98,7 +98,6 @@
   // Keeps successful ends that the leader has not acknowledged, so that it learns of them with the
   // new incarnation and does not repeat the work.
   void KeepEndsOfEarlierIncarnation();
-  void ForgetOldUnansweredStarts();
   // Raises the token if a start was sent with the present one. Called before a lease is granted
   // after a time without one, in which the leader may have started the runs elsewhere.
   void SupersedeStarts();
@@ -167,7 +166,10 @@
   // acknowledged. A full report also lists all runs; those that were confirmed since `aPollSentAt`
   // count as starting, as the poll may not show them yet.
   void ReportState(bool aFull, Instant aPollSentAt);
-  // Adds the sequence number and the worker's state, and sends the report.
+  // Returns the open starts that reports name. A start whose answer is not due yet is left out
+  // while its run counts as starting.
+  std::vector<OpenStart> ListOpenStarts(Instant aNow);
+  // Adds the sequence number, the worker's state and the open starts, and sends the report.
   void SendReport(WorkerReport aReport);
   // Applies the pace that `paceController` chooses for each run.
   void PaceRuns(Instant aNow);
@@ -300,10 +302,7 @@
   std::uint64_t unansweredLossReport = 0;
 
   std::map<RunRef, TrackedRun> trackedRuns;
-  // Starts without an answer and when their answers were due, in order of that time; also runs that
-  // an earlier process of the agent may have started, and when they were stopped. The worker may
-  // carry the starts out although the runs have ended meanwhile, if it has restarted under its id.
-  std::deque<std::pair<Instant, RunRef>> unansweredStarts;
+  cluster::OpenStarts openStarts;
   // Runs of the earlier incarnation that the current one may start, and when it began.
   std::set<RunRef> barredRuns;
   Instant barredSince{};
--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -86,6 +86,9 @@
     if (!tracked.suspended) {
       tracked = {};
       tracked.openStarts = start.repeated ? 1 : 0;
+      if (start.repeated) {
+        this->openStarts.Assume(start.ref, BootClock::now());
+      }
     }
     tracked.start = start;
     tracked.starting = true;
@@ -156,6 +159,7 @@
   }
   const int attempt = ++it->second.startAttempts;
   ++it->second.openStarts;
+  this->openStarts.OnSent(aRef);
   this->startsSent = true;
   this->client->Start(it->second.start,
                       this->fence.Token(),
@@ -167,6 +171,7 @@
                        epoch = this->epoch,
                        token = this->fence.Token(),
                        id = this->incarnation,
+                       workerId = this->worker.id,
                        sentAt = BootClock::now()](const WorkerAnswer& aAnswer) {
                         if (attempt > 1 || aAnswer.end != WorkerCallOutcome::Done) {
                           LogOrderAnswer("start_answered", aRef, epoch, attempt, sentAt, aAnswer);
@@ -174,13 +179,20 @@
                         const WorkerAnswer answer =
                           id == this->incarnation ? this->CheckIncarnation("start", aAnswer, sentAt)
                                                   : aAnswer;
-                        if (answer.end == WorkerCallOutcome::Unknown) {
-                          this->ForgetOldUnansweredStarts();
-                          this->unansweredStarts.emplace_back(BootClock::now(), aRef);
+                        const bool isUnanswered =
+                          answer.end == WorkerCallOutcome::Unknown && workerId == this->worker.id;
+                        if (isUnanswered) {
+                          this->openStarts.OnUnanswered(aRef, BootClock::now());
+                        } else {
+                          this->openStarts.OnAnswered(aRef);
                         }
                         if (id == this->incarnation) {
                           this->OnStartAnswer(aRef, attempt, token, sentAt, answer);
                         }
+                        if (isUnanswered) {
+                          // The leader has to know of the open start if this process ends.
+                          this->ReportState(false, {});
+                        }
                       });
 }
 
@@ -328,8 +340,7 @@
   const Instant now = BootClock::now();
   if (now - this->createdAt < kMaxCallDelay) {
     // An earlier process of the agent may have sent a start of the run.
-    this->ForgetOldUnansweredStarts();
-    this->unansweredStarts.emplace_back(now, aRef);
+    this->openStarts.Assume(aRef, now);
   }
   this->SendStop(aRef);
 }
--- a/packages/daemon/src/WorkerPolling.cpp
+++ b/packages/daemon/src/WorkerPolling.cpp
@@ -402,6 +402,20 @@
   this->SendReport(std::move(report));
 }
 
+std::vector<OpenStart> WorkerDriver::ListOpenStarts(Instant aNow)
+{
+  std::vector<OpenStart> listed;
+  for (const cluster::OpenStarts::Entry& open : this->openStarts.List(aNow)) {
+    const auto tracked = this->trackedRuns.find(open.ref);
+    const bool isStarting =
+      tracked != this->trackedRuns.end() && tracked->second.starting && !tracked->second.stopping;
+    if (!open.isAnswerAwaited || !isStarting) {
+      listed.push_back({ open.ref, ToMilliseconds(open.until - aNow) });
+    }
+  }
+  return listed;
+}
+
 void WorkerDriver::SendReport(WorkerReport aReport)
 {
   aReport.epoch = this->epoch;
@@ -415,6 +429,7 @@
     this->reportSentTimes.erase(this->reportSentTimes.begin());
   }
   this->reportSentTimes[aReport.sequence] = now;
+  aReport.openStarts = this->ListOpenStarts(now);
   aReport.leasesEndInMs = std::max<std::int64_t>(ToMilliseconds(this->allLeasesExpiredAt - now), 0);
   if (aReport.allLost) {
     // The leader gives up the runs of this incarnation, and does not expect later ones.
--- a/packages/jobs/include/oriolespread/jobs/JobModel.h
+++ b/packages/jobs/include/oriolespread/jobs/JobModel.h
@@ -54,6 +54,19 @@
   RunSpeed speed;
 };
 
+// A start of a run of a task that remained without an answer. If the worker restarts, it carries
+// the start out, unless its agent has superseded the call by then or stops the run.
+struct KnownOpenStart
+{
+  std::string worker;
+  std::string agent;
+  // When the worker carries the start out no more, also in Unix milliseconds, as it is stored.
+  Instant until{};
+  std::int64_t untilUnixMs = 0;
+  // As of the last scheduling pass; see JobScheduler::IsPrevented.
+  bool isPrevented = true;
+};
+
 enum class TaskState
 {
   Waiting,
@@ -68,6 +81,7 @@
   std::uint32_t failedRuns = 0;
   std::string checkpoint;
   std::vector<Run> runs;
+  std::vector<KnownOpenStart> openStarts;
   // The worker on which a run last failed, stalled or was slow.
   std::string lastFailedWorker;
   // A run of the task was stopped because it was slow.
--- a/packages/jobs/include/oriolespread/jobs/JobScheduler.h
+++ b/packages/jobs/include/oriolespread/jobs/JobScheduler.h
@@ -205,6 +205,15 @@
   void CompleteLoadedGang(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aStep);
   void ReportUnreadableRow(std::string_view aTable, const std::string& aKey);
 
+  struct AgentContact
+  {
+    // Zero since the link to the agent broke.
+    Instant lastReport{};
+    // The worker that the agent serves; empty if it has not named one.
+    std::string worker;
+    bool isWorkerDraining = false;
+  };
+
   struct OrphanedCancel
   {
     // When the row was first read.
@@ -287,6 +296,29 @@
   void RemoveLostRuns(Worker& aWorker, std::string_view aReason, Now aNow);
   void StopResumableRuns(Worker& aWorker);
 
+  // Defined in SchedulerOpenStarts.cpp.
+  // Takes the starts from the report that may still be carried out, also if it is not taken
+  // otherwise.
+  void TakeOpenStarts(const std::string& aAgent, const WorkerReport& aReport, Now aNow);
+  // Forgets the starts of other workers that the agent has served.
+  void ForgetOtherOpenStarts(const std::string& aAgent, const std::string& aWorker);
+  void AddOpenStart(const TaskKey& aTaskKey, KnownOpenStart aStart);
+  // Sets until when the starts of a loaded task may be carried out.
+  void LoadOpenStarts(const TaskKey& aTaskKey, Task& aTask, Now aNow);
+  // Returns whether the agent of the worker keeps it from carrying the start out: it supersedes the
+  // calls to an earlier incarnation as soon as it reaches the next one. A worker that drains has no
+  // next one, and its agent ends with it.
+  bool IsPrevented(const KnownOpenStart& aStart, Now aNow) const;
+  // Returns whether a worker may carry out a start of the task that no agent prevents, as of the
+  // last review.
+  static bool HasUnpreventedStart(const Task& aTask);
+  // Forgets the starts that can not be carried out any more, and stops the runs of tasks of which
+  // another worker may carry out a start that no agent prevents.
+  void ReviewOpenStarts(Now aNow);
+  // Returns whether there are starts of the task that count.
+  bool ReviewOpenStarts(const TaskKey& aTaskKey, Now aNow);
+  void StopRunsBeside(const TaskKey& aTaskKey, const KnownOpenStart& aStart, Now aNow);
+
   // Defined in SchedulerEvacuation.cpp.
   // Withdraws the starts on a worker of an evacuated data centre that are not confirmed.
   void WithdrawStarts(Worker& aWorker);
@@ -458,6 +490,11 @@
   std::map<WorkerKey, Worker> workers;
   std::set<std::string> evacuatedDataCentres;
   std::map<std::string, WorkerKey> workerOfAgent;
+  // The last report of each agent.
+  std::map<std::string, AgentContact> agentContacts;
+  // When FinishLoading was called.
+  Instant loadedAt{};
+  std::set<TaskKey> tasksWithOpenStarts;
   // Further workers of an agent that stored runs name: an earlier leader may end before it has
   // stored that the runs of an earlier incarnation are lost.
   std::map<std::string, std::set<WorkerKey>> loadedWorkersOfAgent;
--- a/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
+++ b/packages/jobs/include/oriolespread/jobs/SchedulerSettings.h
@@ -148,6 +148,14 @@
   // it.
   Duration maxReportedLease = std::chrono::minutes(10);
 
+  // Longer than any time for which a worker delays a call that it does not answer; a report or a
+  // row that gives a longer one is limited to it.
+  Duration maxStartDelay = std::chrono::seconds(30);
+  // An agent that has not reported for this long may have no process, so that it may not prevent
+  // starts that its worker has not answered. Several reports, and less than a worker needs to
+  // restart and to take a late call.
+  Duration maxPreventionSilence = std::chrono::milliseconds(1000);
+
   // Returns the longest time from the extension of a worker's lease until it has certainly expired,
   // unless the worker holds a longer one from calls to an earlier process of it.
   Duration LeaseBound() const
--- a/packages/jobs/src/ProgressCodec.cpp
+++ b/packages/jobs/src/ProgressCodec.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::uint64_t kMaxRunNumber = std::uint64_t{ 1 } << 53U;
+constexpr std::size_t kFieldsOfUsualTask = 5;
 
 nlohmann::json EncodeRuns(const Task& aTask)
 {
@@ -20,6 +21,15 @@
   return runs;
 }
 
+nlohmann::json EncodeOpenStarts(const Task& aTask)
+{
+  auto starts = nlohmann::json::array();
+  for (const KnownOpenStart& start : aTask.openStarts) {
+    starts.push_back({ start.worker, start.agent, start.untilUnixMs });
+  }
+  return starts;
+}
+
 // Throws a JSON exception if the value is not a number to which one can be added.
 std::uint64_t DecodeRunNumber(const nlohmann::json& aJson)
 {
@@ -46,6 +56,16 @@
       aTask.state = TaskState::Active;
     }
   }
+  // Rows of earlier versions, and those of tasks without such starts, end here.
+  if (aJson.size() > kFieldsOfUsualTask) {
+    for (const auto& startJson : aJson.at(kFieldsOfUsualTask)) {
+      KnownOpenStart start;
+      start.worker = startJson.at(0).get<std::string>();
+      start.agent = startJson.at(1).get<std::string>();
+      start.untilUnixMs = startJson.at(2).get<std::int64_t>();
+      aTask.openStarts.push_back(std::move(start));
+    }
+  }
 }
 
 } // namespace
@@ -77,11 +97,15 @@
   const auto [first, end] = TasksOfRow(aStep, aRow);
   for (std::size_t index = first; index < end; ++index) {
     const Task& task = aStep.tasks[index];
-    tasks.push_back({ task.state == TaskState::Done,
-                      task.nextRunNumber,
-                      task.failedRuns,
-                      aCheckpoints == Checkpoints::Keep ? task.checkpoint : std::string(),
-                      EncodeRuns(task) });
+    nlohmann::json& encoded = tasks.emplace_back(
+      nlohmann::json::array({ task.state == TaskState::Done,
+                              task.nextRunNumber,
+                              task.failedRuns,
+                              aCheckpoints == Checkpoints::Keep ? task.checkpoint : std::string(),
+                              EncodeRuns(task) }));
+    if (!task.openStarts.empty()) {
+      encoded.push_back(EncodeOpenStarts(task));
+    }
   }
   std::string bytes;
   nlohmann::json::to_msgpack(tasks, bytes);
--- a/packages/jobs/src/SchedulerLoading.cpp
+++ b/packages/jobs/src/SchedulerLoading.cpp
@@ -172,6 +172,7 @@
 {
   this->epoch = aEpoch;
   this->loading = false;
+  this->loadedAt = aNow.instant;
   this->awaitedLogAt = aNow.instant + kAwaitedLogDelay;
   for (auto& [id, stored] : std::exchange(this->loadedStates, {})) {
     // An earlier leader removed the job's row, but ended before it removed the state row.
@@ -193,6 +194,7 @@
         doneSteps += occurrence.steps[step].IsDone() ? 1 : 0;
         for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
           Task& task = occurrence.steps[step].tasks[index];
+          this->LoadOpenStarts({ id, number, step, index }, task, aNow);
           for (Run& run : task.runs) {
             Worker& worker = this->workers[run.worker];
             worker.key = run.worker;
--- a/packages/jobs/src/SchedulerPlacement.cpp
+++ b/packages/jobs/src/SchedulerPlacement.cpp
@@ -64,6 +64,7 @@
   this->LogAwaitedWorkers(aNow);
   this->LogUnconfirmedRuns(aNow);
   this->LogCancelledRuns(aNow);
+  this->ReviewOpenStarts(aNow);
   this->PlaceReadySteps(aNow);
   this->RemoveExpiredJobs(aNow);
   if (aNow.instant >= this->nextWeightsStore && !this->interference.IsEmpty()) {
@@ -359,7 +360,8 @@
 bool JobScheduler::IsPlacementDelayed(const ReadyStep& aReady, std::uint32_t aIndex, Now aNow) const
 {
   const Occurrence& occurrence = aReady.job->occurrences.at(aReady.occurrence);
-  return aNow.instant < occurrence.steps[aReady.step].tasks[aIndex].notBefore ||
+  const Task& task = occurrence.steps[aReady.step].tasks[aIndex];
+  return aNow.instant < task.notBefore || HasUnpreventedStart(task) ||
          (this->changedRows.WithheldCount() > 0 &&
           this->changedRows.IsWithheld(this->ProgressRowOf(
             { aReady.job->record.id, aReady.occurrence, aReady.step, aIndex })));
--- a/packages/jobs/src/SchedulerReports.cpp
+++ b/packages/jobs/src/SchedulerReports.cpp
@@ -47,6 +47,7 @@
 void JobScheduler::OnAgentDown(const std::string& aAgent, Now /*aNow*/)
 {
   this->outgoingOrders.erase(aAgent);
+  this->agentContacts[aAgent].lastReport = {};
   const auto it = this->workerOfAgent.find(aAgent);
   if (it != this->workerOfAgent.end()) {
     Worker& worker = this->workers[it->second];
@@ -57,6 +58,8 @@
 
 void JobScheduler::OnReport(const std::string& aAgent, const WorkerReport& aReport, Now aNow)
 {
+  this->agentContacts[aAgent].lastReport = aNow.instant;
+  this->TakeOpenStarts(aAgent, aReport, aNow);
   if (aReport.worker.id.empty()) {
     // The agent has been restarted and knows no worker. The worker that it served before has ended,
     // or all leases of that worker have expired.
--- a/packages/jobs/tests/PlayedAgent.h
+++ b/packages/jobs/tests/PlayedAgent.h
@@ -593,6 +593,7 @@
         }
       }
     }
+    this->ListOpenStarts(report);
     this->reportSentTimes[report.sequence] = now;
     if (this->lost) {
       this->lastEarlierReport = report.sequence;
@@ -603,6 +604,20 @@
                                  [to = this->link, report] { to->onReport(to, report); });
   }
 
+  void ListOpenStarts(WorkerReport& aReport) const
+  {
+    const Instant now = this->world.time.Present();
+    for (const auto& [ref, sentAt] : this->unansweredStarts) {
+      const auto item = this->tracked.find(ref);
+      const bool isStarting =
+        item != this->tracked.end() && item->second.starting && !item->second.stopping;
+      const Duration remaining = sentAt + kPlayedUnansweredTime - now;
+      if (remaining > Duration::zero() && (!isStarting || now - sentAt >= kPlayedCallTimeout)) {
+        aReport.openStarts.push_back({ ref, ToMilliseconds(remaining) });
+      }
+    }
+  }
+
   void ListRuns(const PlayedWorker& aWorker, WorkerReport& aReport)
   {
     for (const auto& [ref, run] : aWorker.running) {
--- a/packages/messages/include/oriolespread/messages/WorkerMessages.h
+++ b/packages/messages/include/oriolespread/messages/WorkerMessages.h
@@ -81,6 +81,15 @@
   std::string reason;
 };
 
+// A start of a run that the worker has not answered. If the worker restarts under its id, it may
+// carry the start out although the run has ended or was stopped.
+struct OpenStart
+{
+  RunRef ref;
+  // For how long after the report was sent, in milliseconds on the agent's clock.
+  std::int64_t remainingMs = 0;
+};
+
 // Agent to the leading entry. Answered with a LeaseExtension of the same sequence.
 struct WorkerReport
 {
@@ -108,6 +117,9 @@
   // hold a longer lease than any that it was granted. 0 if unknown, as in reports of
   // earlier versions.
   std::int64_t leasesEndInMs = 0;
+  // All starts that the worker may still carry out and that remained without an answer, whether or
+  // not the report lists their runs. Reports of earlier versions have none.
+  std::vector<OpenStart> openStarts;
 };
 
 // Leading entry to agent: the worker's lease may be extended from the time at which the report of
@@ -184,7 +196,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningRun, ref, checkpoint, percent, figure)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndedRun, number, ref, how, checkpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RejectedRun, ref, reason)
-// `leasesEndInMs` may be absent; the other fields must be present.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OpenStart, ref, remainingMs)
+// `leasesEndInMs` and `openStarts` may be absent; the other fields must be present.
 void to_json(nlohmann::json& aJson, const WorkerReport& aReport);
 void from_json(const nlohmann::json& aJson, WorkerReport& aReport);
 // `evacuated` may be absent, which means false; the other fields must be present.
--- a/packages/messages/src/WorkerMessages.cpp
+++ b/packages/messages/src/WorkerMessages.cpp
@@ -16,6 +16,9 @@
             { "ended", aReport.ended },
             { "rejected", aReport.rejected },
             { "leasesEndInMs", aReport.leasesEndInMs } };
+  if (!aReport.openStarts.empty()) {
+    aJson["openStarts"] = aReport.openStarts;
+  }
 }
 
 void from_json(const nlohmann::json& aJson, WorkerReport& aReport)
@@ -32,6 +35,7 @@
   aJson.at("ended").get_to(aReport.ended);
   aJson.at("rejected").get_to(aReport.rejected);
   aReport.leasesEndInMs = aJson.value("leasesEndInMs", std::int64_t{ 0 });
+  aReport.openStarts = aJson.value("openStarts", std::vector<OpenStart>());
 }
 
 void to_json(nlohmann::json& aJson, const LeaseExtension& aExtension)
--- a/packages/messages/tests/MessageCodecTest.cpp
+++ b/packages/messages/tests/MessageCodecTest.cpp
@@ -129,6 +129,13 @@
   CHECK(body.get<WorkerReport>().leasesEndInMs == 6380);
   body.erase("leasesEndInMs");
   CHECK(body.get<WorkerReport>().leasesEndInMs == 0);
+  CHECK_FALSE(body.contains("openStarts"));
+  CHECK(body.get<WorkerReport>().openStarts.empty());
+  report.openStarts.push_back({ { "j.0.0.0", 2 }, 19'500 });
+  const auto openStarts = nlohmann::json(report).get<WorkerReport>().openStarts;
+  REQUIRE(openStarts.size() == 1);
+  CHECK(openStarts[0].ref == RunRef{ "j.0.0.0", 2 });
+  CHECK(openStarts[0].remainingMs == 19'500);
   CHECK(body.get<WorkerReport>().sequence == 7);
   body.erase("running");
   CHECK_THROWS_AS(body.get<WorkerReport>(), nlohmann::json::exception);
