Serve jobs of queues with long names, and refuse what no leader reads

Cause: DecodeJobRecord refused an identifier and a queue's name of more than 175 bytes together, as they form the key of the row of `waiting`; the entry that stores the record asked for its size only. So each leader counted the row as unreadable, and each GET took it for one that may become readable. Evidence: on JobApi StoresAJobThatLeadersReadWhateverTheNameOfItsQueue fails with names of 166 and more bytes by GETs answered 503, and the leader knows fewer jobs than were accepted.

Change: a key that would be longer than the store takes has a hash of the name in its place, and the row's value is the name; keys that fit stay as they were, so that rows of earlier versions are found and removed. Before an entry stores a record, it decodes it as a leader does, and refuses it with 400 if that fails; the decoder also asks whether the row of the job's state fits, which has the name and the address. `pending` counts by the whole name: queue `a` counted the jobs of queue `a/b` before. So nothing is accepted that a leader ignores, whatever a later check of the decoder is.

Two tests expected names of 300 and 500 bytes to be refused, which are served now. In their place: names and addresses for which the row of the state is too long, and a key of the job that is too long (JobRecord RejectsAJobThatALeaderCannotKeep, LeaderDriver StartsTheOtherJobsWhenRowsAreMalformed).

--- a/packages/daemon/src/JobApi.cpp
+++ b/packages/daemon/src/JobApi.cpp
@@ -48,6 +48,19 @@
   return aQueue.timeoutMs > 0 ? std::min(timeoutMs, aQueue.timeoutMs) : timeoutMs;
 }
 
+std::vector<cluster::RowRange> WaitingRanges(const std::string& aQueue)
+{
+  std::vector<cluster::RowRange> ranges;
+  for (const std::string& prefix : jobs::WaitingKeyPrefixes(aQueue)) {
+    // Each prefix ends with '/'; '0' is the character after '/'.
+    const std::string end = prefix.substr(0, prefix.size() - 1) + "0";
+    for (cluster::RowRange& range : JobTableRanges(jobs::kWaitingTable, prefix, end)) {
+      ranges.push_back(std::move(range));
+    }
+  }
+  return ranges;
+}
+
 bool IsLongRunning(const jobs::JobSpec& aSpec)
 {
   return std::any_of(aSpec.steps.begin(), aSpec.steps.end(), [](const jobs::StepSpec& aStep) {
@@ -217,6 +230,14 @@
     this->Respond(aRequest, kHttpBadRequest, {}, "job_too_large");
     return;
   }
+  if (jobs::JobRecord read; !jobs::DecodeJobRecord(transaction.changes.front().value, read)) {
+    // The leader would ignore the job.
+    Log(LogLevel::Warning,
+        "job_not_storable",
+        { { "job", aRequest->jobId }, { "queue_bytes", record.policy.queue.size() } });
+    this->Respond(aRequest, kHttpBadRequest, {}, "job_not_storable");
+    return;
+  }
   if (const auto retryAfterSeconds = this->FindRefusal(*aRequest, record);
       retryAfterSeconds.has_value()) {
     this->RefuseUnlessStored(aRequest, transaction, *retryAfterSeconds);
@@ -240,7 +261,7 @@
   cluster::StoreTransaction transaction;
   transaction.conditions = std::move(aConditions);
   transaction.changes.push_back({ jobs::JobRow(aKey), jobs::EncodeJobRecord(record), false });
-  transaction.changes.push_back({ jobs::WaitingRow(record.policy.queue, aKey), {}, false });
+  transaction.changes.push_back(jobs::MakeWaitingRow(record.policy.queue, aKey));
   return transaction;
 }
 
@@ -596,12 +617,10 @@
     return;
   }
   ++aRequest->attempts;
-  const std::string& queue = aRequest->queue.policy.queue;
-  // Each key begins with the queue's name and '/'; '0' is the character after '/'.
   MultiRangeReader::Read(
     this->context,
     this->store,
-    JobTableRanges(jobs::kWaitingTable, queue + "/", queue + "0"),
+    WaitingRanges(aRequest->queue.policy.queue),
     [this, aRequest] { return this->RemainingStoreTimeout(*aRequest); },
     [](const std::string& /*aReason*/) { return false; },
     [this, aRequest](const MultiRangeResult& aResult) {
@@ -611,7 +630,10 @@
       }
       std::size_t pendingJobs = 0;
       for (const auto& rows : aResult.rows) {
-        pendingJobs += rows.size();
+        pendingJobs += static_cast<std::size_t>(
+          std::count_if(rows.begin(), rows.end(), [&](const cluster::StoredRow& aRow) {
+            return jobs::IsWaitingRowOf(aRequest->queue.policy.queue, aRow.row.key, aRow.value);
+          }));
       }
       this->Respond(aRequest, kHttpOk, platformwire::EncodePending(pendingJobs), "counted");
     });
--- a/packages/jobs/include/oriolespread/jobs/JobRows.h
+++ b/packages/jobs/include/oriolespread/jobs/JobRows.h
@@ -7,6 +7,8 @@
 //   state    <job>               the job state shown to callers, written by the leader
 //   waiting  <queue>/<job>       present until a worker has started a task of the job, or the job
 //                                has ended
+//            =<queue>/<job>      the same if the name of the queue is too long for a key; the value
+//                                is the name
 //   progress <job>.<occ>.<step>  runs, failures and checkpoints of a step, written by the leader
 //            <job>.<occ>.<step>+<row>   the same for some of the tasks of a wide step
 //   learned  interference        the leader's interference weights, read by the next leader
@@ -15,7 +17,7 @@
 // The clients of each queue choose identifiers on their own, so that queues may have jobs with the
 // same one. <job> is the identifier alone or, while a job of another service has that key,
 // <id>@<service>. A service has one job with an identifier at a time, as its workers know a task by
-// the identifier. <queue> and <service> after the identifier are hashes of the names.
+// the identifier. After the identifier or '=', <queue> and <service> are hashes of the names.
 //
 // An entry is a process that accepts jobs from callers; one of them is the leader.
 //
@@ -41,8 +43,14 @@
 inline constexpr std::string_view kLeaderKey = "leader";
 inline constexpr std::string_view kCancelSuffix = ".cancel";
 
-// The longest value of a row that the store takes.
+// The longest key and the longest value of a row that the store takes.
+inline constexpr std::size_t kMaxKeyBytes = 200;
 inline constexpr std::size_t kMaxRowBytes = 65'536;
+// The longest value of a row that is not longer than that in Base64.
+inline constexpr std::size_t kMaxRowValueBytes = 49'152;
+
+// The longest key of a job. The rest of a row's key is for the numbers that the leader adds.
+inline constexpr std::size_t kMaxJobKeyBytes = 160;
 
 // The part with the leader's rows and those that entries share.
 inline constexpr std::string_view kSharedPart = "s0";
@@ -156,6 +164,13 @@
 RowKey JobRow(const std::string& aJob);
 RowKey CancelRow(const std::string& aJob);
 RowKey WaitingRow(const std::string& aQueue, const std::string& aJob);
+// Returns the change that writes the row.
+RowChange MakeWaitingRow(const std::string& aQueue, const std::string& aJob);
+// Returns what the keys of the queue's rows of `waiting` begin with, each with '/' as the last
+// character. Rows of other queues may begin with it too.
+std::vector<std::string> WaitingKeyPrefixes(const std::string& aQueue);
+// Returns whether this is a row of `waiting` of the queue.
+bool IsWaitingRowOf(const std::string& aQueue, std::string_view aKey, std::string_view aValue);
 RowKey StateRow(const std::string& aJob);
 RowKey ProgressRow(const std::string& aJob,
                    std::uint32_t aOccurrence,
--- a/packages/jobs/include/oriolespread/jobs/JobSpec.h
+++ b/packages/jobs/include/oriolespread/jobs/JobSpec.h
@@ -116,7 +116,8 @@
 double TaskCoreSeconds(const StepSpec& aStep, std::int64_t aDurationMs);
 
 // Encode and decode a stored record. DecodeJobRecord returns false if the bytes are not a record,
-// if CheckJobSpec rejects its specification, or if its names are too long for keys of rows.
+// if CheckJobSpec rejects its specification, or if its key or its names are too long for the rows
+// of the job. An entry stores only what DecodeJobRecord accepts, as a leader ignores the rest.
 std::string EncodeJobRecord(const JobRecord& aRecord);
 bool DecodeJobRecord(const std::string& aBytes, JobRecord& aRecord);
 
--- a/packages/jobs/src/JobRows.cpp
+++ b/packages/jobs/src/JobRows.cpp
@@ -31,6 +31,9 @@
 
 constexpr char kServiceMark = '@';
 constexpr char kEarlyCancelMark = '+';
+constexpr char kQueueHashMark = '=';
+// The length of <id>@<service>, the longest key that entries give a job.
+constexpr std::size_t kServiceJobKeyBytes = 33;
 
 // The hash is part of stored keys.
 std::string HashText(const std::string& aText)
@@ -38,6 +41,11 @@
   return absl::StrCat(absl::Hex(XXH3_64bits(aText.data(), aText.size()), absl::kZeroPad16));
 }
 
+std::string HashedQueuePrefix(const std::string& aQueue)
+{
+  return absl::StrCat(std::string(1, kQueueHashMark), HashText(aQueue), "/");
+}
+
 // Spaces separate the fields of a state. A text without spaces and percent signs stays as it is.
 std::string EscapeSpaces(const std::string& aText)
 {
@@ -207,7 +215,39 @@
 
 RowKey WaitingRow(const std::string& aQueue, const std::string& aJob)
 {
-  return { std::string(kWaitingTable), absl::StrCat(aQueue, "/", aJob), JobPartOf(aJob) };
+  std::string key = absl::StrCat(aQueue, "/", aJob);
+  if (key.size() > kMaxKeyBytes) {
+    key = absl::StrCat(HashedQueuePrefix(aQueue), aJob);
+  }
+  return { std::string(kWaitingTable), std::move(key), JobPartOf(aJob) };
+}
+
+RowChange MakeWaitingRow(const std::string& aQueue, const std::string& aJob)
+{
+  RowKey row = WaitingRow(aQueue, aJob);
+  const bool isHashed = aQueue.size() + 1 + aJob.size() > kMaxKeyBytes;
+  return { std::move(row), isHashed ? aQueue : std::string(), false };
+}
+
+std::vector<std::string> WaitingKeyPrefixes(const std::string& aQueue)
+{
+  std::vector<std::string> prefixes;
+  if (aQueue.size() < kMaxKeyBytes) {
+    prefixes.push_back(aQueue + "/");
+  }
+  if (aQueue.size() + 1 + kServiceJobKeyBytes > kMaxKeyBytes) {
+    prefixes.push_back(HashedQueuePrefix(aQueue));
+  }
+  return prefixes;
+}
+
+bool IsWaitingRowOf(const std::string& aQueue, std::string_view aKey, std::string_view aValue)
+{
+  // The name of a queue may contain slashes, the key of a job does not.
+  const std::string_view prefix = aKey.substr(0, aKey.rfind('/') + 1);
+  return aValue.empty()
+           ? prefix.size() == aQueue.size() + 1 && prefix.substr(0, aQueue.size()) == aQueue
+           : aValue == aQueue && prefix == HashedQueuePrefix(aQueue);
 }
 
 RowKey StateRow(const std::string& aJob)
--- a/packages/jobs/src/JobSpec.cpp
+++ b/packages/jobs/src/JobSpec.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "oriolespread/base/ExternalJson.h"
+#include "oriolespread/jobs/JobRows.h"
 
 #include <algorithm>
 #include <numeric>
@@ -17,9 +18,6 @@
 constexpr std::uint32_t kMaxTasksPerStep = 10000;
 // Tasks of all occurrences, which the leader keeps in memory until the job ends.
 constexpr std::uint64_t kMaxTasksPerJob = 100'000;
-// The length of a job's identifier and its queue's name together. The store takes keys of at most
-// 200 bytes, and the rest is for the numbers that the leader adds to form the keys of its rows.
-constexpr std::size_t kMaxNameBytes = 175;
 // The only field of a job's record that is a floating-point number.
 constexpr const char* kFloatingPointField = "stretch";
 
@@ -38,6 +36,17 @@
          IsBetween(aStep.estimateMs, 0, kMaxDurationMs);
 }
 
+// Returns whether the store takes the rows with the job's key, and the one of its state, which has
+// the name and the address of its queue.
+bool FitsIntoRows(const JobRecord& aRecord)
+{
+  const StoredJobState longestState{
+    JobState::Completed, kMaxUnixMs, aRecord.policy.queue, aRecord.policy.address
+  };
+  return IsBetween(static_cast<std::int64_t>(aRecord.id.size()), 1, kMaxJobKeyBytes) &&
+         EncodeJobState(longestState).size() <= kMaxRowValueBytes;
+}
+
 // Returns the number of tasks of all occurrences.
 std::uint64_t CountTasks(const JobSpec& aSpec)
 {
@@ -179,8 +188,7 @@
   } catch (const nlohmann::json::exception&) {
     return false;
   }
-  return aRecord.id.size() + aRecord.policy.queue.size() <= kMaxNameBytes &&
-         CheckJobSpec(aRecord.spec).ok();
+  return FitsIntoRows(aRecord) && CheckJobSpec(aRecord.spec).ok();
 }
 
 } // namespace oriolespread::jobs
