Send no start again to a worker that has begun to drain

Cause: OnOrders asks whether the worker drains, TryStart, which sends a start again that got no answer, did not.

Change: TryStart rejects the start, unless its run is at work. Where an earlier call may still be carried out, the run is stopped first, as for each other reason. Of what else repeats an order, evacuations were asked for there already, and stops and paces hold on draining workers too.

--- a/packages/daemon/src/WorkerOrders.cpp
+++ b/packages/daemon/src/WorkerOrders.cpp
@@ -138,6 +138,12 @@
     this->RejectRun(aRef, kEvacuatedReason);
     return;
   }
+  // The worker may have begun to drain since the start was first sent.
+  if (this->worker.draining && !this->IsRunning(aRef)) {
+    this->counters.Add("starts_void_total", "draining");
+    this->RejectRun(aRef, "draining");
+    return;
+  }
   if (const std::string_view awaited = this->AwaitedForStart(); !awaited.empty()) {
     if (awaited != std::exchange(it->second.delayedBy, awaited)) {
       this->counters.Add("starts_delayed_total", awaited);
