Read the whole directory of entries

Cause: EntryDirectory::ReadAll read one answer, at most 500 rows, and ignored that more follow; the watch then began at that version.

Change: the directory is read by MultiRangeReader, as the other tables are, and the watch begins at the version of the first page, so that it misses no change between two pages. Rows of entries that are gone for good stay, and agents dial them (docs/platform.md, section 11).

--- a/packages/daemon/src/EntryDirectory.cpp
+++ b/packages/daemon/src/EntryDirectory.cpp
@@ -1,5 +1,6 @@
 #include "oriolespread/daemon/EntryDirectory.h"
 
+#include "MultiRangeReader.h"
 #include "absl/strings/escaping.h"
 
 #include "oriolespread/base/SocketAddress.h"
@@ -93,17 +94,21 @@
 
 void EntryDirectory::ReadAll()
 {
-  this->store.Read(
-    { kMembersTable, "", "", 0 }, kStoreTimeout, [this](const cluster::ReadResult& aResult) {
-      if (aResult.end != ReadEnd::Done) {
-        this->counters.Add("directory_retries_total", "read");
-        this->RetryLater([this] { this->ReadAll(); }, kStoreRetryDelay);
-        return;
-      }
+  MultiRangeReader::Read(
+    this->context,
+    this->store,
+    { { kMembersTable, "", "", 0 } },
+    [] { return kStoreTimeout; },
+    [this](const std::string& /*aReason*/) {
+      this->counters.Add("directory_retries_total", "read");
+      return true;
+    },
+    [this](const MultiRangeResult& aResult) {
       this->entries.clear();
-      for (const cluster::StoredRow& row : aResult.rows) {
+      for (const cluster::StoredRow& row : aResult.rows.front()) {
         this->ApplyRow(row);
       }
+      // A row that was changed between two pages is in the watch from the version of the first one.
       this->version = std::max(this->version, aResult.version);
       // Watches first, so that changes are still followed if the subscriber throws.
       this->Watch();
--- a/packages/daemon/tests/EntryDirectoryTest.cpp
+++ b/packages/daemon/tests/EntryDirectoryTest.cpp
@@ -153,3 +153,23 @@
   fixture.store.SetFault(fixture.server, {});
   CHECK(fixture.RunUntil([&] { return fixture.store.CountRows("members") == 3; }));
 }
+
+// Guards against processes that know the entries of the first page only, and none that is alive,
+// after many entries were replaced.
+TEST_CASE("EntryDirectory KnowsAllEntriesWhenTheyAreMoreThanAPageHolds")
+{
+  constexpr int kEntries = 520;
+  DirectoryFixture fixture;
+  for (int index = 0; index < kEntries; ++index) {
+    fixture.PutMember("m" + std::to_string(index), "10.0.1.1:" + std::to_string(1000 + index));
+  }
+  fixture.PutMember("z", "10.0.0.2:7000");
+  fixture.Subscribe();
+  REQUIRE(fixture.RunUntil([&] { return !fixture.entries.empty(); }));
+  CHECK(fixture.entries.size() == kEntries + 2);
+  CHECK(fixture.entries.contains("z"));
+  fixture.store.ForgetHistory();
+  fixture.PutMember("z2", "10.0.0.3:7000");
+  CHECK(fixture.RunUntil([&] { return fixture.entries.contains("z2"); }, std::chrono::seconds(10)));
+  CHECK(fixture.entries.contains("z"));
+}
